--- /dev/null
+++ b/src/jobs/effects.ts
@@ -0,0 +1,11 @@
+/** What the home's side of jobs wants done. */
+
+import type { JournalCall } from '../journal/types';
+import type { Result } from '../types/outcomes';
+import type { JobSummary, TaskAsk } from './types';
+
+/** An effect of the job table. */
+export type JobEffect =
+  | JournalCall
+  | { readonly kind: 'replyJob'; readonly callId: number; readonly result: Result<JobSummary> }
+  | { readonly kind: 'askOwner'; readonly ask: TaskAsk };
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -1,179 +1,123 @@
-/** The jobs whose home is this scheduler: their tasks, their phase, and their rows in the platform. */
+/** The jobs whose home is this scheduler: their tasks, their phase, and their journal. */
 
+import { Journal } from '../journal/journal';
+import type { JournalOutcome } from '../journal/journal';
+import { JournalReader } from '../journal/journalReader';
+import { Snapshots } from '../journal/snapshots';
+import type { FenceSource, JournalCall, JournalContent, JournalOrigin } from '../journal/types';
 import { getHomeShard } from '../lease/shards';
-import type { JsonValue, PlatformCall, PlatformResult, Row } from '../platform/types';
-import type { TaskStart } from '../rpc/types';
+import type { PlatformResult } from '../platform/types';
 import { createDiagnostic } from '../types/diagnostics';
 import { assertNever } from '../types/debug';
-import { toId } from '../types/ids';
-import type { JobId, OperationId, ShardId, TaskId, TeamId } from '../types/ids';
+import type { Epoch, JobId, ShardId, TeamId } from '../types/ids';
 import { fail, ok } from '../types/outcomes';
 import type { Result } from '../types/outcomes';
-import type { Job, JobPhase, JobPolicy, JobSpec, JobSummary, Task, TaskNews } from './types';
-
-/** Prefix of the rows of all jobs. */
-export const JOB_PREFIX = 'job/';
-const MAX_TASK_ATTEMPTS = 5;
-const MAX_STARTS_PER_TICK = 64;
-const START_TIMEOUT_MS = 5_000;
-
-/** Which call a platform result belongs to. */
-export type JobOrigin =
-  | { readonly kind: 'jobFlush'; readonly jobIds: readonly JobId[] }
-  | { readonly kind: 'jobLoad'; readonly shardId: ShardId };
-
-/** What the job table wants done. */
-export type JobEffect =
-  | { readonly kind: 'callPlatform'; readonly origin: JobOrigin; readonly call: PlatformCall }
-  | { readonly kind: 'replyJob'; readonly callId: number; readonly result: Result<JobSummary> }
-  | { readonly kind: 'placeTask'; readonly start: TaskStart };
-
-interface KeptJob {
-  job: Job;
-  rowVersion: number;
-  isDirty: boolean;
-  waitingCallIds: number[];
-  startingSinceMs: Map<TaskId, number>;
-}
+import {
+  applyEntry,
+  createJob,
+  createJobEntries,
+  createTaskEntry,
+  encodeEntry,
+  getPhase,
+  getPlacement,
+  isEnded,
+  summariseJob,
+} from './job';
+import type { KeptJob, KeptTask } from './job';
+import { createPlan } from './placer';
+import type { PlacementView } from './placer';
+import { applyNews } from './taskProgress';
+import type { JobEffect } from './effects';
+import type { JobEntry, JobSpec, JobSummary, TaskNews } from './types';
+
+const ENDED_JOB_KEPT_COUNT = 10_000;
 
-function getJobKey(jobId: JobId): string {
-  return `${JOB_PREFIX}${getHomeShard(jobId)}/${jobId}`;
-}
+/** The home's side of every job. */
+export class JobTable {
+  #jobs = new Map<JobId, KeptJob>();
 
-function getTaskCount(policy: JobPolicy): number {
-  switch (policy.kind) {
-    case 'service':
-      return policy.replicas;
-    case 'batch':
-    case 'gang':
-      return policy.taskCount;
-    case 'watch':
-      return 1;
-    default:
-      return assertNever(policy);
-  }
-}
+  /** Jobs that have not ended, or of which a task may still run. */
+  #activeIds = new Set<JobId>();
 
-/** A standing task is started again whenever it ends. */
-function isStanding(policy: JobPolicy): boolean {
-  return policy.kind === 'service' || policy.kind === 'watch';
-}
+  #openShards = new Map<ShardId, Epoch>();
 
-function createJob(spec: JobSpec, teamId: TeamId): Job {
-  const tasks = Array.from({ length: getTaskCount(spec.policy) }, (_, index): Task => ({
-    taskId: toId<TaskId>(`${spec.jobId}/${index}`),
-    state: { kind: 'pending' },
-    attempts: 0,
-    checkpointFraction: 0,
-  }));
-  return { spec, teamId, phase: 'accepted', tasks, note: '' };
-}
+  #loadingShards = new Map<ShardId, Epoch>();
 
-function countTasks(job: Job, kind: Task['state']['kind']): number {
-  return job.tasks.filter((task) => task.state.kind === kind).length;
-}
+  #journal: Journal<JobEffect>;
 
-function getPhase(job: Job): JobPhase {
-  if (job.phase === 'cancelled') return 'cancelled';
-  if (countTasks(job, 'failed') > 0) return 'failed';
-  if (countTasks(job, 'finished') === job.tasks.length) return 'finished';
-  return countTasks(job, 'running') > 0 ? 'running' : job.phase;
-}
+  #reader = new JournalReader();
 
-function isJob(value: unknown): value is Job {
-  return typeof value === 'object' && value !== null && 'spec' in value && 'tasks' in value;
-}
+  #snapshots: Snapshots;
 
-/**
- * Summarises a job for its submitter.
- * @param job - the job
- * @returns one line of a listing
- */
-export function summariseJob(job: Job): JobSummary {
-  return {
-    jobId: job.spec.jobId,
-    teamId: job.teamId,
-    queueId: job.spec.queueId,
-    kind: job.spec.policy.kind,
-    phase: job.phase,
-    pendingCount: countTasks(job, 'pending') + countTasks(job, 'starting'),
-    runningCount: countTasks(job, 'running'),
-    finishedCount: countTasks(job, 'finished'),
-    failedCount: countTasks(job, 'failed'),
-    note: job.note,
-  };
-}
+  #submitCount = 0;
 
-function updateJob(kept: KeptJob, job: Job): void {
-  kept.job = job;
-  kept.isDirty = true;
-}
-
-function resubmitJob(
-  callId: number,
-  kept: KeptJob,
-  spec: JobSpec,
-  teamId: TeamId,
-): readonly JobEffect[] {
-  const isSame =
-    kept.job.teamId === teamId && JSON.stringify(kept.job.spec) === JSON.stringify(spec);
-  if (!isSame) {
-    const result = fail<JobSummary>(createDiagnostic('duplicateJob', spec.jobId));
-    return [{ kind: 'replyJob', callId, result }];
-  }
-  if (kept.rowVersion === 0) {
-    kept.waitingCallIds.push(callId);
-    return [];
+  /**
+   * @param writerId - distinguishes this run of the process
+   * @param fences - the lease rows that guard the journal
+   */
+  constructor(writerId: string, fences: FenceSource) {
+    this.#journal = new Journal(writerId, fences);
+    this.#snapshots = new Snapshots(writerId, fences, this);
   }
-  return [{ kind: 'replyJob', callId, result: ok(summariseJob(kept.job)) }];
-}
-
-/**
- * Reads back the jobs of a home shard that was acquired.
- * @param shardId - the home shard
- * @returns what to do
- */
-export function createShardLoad(shardId: ShardId): readonly JobEffect[] {
-  return [
-    {
-      kind: 'callPlatform',
-      origin: { kind: 'jobLoad', shardId },
-      call: { kind: 'range', prefix: `${JOB_PREFIX}${shardId}/`, after: '', limit: 10_000 },
-    },
-  ];
-}
-
-/** The home's side of every job. */
-export class JobTable {
-  #jobs = new Map<JobId, KeptJob>();
-
-  #isFlushing = false;
-
-  #operationCount = 0;
 
   /** Jobs kept. */
   get jobCount(): number {
     return this.#jobs.size;
   }
 
+  /** Shards whose jobs are still being read back. */
+  get loadingCount(): number {
+    return this.#loadingShards.size;
+  }
+
+  /** True when nothing waits for the journal. */
+  get isIdle(): boolean {
+    return this.#journal.isIdle;
+  }
+
   /**
-   * Takes in a submitted job; it is answered once its row is durable.
+   * Opens home shards that were acquired and closes those that were lost.
+   * @param owned - the home shards with their epochs
+   */
+  syncShards(owned: ReadonlyMap<ShardId, Epoch>): void {
+    [...this.#openShards, ...this.#loadingShards].forEach(([shardId, epoch]) => {
+      if (owned.get(shardId) !== epoch) this.#close(shardId);
+    });
+    owned.forEach((epoch, shardId) => {
+      if (this.#openShards.has(shardId) || this.#loadingShards.has(shardId)) return;
+      this.#loadingShards.set(shardId, epoch);
+      this.#reader.begin(shardId);
+    });
+  }
+
+  /**
+   * Takes in a submitted job; it is answered once it is durable.
+   * @param nowMs - this process's clock
    * @param callId - the call to answer
    * @param spec - the job
    * @param teamId - whose key came with it
    * @returns what to do
    */
-  submit(callId: number, spec: JobSpec, teamId: TeamId): readonly JobEffect[] {
+  submit(nowMs: number, callId: number, spec: JobSpec, teamId: TeamId): readonly JobEffect[] {
+    const homeShard = getHomeShard(spec.jobId);
+    if (!this.#openShards.has(homeShard)) {
+      return [{ kind: 'replyJob', callId, result: fail(createDiagnostic('noOwner')) }];
+    }
     const known = this.#jobs.get(spec.jobId);
-    if (known !== undefined) return resubmitJob(callId, known, spec, teamId);
-    this.#jobs.set(spec.jobId, {
-      job: createJob(spec, teamId),
-      rowVersion: 0,
-      isDirty: true,
-      waitingCallIds: [callId],
-      startingSinceMs: new Map(),
-    });
-    return this.#flush();
+    if (known !== undefined) return this.#resubmit(nowMs, callId, known, spec, teamId);
+    this.#submitCount += 1;
+    const job = createJob(spec, teamId, this.#submitCount);
+    this.#jobs.set(spec.jobId, job);
+    this.#activeIds.add(spec.jobId);
+    const entry: JobEntry = {
+      kind: 'submitted',
+      spec,
+      teamId,
+      submitNumber: job.submitNumber,
+    };
+    const reply: JobEffect = { kind: 'replyJob', callId, result: ok(summariseJob(job)) };
+    this.#append(nowMs, spec.jobId, entry, [reply], true);
+    return [];
   }
 
   /**
@@ -183,11 +127,12 @@
    * @returns its summary; another team's job counts as unknown
    */
   get(jobId: JobId, teamId: TeamId): Result<JobSummary> {
-    const kept = this.#jobs.get(jobId);
-    if (kept === undefined || kept.job.teamId !== teamId) {
+    if (!this.#openShards.has(getHomeShard(jobId))) return fail(createDiagnostic('noOwner'));
+    const job = this.#jobs.get(jobId);
+    if (job === undefined || job.teamId !== teamId) {
       return fail(createDiagnostic('unknownJob', jobId));
     }
-    return ok(summariseJob(kept.job));
+    return ok(summariseJob(job));
   }
 
   /**
@@ -196,198 +141,236 @@
    * @returns a summary of each
    */
   list(teamId: TeamId): readonly JobSummary[] {
-    return [...this.#jobs.values()]
-      .filter((kept) => kept.job.teamId === teamId)
-      .map((kept) => summariseJob(kept.job));
+    return [...this.#jobs.values()].filter((job) => job.teamId === teamId).map(summariseJob);
   }
 
   /**
-   * Cancels a job; its pending tasks no longer start.
+   * Cancels a job: nothing of it starts any more, and what runs is stopped. Answered once durable.
+   * @param nowMs - this process's clock
+   * @param callId - the call to answer
    * @param jobId - which
    * @param teamId - whose key came
-   * @returns the job's summary
+   * @returns what to do
    */
-  cancel(jobId: JobId, teamId: TeamId): Result<JobSummary> {
+  cancel(nowMs: number, callId: number, jobId: JobId, teamId: TeamId): readonly JobEffect[] {
     const found = this.get(jobId, teamId);
-    const kept = this.#jobs.get(jobId);
-    if (found.kind === 'error' || kept === undefined) return found;
-    updateJob(kept, { ...kept.job, phase: 'cancelled' });
-    return ok(summariseJob(kept.job));
+    const job = this.#jobs.get(jobId);
+    if (found.kind === 'error' || job === undefined || isEnded(job.phase)) {
+      return [{ kind: 'replyJob', callId, result: found }];
+    }
+    this.#setPhase(nowMs, job, 'cancelled', [callId]);
+    return [];
   }
 
   /**
-   * Forgets the jobs of a home shard that was lost.
-   * @param isOfShard - tells whether a job's home is that shard
+   * Places pending tasks, asks owners again, and writes what has gathered.
+   * @param nowMs - this process's clock
+   * @param view - what can be placed where
+   * @returns what to do
    */
-  forget(isOfShard: (jobId: JobId) => boolean): void {
-    this.#jobs.forEach((_, jobId) => {
-      if (isOfShard(jobId)) this.#jobs.delete(jobId);
+  tick(nowMs: number, view: PlacementView): readonly JobEffect[] {
+    const jobs = [...this.#activeIds].flatMap((jobId) => this.#jobs.get(jobId) ?? []);
+    const plan = createPlan(nowMs, jobs, view, (job, task) =>
+      this.#journal.isDurable(getHomeShard(job.spec.jobId), task.entryNumber),
+    );
+    plan.placed.forEach(({ job, task, ask }) => {
+      const effect: JobEffect = { kind: 'askOwner', ask };
+      this.#appendTask(nowMs, job, task, [effect]);
     });
+    plan.changed.forEach((job) => this.#updatePhase(nowMs, job));
+    return [
+      ...plan.asks.map((ask): JobEffect => ({ kind: 'askOwner', ask })),
+      ...this.flush(nowMs, view.writerCount),
+      ...this.#reader.tick(nowMs),
+      ...this.#snapshots.tick(nowMs),
+    ];
   }
 
   /**
-   * Starts pending tasks and writes changed rows.
+   * Writes what has gathered, if it is due.
    * @param nowMs - this process's clock
-   * @returns what to do
+   * @param writerCount - schedulers that share the platform's write rate
+   * @returns the call, if any
    */
-  tick(nowMs: number): readonly JobEffect[] {
-    return [...this.#flush(), ...this.#startPending(nowMs)];
+  flush(nowMs: number, writerCount: number): readonly JournalCall[] {
+    return this.#journal.tryFlush(nowMs, writerCount);
   }
 
   /**
-   * Takes in what an owner says of a task.
+   * Takes in what an owner says of a placement.
+   * @param nowMs - this process's clock
    * @param news - what became of it
+   * @returns true when the owner need not repeat it
    */
-  applyNews(news: TaskNews): void {
-    const kept = this.#jobs.get(news.jobId);
-    if (kept === undefined) return;
-    kept.startingSinceMs.delete(news.taskId);
-    const tasks = kept.job.tasks.map((task) =>
-      task.taskId === news.taskId ? JobTable.#getNextTask(kept.job, task, news) : task,
+  applyNews(nowMs: number, news: TaskNews): boolean {
+    const homeShard = getHomeShard(news.jobId);
+    if (!this.#openShards.has(homeShard)) return false;
+    const job = this.#jobs.get(news.jobId);
+    const task = job?.tasks.find((known) => known.taskId === news.taskId);
+    // A job that is not known was never placed, or ended so long ago that it was forgotten.
+    if (job === undefined || task === undefined) return true;
+    if (getPlacement(task)?.attempt === news.attempt) this.#applyCurrent(nowMs, job, task, news);
+    return (
+      getPlacement(task)?.attempt !== news.attempt &&
+      this.#journal.isDurable(homeShard, task.entryNumber)
     );
-    const job = { ...kept.job, tasks };
-    updateJob(kept, { ...job, phase: getPhase(job) });
   }
 
   /**
    * Takes in what came of a platform call.
+   * @param nowMs - this process's clock
    * @param origin - which call
    * @param result - what came
    * @returns what to do
    */
-  applyResult(origin: JobOrigin, result: PlatformResult): readonly JobEffect[] {
+  applyResult(nowMs: number, origin: JournalOrigin, result: PlatformResult): readonly JobEffect[] {
     switch (origin.kind) {
-      case 'jobLoad':
-        if (result.kind === 'rows') this.#load(result.rows);
-        return result.kind === 'rows' ? [] : createShardLoad(origin.shardId);
-      case 'jobFlush':
-        this.#isFlushing = false;
-        return this.#applyFlush(origin.jobIds, result);
+      case 'journalWrite':
+        return this.#applyWrite(this.#journal.applyResult(origin.operationId, result));
+      case 'journalPutSnapshot':
+      case 'journalSetHead':
+      case 'journalTrim':
+        return this.#snapshots.applyResult(nowMs, origin, result);
+      case 'journalReadHead':
+      case 'journalReadSnapshot':
+      case 'journalReadRows': {
+        const { calls, content } = this.#reader.applyResult(nowMs, origin, result);
+        if (content !== undefined) this.#open(content);
+        return calls;
+      }
       default:
         return assertNever(origin);
     }
   }
 
-  static #getNextTask(job: Job, task: Task, news: TaskNews): Task {
-    const checkpointFraction = Math.max(task.checkpointFraction, news.checkpointFraction);
-    const { targetId } = news;
-    switch (news.state) {
-      case 'running':
-        return { ...task, state: { kind: 'running', targetId } };
-      case 'finished':
-        if (isStanding(job.spec.policy)) return { ...task, state: { kind: 'pending' } };
-        return { ...task, state: { kind: 'finished' }, checkpointFraction: 1 };
-      case 'failed': {
-        const attempts = task.attempts + 1;
-        if (attempts >= MAX_TASK_ATTEMPTS && !isStanding(job.spec.policy)) {
-          return { ...task, attempts, state: { kind: 'failed', attempts } };
-        }
-        return { ...task, attempts, state: { kind: 'pending' } };
-      }
-      case 'stopped':
-      case 'refused':
-        return { ...task, state: { kind: 'pending' }, checkpointFraction };
-      default:
-        return assertNever(news.state);
+  /**
+   * Builds a shard's snapshot.
+   * @param shardId - the home shard
+   * @returns the entries that rebuild its jobs, as JSON
+   */
+  createSnapshot(shardId: ShardId): string {
+    const jobs = [...this.#jobs.values()].filter((job) => getHomeShard(job.spec.jobId) === shardId);
+    const ended = jobs.filter((job) => !this.#activeIds.has(job.spec.jobId));
+    const dropped = new Set(ended.slice(0, Math.max(0, ended.length - ENDED_JOB_KEPT_COUNT)));
+    dropped.forEach((job) => this.#jobs.delete(job.spec.jobId));
+    return JSON.stringify(jobs.filter((job) => !dropped.has(job)).flatMap(createJobEntries));
+  }
+
+  #resubmit(
+    nowMs: number,
+    callId: number,
+    job: KeptJob,
+    spec: JobSpec,
+    teamId: TeamId,
+  ): readonly JobEffect[] {
+    const isSame = job.teamId === teamId && JSON.stringify(job.spec) === JSON.stringify(spec);
+    if (!isSame) {
+      const result = fail<JobSummary>(createDiagnostic('duplicateJob', spec.jobId));
+      return [{ kind: 'replyJob', callId, result }];
     }
+    // The entry that accepted it may not be durable yet; this one is so only after it.
+    const entry: JobEntry = { kind: 'phase', jobId: spec.jobId, phase: job.phase };
+    const reply: JobEffect = { kind: 'replyJob', callId, result: ok(summariseJob(job)) };
+    this.#append(nowMs, spec.jobId, entry, [reply], true);
+    return [];
   }
 
-  #load(rows: readonly Row[]): void {
-    rows.forEach(({ value, version }) => {
-      if (!isJob(value) || this.#jobs.has(value.spec.jobId)) return;
-      this.#jobs.set(value.spec.jobId, {
-        job: value,
-        rowVersion: version,
-        isDirty: false,
-        waitingCallIds: [],
-        startingSinceMs: new Map(),
-      });
-    });
+  #append(
+    nowMs: number,
+    jobId: JobId,
+    entry: JobEntry,
+    released: readonly JobEffect[],
+    isUrgent: boolean,
+  ): number {
+    const homeShard = getHomeShard(jobId);
+    return this.#journal.append(nowMs, homeShard, encodeEntry(entry), released, isUrgent);
   }
 
-  #flush(): readonly JobEffect[] {
-    const dirty = [...this.#jobs.values()].filter((kept) => kept.isDirty);
-    if (this.#isFlushing || dirty.length === 0) return [];
-    this.#isFlushing = true;
-    this.#operationCount += 1;
-    dirty.forEach((kept) => {
-      kept.isDirty = false;
-    });
-    const jobIds = dirty.map((kept) => kept.job.spec.jobId);
-    return [
-      {
-        kind: 'callPlatform',
-        origin: { kind: 'jobFlush', jobIds },
-        call: {
-          kind: 'transact',
-          transaction: {
-            operationId: toId<OperationId>(`jobs/${this.#operationCount}`),
-            checks: dirty.map(({ job, rowVersion }) => ({
-              key: getJobKey(job.spec.jobId),
-              version: rowVersion,
-            })),
-            writes: dirty.map(({ job }) => ({
-              key: getJobKey(job.spec.jobId),
-              value: JSON.parse(JSON.stringify(job)) as JsonValue,
-            })),
-          },
-        },
-      },
-    ];
+  #appendTask(
+    nowMs: number,
+    job: KeptJob,
+    task: KeptTask,
+    released: readonly JobEffect[] = [],
+  ): void {
+    const entry = createTaskEntry(job.spec.jobId, task);
+    const isUrgent = released.length > 0;
+    task.entryNumber = this.#append(nowMs, job.spec.jobId, entry, released, isUrgent);
   }
 
-  #applyFlush(jobIds: readonly JobId[], result: PlatformResult): readonly JobEffect[] {
-    const kept = jobIds
-      .map((jobId) => this.#jobs.get(jobId))
-      .filter((found): found is KeptJob => found !== undefined);
-    if (result.kind === 'committed') {
-      return kept.flatMap((job, index) => {
-        job.rowVersion = result.rows[index]?.version ?? job.rowVersion;
-        const callIds = job.waitingCallIds;
-        job.waitingCallIds = [];
-        return callIds.map((callId): JobEffect => ({
-          kind: 'replyJob',
-          callId,
-          result: ok(summariseJob(job.job)),
-        }));
-      });
-    }
-    kept.forEach((job, index) => {
-      job.isDirty = true;
-      if (result.kind === 'conflict') job.rowVersion = result.rows[index]?.version ?? 0;
+  #applyCurrent(nowMs: number, job: KeptJob, task: KeptTask, news: TaskNews): void {
+    const change = applyNews(nowMs, job, task, news);
+    if (change === 'durable') this.#appendTask(nowMs, job, task);
+    this.#updatePhase(nowMs, job);
+  }
+
+  #updatePhase(nowMs: number, job: KeptJob): void {
+    const phase = getPhase(job);
+    if (phase === job.phase) this.#updateActive(job);
+    else if (isEnded(phase)) this.#setPhase(nowMs, job, phase, []);
+    else job.phase = phase;
+  }
+
+  #setPhase(
+    nowMs: number,
+    job: KeptJob,
+    phase: KeptJob['phase'],
+    callIds: readonly number[],
+  ): void {
+    const { jobId } = job.spec;
+    job.phase = phase;
+    job.tasks.forEach((task) => {
+      if (task.state.kind === 'pending') task.state = { kind: 'stopped' };
+      task.nextAskMs = nowMs;
     });
-    return [];
+    this.#updateActive(job);
+    const result = ok(summariseJob(job));
+    const replies = callIds.map((callId): JobEffect => ({ kind: 'replyJob', callId, result }));
+    this.#append(nowMs, jobId, { kind: 'phase', jobId, phase }, replies, replies.length > 0);
   }
 
-  #startPending(nowMs: number): readonly JobEffect[] {
-    const effects: JobEffect[] = [];
-    this.#jobs.forEach((kept) => {
-      if (kept.rowVersion === 0 || ['finished', 'failed', 'cancelled'].includes(kept.job.phase)) {
-        return;
-      }
-      kept.job.tasks.forEach((task) => {
-        const sinceMs = kept.startingSinceMs.get(task.taskId) ?? Number.NEGATIVE_INFINITY;
-        const isDue = task.state.kind === 'pending' && nowMs - sinceMs > START_TIMEOUT_MS;
-        if (!isDue || effects.length >= MAX_STARTS_PER_TICK) return;
-        kept.startingSinceMs.set(task.taskId, nowMs);
-        effects.push({ kind: 'placeTask', start: JobTable.#createStart(kept.job, task) });
-      });
+  #updateActive(job: KeptJob): void {
+    const isActive =
+      !isEnded(job.phase) || job.tasks.some((task) => getPlacement(task) !== undefined);
+    if (!isActive) this.#activeIds.delete(job.spec.jobId);
+  }
+
+  #applyWrite(outcome: JournalOutcome<JobEffect>): readonly JobEffect[] {
+    outcome.committed.forEach(({ shardId, sequence }) => this.#snapshots.addRow(shardId, sequence));
+    outcome.lostShardIds.forEach((shardId) => this.#close(shardId));
+    return outcome.released;
+  }
+
+  #open(content: JournalContent): void {
+    const { shardId } = content;
+    const epoch = this.#loadingShards.get(shardId);
+    if (epoch === undefined) return;
+    const jobs = new Map<JobId, KeptJob>();
+    const snapshot = content.snapshot === null ? [] : (JSON.parse(content.snapshot) as JobEntry[]);
+    [...snapshot, ...(content.entries as unknown as JobEntry[])].forEach((entry) =>
+      applyEntry(jobs, entry),
+    );
+    jobs.forEach((job, jobId) => {
+      this.#submitCount = Math.max(this.#submitCount, job.submitNumber);
+      this.#jobs.set(jobId, job);
+      this.#activeIds.add(jobId);
+      this.#updateActive(job);
     });
-    return effects;
+    this.#loadingShards.delete(shardId);
+    this.#openShards.set(shardId, epoch);
+    this.#journal.open(shardId, content.lastSequence);
+    this.#snapshots.open(content);
   }
 
-  static #createStart(job: Job, task: Task): TaskStart {
-    const { spec } = job;
-    return {
-      kind: 'startTask',
-      taskId: task.taskId,
-      jobId: spec.jobId,
-      teamId: job.teamId,
-      queueId: spec.queueId,
-      serviceName: spec.policy.kind === 'service' ? spec.policy.serviceName : '',
-      demand: spec.demand,
-      runMs: isStanding(spec.policy) ? 0 : spec.expectedRunMs,
-      resumeFraction: task.checkpointFraction,
-    };
+  #close(shardId: ShardId): void {
+    this.#openShards.delete(shardId);
+    this.#loadingShards.delete(shardId);
+    this.#reader.stop(shardId);
+    this.#journal.close(shardId);
+    this.#snapshots.close(shardId);
+    this.#jobs.forEach((_, jobId) => {
+      if (getHomeShard(jobId) !== shardId) return;
+      this.#jobs.delete(jobId);
+      this.#activeIds.delete(jobId);
+    });
   }
 }
--- /dev/null
+++ b/src/jobs/taskProgress.ts
@@ -0,0 +1,87 @@
+/** What an owner's word about a task's current placement means to its home. */
+
+import { assertNever } from '../types/debug';
+import { isEnded, isStanding } from './job';
+import type { KeptJob, KeptTask } from './job';
+import type { TaskNews } from './types';
+
+/** A batch task that has failed this often fails its job. */
+export const MAX_TASK_FAILURES = 5;
+const MIN_BACKOFF_MS = 250;
+const MAX_BACKOFF_MS = 5_000;
+const MAX_BACKOFF_DOUBLINGS = 5;
+
+/** Whether the change must be kept in the journal. */
+export type ProgressKind = 'durable' | 'volatile';
+
+function backOff(nowMs: number, job: KeptJob, count: number): void {
+  const delayMs = MIN_BACKOFF_MS * 2 ** Math.min(count, MAX_BACKOFF_DOUBLINGS);
+  job.nextPlaceMs = nowMs + Math.min(delayMs, MAX_BACKOFF_MS);
+}
+
+/** The placement has ended; the task waits for another one, or ends with its job. */
+function endPlacement(job: KeptJob, task: KeptTask): void {
+  task.state = isEnded(job.phase) ? { kind: 'stopped' } : { kind: 'pending' };
+  task.confirmedEpoch = undefined;
+}
+
+function applyFailure(nowMs: number, job: KeptJob, task: KeptTask): void {
+  task.failureCount += 1;
+  if (isStanding(job.spec.policy) || task.failureCount < MAX_TASK_FAILURES) {
+    backOff(nowMs, job, task.failureCount);
+    endPlacement(job, task);
+    return;
+  }
+  task.state = { kind: 'failed' };
+  job.note = `task ${task.taskId} failed ${task.failureCount} times`;
+}
+
+/**
+ * Applies news of the placement that the task is in.
+ * @param nowMs - this process's clock
+ * @param job - the task's job, changed in place
+ * @param task - the task, changed in place
+ * @param news - what the owner says
+ * @returns whether the journal must keep it
+ */
+export function applyNews(
+  nowMs: number,
+  job: KeptJob,
+  task: KeptTask,
+  news: TaskNews,
+): ProgressKind {
+  const { state } = task;
+  if (state.kind !== 'assigned' && state.kind !== 'running') return 'volatile';
+  const { placement } = state;
+  switch (news.state) {
+    case 'running':
+      // A task that runs is found again by asking its owner, so that this needs no journal entry.
+      task.state = { kind: 'running', placement, targetId: news.targetId };
+      task.confirmedEpoch = news.epoch;
+      job.refusalCount = 0;
+      return 'volatile';
+    case 'finished':
+      if (isStanding(job.spec.policy)) endPlacement(job, task);
+      else task.state = { kind: 'finished' };
+      task.checkpointFraction = isStanding(job.spec.policy) ? 0 : 1;
+      return 'durable';
+    case 'failed':
+      applyFailure(nowMs, job, task);
+      return 'durable';
+    case 'stopped':
+      task.checkpointFraction = Math.max(task.checkpointFraction, news.checkpointFraction);
+      endPlacement(job, task);
+      return 'durable';
+    case 'refused':
+      task.refusedShardId = placement.shardId;
+      job.refusalCount += 1;
+      backOff(nowMs, job, job.refusalCount);
+      endPlacement(job, task);
+      return 'volatile';
+    case 'absent':
+      endPlacement(job, task);
+      return 'volatile';
+    default:
+      return assertNever(news.state);
+  }
+}
--- /dev/null
+++ b/src/journal/snapshots.ts
@@ -0,0 +1,239 @@
+/**
+ * Snapshots of shards: the object first, then the head row that names it, then the rows behind it
+ * are deleted. A crash after any of the steps leaves a journal that reads back whole.
+ */
+
+import type { PlatformResult, RowCheck } from '../platform/types';
+import { toId } from '../types/ids';
+import type { OperationId, ShardId } from '../types/ids';
+import { isJournalHead } from './journalReader';
+import { getHeadKey, getJournalKey, getSnapshotName } from './keys';
+import type { FenceSource, JournalCall, JournalContent, JournalOrigin } from './types';
+
+/** A snapshot is written when this many rows are kept. */
+export const SNAPSHOT_ROWS = 256;
+const TRIM_ROWS = 100;
+const RETRY_MS = 500;
+
+/** Gives the state that a snapshot keeps. */
+export interface SnapshotSource {
+  /**
+   * @param shardId - the shard
+   * @returns the shard's whole state as text; it covers at least every committed entry
+   */
+  createSnapshot(shardId: ShardId): string;
+}
+
+type SnapshotStep =
+  | { readonly kind: 'idle' }
+  | { readonly kind: 'put'; readonly sequence: number; readonly body: string }
+  | { readonly kind: 'setHead'; readonly sequence: number }
+  | { readonly kind: 'trim' };
+
+interface ShardSnapshots {
+  readonly generation: number;
+  kept: number[];
+  headSequence: number;
+  headVersion: number;
+  step: SnapshotStep;
+  nextMs: number;
+}
+
+type StepOrigin = Extract<
+  JournalOrigin,
+  { kind: 'journalPutSnapshot' | 'journalSetHead' | 'journalTrim' }
+>;
+
+/** Snapshot and trimming of every shard that this process owns. */
+export class Snapshots {
+  #writerId: string;
+
+  #fences: FenceSource;
+
+  #source: SnapshotSource;
+
+  #shards = new Map<ShardId, ShardSnapshots>();
+
+  #generation = 0;
+
+  /**
+   * @param writerId - distinguishes this run of the process in names
+   * @param fences - the lease rows that guard each write
+   * @param source - gives the state
+   */
+  constructor(writerId: string, fences: FenceSource, source: SnapshotSource) {
+    this.#writerId = writerId;
+    this.#fences = fences;
+    this.#source = source;
+  }
+
+  /**
+   * Takes over a shard as it was read back.
+   * @param content - what was found
+   */
+  open(content: JournalContent): void {
+    this.#generation += 1;
+    this.#shards.set(content.shardId, {
+      generation: this.#generation,
+      kept: [...content.keptSequences],
+      headSequence: content.headSequence,
+      headVersion: content.headVersion,
+      step: { kind: 'idle' },
+      nextMs: Number.NEGATIVE_INFINITY,
+    });
+  }
+
+  /**
+   * Stops with a shard that was lost.
+   * @param shardId - the shard
+   */
+  close(shardId: ShardId): void {
+    this.#shards.delete(shardId);
+  }
+
+  /**
+   * Records a committed row.
+   * @param shardId - the shard
+   * @param sequence - the row
+   */
+  addRow(shardId: ShardId, sequence: number): void {
+    this.#shards.get(shardId)?.kept.push(sequence);
+  }
+
+  /**
+   * Begins snapshots that are due and repeats steps whose answer was lost.
+   * @param nowMs - this process's clock
+   * @returns the calls
+   */
+  tick(nowMs: number): readonly JournalCall[] {
+    return [...this.#shards].flatMap(([shardId, shard]) => {
+      if (nowMs < shard.nextMs) return [];
+      if (shard.step.kind === 'idle') this.#begin(shardId, shard);
+      return this.#send(shardId, shard);
+    });
+  }
+
+  /**
+   * Takes in the result of a step.
+   * @param nowMs - this process's clock
+   * @param origin - which step
+   * @param result - what came
+   * @returns the next step's call
+   */
+  applyResult(nowMs: number, origin: StepOrigin, result: PlatformResult): readonly JournalCall[] {
+    const { shardId } = origin;
+    const shard = this.#shards.get(shardId);
+    if (shard === undefined || shard.generation !== origin.generation) return [];
+    const isDone = result.kind === 'committed' || this.#isOwnHead(shardId, shard, result);
+    if (!isDone) {
+      // A conflict without the own name means that the lease is gone; the next scan says so.
+      shard.nextMs = nowMs + RETRY_MS;
+      return [];
+    }
+    shard.nextMs = Number.NEGATIVE_INFINITY;
+    Snapshots.#advance(shard, result);
+    return this.#send(shardId, shard);
+  }
+
+  #begin(shardId: ShardId, shard: ShardSnapshots): void {
+    if (shard.kept.some((sequence) => sequence <= shard.headSequence)) {
+      shard.step = { kind: 'trim' };
+      return;
+    }
+    if (shard.kept.length < SNAPSHOT_ROWS) return;
+    const sequence = Math.max(...shard.kept);
+    shard.step = { kind: 'put', sequence, body: this.#source.createSnapshot(shardId) };
+  }
+
+  static #advance(shard: ShardSnapshots, result: PlatformResult): void {
+    const { step } = shard;
+    if (step.kind === 'put') shard.step = { kind: 'setHead', sequence: step.sequence };
+    if (step.kind === 'setHead') {
+      shard.headSequence = step.sequence;
+      shard.headVersion = Snapshots.#getHeadVersion(result) ?? shard.headVersion + 1;
+      shard.step = { kind: 'trim' };
+    }
+    if (step.kind !== 'trim') return;
+    const trimmed = new Set(Snapshots.#getTrimmable(shard));
+    shard.kept = shard.kept.filter((sequence) => !trimmed.has(sequence));
+    if (Snapshots.#getTrimmable(shard).length === 0) shard.step = { kind: 'idle' };
+  }
+
+  static #getTrimmable(shard: ShardSnapshots): readonly number[] {
+    return shard.kept.filter((sequence) => sequence <= shard.headSequence).slice(0, TRIM_ROWS);
+  }
+
+  /** The head is the first row written, and the second row checked. */
+  static #getHeadVersion(result: PlatformResult): number | undefined {
+    if (result.kind === 'committed') return result.rows[0]?.version;
+    return result.kind === 'conflict' ? result.rows[1]?.version : undefined;
+  }
+
+  #isOwnHead(shardId: ShardId, shard: ShardSnapshots, result: PlatformResult): boolean {
+    if (shard.step.kind !== 'setHead' || result.kind !== 'conflict') return false;
+    const name = getSnapshotName(shardId, shard.step.sequence, this.#writerId);
+    const value = result.rows[1]?.value;
+    return isJournalHead(value) && value.snapshotName === name;
+  }
+
+  #send(shardId: ShardId, shard: ShardSnapshots): readonly JournalCall[] {
+    const fence = this.#fences.tryGetFence(shardId);
+    const { step, generation } = shard;
+    if (fence === undefined || step.kind === 'idle') return [];
+    shard.nextMs = Number.POSITIVE_INFINITY;
+    const common = { shardId, generation };
+    switch (step.kind) {
+      case 'put': {
+        const name = getSnapshotName(shardId, step.sequence, this.#writerId);
+        const call = { kind: 'putObject', name, body: step.body } as const;
+        const origin = { kind: 'journalPutSnapshot', ...common } as const;
+        return [{ kind: 'callPlatform', origin, call }];
+      }
+      case 'setHead':
+        return [this.#createSetHead(shardId, shard, step.sequence, fence)];
+      default:
+        return [this.#createTrim(shardId, shard, fence)];
+    }
+  }
+
+  #createSetHead(
+    shardId: ShardId,
+    shard: ShardSnapshots,
+    sequence: number,
+    fence: RowCheck,
+  ): JournalCall {
+    const key = getHeadKey(shardId);
+    const snapshotName = getSnapshotName(shardId, sequence, this.#writerId);
+    return {
+      kind: 'callPlatform',
+      origin: { kind: 'journalSetHead', shardId, generation: shard.generation },
+      call: {
+        kind: 'transact',
+        transaction: {
+          operationId: toId<OperationId>(`${this.#writerId}/head/${shardId}/${sequence}`),
+          checks: [fence, { key, version: shard.headVersion }],
+          writes: [{ key, value: { sequence, snapshotName } }],
+        },
+      },
+    };
+  }
+
+  #createTrim(shardId: ShardId, shard: ShardSnapshots, fence: RowCheck): JournalCall {
+    const sequences = Snapshots.#getTrimmable(shard);
+    return {
+      kind: 'callPlatform',
+      origin: { kind: 'journalTrim', shardId, generation: shard.generation },
+      call: {
+        kind: 'transact',
+        transaction: {
+          operationId: toId<OperationId>(`${this.#writerId}/trim/${shardId}/${sequences[0] ?? 0}`),
+          checks: [fence],
+          writes: sequences.map((sequence) => ({
+            key: getJournalKey(shardId, sequence),
+            value: null,
+          })),
+        },
+      },
+    };
+  }
+}
--- a/src/lease/leaseKeeper.ts
+++ b/src/lease/leaseKeeper.ts
@@ -2,7 +2,7 @@
 
 import type { MemberRow } from '../membership/types';
 import { getMemberKey, MEMBER_PREFIX, MemberTable } from '../membership/memberTable';
-import type { PlatformResult, Row } from '../platform/types';
+import type { PlatformResult, Row, RowCheck } from '../platform/types';
 import { assertNever } from '../types/debug';
 import { getPreferred } from '../types/hash';
 import { toEpoch, toId } from '../types/ids';
@@ -120,6 +120,19 @@
     return this.#owned.get(shardId) ?? toEpoch(0);
   }
 
+  /**
+   * Gets the check that makes a write of a shard's owner fail once the shard has another owner.
+   * @param shardId - which shard
+   * @returns the shard's row at this member's acquisition, or undefined until it was scanned
+   */
+  tryGetFence(shardId: ShardId): RowCheck | undefined {
+    const view = this.#shards.get(shardId);
+    const epoch = this.#owned.get(shardId);
+    if (view === undefined || view.row.ownerId !== this.#memberId) return undefined;
+    if (view.row.epoch !== epoch) return undefined;
+    return { key: getShardKey(shardId), version: view.rowVersion };
+  }
+
   /**
    * Renews, scans, evicts, acquires and releases as far as it is time to.
    * @param nowMs - this process's clock
--- a/src/rpc/rpcServer.ts
+++ b/src/rpc/rpcServer.ts
@@ -22,8 +22,8 @@
   'getJob',
   'listJobs',
   'cancelJob',
-  'startTask',
-  'taskNews',
+  'askTasks',
+  'tellTasks',
   'dumpState',
   'drain',
 ];
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -1,7 +1,7 @@
 /** Calls between hemlockway's own processes, carried as JSON-RPC 2.0 over HTTP. */
 
 import type { AcceptedConfig, ConfigChange } from '../config/types';
-import type { JobSpec, TaskNews } from '../jobs/types';
+import type { JobSpec, ShardRoom, TaskAsk, TaskNews, TaskRun } from '../jobs/types';
 import type {
   ConfigVersion,
   DataCentreId,
@@ -13,10 +13,8 @@
   QueueId,
   RequestId,
   ShardId,
-  TaskId,
   TeamId,
 } from '../types/ids';
-import type { ResourceVector } from '../types/resources';
 
 /** What a scheduler tells others about itself. */
 export interface MemberStatus {
@@ -31,6 +29,8 @@
   readonly activeShards: readonly ShardId[];
   /** Services with a running replica on the member's targets. */
   readonly services: readonly string[];
+  /** Room on each of the member's shards of targets. */
+  readonly shardRooms?: readonly ShardRoom[];
 }
 
 /** A request on its way from a gate to a scheduler. */
@@ -47,19 +47,6 @@
   readonly bodyBase64: string;
 }
 
-/** A task that a job's home asks the owner of a shard to start. */
-export interface TaskStart {
-  readonly kind: 'startTask';
-  readonly taskId: TaskId;
-  readonly jobId: JobId;
-  readonly teamId: TeamId;
-  readonly queueId: QueueId;
-  readonly serviceName: string;
-  readonly demand: ResourceVector;
-  readonly runMs: number;
-  readonly resumeFraction: number;
-}
-
 /** Every call that a scheduler answers. */
 export type SchedulerCall =
   | { readonly kind: 'heartbeat'; readonly from: MemberStatus }
@@ -77,8 +64,10 @@
   | { readonly kind: 'getJob'; readonly jobId: JobId; readonly teamId: TeamId }
   | { readonly kind: 'listJobs'; readonly teamId: TeamId }
   | { readonly kind: 'cancelJob'; readonly jobId: JobId; readonly teamId: TeamId }
-  | TaskStart
-  | TaskNews
+  /** From a job's home to the owner of shards. */
+  | { readonly kind: 'askTasks'; readonly asks: readonly TaskAsk[] }
+  /** From an owner to a job's home; answered with what needs no repetition. */
+  | { readonly kind: 'tellTasks'; readonly news: readonly TaskNews[] }
   | { readonly kind: 'dumpState' }
   | { readonly kind: 'drain' };
 
@@ -89,6 +78,12 @@
   readonly promiseMs: number;
 }
 
+/** What `tellTasks` is answered with. */
+export interface TaskAcknowledgement {
+  /** Runs whose end is durable at the home. */
+  readonly taken: readonly TaskRun[];
+}
+
 /** Who owns a shard, as far as the answerer knows. */
 export interface ShardOwner {
   readonly shardId: ShardId;
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -5,11 +5,6 @@
 import type { AcceptedConfig } from '../config/types';
 import type { SchedulerSettings } from '../config/settings';
 import { StaticSplit } from '../escrow/staticSplit';
-import { createShardLoad, JobTable } from '../jobs/jobTable';
-import type { JobEffect } from '../jobs/jobTable';
-import { TASK_LEASE_MS, TaskRunner } from '../jobs/taskRunner';
-import type { TaskEffect } from '../jobs/taskRunner';
-import type { TaskNews } from '../jobs/types';
 import { LeaseKeeper } from '../lease/leaseKeeper';
 import { getHomeShard, getShardPlacements, getTargetShard, isHomeShard } from '../lease/shards';
 import type { LeaseEffect } from '../lease/types';
@@ -25,6 +20,7 @@
   Routes,
   SchedulerCall,
   ShardOwner,
+  TaskAcknowledgement,
 } from '../rpc/types';
 import { createDiagnostic } from '../types/diagnostics';
 import { assertNever } from '../types/debug';
@@ -32,22 +28,20 @@
 import type { MemberId, ShardId, TargetId } from '../types/ids';
 import { fail, ok } from '../types/outcomes';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
+import { JobDuty } from './jobDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
-import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
+import type { PeerOrigin, SchedulerEffect, SchedulerEvent } from './types';
 
 const CONFIG_READ_INTERVAL_MS = 1_000;
 const VM_LIST_INTERVAL_MS = 2_000;
 const HEARTBEAT_INTERVAL_MS = 1_000;
-const REPORT_INTERVAL_MS = 1_000;
-const REPORT_TIMEOUT_MS = 1_500;
 
 /** When each periodic duty is next due. */
 interface Schedule {
   configReadMs: number;
   vmListMs: number;
   heartbeatMs: number;
-  reportMs: number;
 }
 
 type PlatformReplied = Extract<SchedulerEvent, { kind: 'platformReplied' }>;
@@ -83,13 +77,11 @@
 
   #requests: RequestTable;
 
-  #tasks: TaskRunner;
-
-  #jobs = new JobTable();
-
   #peers = new Peers();
 
-  #due: Schedule = { configReadMs: 0, vmListMs: 0, heartbeatMs: 0, reportMs: 0 };
+  #jobs: JobDuty;
+
+  #due: Schedule = { configReadMs: 0, vmListMs: 0, heartbeatMs: 0 };
 
   #isDraining = false;
 
@@ -103,8 +95,14 @@
     this.#lease = new LeaseKeeper(memberId, { address: advertisedAddress, dataCentreId, region });
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
     this.#requests = new RequestTable(this.#pool, this.#ownership);
-    this.#tasks = new TaskRunner(this.#pool, this.#ownership);
-    this.#ownership.setReplicas(this.#tasks);
+    this.#jobs = new JobDuty({
+      lease: this.#lease,
+      config: this.#config,
+      pool: this.#pool,
+      ownership: this.#ownership,
+      peers: this.#peers,
+    });
+    this.#ownership.setReplicas(this.#jobs.runner);
   }
 
   /** True when a planned stop was asked for and nothing is left to do. */
@@ -143,16 +141,15 @@
     const context = {
       shards: placements,
       busyShardIds: new Set<ShardId>(),
-      isDraining: this.#isDraining && this.#requests.openCount === 0,
+      isDraining: this.#isDraining && this.#requests.openCount === 0 && this.#jobs.isIdle,
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
       ...this.#readConfig(nowMs),
       ...this.#listVms(nowMs),
       ...this.#sendHeartbeats(nowMs),
-      ...this.#askReports(nowMs),
       ...fromRequests(this.#requests.startWaiting(nowMs)),
-      ...this.#fromJobs(nowMs, this.#jobs.tick(nowMs)),
+      ...this.#jobs.tick(nowMs, this.#isDraining),
     ];
   }
 
@@ -166,7 +163,13 @@
   #listVms(nowMs: number): readonly SchedulerEffect[] {
     if (nowMs < this.#due.vmListMs) return [];
     this.#due.vmListMs = nowMs + VM_LIST_INTERVAL_MS;
-    return [{ kind: 'callPlatform', origin: { kind: 'vmList' }, call: { kind: 'listVms' } }];
+    return [
+      {
+        kind: 'callPlatform',
+        origin: { kind: 'vmList', sentMs: nowMs },
+        call: { kind: 'listVms' },
+      },
+    ];
   }
 
   #sendHeartbeats(nowMs: number): readonly SchedulerEffect[] {
@@ -183,34 +186,6 @@
       }));
   }
 
-  #askReports(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.reportMs) return [];
-    this.#due.reportMs = nowMs + REPORT_INTERVAL_MS;
-    return this.#ownership.getCandidates().flatMap((target) => this.#askReport(nowMs, target));
-  }
-
-  #askReport(nowMs: number, target: Target): readonly SchedulerEffect[] {
-    const permit = this.#ownership.tryGetOwnerPermit(target, nowMs);
-    if (permit === undefined) return [];
-    const { targetId, shardId, address } = target;
-    const token = { shardId, epoch: permit.epoch };
-    const common = { address, timeoutMs: REPORT_TIMEOUT_MS, notAfterMs: permit.untilMs };
-    return [
-      {
-        kind: 'callTarget',
-        origin: { kind: 'renew', targetId },
-        call: { kind: 'renew', token, leaseMs: TASK_LEASE_MS },
-        ...common,
-      },
-      {
-        kind: 'callTarget',
-        origin: { kind: 'report', targetId, ...token },
-        call: { kind: 'report', token },
-        ...common,
-      },
-    ];
-  }
-
   #applyPlatform(event: PlatformReplied): readonly SchedulerEffect[] {
     const { nowMs, origin, result } = event;
     switch (origin.kind) {
@@ -220,11 +195,16 @@
       case 'configWrite':
         return this.#applyConfigWrite(event, origin.callId, origin.config);
       case 'vmList':
-        if (result.kind === 'vms') this.#updateTargets(result.vms);
+        if (result.kind === 'vms') this.#updateTargets(result.vms, origin.sentMs);
         return [];
-      case 'jobFlush':
-      case 'jobLoad':
-        return this.#fromJobs(nowMs, this.#jobs.applyResult(origin, result));
+      case 'journalWrite':
+      case 'journalTrim':
+      case 'journalPutSnapshot':
+      case 'journalSetHead':
+      case 'journalReadHead':
+      case 'journalReadSnapshot':
+      case 'journalReadRows':
+        return this.#jobs.applyPlatform(nowMs, origin, result);
       default:
         return this.#fromLease(nowMs, this.#lease.applyResult(nowMs, origin, result));
     }
@@ -235,11 +215,12 @@
       case 'request':
         return fromRequests(this.#requests.applyTargetResult(nowMs, origin, result));
       case 'taskStart':
+      case 'taskStop':
       case 'taskAcknowledge':
-        return this.#fromTasks(nowMs, this.#tasks.applyTargetResult(origin, result));
+        return this.#jobs.applyTarget(nowMs, origin, result);
       case 'report':
         if (result.kind !== 'report') return [];
-        return this.#applyReport(nowMs, origin, result);
+        return this.#jobs.applyReport(nowMs, origin, result.report);
       case 'renew':
         return [];
       default:
@@ -247,19 +228,6 @@
     }
   }
 
-  #applyReport(
-    nowMs: number,
-    origin: Extract<TargetOrigin, { kind: 'report' }>,
-    result: Extract<TargetReplied['result'], { kind: 'report' }>,
-  ): readonly SchedulerEffect[] {
-    const target = this.#pool.get(origin.targetId);
-    const permit = target && this.#ownership.tryGetOwnerPermit(target, nowMs);
-    if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
-    const effects = this.#tasks.applyReport(target, permit, result.report);
-    this.#ownership.markSettled(target.targetId, origin.epoch);
-    return this.#fromTasks(nowMs, effects);
-  }
-
   #applyPeer({ nowMs, origin, result }: PeerReplied): readonly SchedulerEffect[] {
     if (result.kind !== 'ok') return [];
     switch (origin.kind) {
@@ -267,6 +235,8 @@
         return this.#applyHeartbeatReply(nowMs, result.value as HeartbeatReply);
       case 'configFetch':
         return this.#config.tryAdopt(result.value as AcceptedConfig) ? this.#onConfig() : [];
+      case 'tellTasks':
+        return this.#jobs.acknowledge(nowMs, (result.value as TaskAcknowledgement).taken);
       case 'oneWay':
         return [];
       default:
@@ -307,18 +277,12 @@
       case 'cancelRequest':
         return [reply({}), ...fromRequests(this.#requests.cancel(call.requestId))];
       case 'submitJob':
-        return this.#fromJobs(nowMs, this.#jobs.submit(callId, call.spec, call.teamId));
       case 'getJob':
-        return [reply(this.#jobs.get(call.jobId, call.teamId))];
       case 'listJobs':
-        return [reply(ok(this.#jobs.list(call.teamId)))];
       case 'cancelJob':
-        return [reply(this.#jobs.cancel(call.jobId, call.teamId))];
-      case 'startTask':
-        return [reply({}), ...this.#fromTasks(nowMs, this.#tasks.start(nowMs, call))];
-      case 'taskNews':
-        this.#jobs.applyNews(call);
-        return [reply({})];
+      case 'askTasks':
+      case 'tellTasks':
+        return this.#jobs.answer(nowMs, callId, call);
       case 'dumpState':
         return [reply(this.dump(nowMs))];
       case 'drain':
@@ -391,7 +355,7 @@
     return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
   }
 
-  #updateTargets(vms: readonly Vm[]): void {
+  #updateTargets(vms: readonly Vm[], sentMs: number): void {
     const { shardsPerDataCentre } = this.#config.config.sheet;
     const targets = vms
       .filter((vm) => vm.role === 'target')
@@ -405,6 +369,7 @@
         isLeaving: vm.leaving,
       }));
     this.#pool.updateTargets(targets);
+    this.#jobs.recordList(sentMs);
   }
 
   #fromLease(nowMs: number, effects: readonly LeaseEffect[]): readonly SchedulerEffect[] {
@@ -415,7 +380,13 @@
         case 'shardAcquired':
           return this.#onAcquired(nowMs, effect.shardId, effect.epoch);
         case 'shardLost':
-          return this.#onLost(effect.shardId, effect.reason);
+          return [
+            {
+              kind: 'log',
+              message: 'shard lost',
+              fields: { shardId: effect.shardId, reason: effect.reason },
+            },
+          ];
         case 'memberChanged':
           return [{ kind: 'log', message: 'evicted', fields: { memberId: effect.memberId } }];
         default:
@@ -426,58 +397,8 @@
 
   #onAcquired(nowMs: number, shardId: ShardId, epoch: number): readonly SchedulerEffect[] {
     this.#ownership.markAcquired(shardId, nowMs);
-    this.#due.reportMs = nowMs;
-    const loads = isHomeShard(shardId) ? createShardLoad(shardId) : [];
-    return [
-      { kind: 'log', message: 'shard acquired', fields: { shardId, epoch } },
-      ...this.#fromJobs(nowMs, loads),
-    ];
-  }
-
-  #onLost(shardId: ShardId, reason: string): readonly SchedulerEffect[] {
-    if (isHomeShard(shardId)) this.#jobs.forget((jobId) => getHomeShard(jobId) === shardId);
-    else this.#tasks.forgetTargets(this.#pool.getOfShard(shardId));
-    return [{ kind: 'log', message: 'shard lost', fields: { shardId, reason } }];
-  }
-
-  #fromTasks(nowMs: number, effects: readonly TaskEffect[]): readonly SchedulerEffect[] {
-    return effects.flatMap((effect): readonly SchedulerEffect[] => {
-      switch (effect.kind) {
-        case 'callTarget':
-          return [effect];
-        case 'tellHome':
-          return this.#tellHome(nowMs, effect.news);
-        default:
-          return assertNever(effect);
-      }
-    });
-  }
-
-  #tellHome(nowMs: number, news: TaskNews): readonly SchedulerEffect[] {
-    const homeShard = getHomeShard(news.jobId);
-    if (nowMs < this.#lease.getAuthorityUntilMs(homeShard)) {
-      this.#jobs.applyNews(news);
-      return [];
-    }
-    const owner = this.#lease.getOwners().find((row) => row.shardId === homeShard)?.ownerId;
-    const address = owner && this.#lease.members.get(owner)?.row.address;
-    if (!address) return [];
-    return [{ kind: 'callPeer', origin: { kind: 'oneWay' }, address, call: news }];
-  }
-
-  #fromJobs(nowMs: number, effects: readonly JobEffect[]): readonly SchedulerEffect[] {
-    return effects.flatMap((effect): readonly SchedulerEffect[] => {
-      switch (effect.kind) {
-        case 'callPlatform':
-          return [effect];
-        case 'replyJob':
-          return [{ kind: 'replyCall', callId: effect.callId, value: effect.result }];
-        case 'placeTask':
-          return this.#fromTasks(nowMs, this.#tasks.start(nowMs, effect.start));
-        default:
-          return assertNever(effect);
-      }
-    });
+    this.#jobs.hastenReports();
+    return [{ kind: 'log', message: 'shard acquired', fields: { shardId, epoch } }];
   }
 
   #getStatus(nowMs: number): MemberStatus {
@@ -494,7 +415,8 @@
       freeSlots,
       queuedRequests: this.#requests.waitingCount,
       activeShards: this.#ownership.getActiveShards(nowMs),
-      services: this.#tasks.services,
+      services: this.#jobs.runner.services,
+      shardRooms: this.#jobs.getShardRooms(nowMs),
     };
   }
 
@@ -527,7 +449,7 @@
       configFreshForMs: this.#config.getFreshUntilMs() - nowMs,
       openRequests: this.#requests.openCount,
       waitingRequests: this.#requests.waitingCount,
-      tasks: this.#tasks.taskCount,
+      tasks: this.#jobs.runner.taskCount,
       jobs: this.#jobs.jobCount,
     };
   }
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -1,11 +1,11 @@
 /** Events and effects of the scheduler's reducer. */
 
-import type { JobOrigin } from '../jobs/jobTable';
+import type { JournalOrigin } from '../journal/types';
 import type { TaskOrigin } from '../jobs/taskRunner';
 import type { LeaseOrigin } from '../lease/types';
 import type { PlatformCall, PlatformResult } from '../platform/types';
 import type { RequestOrigin } from '../requests/types';
-import type { HeartbeatReply, RpcResult, SchedulerCall } from '../rpc/types';
+import type { HeartbeatReply, RpcResult, SchedulerCall, TaskAcknowledgement } from '../rpc/types';
 import type { TargetCall, TargetResult } from '../target/types';
 import type { AcceptedConfig } from '../config/types';
 import type { Epoch, MemberId, ShardId, TargetId } from '../types/ids';
@@ -13,7 +13,7 @@
 /** Which platform call a result belongs to. */
 export type PlatformOrigin =
   | LeaseOrigin
-  | JobOrigin
+  | JournalOrigin
   | { readonly kind: 'configRead'; readonly sentMs: number }
   | {
       readonly kind: 'configWrite';
@@ -21,7 +21,7 @@
       readonly callId: number;
       readonly config: AcceptedConfig;
     }
-  | { readonly kind: 'vmList' };
+  | { readonly kind: 'vmList'; readonly sentMs: number };
 
 /** Which target call a result belongs to. */
 export type TargetOrigin =
@@ -32,6 +32,7 @@
       readonly targetId: TargetId;
       readonly shardId: ShardId;
       readonly epoch: Epoch;
+      readonly sentMs: number;
     }
   | { readonly kind: 'renew'; readonly targetId: TargetId };
 
@@ -39,6 +40,7 @@
 export type PeerOrigin =
   | { readonly kind: 'heartbeat'; readonly memberId: MemberId; readonly sentMs: number }
   | { readonly kind: 'configFetch' }
+  | { readonly kind: 'tellTasks' }
   | { readonly kind: 'oneWay' };
 
 /** Everything that can happen to a scheduler. Times are on the process's own clock. */
@@ -60,7 +62,7 @@
       readonly kind: 'peerReplied';
       readonly nowMs: number;
       readonly origin: PeerOrigin;
-      readonly result: RpcResult<HeartbeatReply | AcceptedConfig>;
+      readonly result: RpcResult<HeartbeatReply | AcceptedConfig | TaskAcknowledgement>;
     }
   | {
       readonly kind: 'called';
--- a/standins/targetModel.ts
+++ b/standins/targetModel.ts
@@ -98,6 +98,18 @@
     return this.#startedCount;
   }
 
+  /**
+   * Gets the tasks that run, for checks of tests.
+   * @param nowMs - the target's clock
+   * @returns the ids under which they were started
+   */
+  getRunningTaskIds(nowMs: number): readonly TaskId[] {
+    this.#advance(nowMs);
+    return [...this.#tasks.values()]
+      .filter((task) => task.state === 'running')
+      .map((task) => task.taskId);
+  }
+
   /**
    * Switches faults.
    * @param faults - the fields to change
--- /dev/null
+++ b/tests/support/jobWorld.ts
@@ -0,0 +1,158 @@
+/** Jobs in virtual time: submits through whichever scheduler is home, and watches where tasks run. */
+
+import type { JobSpec, JobSummary } from '../../src/jobs/types';
+import { getHomeShard } from '../../src/lease/shards';
+import { toConfigVersion, toId } from '../../src/types/ids';
+import type { JobId } from '../../src/types/ids';
+import type { Result } from '../../src/types/outcomes';
+import { createSheet } from './sheets';
+import { World } from './world';
+
+export const TEAM = 'team-a';
+const WATCH_INTERVAL_MS = 50;
+const RETRY_MS = 700;
+const CAPACITY = {
+  cpuMillis: 64_000,
+  memoryMb: 131_072,
+  accelerators: 0,
+  slots: 8,
+  connections: 64,
+};
+const DATA_CENTRES = ['rotterdam', 'delft'];
+
+/** Builds a job of one slot per task. */
+export function createSpec(
+  jobId: string,
+  policy: JobSpec['policy'],
+  overrides: Partial<JobSpec> = {},
+): JobSpec {
+  return {
+    jobId: toId(jobId),
+    queueId: toId(TEAM),
+    policy,
+    demand: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0, slots: 1, connections: 0 },
+    expectedRunMs: 2_000,
+    ...overrides,
+  };
+}
+
+/** A world with submitters and an observer of every target. */
+export class JobWorld {
+  readonly world: World;
+
+  /** What broke a promise. */
+  readonly violations: string[] = [];
+
+  /** Jobs whose submission was acknowledged. */
+  readonly acknowledged = new Set<string>();
+
+  /** Attempts of each task that were seen running. */
+  readonly attempts = new Map<string, Set<string>>();
+
+  /** Most tasks of each job seen running at once. */
+  readonly peaks = new Map<string, number>();
+
+  constructor(seed: number, memberCount = 3) {
+    this.world = new World({
+      seed,
+      memberCount,
+      dataCentreIds: DATA_CENTRES,
+      targetsPerDataCentre: 4,
+      capacity: CAPACITY,
+    });
+    this.world.runFor(2_000);
+    const sheet = createSheet([TEAM], DATA_CENTRES, { limitSlots: 1_000 });
+    const change = { kind: 'applySheet', basedOnVersion: toConfigVersion(0), sheet } as const;
+    const call = { kind: 'changeConfig', change, operationId: toId('op-1') } as const;
+    this.world.call(0, call as never, () => undefined);
+    this.world.runFor(8_000);
+    this.#watch();
+  }
+
+  /** Submits until acknowledged, as a caller with its own retries does. */
+  submit(spec: JobSpec): void {
+    if (this.acknowledged.has(spec.jobId)) return;
+    const home = this.getHomeIndex(spec.jobId);
+    if (home !== undefined) {
+      const call = { kind: 'submitJob', spec, teamId: toId(TEAM) } as const;
+      this.world.call(home, call as never, (value) => {
+        if ((value as Result<JobSummary>).kind === 'ok') this.acknowledged.add(spec.jobId);
+      });
+    }
+    this.world.schedule(RETRY_MS, () => this.submit(spec));
+  }
+
+  cancel(jobId: string, onDone: () => void): void {
+    let isDone = false;
+    const attempt = () => {
+      if (isDone) return;
+      const home = this.getHomeIndex(jobId);
+      const call = { kind: 'cancelJob', jobId: toId(jobId), teamId: toId(TEAM) } as const;
+      if (home !== undefined) {
+        this.world.call(home, call as never, (value) => {
+          if (isDone || (value as Result<JobSummary>).kind !== 'ok') return;
+          isDone = true;
+          onDone();
+        });
+      }
+      this.world.schedule(RETRY_MS, attempt);
+    };
+    attempt();
+  }
+
+  /** Asks the job's home for its summary; time passes meanwhile. */
+  query(jobId: string): JobSummary | undefined {
+    const home = this.getHomeIndex(jobId);
+    let summary: JobSummary | undefined;
+    if (home === undefined) return undefined;
+    const call = { kind: 'getJob', jobId: toId(jobId), teamId: toId(TEAM) } as const;
+    this.world.call(home, call as never, (value) => {
+      const result = value as Result<JobSummary>;
+      if (result.kind === 'ok') summary = result.value;
+    });
+    this.world.runFor(100);
+    return summary;
+  }
+
+  getHomeIndex(jobId: string): number | undefined {
+    const shardId = getHomeShard(toId<JobId>(jobId));
+    const { nowMs } = this.world;
+    const found = this.world.processes.findIndex(
+      (process) =>
+        !process.isDown &&
+        process.pausedUntilMs <= nowMs &&
+        process.core
+          .dump(nowMs)
+          .ownedShards.some((owned) => owned.shardId === shardId && owned.authorityForMs > 0),
+    );
+    return found < 0 ? undefined : found;
+  }
+
+  /** Ids of runs on all targets now, as `task~attempt`. */
+  getRunning(): readonly string[] {
+    return [...this.world.targets.values()].flatMap((target) =>
+      target.getRunningTaskIds(this.world.nowMs),
+    );
+  }
+
+  #watch(): void {
+    const running = this.getRunning();
+    const countByTask = new Map<string, number>();
+    const countByJob = new Map<string, number>();
+    running.forEach((runId) => {
+      const taskId = runId.slice(0, runId.indexOf('~'));
+      const jobId = taskId.slice(0, taskId.indexOf('/'));
+      countByTask.set(taskId, (countByTask.get(taskId) ?? 0) + 1);
+      countByJob.set(jobId, (countByJob.get(jobId) ?? 0) + 1);
+      const attempts = this.attempts.get(taskId) ?? new Set();
+      this.attempts.set(taskId, attempts.add(runId));
+    });
+    countByTask.forEach((count, taskId) => {
+      if (count > 1) this.violations.push(`${taskId} runs ${count} times at ${this.world.nowMs}`);
+    });
+    countByJob.forEach((count, jobId) => {
+      this.peaks.set(jobId, Math.max(count, this.peaks.get(jobId) ?? 0));
+    });
+    this.world.schedule(WATCH_INTERVAL_MS, () => this.#watch());
+  }
+}
