Demo with every kind of job, failover time and a verdict; footprint under load

Cause: the demo neither checked jobs to their end nor measured the failover. Change: demo waits for every acknowledged job and exits 1 otherwise; footprint measures resident, proportional memory, processor time and loopback bytes, idle and at 200 requests/s.

--- a/bench/footprint.ts
+++ b/bench/footprint.ts
@@ -1,76 +1,150 @@
-/** Memory, processor time and traffic of the daemons, idle, at several numbers of entry VMs. */
+/** Memory, processor time and traffic of the daemons, idle and under load, by entry VMs. */
 
 import { readFileSync } from 'node:fs';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Deployment } from '../demo/deployment';
+import { Load } from '../demo/load';
+import { createDemoSheet, Operator, OPERATOR_TOKEN } from '../demo/operator';
+import { Metrics } from '../src/observe/metrics';
 import type { Bench, Figure } from './types';
 
 const MEMBER_COUNTS = [3, 6, 9];
-const SETTLE_MS = 6_000;
-const MEASURE_MS = 10_000;
+const DATA_CENTRES = ['a', 'b', 'c'];
+const TEAMS = ['team-a', 'team-b', 'team-c', 'team-d', 'team-e', 'team-f'];
+const TARGETS_PER_DATA_CENTRE = 10;
+const TARGET_SLOTS = 8;
+const SETTLE_MS = 8_000;
+const MEASURE_MS = 15_000;
+const LOAD_REQUESTS_PER_SECOND = 200;
 const BASE_PORT = 22_000;
 const TICKS_PER_SECOND = 100;
 const KB = 1_024;
-
-const CAPACITY = {
-  cpuMillis: 64_000,
-  memoryMb: 131_072,
-  accelerators: 0,
-  slots: 8,
-  connections: 64,
-};
+const PROGRAMS = ['scheduler', 'gate'] as const;
 
 interface ProcessUse {
   readonly residentMb: number;
+  /** Resident, with pages shared between processes divided among them. */
+  readonly proportionalMb: number;
   readonly cpuMs: number;
 }
 
 function readUse(pid: number): ProcessUse {
-  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  const residentKb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+  const memory = readFileSync(`/proc/${pid}/smaps_rollup`, 'utf8');
+  const getMb = (field: string) =>
+    Number(new RegExp(`^${field}:\\s+(\\d+)`, 'm').exec(memory)?.[1] ?? 0) / KB;
   const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const ticks = Number(fields[11]) + Number(fields[12]);
-  return { residentMb: residentKb / KB, cpuMs: (ticks * 1_000) / TICKS_PER_SECOND };
+  return {
+    residentMb: getMb('Rss'),
+    proportionalMb: getMb('Pss'),
+    cpuMs: (ticks * 1_000) / TICKS_PER_SECOND,
+  };
+}
+
+/** Bytes over loopback so far, headers and acknowledgements included. */
+function readLoopbackBytes(): number {
+  const line = readFileSync('/proc/net/dev', 'utf8').match(/^\s*lo:\s*(\d+)/m);
+  return Number(line?.[1] ?? 0);
+}
+
+function sumCpuMs(pids: readonly number[]): number {
+  return pids.reduce((sum, pid) => sum + readUse(pid).cpuMs, 0);
+}
+
+async function measurePhase(
+  deployment: Deployment,
+  memberCount: number,
+  phase: string,
+): Promise<readonly Figure[]> {
+  const indexes = Array.from({ length: memberCount }, (_, index) => index);
+  const pidsByProgram = PROGRAMS.map((program) =>
+    indexes.map((index) => deployment.getPid(`${program}-${index}`)),
+  );
+  const cpuBefore = pidsByProgram.map(sumCpuMs);
+  const bytesBefore = readLoopbackBytes();
+  await sleep(MEASURE_MS);
+  const bytes = readLoopbackBytes() - bytesBefore;
+  const figures = PROGRAMS.flatMap((program, position): readonly Figure[] => {
+    const pids = pidsByProgram[position] ?? [];
+    const cpuMs = sumCpuMs(pids) - (cpuBefore[position] ?? 0);
+    const uses = pids.map(readUse);
+    const prefix = `${memberCount} entry VMs, ${phase}, ${program}`;
+    return [
+      {
+        name: `${prefix}, resident, largest`,
+        value: Math.max(...uses.map((use) => use.residentMb)),
+        unit: 'MB',
+      },
+      {
+        name: `${prefix}, proportional, largest`,
+        value: Math.max(...uses.map((use) => use.proportionalMb)),
+        unit: 'MB',
+      },
+      {
+        name: `${prefix}, processor, mean`,
+        value: (cpuMs / pids.length / MEASURE_MS) * 100,
+        unit: '% of a core',
+      },
+    ];
+  });
+  const kbPerSecond = bytes / KB / (MEASURE_MS / 1_000) / memberCount;
+  const name = `${memberCount} entry VMs, ${phase}, loopback bytes by entry Vm`;
+  return [...figures, { name, value: kbPerSecond, unit: 'KB/s' }];
 }
 
 async function measure(memberCount: number): Promise<readonly Figure[]> {
   const deployment = new Deployment({
     basePort: BASE_PORT,
     memberCount,
-    groups: [
-      { dataCentreId: 'a', count: 15, targetsPerRack: 6 },
-      { dataCentreId: 'b', count: 15, targetsPerRack: 6 },
-    ],
-    capacity: CAPACITY,
-    operatorToken: 'bench',
+    groups: DATA_CENTRES.map((dataCentreId) => ({
+      dataCentreId,
+      count: TARGETS_PER_DATA_CENTRE,
+      targetsPerRack: 6,
+    })),
+    capacity: {
+      cpuMillis: 64_000,
+      memoryMb: 131_072,
+      accelerators: 0,
+      slots: TARGET_SLOTS,
+      connections: 64,
+    },
+    operatorToken: OPERATOR_TOKEN,
   });
   try {
     await deployment.start();
+    const operator = new Operator(deployment);
+    await operator.applySheet(createDemoSheet(TEAMS, DATA_CENTRES));
+    await operator.waitForSlots(DATA_CENTRES.length * TARGETS_PER_DATA_CENTRE * TARGET_SLOTS);
     await sleep(SETTLE_MS);
-    return await ['scheduler', 'gate'].reduce<Promise<readonly Figure[]>>(
-      async (earlier, program) => {
-        const figures = await earlier;
-        const pid = deployment.getPid(`${program}-0`);
-        const before = readUse(pid);
-        await sleep(MEASURE_MS);
-        const after = readUse(pid);
-        const prefix = `${program}, ${memberCount} entry VMs, idle`;
-        const cpuPercent = ((after.cpuMs - before.cpuMs) / MEASURE_MS) * 100;
-        return [
-          ...figures,
-          { name: `${prefix}, resident`, value: after.residentMb, unit: 'MB' },
-          { name: `${prefix}, processor`, value: cpuPercent, unit: '% of a core' },
-        ];
+    const idle = await measurePhase(deployment, memberCount, 'idle');
+    const load = new Load(
+      deployment.caller,
+      {
+        gateAddresses: deployment.gateAddresses,
+        teamIds: TEAMS,
+        requestsPerSecond: LOAD_REQUESTS_PER_SECOND,
+        durationMs: SETTLE_MS + MEASURE_MS,
+        windowMs: 3_000,
+        serviceMs: 20,
       },
-      Promise.resolve([]),
+      new Metrics(),
+    );
+    const running = load.run();
+    await sleep(SETTLE_MS);
+    const loaded = await measurePhase(
+      deployment,
+      memberCount,
+      `${LOAD_REQUESTS_PER_SECOND} requests/s`,
     );
+    await running;
+    return [...idle, ...loaded];
   } finally {
     await deployment.stop();
   }
 }
 
-/** The `footprint` benchmark. */
+/** The `footprint` benchmark; nothing else should use the loopback meanwhile. */
 export const footprint: Bench = {
   name: 'footprint',
   describe: 'memory, processor time and bytes a second per daemon',
--- a/demo/load.ts
+++ b/demo/load.ts
@@ -4,11 +4,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Metrics } from '../src/observe/metrics';
 import type { HttpCaller } from '../src/rpc/httpCaller';
+import { getKey } from './operator';
 
 /** What the load is. */
 export interface LoadPlan {
   readonly gateAddresses: readonly string[];
-  readonly keys: readonly string[];
+  readonly teamIds: readonly string[];
   readonly requestsPerSecond: number;
   readonly durationMs: number;
   readonly windowMs: number;
@@ -100,20 +101,19 @@
   }
 
   async #send(index: number): Promise<void> {
-    const { gateAddresses, keys, windowMs, serviceMs } = this.#plan;
+    const { gateAddresses, teamIds, windowMs, serviceMs } = this.#plan;
     const isIdempotent = index % 4 !== 0;
     const requestId = isIdempotent ? randomUUID() : createUuidV7(Date.now());
     if (!isIdempotent) this.#nonIdempotentIds.push(requestId);
     const body = JSON.stringify({ requestId, serviceMs });
-    const key = keys[index % keys.length] ?? '';
-    const team = key.slice(0, key.indexOf(':')).replace('key-', '');
+    const teamId = teamIds[index % teamIds.length] ?? '';
     const startMs = performance.now();
     const result = await this.#caller.perform({
       method: 'POST',
       address: gateAddresses[index % gateAddresses.length] ?? '',
-      path: `/v1/queues/${team}/requests`,
+      path: `/v1/queues/${teamId}/requests`,
       headers: {
-        authorization: `Bearer ${key}`,
+        authorization: `Bearer ${getKey(teamId)}`,
         'content-type': 'application/json',
         'request-id': requestId,
         'request-window-ms': String(windowMs),
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,182 +1,203 @@
-/** `npm run demo`: a small deployment under load, with one scheduler killed. */
+/** `npm run demo`: a small deployment under a mixed load, with one scheduler killed. */
 
 import { setTimeout as sleep } from 'node:timers/promises';
-import { getDigest } from '../src/config/keys';
+import type { JobSummary } from '../src/jobs/types';
 import { Metrics } from '../src/observe/metrics';
 import type { TargetViolation } from '../standins/targetModel';
 import { Deployment } from './deployment';
 import { Load } from './load';
+import type { LoadReport } from './load';
+import { createDemoSheet, getKey, Operator, OPERATOR_TOKEN } from './operator';
 
-const OPERATOR_TOKEN = 'demo-operator';
 const TEAMS = ['team-a', 'team-b', 'team-c', 'team-d', 'team-e', 'team-f'];
+const DATA_CENTRES = ['rotterdam', 'kijfhoek', 'amsterdam', 'delft'];
+const TARGET_COUNTS = [8, 8, 7, 7];
+const TARGET_SLOTS = 8;
+const MEMBER_COUNT = 3;
+const BASE_PORT = 21_000;
 const LOAD_MS = 20_000;
 const KILL_AFTER_MS = 6_000;
 const REQUESTS_PER_SECOND = 150;
+const WINDOW_MS = 3_000;
+const SERVICE_MS = 20;
+const FAILOVER_POLL_MS = 100;
+const FAILOVER_LIMIT_MS = 15_000;
+const JOBS_POLL_MS = 500;
+const JOBS_LIMIT_MS = 30_000;
+const KILLED = 'scheduler-2';
 
-const sheet = {
-  teams: TEAMS.map((teamId, index) => ({
-    teamId,
-    shareWeight: index < 2 ? 4 : 1,
-    limitSlots: index < 2 ? 120 : 60,
-  })),
-  keys: TEAMS.map((teamId) => ({
-    keyId: `key-${teamId}`,
-    teamId,
-    secretDigest: getDigest(`secret-${teamId}`),
-  })),
-  queues: TEAMS.map((teamId) => ({
-    queueId: teamId,
-    access: { kind: 'team', teamId },
-    urgency: 'normal',
-  })),
-  dataCentres: ['rotterdam', 'kijfhoek', 'amsterdam', 'delft'].map((dataCentreId) => ({
-    dataCentreId,
-    region: 'west',
-    inService: true,
+/** Jobs of every kind; batch and gang have to finish, service and watch have to run. */
+const JOBS = [
+  ...Array.from({ length: 4 }, (_, index) => ({
+    jobId: `plan-${index}`,
+    policy: { kind: 'batch', taskCount: 4 },
+    expectedRunMs: 6_000,
   })),
-  shardsPerDataCentre: 3,
-};
+  { jobId: 'consist', policy: { kind: 'gang', taskCount: 3 }, expectedRunMs: 4_000 },
+  {
+    jobId: 'booking',
+    policy: { kind: 'service', serviceName: 'booking', replicas: 3 },
+    expectedRunMs: 0,
+  },
+  { jobId: 'track-watch', policy: { kind: 'watch' }, expectedRunMs: 0 },
+].map((job) => ({ ...job, queueId: 'team-a', demand: { cpuMillis: 2_000, memoryMb: 1_024 } }));
 
 interface TargetSummary {
   readonly violations: readonly TargetViolation[];
-  readonly startedCount: number;
 }
 
-async function callGate(
-  deployment: Deployment,
-  method: 'GET' | 'POST',
-  path: string,
-  token: string,
-  body?: unknown,
-): Promise<{ status: number; value: unknown }> {
-  const result = await deployment.caller.perform({
-    method,
-    address: deployment.gateAddresses[0] ?? '',
-    path,
-    headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' },
-    body: body === undefined ? '' : JSON.stringify(body),
-    timeoutMs: 8_000,
-  });
-  if (result.kind !== 'response') return { status: 0, value: result.detail };
-  return { status: result.status, value: JSON.parse(result.body.toString('utf8')) };
+/** What was lost, doubled or falsely said; every count has to be 0. */
+interface Verdict {
+  readonly label: string;
+  readonly count: number;
 }
 
-async function applySheet(deployment: Deployment): Promise<void> {
-  for (let attempt = 0; attempt < 100; attempt += 1) {
-    const change = { kind: 'applySheet', basedOnVersion: 0, sheet };
-    const path = '/v1/operator/config/changes';
-    const answer = await callGate(deployment, 'POST', path, OPERATOR_TOKEN, change);
-    if (answer.status === 200) return;
-    await sleep(200);
+function isAsAcknowledged(job: JobSummary): boolean {
+  const isStanding = job.kind === 'service' || job.kind === 'watch';
+  return isStanding ? job.pendingCount === 0 && job.runningCount > 0 : job.phase === 'finished';
+}
+
+async function submitJobs(operator: Operator): Promise<readonly string[]> {
+  const replies = await Promise.all(
+    JOBS.map((job) => operator.call('POST', '/v1/jobs', getKey('team-a'), job)),
+  );
+  return JOBS.filter((_, index) => replies[index]?.status === 200).map((job) => job.jobId);
+}
+
+/** Waits until every acknowledged job is where it has to be; returns those that are not. */
+async function getUnfinished(
+  operator: Operator,
+  acknowledged: readonly string[],
+): Promise<readonly string[]> {
+  const startMs = performance.now();
+  for (;;) {
+    const jobs = await operator.listJobs('team-a');
+    const done = new Set(jobs.filter(isAsAcknowledged).map((job) => String(job.jobId)));
+    const unfinished = acknowledged.filter((jobId) => !done.has(jobId));
+    if (unfinished.length === 0 || performance.now() - startMs > JOBS_LIMIT_MS) return unfinished;
+    await sleep(JOBS_POLL_MS);
   }
-  throw new Error('the sheet was not accepted');
 }
 
-async function waitForHealth(deployment: Deployment): Promise<void> {
-  for (let attempt = 0; attempt < 100; attempt += 1) {
-    const state = await callGate(deployment, 'GET', '/v1/operator/state', OPERATOR_TOKEN);
-    const dump = state.value as { schedulers?: { status: { freeSlots: number } }[] };
-    const freeSlots = (dump.schedulers ?? []).map((scheduler) => scheduler.status.freeSlots);
-    if (freeSlots.length === 3 && freeSlots.reduce((sum, free) => sum + free, 0) >= 240) return;
-    await sleep(200);
+/** Kills one scheduler and waits until the others own all targets again. */
+async function measureFailover(deployment: Deployment, operator: Operator): Promise<number> {
+  await sleep(KILL_AFTER_MS);
+  const wholeSlots = (await operator.getFreeSlots()) * 0.9;
+  deployment.signal(KILLED, 'SIGKILL');
+  const startMs = performance.now();
+  for (;;) {
+    await sleep(FAILOVER_POLL_MS);
+    const elapsedMs = performance.now() - startMs;
+    if (elapsedMs > FAILOVER_LIMIT_MS || (await operator.getFreeSlots()) >= wholeSlots) {
+      return elapsedMs;
+    }
   }
-  throw new Error('the targets were not all owned');
 }
 
-async function submitJobs(deployment: Deployment): Promise<readonly string[]> {
-  const jobs = Array.from({ length: 6 }, (_, index) => ({
-    jobId: `plan-${index}`,
-    queueId: 'team-a',
-    policy: { kind: 'batch', taskCount: 4 },
-    demand: { cpuMillis: 2_000, memoryMb: 1_024 },
-    expectedRunMs: 3_000,
-  }));
-  const answers = await Promise.all(
-    jobs.map((job) => callGate(deployment, 'POST', '/v1/jobs', 'key-team-a:secret-team-a', job)),
+async function getVerdicts(
+  deployment: Deployment,
+  operator: Operator,
+  report: LoadReport,
+  acknowledged: readonly string[],
+): Promise<readonly Verdict[]> {
+  const [firstTarget = ''] = deployment.targetAddresses;
+  const runs = (await deployment.post(firstTarget, '/control/runs', null)) as [string, number][];
+  const runCounts = new Map(runs);
+  const summaries = (await Promise.all(
+    deployment.targetAddresses.map((address) => deployment.post(address, '/control/summary', null)),
+  )) as TargetSummary[];
+  const doubled = report.nonIdempotentIds.filter((id) => (runCounts.get(id) ?? 0) > 1);
+  const unfinished = await getUnfinished(operator, acknowledged);
+  return [
+    { label: 'jobs not as acknowledged', count: unfinished.length },
+    { label: 'non-idempotent run twice', count: doubled.length },
+    {
+      label: 'said not run, but ran',
+      count: report.notRunIds.filter((id) => runCounts.has(id)).length,
+    },
+    {
+      label: 'overcommitted',
+      count: summaries.flatMap((summary) => summary.violations).length,
+    },
+    { label: 'answers crossed, cut or missing', count: report.faults.length },
+  ];
+}
+
+function printRow(label: string, value: string | number): void {
+  console.log(`  ${label.padEnd(48)} ${value}`);
+}
+
+function printReport(metrics: Metrics, failoverMs: number, acknowledged: readonly string[]): void {
+  const { counters, latencies } = metrics.dump();
+  console.log('requests by outcome');
+  counters.forEach(({ name, value }) => printRow(name, value));
+  console.log(`waiting time, of which ${SERVICE_MS} ms is the target's`);
+  latencies.forEach(({ name, p50Ms, p99Ms, maxMs }) => {
+    const [p50, p99, max] = [p50Ms, p99Ms, maxMs].map((value) => value.toFixed(1));
+    printRow(name, `p50 ${p50} ms, p99 ${p99} ms, max ${max} ms`);
+  });
+  console.log('jobs and failover');
+  printRow('jobs acknowledged', acknowledged.length);
+  printRow('kill to all targets owned again', `${(failoverMs / 1_000).toFixed(1)} s`);
+}
+
+async function run(deployment: Deployment): Promise<boolean> {
+  const operator = new Operator(deployment);
+  const metrics = new Metrics();
+  await deployment.start();
+  await operator.applySheet(createDemoSheet(TEAMS, DATA_CENTRES));
+  await operator.waitForSlots(TARGET_COUNTS.reduce((sum, count) => sum + count * TARGET_SLOTS, 0));
+  const acknowledged = await submitJobs(operator);
+  const load = new Load(
+    deployment.caller,
+    {
+      gateAddresses: deployment.gateAddresses,
+      teamIds: TEAMS,
+      requestsPerSecond: REQUESTS_PER_SECOND,
+      durationMs: LOAD_MS,
+      windowMs: WINDOW_MS,
+      serviceMs: SERVICE_MS,
+    },
+    metrics,
   );
-  return jobs.filter((_, index) => answers[index]?.status === 200).map((job) => job.jobId);
+  const [report, failoverMs] = await Promise.all([
+    load.run(),
+    measureFailover(deployment, operator),
+  ]);
+  const verdicts = await getVerdicts(deployment, operator, report, acknowledged);
+  printReport(metrics, failoverMs, acknowledged);
+  console.log('lost, doubled or false');
+  verdicts.forEach(({ label, count }) => printRow(label, count));
+  report.faults.slice(0, 3).forEach((fault) => printRow(fault.requestId, fault.detail));
+  return acknowledged.length === JOBS.length && verdicts.every(({ count }) => count === 0);
 }
 
 async function main(): Promise<void> {
   const deployment = new Deployment({
-    basePort: 21_000,
-    memberCount: 3,
-    groups: [
-      { dataCentreId: 'rotterdam', count: 8, targetsPerRack: 6 },
-      { dataCentreId: 'kijfhoek', count: 8, targetsPerRack: 6 },
-      { dataCentreId: 'amsterdam', count: 7, targetsPerRack: 6 },
-      { dataCentreId: 'delft', count: 7, targetsPerRack: 6 },
-    ],
+    basePort: BASE_PORT,
+    memberCount: MEMBER_COUNT,
+    groups: DATA_CENTRES.map((dataCentreId, index) => ({
+      dataCentreId,
+      count: TARGET_COUNTS[index] ?? 0,
+      targetsPerRack: 6,
+    })),
     capacity: {
       cpuMillis: 64_000,
       memoryMb: 131_072,
       accelerators: 0,
-      slots: 8,
+      slots: TARGET_SLOTS,
       connections: 64,
     },
     operatorToken: OPERATOR_TOKEN,
   });
-  const metrics = new Metrics();
-  let exitCode = 1;
   try {
-    await deployment.start();
-    await applySheet(deployment);
-    await waitForHealth(deployment);
-    const acknowledged = await submitJobs(deployment);
-    const load = new Load(
-      deployment.caller,
-      {
-        gateAddresses: deployment.gateAddresses,
-        keys: TEAMS.map((teamId) => `key-${teamId}:secret-${teamId}`),
-        requestsPerSecond: REQUESTS_PER_SECOND,
-        durationMs: LOAD_MS,
-        windowMs: 3_000,
-        serviceMs: 20,
-      },
-      metrics,
-    );
-    const running = load.run();
-    await sleep(KILL_AFTER_MS);
-    deployment.signal('scheduler-2', 'SIGKILL');
-    const report = await running;
-    const runs = (await deployment.post(
-      deployment.targetAddresses[0] ?? '',
-      '/control/runs',
-      null,
-    )) as [string, number][];
-    const runCounts = new Map(runs);
-    const doubled = report.nonIdempotentIds.filter((id) => (runCounts.get(id) ?? 0) > 1);
-    const falselyNotRun = report.notRunIds.filter((id) => runCounts.has(id));
-    const summaries = (await Promise.all(
-      deployment.targetAddresses.map((address) =>
-        deployment.post(address, '/control/summary', null),
-      ),
-    )) as TargetSummary[];
-    const violations = summaries.flatMap((summary) => summary.violations);
-    const listed = await callGate(deployment, 'GET', '/v1/jobs', 'key-team-a:secret-team-a');
-    const { counters, latencies } = metrics.dump();
-    counters.forEach(({ name, value }) => console.log(`${name.padEnd(28)} ${value}`));
-    latencies.forEach((latency) => {
-      console.log(
-        `${latency.name.padEnd(28)} p50 ${latency.p50Ms} ms  p99 ${latency.p99Ms} ms  max ${latency.maxMs} ms`,
-      );
-    });
-    console.log(`jobs acknowledged            ${acknowledged.length}`);
-    console.log(`jobs listed                  ${JSON.stringify(listed.value)}`);
-    console.log(`non-idempotent run twice     ${doubled.length}`);
-    console.log(`said not run, but ran        ${falselyNotRun.length}`);
-    console.log(`overcommitted                ${violations.length}`);
-    console.log(`crossed, cut or missing      ${report.faults.length}`);
-    report.faults.slice(0, 5).forEach((fault) => console.log(JSON.stringify(fault)));
-    const broken = doubled.length + falselyNotRun.length + violations.length + report.faults.length;
-    exitCode = broken === 0 ? 0 : 1;
+    process.exitCode = (await run(deployment)) ? 0 : 1;
   } finally {
     await deployment.stop();
   }
-  process.exit(exitCode);
 }
 
 main().catch((error: unknown) => {
   console.error(error);
-  process.exit(1);
+  process.exitCode = 1;
 });
