Capacity benchmark in virtual time and a heap for the test world's queue

Cause: docs/CAPACITY.md needs slopes at several sizes; the world's queue was scanned linearly. Change: bench capacity counts an idle scheduler's messages, rows and JSON bytes at five sizes; the world's queue is heap-js.

--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,131 @@
+/** Messages, bytes and reducer time of one idle scheduler, by entry VMs and targets, in virtual time. */
+
+import { createSheet } from '../tests/support/sheets';
+import { World } from '../tests/support/world';
+import { toConfigVersion, toId } from '../src/types/ids';
+import type { Bench, Figure } from './types';
+
+const SETTLE_MS = 15_000;
+const MEASURE_MS = 20_000;
+const MS_PER_SECOND = 1_000;
+const KB = 1_024;
+const SEED = 7;
+
+/** The deployments measured: today's, and steps up to the size of the next two years. */
+const SIZES = [
+  { memberCount: 6, dataCentreCount: 4, targetCount: 32, shardsPerDataCentre: 3, teamCount: 6 },
+  { memberCount: 9, dataCentreCount: 4, targetCount: 32, shardsPerDataCentre: 3, teamCount: 6 },
+  { memberCount: 9, dataCentreCount: 8, targetCount: 304, shardsPerDataCentre: 8, teamCount: 44 },
+  { memberCount: 9, dataCentreCount: 8, targetCount: 920, shardsPerDataCentre: 16, teamCount: 44 },
+  { memberCount: 24, dataCentreCount: 8, targetCount: 920, shardsPerDataCentre: 16, teamCount: 44 },
+] as const;
+
+const CAPACITY = {
+  cpuMillis: 64_000,
+  memoryMb: 131_072,
+  accelerators: 2,
+  slots: 8,
+  connections: 64,
+};
+
+type Size = (typeof SIZES)[number];
+
+/** What all schedulers together sent while measured. */
+interface Traffic {
+  platformCalls: number;
+  writtenRows: number;
+  peerCalls: number;
+  targetCalls: number;
+  sentBytes: number;
+}
+
+function createWorld(size: Size): World {
+  const dataCentreIds = Array.from({ length: size.dataCentreCount }, (_, index) => `dc-${index}`);
+  const teamIds = Array.from({ length: size.teamCount }, (_, index) => `team-${index}`);
+  const world = new World({
+    seed: SEED,
+    memberCount: size.memberCount,
+    dataCentreIds,
+    targetsPerDataCentre: size.targetCount / size.dataCentreCount,
+    capacity: CAPACITY,
+  });
+  world.runFor(2_000);
+  const { shardsPerDataCentre } = size;
+  const sheet = createSheet(teamIds, dataCentreIds, { limitSlots: 2_000, shardsPerDataCentre });
+  const change = { kind: 'applySheet', basedOnVersion: toConfigVersion(0), sheet } as const;
+  world.call(0, { kind: 'changeConfig', change, operationId: toId('bench') }, () => undefined);
+  world.runFor(SETTLE_MS);
+  return world;
+}
+
+function countTraffic(world: World): Traffic {
+  const traffic = {
+    platformCalls: 0,
+    writtenRows: 0,
+    peerCalls: 0,
+    targetCalls: 0,
+    sentBytes: 0,
+  };
+  world.onEvent = (_process, _event, effects) => {
+    effects.forEach((effect) => {
+      switch (effect.kind) {
+        case 'callPlatform':
+          traffic.platformCalls += 1;
+          if (effect.call.kind === 'transact') {
+            traffic.writtenRows += effect.call.transaction.writes.length;
+          }
+          traffic.sentBytes += JSON.stringify(effect.call).length;
+          break;
+        case 'callPeer':
+          traffic.peerCalls += 1;
+          traffic.sentBytes += JSON.stringify(effect.call).length;
+          break;
+        case 'callTarget':
+          traffic.targetCalls += 1;
+          traffic.sentBytes += JSON.stringify(effect.call).length;
+          break;
+        case 'replyCall':
+          traffic.sentBytes += JSON.stringify(effect.value ?? null).length;
+          break;
+        default:
+      }
+    });
+  };
+  return traffic;
+}
+
+function measure(size: Size): readonly Figure[] {
+  const world = createWorld(size);
+  const traffic = countTraffic(world);
+  const eventsBefore = world.eventCount;
+  const cpuBefore = process.cpuUsage();
+  world.runFor(MEASURE_MS);
+  const cpu = process.cpuUsage(cpuBefore);
+  const cpuMs = (cpu.user + cpu.system) / MS_PER_SECOND;
+  const seconds = MEASURE_MS / MS_PER_SECOND;
+  const perMemberSecond = (value: number) => value / size.memberCount / seconds;
+  const prefix = `${size.memberCount} entry VMs, ${size.targetCount} targets`;
+  const figure = (name: string, value: number, unit: string) => ({
+    name: `${prefix}, ${name}`,
+    value,
+    unit,
+  });
+  return [
+    figure('platform calls, all', traffic.platformCalls / seconds, '/s'),
+    figure('written rows, all', traffic.writtenRows / seconds, '/s'),
+    figure('peer calls', perMemberSecond(traffic.peerCalls), '/s by scheduler'),
+    figure('target calls', perMemberSecond(traffic.targetCalls), '/s by scheduler'),
+    figure('JSON sent', perMemberSecond(traffic.sentBytes) / KB, 'KB/s by scheduler'),
+    figure('events', perMemberSecond(world.eventCount - eventsBefore), '/s by scheduler'),
+    figure('reducer and harness', (cpuMs / (MEASURE_MS * size.memberCount)) * 100, '% of a core'),
+  ];
+}
+
+/** The `capacity` benchmark. */
+export const capacity: Bench = {
+  name: 'capacity',
+  describe: 'messages, bytes and reducer time of one idle scheduler by size',
+  async run() {
+    return SIZES.flatMap(measure);
+  },
+};
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,10 +2,11 @@
 
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
+import { capacity } from './capacity';
 import { footprint } from './footprint';
 import type { Bench, Figure } from './types';
 
-const BENCHES: readonly Bench[] = [footprint];
+const BENCHES: readonly Bench[] = [capacity, footprint];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
   if (isJson) {
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -1,5 +1,6 @@
 /** Runs the reducers of several schedulers against one fake platform and fake targets, in virtual time. */
 
+import { Heap } from 'heap-js';
 import { SchedulerCore } from '../../src/scheduler/core';
 import type { SchedulerEffect, SchedulerEvent } from '../../src/scheduler/types';
 import type { SchedulerSettings } from '../../src/config/settings';
@@ -24,6 +25,10 @@
   readonly run: () => void;
 }
 
+function comparePending(left: Pending, right: Pending): number {
+  return left.atMs - right.atMs || left.order - right.order;
+}
+
 /** One scheduler process of the world. */
 export interface Process {
   readonly index: number;
@@ -80,7 +85,7 @@
 
   #plan: WorldPlan;
 
-  #queue: Pending[] = [];
+  #queue = new Heap<Pending>(comparePending);
 
   #order = 0;
 
@@ -156,20 +161,9 @@
   }
 
   #takeNext(untilMs: number): Pending | undefined {
-    let bestIndex = -1;
-    this.#queue.forEach((pending, index) => {
-      const best = this.#queue[bestIndex];
-      const isEarlier =
-        best === undefined ||
-        pending.atMs < best.atMs ||
-        (pending.atMs === best.atMs && pending.order < best.order);
-      if (isEarlier) bestIndex = index;
-    });
-    const next = this.#queue[bestIndex];
+    const next = this.#queue.peek();
     if (next === undefined || next.atMs > untilMs) return undefined;
-    const last = this.#queue.pop();
-    if (last !== undefined && last !== next) this.#queue[bestIndex] = last;
-    return next;
+    return this.#queue.pop();
   }
 
   #getProcess(index: number): Process {
