Ownership: one owner at a time, promises in an outage, fast proof of death

Cause, found by reading and by tests/lease.test.ts: - the scans of members and shards ran at once, so a member that registered and acquired between them looked evicted: shards are now scanned first, members after; - an acquisition answered after the session was evicted was taken into the next incarnation: origins carry the incarnation; - a target counted as settled by a report that was asked for before the former owner's last start could arrive: only reports asked for after SETTLE_MS count; - a release kept the jobs and tasks of the shard: it now emits shardLost; - a release whose answer was lost left a shard owned by nobody who knew: rows that name this member are released too; - a release did not look at starts in flight: InFlightStarts gives busyShardIds.

Change: Session, PromiseBook, EvictionJudge beside LeaseKeeper; an owner whose session cannot be renewed goes on while every standby of its row promises not to evict it; refused connections and another incarnation at the address prove a member dead.

A member without a row gets no promise now. Ruled out: late renewals.

--- a/src/lease/leaseKeeper.ts
+++ b/src/lease/leaseKeeper.ts
@@ -1,20 +1,20 @@
 /** Keeps this member's session and the leases of the shards that it owns. */
 
-import type { MemberRow } from '../membership/types';
-import { getMemberKey, MEMBER_PREFIX, MemberTable } from '../membership/memberTable';
-import type { PlatformResult, Row } from '../platform/types';
+import type { MemberRow, MemberView } from '../membership/types';
+import { MEMBER_PREFIX, MemberTable } from '../membership/memberTable';
+import type { PlatformResult, Row, Vm } from '../platform/types';
 import { assertNever } from '../types/debug';
-import { getPreferred } from '../types/hash';
 import { toEpoch, toId } from '../types/ids';
 import type { Epoch, MemberId, OperationId, ShardId } from '../types/ids';
-import {
-  CLOCK_MARGIN_MS,
-  RENEW_INTERVAL_MS,
-  SCAN_INTERVAL_MS,
-  SESSION_MS,
-  SILENT_MS,
-} from './constants';
+import { getPreferredOwner, getStandbys } from './assignment';
+import { RENEW_INTERVAL_MS, SCAN_INTERVAL_MS, STABLE_MS } from './constants';
+import { EvictionJudge } from './evictionJudge';
+import { Session } from './session';
+import { createEviction, createShardChange, isShardRow, SHARD_PREFIX } from './transactions';
+import type { ShardView } from './transactions';
 import type {
+  EndedPromise,
+  HeartbeatNews,
   LeaseContext,
   LeaseEffect,
   LeaseIdentity,
@@ -23,45 +23,33 @@
   ShardRow,
 } from './types';
 
-/** Prefix of the rows of all shards. */
-export const SHARD_PREFIX = 'shard/';
+/** A scan that brings this many rows may be cut short, and says nothing of rows that are missing. */
 const SCAN_LIMIT = 2_000;
 
-function getShardKey(shardId: ShardId): string {
-  return `${SHARD_PREFIX}${shardId}`;
-}
-
-function isShardRow(value: unknown): value is ShardRow {
-  return typeof value === 'object' && value !== null && 'shardId' in value;
-}
-
-interface ShardView {
-  readonly row: ShardRow;
-  readonly rowVersion: number;
-}
+type ScannedMembers = Extract<LeaseOrigin, { kind: 'leaseScanMembers' }>;
 
 /** The lease reducer of one scheduler. */
 export class LeaseKeeper {
   #identity: LeaseIdentity;
 
-  #memberId: MemberId;
+  #session: Session;
 
   #members = new MemberTable();
 
+  #judge: EvictionJudge;
+
   #shards = new Map<ShardId, ShardView>();
 
   #owned = new Map<ShardId, Epoch>();
 
-  #rowVersion = 0;
-
-  #sessionUntilMs = Number.NEGATIVE_INFINITY;
-
   #nextRenewMs = 0;
 
   #nextScanMs = 0;
 
   #isRenewing = false;
 
+  #isScanning = false;
+
   #isChanging = false;
 
   #changedMs = Number.NEGATIVE_INFINITY;
@@ -75,13 +63,14 @@
    * @param identity - what its row tells others
    */
   constructor(memberId: MemberId, identity: LeaseIdentity) {
-    this.#memberId = memberId;
+    this.#session = new Session(memberId);
     this.#identity = identity;
+    this.#judge = new EvictionJudge(this.#members, identity.address, identity.vmId);
   }
 
   /** This run of this scheduler. */
   get memberId(): MemberId {
-    return this.#memberId;
+    return this.#session.memberId;
   }
 
   /** Members as last scanned. */
@@ -94,6 +83,11 @@
     return [...this.#owned.keys()];
   }
 
+  /** Promises that this process has ended, for members that are no standbys themselves. */
+  get endedPromises(): readonly EndedPromise[] {
+    return this.#judge.endedPromises;
+  }
+
   /**
    * Gets who owns each shard by the last scan.
    * @returns the rows of shards with an owner
@@ -108,7 +102,7 @@
    * @returns the end of its authority on this process's clock; negative infinity when not owned
    */
   getAuthorityUntilMs(shardId: ShardId): number {
-    return this.#owned.has(shardId) ? this.#sessionUntilMs : Number.NEGATIVE_INFINITY;
+    return this.#owned.has(shardId) ? this.#session.getUntilMs() : Number.NEGATIVE_INFINITY;
   }
 
   /**
@@ -120,6 +114,49 @@
     return this.#owned.get(shardId) ?? toEpoch(0);
   }
 
+  /**
+   * Promises another member not to evict it, if that can still be kept.
+   * @param memberId - who asks with its heartbeat
+   * @param nowMs - this process's clock
+   * @returns for how long, in milliseconds; 0 for no promise
+   */
+  getPromiseMs(memberId: MemberId, nowMs: number): number {
+    return this.#judge.getPromiseMs(memberId, nowMs);
+  }
+
+  /**
+   * Takes in the answer to a heartbeat. An answer by another incarnation proves the one that the
+   * heartbeat was meant for dead.
+   * @param nowMs - this process's clock
+   * @param news - what the answer says
+   */
+  applyHeartbeatReply(nowMs: number, news: HeartbeatNews): void {
+    this.#judge.applyEnded(news.answeredById, news.endedPromises);
+    if (news.answeredById !== news.sentToId) this.applyPeerDeath(nowMs, news.sentToId);
+    else if (news.sentById === this.memberId) {
+      this.#session.applyPromise(news.answeredById, news.sentMs, news.promiseMs);
+    }
+  }
+
+  /**
+   * Takes in a proof that an incarnation is dead: its registered address refuses connections.
+   * @param nowMs - this process's clock
+   * @param memberId - which incarnation
+   */
+  applyPeerDeath(nowMs: number, memberId: MemberId): void {
+    this.#judge.applyDeath(memberId);
+    this.#session.applyDeath(memberId, nowMs);
+  }
+
+  /**
+   * Takes in the platform's list of Vms.
+   * @param nowMs - this process's clock
+   * @param vms - the list
+   */
+  applyVms(nowMs: number, vms: readonly Vm[]): void {
+    this.#judge.applyVms(vms, nowMs);
+  }
+
   /**
    * Renews, scans, evicts, acquires and releases as far as it is time to.
    * @param nowMs - this process's clock
@@ -128,13 +165,14 @@
    */
   tick(nowMs: number, context: LeaseContext): readonly LeaseEffect[] {
     const effects: LeaseEffect[] = [];
+    this.#session.markRunning(nowMs);
     if (nowMs >= this.#nextRenewMs && !this.#isRenewing) {
-      effects.push(this.#renew(nowMs, context.isDraining));
+      effects.push(this.#renew(nowMs, context.isLeaving));
     }
-    if (nowMs >= this.#nextScanMs) effects.push(...this.#scan(nowMs));
+    if (nowMs >= this.#nextScanMs && !this.#isScanning) effects.push(this.#scanShards(nowMs));
     // A change is decided only on rows that were scanned after the last change had ended.
     const isScanned = this.#scannedMs >= this.#changedMs && Number.isFinite(this.#scannedMs);
-    if (!this.#isChanging && isScanned && nowMs < this.#sessionUntilMs) {
+    if (!this.#isChanging && isScanned && nowMs < this.#session.tableUntilMs) {
       effects.push(...this.#changeOwnership(nowMs, context));
     }
     return effects;
@@ -150,27 +188,20 @@
   applyResult(nowMs: number, origin: LeaseOrigin, result: PlatformResult): readonly LeaseEffect[] {
     switch (origin.kind) {
       case 'leaseRenew':
-        this.#isRenewing = false;
-        return this.#applyRenew(origin.sentMs, result);
-      case 'leaseScanMembers':
-        if (result.kind !== 'rows') return [];
-        this.#members.updateFromScan(result.rows, origin.sentMs, nowMs);
-        return [];
+        return origin.memberId === this.memberId ? this.#applyRenewal(origin.sentMs, result) : [];
       case 'leaseScanShards':
-        // A scan that overlaps a change of this member's own shows rows from before it.
-        if (result.kind !== 'rows' || this.#isChanging || origin.sentMs < this.#changedMs)
-          return [];
-        this.#scannedMs = origin.sentMs;
-        return this.#applyShardScan(result.rows);
+        return this.#scanMembers(nowMs, origin.sentMs, result);
+      case 'leaseScanMembers':
+        return this.#applyScan(nowMs, origin, result);
       case 'leaseEvict':
+      case 'leaseRelease':
         this.#finishChange(nowMs);
         return [];
       case 'leaseAcquire':
         this.#finishChange(nowMs);
-        return result.kind === 'committed' ? this.#applyAcquired(origin.rows) : [];
-      case 'leaseRelease':
-        this.#finishChange(nowMs);
-        return [];
+        // What an evicted incarnation acquired belongs to nobody.
+        if (result.kind !== 'committed' || origin.memberId !== this.memberId) return [];
+        return this.#applyAcquired(origin.rows);
       default:
         return assertNever(origin);
     }
@@ -184,89 +215,107 @@
 
   #createOperationId(): OperationId {
     this.#operationCount += 1;
-    return toId<OperationId>(`${this.#memberId}/lease/${this.#operationCount}`);
+    return toId<OperationId>(`${this.memberId}/lease/${this.#operationCount}`);
   }
 
   #renew(nowMs: number, isLeaving: boolean): LeaseEffect {
     this.#isRenewing = true;
     this.#nextRenewMs = nowMs + RENEW_INTERVAL_MS;
-    const key = getMemberKey(this.#memberId);
-    const standbyIds = this.#members.views
-      .map((view) => view.row.memberId)
-      .filter((memberId) => memberId !== this.#memberId);
-    const row: MemberRow = { ...this.#identity, memberId: this.#memberId, isLeaving, standbyIds };
+    const { memberId } = this;
+    const promised = new Set(this.#session.getPromisedBy(nowMs));
+    const candidates = this.#members.views.filter((view) => promised.has(view.row.memberId));
+    const standbyIds = getStandbys(memberId, this.#identity.dataCentreId, candidates);
+    const row: MemberRow = { ...this.#identity, memberId, isLeaving, standbyIds };
     return {
       kind: 'callPlatform',
-      origin: { kind: 'leaseRenew', sentMs: nowMs },
-      call: {
-        kind: 'transact',
-        transaction: {
-          operationId: this.#createOperationId(),
-          checks: [{ key, version: this.#rowVersion }],
-          writes: [{ key, value: { ...row } }],
-        },
-      },
+      origin: { kind: 'leaseRenew', memberId, sentMs: nowMs },
+      call: this.#session.createRenewal(row, this.#createOperationId()),
     };
   }
 
-  #applyRenew(sentMs: number, result: PlatformResult): readonly LeaseEffect[] {
-    if (result.kind === 'committed') {
-      this.#rowVersion = result.rows[0]?.version ?? this.#rowVersion;
-      this.#sessionUntilMs = sentMs + SESSION_MS - CLOCK_MARGIN_MS;
-      return [];
-    }
-    if (result.kind !== 'conflict') return [];
-    const current = result.rows[0];
-    if (current !== undefined && current.value !== null) {
-      // An earlier renewal took effect and its answer was lost.
-      this.#rowVersion = current.version;
-      this.#nextRenewMs = sentMs;
-      return [];
+  #applyRenewal(sentMs: number, result: PlatformResult): readonly LeaseEffect[] {
+    this.#isRenewing = false;
+    const outcome = this.#session.applyRenewal(sentMs, result);
+    switch (outcome) {
+      case 'renewed':
+      case 'unknown':
+        return [];
+      case 'retry':
+        this.#nextRenewMs = sentMs;
+        return [];
+      case 'evicted':
+        return this.#restartSession();
+      default:
+        return assertNever(outcome);
     }
-    return this.#restartSession();
   }
 
   /** Another member evicted this one, so every lease is gone and a new incarnation begins. */
   #restartSession(): readonly LeaseEffect[] {
     const lost = this.ownedShardIds;
     this.#owned.clear();
-    this.#rowVersion = 0;
-    this.#sessionUntilMs = Number.NEGATIVE_INFINITY;
-    this.#memberId = toId<MemberId>(`${this.#memberId}+`);
+    this.#session = new Session(toId<MemberId>(`${this.memberId}+`));
     this.#nextRenewMs = 0;
     return [
       ...lost.map((shardId) => ({ kind: 'shardLost', shardId, reason: 'evicted' }) as const),
-      { kind: 'memberChanged', memberId: this.#memberId },
+      { kind: 'memberChanged', memberId: this.memberId },
     ];
   }
 
-  #scan(nowMs: number): readonly LeaseEffect[] {
+  #scanShards(nowMs: number): LeaseEffect {
+    this.#isScanning = true;
     this.#nextScanMs = nowMs + SCAN_INTERVAL_MS;
+    return {
+      kind: 'callPlatform',
+      origin: { kind: 'leaseScanShards', sentMs: nowMs },
+      call: { kind: 'range', prefix: SHARD_PREFIX, after: '', limit: SCAN_LIMIT },
+    };
+  }
+
+  #scanMembers(
+    nowMs: number,
+    scanStartedMs: number,
+    result: PlatformResult,
+  ): readonly LeaseEffect[] {
+    this.#isScanning = result.kind === 'rows';
+    if (result.kind !== 'rows') return [];
+    const shardRows = result.rows;
     return [
       {
         kind: 'callPlatform',
-        origin: { kind: 'leaseScanMembers', sentMs: nowMs },
+        origin: { kind: 'leaseScanMembers', sentMs: nowMs, scanStartedMs, shardRows },
         call: { kind: 'range', prefix: MEMBER_PREFIX, after: '', limit: SCAN_LIMIT },
       },
-      {
-        kind: 'callPlatform',
-        origin: { kind: 'leaseScanShards', sentMs: nowMs },
-        call: { kind: 'range', prefix: SHARD_PREFIX, after: '', limit: SCAN_LIMIT },
-      },
     ];
   }
 
-  #applyShardScan(rows: readonly Row[]): readonly LeaseEffect[] {
+  #applyScan(
+    nowMs: number,
+    { sentMs, scanStartedMs, shardRows }: ScannedMembers,
+    result: PlatformResult,
+  ): readonly LeaseEffect[] {
+    this.#isScanning = false;
+    if (result.kind !== 'rows' || result.rows.length >= SCAN_LIMIT) return [];
+    this.#members.updateFromScan(result.rows, sentMs, nowMs);
+    this.#judge.forgetGone(nowMs);
+    // A scan that overlaps a change of this member's own shows rows from before it.
+    if (this.#isChanging || scanStartedMs < this.#changedMs) return [];
+    this.#scannedMs = scanStartedMs;
+    return this.#applyShardRows(shardRows);
+  }
+
+  #applyShardRows(rows: readonly Row[]): readonly LeaseEffect[] {
     this.#shards.clear();
     rows.forEach(({ value, version }) => {
       if (!isShardRow(value)) return;
       this.#shards.set(value.shardId, { row: value, rowVersion: version });
     });
-    const lost = this.ownedShardIds.filter(
-      (shardId) => this.#shards.get(shardId)?.row.ownerId !== this.#memberId,
-    );
-    lost.forEach((shardId) => this.#owned.delete(shardId));
-    return lost.map((shardId) => ({ kind: 'shardLost', shardId, reason: 'row changed' }));
+    const lost = [...this.#owned].filter(([shardId, epoch]) => {
+      const row = this.#shards.get(shardId)?.row;
+      return row?.ownerId !== this.memberId || row.epoch !== epoch;
+    });
+    lost.forEach(([shardId]) => this.#owned.delete(shardId));
+    return lost.map(([shardId]) => ({ kind: 'shardLost', shardId, reason: 'row changed' }));
   }
 
   #applyAcquired(rows: readonly ShardRow[]): readonly LeaseEffect[] {
@@ -277,116 +326,98 @@
   }
 
   #changeOwnership(nowMs: number, context: LeaseContext): readonly LeaseEffect[] {
-    const expired = this.#members.views.find(
+    const evictable = this.#members.views.find(
       (view) =>
-        view.row.memberId !== this.#memberId && this.#members.isExpired(view, SILENT_MS, nowMs),
+        view.row.memberId !== this.memberId && this.#judge.canEvict(view, this.memberId, nowMs),
     );
-    if (expired !== undefined) return [this.#evict(expired.row.memberId, expired.rowVersion)];
-    const released = this.#getReleasable(context);
-    if (released.length > 0) return [this.#release(released)];
-    const wanted = context.isDraining ? [] : this.#getAcquirable(context.shards);
+    if (evictable !== undefined) return [this.#evict(evictable)];
+    const released = this.#getReleasable(nowMs, context);
+    if (released.length > 0) return this.#release(released);
+    const wanted = context.isLeaving ? [] : this.#getAcquirable(context.shards);
     return wanted.length > 0 ? [this.#acquire(wanted)] : [];
   }
 
-  #evict(memberId: MemberId, rowVersion: number): LeaseEffect {
+  #evict({ row, rowVersion }: MemberView): LeaseEffect {
     this.#isChanging = true;
-    const key = getMemberKey(memberId);
     return {
       kind: 'callPlatform',
-      origin: { kind: 'leaseEvict', memberId },
-      call: {
-        kind: 'transact',
-        transaction: {
-          operationId: this.#createOperationId(),
-          checks: [{ key, version: rowVersion }],
-          writes: [{ key, value: null }],
-        },
-      },
+      origin: { kind: 'leaseEvict', memberId: row.memberId },
+      call: createEviction(row.memberId, rowVersion, this.#createOperationId()),
     };
   }
 
   #isFree(shardId: ShardId): boolean {
-    const view = this.#shards.get(shardId);
-    if (view === undefined || view.row.ownerId === null) return true;
+    const ownerId = this.#shards.get(shardId)?.row.ownerId ?? null;
+    if (ownerId === null) return true;
     // The answer to an acquisition was lost; taking the shard again makes its epoch certain.
-    if (view.row.ownerId === this.#memberId) return true;
-    return this.#members.get(view.row.ownerId) === undefined;
+    return ownerId === this.memberId || this.#members.get(ownerId) === undefined;
   }
 
-  #getPreferredOwner(placement: ShardPlacement): MemberId | undefined {
-    const live = this.#members.views.filter((view) => !view.row.isLeaving);
-    const near = live.filter((view) => view.row.dataCentreId === placement.dataCentreId);
-    const candidates = near.length > 0 ? near : live;
-    return getPreferred(
-      placement.shardId,
-      candidates.map((view) => view.row.memberId),
+  #getPreferred(placement: ShardPlacement): MemberView | undefined {
+    const live = this.#members.views.filter(
+      (view) =>
+        view.row.memberId === this.memberId || !(view.row.isLeaving || this.#judge.isDead(view)),
     );
+    return getPreferredOwner(placement, live);
   }
 
   #getAcquirable(shards: readonly ShardPlacement[]): readonly ShardId[] {
     return shards
       .filter((placement) => !this.#owned.has(placement.shardId))
       .filter((placement) => this.#isFree(placement.shardId))
-      .filter((placement) => this.#getPreferredOwner(placement) === this.#memberId)
+      .filter((placement) => this.#getPreferred(placement)?.row.memberId === this.memberId)
       .map((placement) => placement.shardId);
   }
 
   #acquire(shardIds: readonly ShardId[]): LeaseEffect {
     this.#isChanging = true;
+    const { memberId } = this;
     const rows = shardIds.map((shardId): ShardRow => {
       const epoch = toEpoch((this.#shards.get(shardId)?.row.epoch ?? 0) + 1);
-      return { shardId, ownerId: this.#memberId, epoch };
+      return { shardId, ownerId: memberId, epoch };
     });
     return {
       kind: 'callPlatform',
-      origin: { kind: 'leaseAcquire', rows },
-      call: {
-        kind: 'transact',
-        transaction: {
-          operationId: this.#createOperationId(),
-          checks: shardIds.map((shardId) => ({
-            key: getShardKey(shardId),
-            version: this.#shards.get(shardId)?.rowVersion ?? 0,
-          })),
-          writes: rows.map((row) => ({ key: getShardKey(row.shardId), value: { ...row } })),
-        },
-      },
+      origin: { kind: 'leaseAcquire', memberId, rows },
+      call: this.#createChange(rows),
     };
   }
 
-  #getReleasable(context: LeaseContext): readonly ShardId[] {
-    return this.ownedShardIds
-      .filter((shardId) => !context.busyShardIds.has(shardId))
-      .filter((shardId) => {
-        if (context.isDraining) return true;
+  /** Shards to hand over, with those whose row names this member after a lost answer. */
+  #getReleasable(nowMs: number, context: LeaseContext): readonly ShardRow[] {
+    return this.getOwners()
+      .filter((row) => row.ownerId === this.memberId)
+      .filter(({ shardId }) => !context.busyShardIds.has(shardId))
+      .filter(({ shardId }) => {
+        if (context.isHandingOver) return true;
         const placement = context.shards.find((known) => known.shardId === shardId);
         if (placement === undefined) return true;
-        const preferred = this.#getPreferredOwner(placement);
-        return preferred !== undefined && preferred !== this.#memberId;
+        const preferred = this.#getPreferred(placement);
+        if (preferred === undefined || preferred.row.memberId === this.memberId) return false;
+        return !this.#owned.has(shardId) || nowMs - preferred.firstSeenMs >= STABLE_MS;
       });
   }
 
-  #release(shardIds: readonly ShardId[]): LeaseEffect {
+  /** The shards are given up before the call leaves, whatever comes of it. */
+  #release(current: readonly ShardRow[]): readonly LeaseEffect[] {
     this.#isChanging = true;
-    const rows = shardIds.map((shardId): ShardRow => {
-      const epoch = this.getEpoch(shardId);
-      this.#owned.delete(shardId);
-      return { shardId, ownerId: null, epoch };
-    });
-    return {
-      kind: 'callPlatform',
-      origin: { kind: 'leaseRelease', rows },
-      call: {
-        kind: 'transact',
-        transaction: {
-          operationId: this.#createOperationId(),
-          checks: shardIds.map((shardId) => ({
-            key: getShardKey(shardId),
-            version: this.#shards.get(shardId)?.rowVersion ?? 0,
-          })),
-          writes: rows.map((row) => ({ key: getShardKey(row.shardId), value: { ...row } })),
-        },
+    const rows = current.map((row): ShardRow => ({ ...row, ownerId: null }));
+    const lost = rows.filter((row) => this.#owned.delete(row.shardId));
+    return [
+      ...lost.map(({ shardId }) => ({ kind: 'shardLost', shardId, reason: 'released' }) as const),
+      {
+        kind: 'callPlatform',
+        origin: { kind: 'leaseRelease', rows },
+        call: this.#createChange(rows),
       },
-    };
+    ];
+  }
+
+  #createChange(rows: readonly ShardRow[]) {
+    const changes = rows.map((row) => ({
+      row,
+      rowVersion: this.#shards.get(row.shardId)?.rowVersion ?? 0,
+    }));
+    return createShardChange(changes, this.#createOperationId());
   }
 }
--- a/src/membership/memberTable.ts
+++ b/src/membership/memberTable.ts
@@ -49,7 +49,13 @@
       const known = this.#views.get(row.value.memberId);
       const isSame = known !== undefined && known.rowVersion === row.version;
       const versionSeenMs = isSame ? known.versionSeenMs : nowMs;
-      next.set(row.value.memberId, { row: row.value, rowVersion: row.version, versionSeenMs });
+      const firstSeenMs = known?.firstSeenMs ?? nowMs;
+      next.set(row.value.memberId, {
+        row: row.value,
+        rowVersion: row.version,
+        versionSeenMs,
+        firstSeenMs,
+      });
     });
     this.#views = next;
     this.#scannedMs = sentMs;
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -2,6 +2,7 @@
 
 import type { AcceptedConfig, ConfigChange } from '../config/types';
 import type { JobSpec, TaskNews } from '../jobs/types';
+import type { EndedPromise } from '../lease/types';
 import type {
   ConfigVersion,
   DataCentreId,
@@ -87,6 +88,8 @@
   readonly from: MemberStatus;
   /** The answerer will not take over the caller's shards for this long; 0 when it may. */
   readonly promiseMs: number;
+  /** Rows of members that the answerer will never protect again. */
+  readonly endedPromises: readonly EndedPromise[];
 }
 
 /** Who owns a shard, as far as the answerer knows. */
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -23,6 +23,7 @@
   MemberStatus,
   RequestStart,
   Routes,
+  RpcResult,
   SchedulerCall,
   ShardOwner,
 } from '../rpc/types';
@@ -32,13 +33,14 @@
 import type { MemberId, ShardId, TargetId } from '../types/ids';
 import { fail, ok } from '../types/outcomes';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
+import { InFlightStarts } from './inFlightStarts';
+import { MemberDuty } from './memberDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
 const CONFIG_READ_INTERVAL_MS = 1_000;
 const VM_LIST_INTERVAL_MS = 2_000;
-const HEARTBEAT_INTERVAL_MS = 1_000;
 const REPORT_INTERVAL_MS = 1_000;
 const REPORT_TIMEOUT_MS = 1_500;
 
@@ -46,7 +48,6 @@
 interface Schedule {
   configReadMs: number;
   vmListMs: number;
-  heartbeatMs: number;
   reportMs: number;
 }
 
@@ -89,7 +90,13 @@
 
   #peers = new Peers();
 
-  #due: Schedule = { configReadMs: 0, vmListMs: 0, heartbeatMs: 0, reportMs: 0 };
+  #memberDuty: MemberDuty;
+
+  #inFlight = new InFlightStarts();
+
+  #tickedMs = 0;
+
+  #due: Schedule = { configReadMs: 0, vmListMs: 0, reportMs: 0 };
 
   #isDraining = false;
 
@@ -99,8 +106,9 @@
    */
   constructor(memberId: MemberId, settings: SchedulerSettings) {
     this.#settings = settings;
-    const { dataCentreId, region, advertisedAddress } = settings;
-    this.#lease = new LeaseKeeper(memberId, { address: advertisedAddress, dataCentreId, region });
+    const { dataCentreId, region, advertisedAddress: address, vmId } = settings;
+    this.#lease = new LeaseKeeper(memberId, { address, vmId, dataCentreId, region });
+    this.#memberDuty = new MemberDuty(this.#lease, this.#peers);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
     this.#requests = new RequestTable(this.#pool, this.#ownership);
     this.#tasks = new TaskRunner(this.#pool, this.#ownership);
@@ -119,6 +127,13 @@
    * @returns what to do about it
    */
   reduce(event: SchedulerEvent): readonly SchedulerEffect[] {
+    if (event.kind === 'targetReplied') this.#inFlight.finish(event.origin);
+    const effects = this.#reduce(event);
+    this.#inFlight.track(effects);
+    return effects;
+  }
+
+  #reduce(event: SchedulerEvent): readonly SchedulerEffect[] {
     switch (event.kind) {
       case 'tick':
         return this.#tick(event.nowMs);
@@ -142,14 +157,15 @@
     const placements = getShardPlacements(this.#config.config.sheet);
     const context = {
       shards: placements,
-      busyShardIds: new Set<ShardId>(),
-      isDraining: this.#isDraining && this.#requests.openCount === 0,
+      busyShardIds: this.#inFlight.busyShardIds,
+      isLeaving: this.#isDraining,
+      isHandingOver: this.#isDraining && this.#requests.openCount === 0,
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
       ...this.#readConfig(nowMs),
       ...this.#listVms(nowMs),
-      ...this.#sendHeartbeats(nowMs),
+      ...this.#memberDuty.tick(nowMs, () => this.#getStatus(nowMs)),
       ...this.#askReports(nowMs),
       ...fromRequests(this.#requests.startWaiting(nowMs)),
       ...this.#fromJobs(nowMs, this.#jobs.tick(nowMs)),
@@ -169,24 +185,15 @@
     return [{ kind: 'callPlatform', origin: { kind: 'vmList' }, call: { kind: 'listVms' } }];
   }
 
-  #sendHeartbeats(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.heartbeatMs) return [];
-    this.#due.heartbeatMs = nowMs + HEARTBEAT_INTERVAL_MS;
-    const from = this.#getStatus(nowMs);
-    return this.#lease.members.views
-      .filter((view) => view.row.memberId !== this.#lease.memberId)
-      .map(({ row }) => ({
-        kind: 'callPeer',
-        origin: { kind: 'heartbeat', memberId: row.memberId, sentMs: nowMs },
-        address: row.address,
-        call: { kind: 'heartbeat', from },
-      }));
-  }
-
   #askReports(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.reportMs) return [];
-    this.#due.reportMs = nowMs + REPORT_INTERVAL_MS;
-    return this.#ownership.getCandidates().flatMap((target) => this.#askReport(nowMs, target));
+    const sinceMs = this.#tickedMs;
+    this.#tickedMs = nowMs;
+    const isDue = nowMs >= this.#due.reportMs;
+    if (isDue) this.#due.reportMs = nowMs + REPORT_INTERVAL_MS;
+    const targets = isDue
+      ? this.#ownership.getCandidates()
+      : this.#ownership.getSettledBetween(sinceMs, nowMs);
+    return targets.flatMap((target) => this.#askReport(nowMs, target));
   }
 
   #askReport(nowMs: number, target: Target): readonly SchedulerEffect[] {
@@ -204,7 +211,7 @@
       },
       {
         kind: 'callTarget',
-        origin: { kind: 'report', targetId, ...token },
+        origin: { kind: 'report', targetId, ...token, sentMs: nowMs },
         call: { kind: 'report', token },
         ...common,
       },
@@ -220,7 +227,7 @@
       case 'configWrite':
         return this.#applyConfigWrite(event, origin.callId, origin.config);
       case 'vmList':
-        if (result.kind === 'vms') this.#updateTargets(result.vms);
+        if (result.kind === 'vms') this.#applyVms(nowMs, result.vms);
         return [];
       case 'jobFlush':
       case 'jobLoad':
@@ -256,16 +263,22 @@
     const permit = target && this.#ownership.tryGetOwnerPermit(target, nowMs);
     if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
     const effects = this.#tasks.applyReport(target, permit, result.report);
-    this.#ownership.markSettled(target.targetId, origin.epoch);
+    this.#ownership.markReported(target, origin.epoch, origin.sentMs);
     return this.#fromTasks(nowMs, effects);
   }
 
   #applyPeer({ nowMs, origin, result }: PeerReplied): readonly SchedulerEffect[] {
-    if (result.kind !== 'ok') return [];
     switch (origin.kind) {
-      case 'heartbeat':
-        return this.#applyHeartbeatReply(nowMs, result.value as HeartbeatReply);
+      case 'heartbeat': {
+        const from = this.#memberDuty.applyResult(
+          nowMs,
+          origin,
+          result as RpcResult<HeartbeatReply>,
+        );
+        return from === undefined ? [] : this.#fetchConfigFrom(from);
+      }
       case 'configFetch':
+        if (result.kind !== 'ok') return [];
         return this.#config.tryAdopt(result.value as AcceptedConfig) ? this.#onConfig() : [];
       case 'oneWay':
         return [];
@@ -274,11 +287,6 @@
     }
   }
 
-  #applyHeartbeatReply(nowMs: number, { from }: HeartbeatReply): readonly SchedulerEffect[] {
-    this.#peers.update(from, nowMs);
-    return this.#fetchConfigFrom(from);
-  }
-
   #fetchConfigFrom(status: MemberStatus): readonly SchedulerEffect[] {
     if (status.configVersion <= this.#config.version) return [];
     const origin: PeerOrigin = { kind: 'configFetch' };
@@ -289,9 +297,8 @@
     const reply = (value: unknown): SchedulerEffect => ({ kind: 'replyCall', callId, value });
     switch (call.kind) {
       case 'heartbeat':
-        this.#peers.update(call.from, nowMs);
         return [
-          reply({ from: this.#getStatus(nowMs), promiseMs: 0 } satisfies HeartbeatReply),
+          reply(this.#memberDuty.answer(nowMs, call.from, this.#getStatus(nowMs))),
           ...this.#fetchConfigFrom(call.from),
         ];
       case 'getRoutes':
@@ -391,6 +398,11 @@
     return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
   }
 
+  #applyVms(nowMs: number, vms: readonly Vm[]): void {
+    this.#lease.applyVms(nowMs, vms);
+    this.#updateTargets(vms);
+  }
+
   #updateTargets(vms: readonly Vm[]): void {
     const { shardsPerDataCentre } = this.#config.config.sheet;
     const targets = vms
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -56,12 +56,28 @@
   }
 
   /**
-   * Records that a target has reported what it runs to its owner of this epoch.
-   * @param targetId - which target
+   * Records that a target has reported what it runs to its owner of this epoch. Only a report that
+   * was asked for after the former owner's last start had arrived shows all that runs.
+   * @param target - which target
    * @param epoch - the epoch under which it reported
+   * @param sentMs - when the report was asked for
    */
-  markSettled(targetId: TargetId, epoch: Epoch): void {
-    this.#settledEpochs.set(targetId, epoch);
+  markReported(target: Target, epoch: Epoch, sentMs: number): void {
+    if (sentMs < this.#getSettleEndMs(target.shardId)) return;
+    this.#settledEpochs.set(target.targetId, epoch);
+  }
+
+  /**
+   * Lists the targets of shards whose settling time ended within a span of time.
+   * @param afterMs - start of the span, on this process's clock, not included
+   * @param untilMs - its end, included
+   * @returns targets to ask for a report at once
+   */
+  getSettledBetween(afterMs: number, untilMs: number): readonly Target[] {
+    return this.getCandidates().filter((target) => {
+      const endMs = this.#getSettleEndMs(target.shardId);
+      return endMs > afterMs && endMs <= untilMs;
+    });
   }
 
   /**
@@ -81,8 +97,6 @@
     const permit = this.tryGetOwnerPermit(target, nowMs);
     if (permit === undefined || target.isLeaving) return undefined;
     if (this.#settledEpochs.get(target.targetId) !== permit.epoch) return undefined;
-    const acquiredMs = this.#acquiredMs.get(target.shardId) ?? Number.POSITIVE_INFINITY;
-    if (nowMs < acquiredMs + SETTLE_MS) return undefined;
     if (!this.#isInService(target)) return undefined;
     const freshUntilMs = this.#config.getFreshUntilMs();
     if (nowMs >= freshUntilMs) return undefined;
@@ -118,6 +132,10 @@
     );
   }
 
+  #getSettleEndMs(shardId: ShardId): number {
+    return (this.#acquiredMs.get(shardId) ?? Number.POSITIVE_INFINITY) + SETTLE_MS;
+  }
+
   #isInService(target: Target): boolean {
     const known = this.#config.config.sheet.dataCentres.find(
       (dataCentre) => dataCentre.dataCentreId === target.dataCentreId,
--- a/src/scheduler/peers.ts
+++ b/src/scheduler/peers.ts
@@ -24,6 +24,14 @@
     this.#states.set(status.memberId, { status, heardMs });
   }
 
+  /**
+   * Drops an incarnation that is proven dead.
+   * @param memberId - which
+   */
+  forget(memberId: MemberId): void {
+    this.#states.delete(memberId);
+  }
+
   /**
    * Gets the peers heard lately.
    * @param nowMs - this process's clock
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -32,12 +32,20 @@
       readonly targetId: TargetId;
       readonly shardId: ShardId;
       readonly epoch: Epoch;
+      readonly sentMs: number;
     }
   | { readonly kind: 'renew'; readonly targetId: TargetId };
 
 /** Which peer call a result belongs to. */
 export type PeerOrigin =
-  | { readonly kind: 'heartbeat'; readonly memberId: MemberId; readonly sentMs: number }
+  | {
+      readonly kind: 'heartbeat';
+      /** Incarnation that it is sent to. */
+      readonly memberId: MemberId;
+      /** Incarnation that sends it. */
+      readonly sentById: MemberId;
+      readonly sentMs: number;
+    }
   | { readonly kind: 'configFetch' }
   | { readonly kind: 'oneWay' };
 
