--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -18,6 +18,7 @@
   MemberStatus,
   RequestStart,
   Routes,
+  RpcResult,
   SchedulerCall,
   ShardOwner,
   TaskAcknowledgement,
@@ -28,20 +29,20 @@
 import type { MemberId, ShardId, TargetId } from '../types/ids';
 import { fail, ok } from '../types/outcomes';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
+import { InFlightStarts } from './inFlightStarts';
 import { JobDuty } from './jobDuty';
+import { MemberDuty } from './memberDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent } from './types';
 
 const CONFIG_READ_INTERVAL_MS = 1_000;
 const VM_LIST_INTERVAL_MS = 2_000;
-const HEARTBEAT_INTERVAL_MS = 1_000;
 
 /** When each periodic duty is next due. */
 interface Schedule {
   configReadMs: number;
   vmListMs: number;
-  heartbeatMs: number;
 }
 
 type PlatformReplied = Extract<SchedulerEvent, { kind: 'platformReplied' }>;
@@ -81,7 +82,11 @@
 
   #jobs: JobDuty;
 
-  #due: Schedule = { configReadMs: 0, vmListMs: 0, heartbeatMs: 0 };
+  #memberDuty: MemberDuty;
+
+  #inFlight = new InFlightStarts();
+
+  #due: Schedule = { configReadMs: 0, vmListMs: 0 };
 
   #isDraining = false;
 
@@ -91,8 +96,9 @@
    */
   constructor(memberId: MemberId, settings: SchedulerSettings) {
     this.#settings = settings;
-    const { dataCentreId, region, advertisedAddress } = settings;
-    this.#lease = new LeaseKeeper(memberId, { address: advertisedAddress, dataCentreId, region });
+    const { dataCentreId, region, advertisedAddress: address, vmId } = settings;
+    this.#lease = new LeaseKeeper(memberId, { address, vmId, dataCentreId, region });
+    this.#memberDuty = new MemberDuty(this.#lease, this.#peers);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
     this.#requests = new RequestTable(this.#pool, this.#ownership);
     this.#jobs = new JobDuty({
@@ -117,6 +123,13 @@
    * @returns what to do about it
    */
   reduce(event: SchedulerEvent): readonly SchedulerEffect[] {
+    if (event.kind === 'targetReplied') this.#inFlight.finish(event.origin);
+    const effects = this.#reduce(event);
+    this.#inFlight.track(effects);
+    return effects;
+  }
+
+  #reduce(event: SchedulerEvent): readonly SchedulerEffect[] {
     switch (event.kind) {
       case 'tick':
         return this.#tick(event.nowMs);
@@ -140,14 +153,15 @@
     const placements = getShardPlacements(this.#config.config.sheet);
     const context = {
       shards: placements,
-      busyShardIds: new Set<ShardId>(),
-      isDraining: this.#isDraining && this.#requests.openCount === 0 && this.#jobs.isIdle,
+      busyShardIds: this.#inFlight.busyShardIds,
+      isLeaving: this.#isDraining,
+      isHandingOver: this.#isDraining && this.#requests.openCount === 0 && this.#jobs.isIdle,
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
       ...this.#readConfig(nowMs),
       ...this.#listVms(nowMs),
-      ...this.#sendHeartbeats(nowMs),
+      ...this.#memberDuty.tick(nowMs, () => this.#getStatus(nowMs)),
       ...fromRequests(this.#requests.startWaiting(nowMs)),
       ...this.#jobs.tick(nowMs, this.#isDraining),
     ];
@@ -172,20 +186,6 @@
     ];
   }
 
-  #sendHeartbeats(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.heartbeatMs) return [];
-    this.#due.heartbeatMs = nowMs + HEARTBEAT_INTERVAL_MS;
-    const from = this.#getStatus(nowMs);
-    return this.#lease.members.views
-      .filter((view) => view.row.memberId !== this.#lease.memberId)
-      .map(({ row }) => ({
-        kind: 'callPeer',
-        origin: { kind: 'heartbeat', memberId: row.memberId, sentMs: nowMs },
-        address: row.address,
-        call: { kind: 'heartbeat', from },
-      }));
-  }
-
   #applyPlatform(event: PlatformReplied): readonly SchedulerEffect[] {
     const { nowMs, origin, result } = event;
     switch (origin.kind) {
@@ -195,7 +195,7 @@
       case 'configWrite':
         return this.#applyConfigWrite(event, origin.callId, origin.config);
       case 'vmList':
-        if (result.kind === 'vms') this.#updateTargets(result.vms, origin.sentMs);
+        if (result.kind === 'vms') this.#applyVms(nowMs, result.vms, origin.sentMs);
         return [];
       case 'journalWrite':
       case 'journalTrim':
@@ -229,13 +229,20 @@
   }
 
   #applyPeer({ nowMs, origin, result }: PeerReplied): readonly SchedulerEffect[] {
-    if (result.kind !== 'ok') return [];
     switch (origin.kind) {
-      case 'heartbeat':
-        return this.#applyHeartbeatReply(nowMs, result.value as HeartbeatReply);
+      case 'heartbeat': {
+        const from = this.#memberDuty.applyResult(
+          nowMs,
+          origin,
+          result as RpcResult<HeartbeatReply>,
+        );
+        return from === undefined ? [] : this.#fetchConfigFrom(from);
+      }
       case 'configFetch':
+        if (result.kind !== 'ok') return [];
         return this.#config.tryAdopt(result.value as AcceptedConfig) ? this.#onConfig() : [];
       case 'tellTasks':
+        if (result.kind !== 'ok') return [];
         return this.#jobs.acknowledge(nowMs, (result.value as TaskAcknowledgement).taken);
       case 'oneWay':
         return [];
@@ -244,11 +251,6 @@
     }
   }
 
-  #applyHeartbeatReply(nowMs: number, { from }: HeartbeatReply): readonly SchedulerEffect[] {
-    this.#peers.update(from, nowMs);
-    return this.#fetchConfigFrom(from);
-  }
-
   #fetchConfigFrom(status: MemberStatus): readonly SchedulerEffect[] {
     if (status.configVersion <= this.#config.version) return [];
     const origin: PeerOrigin = { kind: 'configFetch' };
@@ -259,9 +261,8 @@
     const reply = (value: unknown): SchedulerEffect => ({ kind: 'replyCall', callId, value });
     switch (call.kind) {
       case 'heartbeat':
-        this.#peers.update(call.from, nowMs);
         return [
-          reply({ from: this.#getStatus(nowMs), promiseMs: 0 } satisfies HeartbeatReply),
+          reply(this.#memberDuty.answer(nowMs, call.from, this.#getStatus(nowMs))),
           ...this.#fetchConfigFrom(call.from),
         ];
       case 'getRoutes':
@@ -355,6 +356,11 @@
     return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
   }
 
+  #applyVms(nowMs: number, vms: readonly Vm[], sentMs: number): void {
+    this.#lease.applyVms(nowMs, vms);
+    this.#updateTargets(vms, sentMs);
+  }
+
   #updateTargets(vms: readonly Vm[], sentMs: number): void {
     const { shardsPerDataCentre } = this.#config.config.sheet;
     const targets = vms
--- a/src/scheduler/jobDuty.ts
+++ b/src/scheduler/jobDuty.ts
@@ -59,6 +59,8 @@
 
   #nextReportMs = 0;
 
+  #tickedMs = 0;
+
   #isDraining = false;
 
   /** @param parts - what jobs depend on */
@@ -203,7 +205,7 @@
     if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
     const effects = this.#runner.applyReport(nowMs, target, permit, report, origin.sentMs);
     this.#contacts.recordReport(target.targetId, origin.epoch, origin.sentMs);
-    ownership.markSettled(target.targetId, origin.epoch);
+    ownership.markReported(target, origin.epoch, origin.sentMs);
     return this.#fromTasks(nowMs, effects);
   }
 
@@ -287,10 +289,13 @@
   }
 
   #askReports(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#nextReportMs) return [];
-    this.#nextReportMs = nowMs + REPORT_INTERVAL_MS;
-    const candidates = this.#parts.ownership.getCandidates();
-    return candidates.flatMap((target) => this.#askReport(nowMs, target));
+    const { ownership } = this.#parts;
+    const sinceMs = this.#tickedMs;
+    this.#tickedMs = nowMs;
+    const isDue = nowMs >= this.#nextReportMs;
+    if (isDue) this.#nextReportMs = nowMs + REPORT_INTERVAL_MS;
+    const targets = isDue ? ownership.getCandidates() : ownership.getSettledBetween(sinceMs, nowMs);
+    return targets.flatMap((target) => this.#askReport(nowMs, target));
   }
 
   #askReport(nowMs: number, target: Target): readonly SchedulerEffect[] {
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -38,7 +38,14 @@
 
 /** Which peer call a result belongs to. */
 export type PeerOrigin =
-  | { readonly kind: 'heartbeat'; readonly memberId: MemberId; readonly sentMs: number }
+  | {
+      readonly kind: 'heartbeat';
+      /** Incarnation that it is sent to. */
+      readonly memberId: MemberId;
+      /** Incarnation that sends it. */
+      readonly sentById: MemberId;
+      readonly sentMs: number;
+    }
   | { readonly kind: 'configFetch' }
   | { readonly kind: 'tellTasks' }
   | { readonly kind: 'oneWay' };
