Configuration: exactly-once changes, confirmation without the platform, leaving reports

Cause: a change whose answer was lost could not be resolved, a process cut from the platform stopped admitting after 6 s although its peers knew better, a stale sheet dropped granted keys and reopened data centres, and a leaving target was seen only through the lagging list. Change: one transaction writes config/current, an immutable config/version/N, and config/operation/ID; repeated ids read the answer back. Processes register under config/member/ and confirm each other in heartbeats. Sheets no longer undo commands. Targets need a report of 5 s.

--- a/src/config/applyChange.ts
+++ b/src/config/applyChange.ts
@@ -2,58 +2,132 @@
 
 import { createDiagnostic } from '../types/diagnostics';
 import { toConfigVersion } from '../types/ids';
+import type { ConfigVersion, DataCentreId, KeyId } from '../types/ids';
 import { assertNever } from '../types/debug';
 import { fail, ok } from '../types/outcomes';
 import type { Result } from '../types/outcomes';
-import type { AcceptedConfig, ConfigChange, KeyTombstone, Sheet, TeamKey } from './types';
+import type { AcceptedConfig, ChangeReport, ConfigChange, Sheet, TeamKey } from './types';
 
-function getNextVersion(config: AcceptedConfig) {
+/** The next configuration and what to tell the operator. */
+export interface AppliedChange {
+  readonly config: AcceptedConfig;
+  readonly report: ChangeReport;
+}
+
+function getNextVersion(config: AcceptedConfig): ConfigVersion {
   return toConfigVersion(config.version + 1);
 }
 
-function withSheet(config: AcceptedConfig, sheet: Sheet): AcceptedConfig {
-  const withdrawn = new Set(config.tombstones.map((tombstone) => tombstone.keyId));
-  const keys = sheet.keys.filter((key) => !withdrawn.has(key.keyId));
+function createReport(version: ConfigVersion, details: Partial<ChangeReport> = {}): ChangeReport {
   return {
-    version: getNextVersion(config),
-    sheet: { ...sheet, keys },
-    tombstones: config.tombstones,
+    version,
+    ignoredKeyIds: [],
+    keptKeyIds: [],
+    droppedKeyIds: [],
+    stillOutDataCentreIds: [],
+    ...details,
   };
 }
 
-function grantKey(config: AcceptedConfig, key: TeamKey): Result<AcceptedConfig> {
+/** Keys granted by command since the export, of teams that the sheet still lists. */
+function getKeptKeys(config: AcceptedConfig, sheet: Sheet): readonly TeamKey[] {
+  const granted = new Set(config.grants.map((grant) => grant.keyId));
+  const listed = new Set(sheet.keys.map((key) => key.keyId));
+  const teamIds = new Set(sheet.teams.map((team) => team.teamId));
+  return config.sheet.keys.filter(
+    (key) => granted.has(key.keyId) && !listed.has(key.keyId) && teamIds.has(key.teamId),
+  );
+}
+
+function withSheet(config: AcceptedConfig, sheet: Sheet): AppliedChange {
+  const version = getNextVersion(config);
+  const withdrawn = new Set(config.tombstones.map((tombstone) => tombstone.keyId));
+  const closed = new Set(config.closures.map((closure) => closure.dataCentreId));
+  const listed = sheet.keys.filter((key) => !withdrawn.has(key.keyId));
+  const kept = getKeptKeys(config, sheet);
+  const keptIds = new Set(kept.map((key) => key.keyId));
+  const keys = [...listed, ...kept];
+  const keyIds = new Set<KeyId>(keys.map((key) => key.keyId));
+  const isStillOut = (dataCentreId: DataCentreId) => closed.has(dataCentreId);
+  const dataCentres = sheet.dataCentres.map((dataCentre) =>
+    isStillOut(dataCentre.dataCentreId) ? { ...dataCentre, inService: false } : dataCentre,
+  );
+  const report = createReport(version, {
+    ignoredKeyIds: sheet.keys.map((key) => key.keyId).filter((keyId) => withdrawn.has(keyId)),
+    keptKeyIds: [...keptIds],
+    droppedKeyIds: config.sheet.keys.map((key) => key.keyId).filter((id) => !keyIds.has(id)),
+    stillOutDataCentreIds: sheet.dataCentres
+      .filter((dataCentre) => dataCentre.inService && isStillOut(dataCentre.dataCentreId))
+      .map((dataCentre) => dataCentre.dataCentreId),
+  });
+  const grants = config.grants.filter((grant) => keptIds.has(grant.keyId));
+  return { config: { ...config, version, sheet: { ...sheet, keys, dataCentres }, grants }, report };
+}
+
+function grantKey(config: AcceptedConfig, key: TeamKey): Result<AppliedChange> {
   if (!config.sheet.teams.some((team) => team.teamId === key.teamId)) {
     return fail(createDiagnostic('badBody', `key.teamId: expected a listed team`));
   }
+  const version = getNextVersion(config);
   const others = config.sheet.keys.filter((other) => other.keyId !== key.keyId);
-  return ok({
-    version: getNextVersion(config),
+  const otherGrants = config.grants.filter((grant) => grant.keyId !== key.keyId);
+  const next: AcceptedConfig = {
+    ...config,
+    version,
     sheet: { ...config.sheet, keys: [...others, key] },
     tombstones: config.tombstones.filter((tombstone) => tombstone.keyId !== key.keyId),
-  });
+    grants: [...otherGrants, { keyId: key.keyId, grantedInVersion: version }],
+  };
+  return ok({ config: next, report: createReport(version) });
 }
 
-function withdrawKey(config: AcceptedConfig, keyId: TeamKey['keyId']): Result<AcceptedConfig> {
+function withdrawKey(config: AcceptedConfig, keyId: KeyId): Result<AppliedChange> {
   if (!config.sheet.keys.some((key) => key.keyId === keyId)) {
-    return fail(createDiagnostic('unknownKey', keyId));
+    // Withdrawing twice is no mistake: the operator wants the key dead.
+    const isWithdrawn = config.tombstones.some((tombstone) => tombstone.keyId === keyId);
+    if (!isWithdrawn) return fail(createDiagnostic('unknownKey', keyId));
+    return ok({ config, report: createReport(config.version) });
   }
   const version = getNextVersion(config);
-  const tombstone: KeyTombstone = { keyId, withdrawnInVersion: version };
-  return ok({
+  const next: AcceptedConfig = {
+    ...config,
     version,
     sheet: { ...config.sheet, keys: config.sheet.keys.filter((key) => key.keyId !== keyId) },
-    tombstones: [...config.tombstones, tombstone],
-  });
+    tombstones: [...config.tombstones, { keyId, withdrawnInVersion: version }],
+    grants: config.grants.filter((grant) => grant.keyId !== keyId),
+  };
+  return ok({ config: next, report: createReport(version) });
+}
+
+function setDataCentre(
+  config: AcceptedConfig,
+  dataCentreId: DataCentreId,
+  inService: boolean,
+): Result<AppliedChange> {
+  if (!config.sheet.dataCentres.some((known) => known.dataCentreId === dataCentreId)) {
+    return fail(createDiagnostic('unknownDataCentre', dataCentreId));
+  }
+  const version = getNextVersion(config);
+  const dataCentres = config.sheet.dataCentres.map((known) =>
+    known.dataCentreId === dataCentreId ? { ...known, inService } : known,
+  );
+  const otherClosures = config.closures.filter((closure) => closure.dataCentreId !== dataCentreId);
+  const closures = inService
+    ? otherClosures
+    : [...otherClosures, { dataCentreId, closedInVersion: version }];
+  const sheet = { ...config.sheet, dataCentres };
+  return ok({ config: { ...config, version, sheet, closures }, report: createReport(version) });
 }
 
 /**
- * Applies a change to a configuration. A withdrawn key comes back only by an explicit grant: the
- * sheet's keys that have a tombstone are left out.
+ * Applies a change to a configuration. What was withdrawn, granted or closed by command outlives a
+ * sheet that was exported before: it takes a command to undo a command.
  * @param config - the current configuration
  * @param change - what the operator asked for
- * @returns the next configuration, one version higher, or why there is none
+ * @returns the next configuration, one version higher, or the current one when nothing is left to
+ *   do, or why there is none
  */
-export function applyChange(config: AcceptedConfig, change: ConfigChange): Result<AcceptedConfig> {
+export function applyChange(config: AcceptedConfig, change: ConfigChange): Result<AppliedChange> {
   switch (change.kind) {
     case 'applySheet': {
       if (change.basedOnVersion !== config.version) {
@@ -66,20 +140,8 @@
       return grantKey(config, change.key);
     case 'withdrawKey':
       return withdrawKey(config, change.keyId);
-    case 'setDataCentre': {
-      const { dataCentreId, inService } = change;
-      if (!config.sheet.dataCentres.some((known) => known.dataCentreId === dataCentreId)) {
-        return fail(createDiagnostic('unknownDataCentre', dataCentreId));
-      }
-      const dataCentres = config.sheet.dataCentres.map((known) =>
-        known.dataCentreId === dataCentreId ? { ...known, inService } : known,
-      );
-      return ok({
-        ...config,
-        version: getNextVersion(config),
-        sheet: { ...config.sheet, dataCentres },
-      });
-    }
+    case 'setDataCentre':
+      return setDataCentre(config, change.dataCentreId, change.inService);
     default:
       return assertNever(change);
   }
--- /dev/null
+++ b/src/config/configChanger.ts
@@ -0,0 +1,325 @@
+/** Carries operators' changes to the platform, each exactly once, and announces them. */
+
+import type { PlatformResult, Row } from '../platform/types';
+import type { SchedulerCall } from '../rpc/types';
+import { createDiagnostic } from '../types/diagnostics';
+import type { Diagnostic } from '../types/diagnostics';
+import { toConfigVersion } from '../types/ids';
+import type { ConfigVersion, MemberId, OperationId } from '../types/ids';
+import { fail, ok } from '../types/outcomes';
+import { applyChange } from './applyChange';
+import { isAcceptedConfig } from './configHolder';
+import type { ConfigHolder } from './configHolder';
+import { ANNOUNCE_WAIT_MS } from './configMembers';
+import type { ConfigMembers } from './configMembers';
+import type { ConfigEffect } from './effects';
+import {
+  CONFIG_KEY,
+  getConfigMemberKey,
+  getOperationKey,
+  getTrimmedVersion,
+  getVersionKey,
+  isConfigOperationRow,
+  isConfigVersionRow,
+  toJson,
+} from './rows';
+import type { ConfigOrigin } from './rows';
+import { getSheetDiff, renderDifference } from './sheetDiff';
+import { EMPTY_CONFIG } from './types';
+import type { AcceptedConfig, ChangeAnswer, ChangeReport, ConfigChange } from './types';
+
+/** A change that is not committed after this long is given up. */
+const CHANGE_TIMEOUT_MS = 4_000;
+const RETRY_INTERVAL_MS = 200;
+const OFFER_INTERVAL_MS = 1_000;
+const MAX_WAITING_CHANGES = 64;
+const MAX_LISTED_DIFFERENCES = 10;
+
+type ChangeCall = Extract<SchedulerCall, { kind: 'changeConfig' }>;
+type ChangeWrite = Extract<ConfigOrigin, { kind: 'configChangeWrite' }>;
+
+interface PendingChange {
+  readonly callId: number;
+  readonly change: ConfigChange;
+  readonly operationId: OperationId;
+  readonly deadlineMs: number;
+  attempt: number;
+  isCalling: boolean;
+  nextMs: number;
+  /** A write was sent whose outcome is not known. */
+  isUncertain: boolean;
+}
+
+/** A committed change whose operator waits until the others have it. */
+interface Announcement {
+  readonly callId: number;
+  readonly report: ChangeReport;
+  readonly untilMs: number;
+  nextOfferMs: number;
+}
+
+/** Rows that a change is decided on. */
+interface ChangeRows {
+  readonly current: Row;
+  readonly operation: Row;
+  readonly self: Row;
+  readonly trimmed: Row;
+  readonly base: Row | undefined;
+}
+
+function getBaseVersion(change: ConfigChange): ConfigVersion {
+  return change.kind === 'applySheet' ? change.basedOnVersion : toConfigVersion(0);
+}
+
+function describeConflict(rows: ChangeRows, config: AcceptedConfig, change: ConfigChange): string {
+  const head = `based on ${getBaseVersion(change)}, current is ${config.version}`;
+  const base = rows.base?.value;
+  if (!isConfigVersionRow(base)) return head;
+  const differences = getSheetDiff(base.config.sheet, config.sheet).map(renderDifference);
+  const listed = differences.slice(0, MAX_LISTED_DIFFERENCES).join(', ');
+  const isCut = differences.length > MAX_LISTED_DIFFERENCES;
+  return `${head}; changed since: ${listed}${isCut ? ' and more' : ''}`;
+}
+
+function retryAt(pending: PendingChange, nextMs: number): readonly ConfigEffect[] {
+  pending.nextMs = nextMs;
+  return [];
+}
+
+function createWrite(
+  pending: PendingChange,
+  rows: ChangeRows,
+  config: AcceptedConfig,
+  report: ChangeReport,
+): ConfigEffect {
+  const { attempt, operationId } = pending;
+  const trimmed = rows.trimmed.value;
+  const oldRows = isConfigVersionRow(trimmed)
+    ? [rows.trimmed.key, getOperationKey(trimmed.operationId)]
+    : [];
+  return {
+    kind: 'callPlatform',
+    origin: { kind: 'configChangeWrite', attempt, config, report },
+    call: {
+      kind: 'transact',
+      transaction: {
+        operationId,
+        // Its own row proves that every other process still counts on hearing of the change.
+        checks: [rows.current, rows.operation, rows.self].map(({ key, version }) => ({
+          key,
+          version,
+        })),
+        writes: [
+          { key: CONFIG_KEY, value: toJson(config) },
+          { key: getVersionKey(config.version), value: toJson({ operationId, config }) },
+          { key: rows.operation.key, value: toJson({ report }) },
+          ...oldRows.map((key) => ({ key, value: null })),
+        ],
+      },
+    },
+  };
+}
+
+/** The changes that this process was asked for. */
+export class ConfigChanger {
+  #processId: MemberId;
+
+  #holder: ConfigHolder;
+
+  #members: ConfigMembers;
+
+  #waiting: PendingChange[] = [];
+
+  #announcements: Announcement[] = [];
+
+  #attemptCount = 0;
+
+  /**
+   * @param processId - this run of this process
+   * @param holder - the configuration in force
+   * @param members - who has to be told
+   */
+  constructor(processId: MemberId, holder: ConfigHolder, members: ConfigMembers) {
+    this.#processId = processId;
+    this.#holder = holder;
+    this.#members = members;
+  }
+
+  /**
+   * Takes in a change; one is decided after another.
+   * @param nowMs - this process's clock
+   * @param callId - of the call to answer
+   * @param call - the change
+   * @returns what to do
+   */
+  start(nowMs: number, callId: number, call: ChangeCall): readonly ConfigEffect[] {
+    if (this.#waiting.length >= MAX_WAITING_CHANGES) {
+      const diagnostic = createDiagnostic('configRefused', 'too many changes are waiting');
+      return [{ kind: 'replyCall', callId, value: fail(diagnostic) }];
+    }
+    this.#waiting.push({
+      callId,
+      change: call.change,
+      operationId: call.operationId,
+      deadlineMs: nowMs + CHANGE_TIMEOUT_MS,
+      attempt: 0,
+      isCalling: false,
+      nextMs: nowMs,
+      isUncertain: false,
+    });
+    return this.tick(nowMs);
+  }
+
+  /**
+   * Begins, retries, gives up and announces as far as it is time to.
+   * @param nowMs - this process's clock
+   * @returns what to do
+   */
+  tick(nowMs: number): readonly ConfigEffect[] {
+    return [...this.#announce(nowMs), ...this.#expire(nowMs), ...this.#read(nowMs)];
+  }
+
+  /**
+   * Takes in the rows that a change is decided on.
+   * @param nowMs - this process's clock
+   * @param attempt - which read
+   * @param result - the rows
+   * @returns what to do
+   */
+  applyRead(nowMs: number, attempt: number, result: PlatformResult): readonly ConfigEffect[] {
+    const pending = this.#tryResume(attempt);
+    if (pending === undefined) return [];
+    if (result.kind !== 'rows') return retryAt(pending, nowMs + RETRY_INTERVAL_MS);
+    const [current, operation, self, trimmed, base] = result.rows;
+    if (!current || !operation || !self || !trimmed) return retryAt(pending, nowMs);
+    return this.#decide(nowMs, pending, { current, operation, self, trimmed, base });
+  }
+
+  /**
+   * Takes in what came of the write. An answer that was lost is resolved by reading.
+   * @param nowMs - this process's clock
+   * @param origin - which write
+   * @param result - what came of it
+   * @returns what to do
+   */
+  applyWrite(nowMs: number, origin: ChangeWrite, result: PlatformResult): readonly ConfigEffect[] {
+    const pending = this.#tryResume(origin.attempt);
+    if (pending === undefined) return [];
+    if (result.kind === 'committed') {
+      return this.#finish(nowMs, pending, origin.config, origin.report);
+    }
+    if (result.kind === 'conflict') return retryAt(pending, nowMs);
+    pending.isUncertain = true;
+    return retryAt(pending, nowMs + RETRY_INTERVAL_MS);
+  }
+
+  #tryResume(attempt: number): PendingChange | undefined {
+    const pending = this.#waiting[0];
+    if (pending === undefined || !pending.isCalling || pending.attempt !== attempt) {
+      return undefined;
+    }
+    pending.isCalling = false;
+    return pending;
+  }
+
+  #expire(nowMs: number): readonly ConfigEffect[] {
+    const expired = this.#waiting.filter((pending) => nowMs >= pending.deadlineMs);
+    return expired.flatMap((pending) => {
+      if (pending.isUncertain) return this.#refuse(pending, createDiagnostic('configUnknown'));
+      const unmet = this.#members.getUnmet();
+      const detail =
+        unmet.length > 0 ? `not met since start: ${unmet.join(', ')}` : 'the platform is out';
+      return this.#refuse(pending, createDiagnostic('configRefused', detail));
+    });
+  }
+
+  #read(nowMs: number): readonly ConfigEffect[] {
+    const pending = this.#waiting[0];
+    if (pending === undefined || pending.isCalling || nowMs < pending.nextMs) return [];
+    if (this.#members.getUnmet().length > 0) return [];
+    pending.attempt = this.#getNextAttempt();
+    pending.isCalling = true;
+    const keys = [
+      CONFIG_KEY,
+      getOperationKey(pending.operationId),
+      getConfigMemberKey(this.#processId),
+      getVersionKey(getTrimmedVersion(toConfigVersion(this.#holder.version + 1))),
+      getVersionKey(getBaseVersion(pending.change)),
+    ];
+    const origin = { kind: 'configChangeRead', attempt: pending.attempt } as const;
+    return [{ kind: 'callPlatform', origin, call: { kind: 'read', keys } }];
+  }
+
+  #getNextAttempt(): number {
+    this.#attemptCount += 1;
+    return this.#attemptCount;
+  }
+
+  #decide(nowMs: number, pending: PendingChange, rows: ChangeRows): readonly ConfigEffect[] {
+    const config = isAcceptedConfig(rows.current.value) ? rows.current.value : EMPTY_CONFIG;
+    const done = rows.operation.value;
+    if (isConfigOperationRow(done)) return this.#finish(nowMs, pending, config, done.report);
+    if (rows.self.value === null) return retryAt(pending, nowMs + RETRY_INTERVAL_MS);
+    const applied = applyChange(config, pending.change);
+    if (applied.kind === 'error') {
+      const { name } = applied.diagnostic;
+      if (name !== 'configConflict') return this.#refuse(pending, applied.diagnostic);
+      const detail = describeConflict(rows, config, pending.change);
+      return this.#refuse(pending, createDiagnostic(name, detail));
+    }
+    const { config: next, report } = applied.value;
+    if (next.version === config.version) return this.#finish(nowMs, pending, config, report);
+    pending.isCalling = true;
+    return [createWrite(pending, rows, next, report)];
+  }
+
+  #refuse(pending: PendingChange, diagnostic: Diagnostic): readonly ConfigEffect[] {
+    this.#remove(pending);
+    return [{ kind: 'replyCall', callId: pending.callId, value: fail(diagnostic) }];
+  }
+
+  #remove(pending: PendingChange): void {
+    this.#waiting = this.#waiting.filter((other) => other !== pending);
+  }
+
+  #finish(
+    nowMs: number,
+    pending: PendingChange,
+    config: AcceptedConfig,
+    report: ChangeReport,
+  ): readonly ConfigEffect[] {
+    this.#remove(pending);
+    const isNewer = this.#holder.tryAdopt(config);
+    const untilMs = nowMs + ANNOUNCE_WAIT_MS;
+    this.#announcements.push({ callId: pending.callId, report, untilMs, nextOfferMs: nowMs });
+    return [...(isNewer ? [{ kind: 'configChanged' } as const] : []), ...this.tick(nowMs)];
+  }
+
+  #announce(nowMs: number): readonly ConfigEffect[] {
+    const effects: ConfigEffect[] = [];
+    this.#announcements = this.#announcements.filter((announcement) => {
+      const behind = this.#members.getBehind(announcement.report.version);
+      if (behind.length > 0 && nowMs < announcement.untilMs) {
+        effects.push(...this.#offer(nowMs, announcement));
+        return true;
+      }
+      const unreachedProcessIds = behind.map((member) => member.processId);
+      const answer: ChangeAnswer = { ...announcement.report, unreachedProcessIds };
+      effects.push({ kind: 'replyCall', callId: announcement.callId, value: ok(answer) });
+      return false;
+    });
+    return effects;
+  }
+
+  #offer(nowMs: number, announcement: Announcement): readonly ConfigEffect[] {
+    if (nowMs < announcement.nextOfferMs) return [];
+    announcement.nextOfferMs = nowMs + OFFER_INTERVAL_MS;
+    const { config } = this.#holder;
+    return this.#members.getBehind(announcement.report.version).map(({ processId, address }) => ({
+      kind: 'callPeer',
+      origin: { kind: 'configOffer', processId, version: config.version },
+      address,
+      call: { kind: 'offerConfig', config },
+    }));
+  }
+}
--- a/src/config/configHolder.ts
+++ b/src/config/configHolder.ts
@@ -1,19 +1,20 @@
 /** The configuration that a process has in force, which only ever moves to a higher version. */
 
-import { toConfigVersion, toId } from '../types/ids';
-import type { ConfigVersion, KeyId, OperationId, QueueId, TeamId } from '../types/ids';
-import type { PlatformCall, PlatformResult, Row } from '../platform/types';
+import { toConfigVersion } from '../types/ids';
+import type { ConfigVersion, KeyId, QueueId, TeamId } from '../types/ids';
 import type { NotRunReason } from '../types/outcomes';
 import { EMPTY_CONFIG } from './types';
 import type { AcceptedConfig, Queue } from './types';
 
-/** Key of the row that holds the newest configuration. */
-export const CONFIG_KEY = 'config/current';
-
 /** For this long after a confirmation the configuration counts as the newest. */
 export const CONFIG_FRESH_MS = 6_000;
 
-function isAcceptedConfig(value: unknown): value is AcceptedConfig {
+/**
+ * Asks whether a stored value is a configuration.
+ * @param value - of a row
+ * @returns true for a configuration
+ */
+export function isAcceptedConfig(value: unknown): value is AcceptedConfig {
   return typeof value === 'object' && value !== null && 'version' in value && 'sheet' in value;
 }
 
@@ -21,9 +22,9 @@
 export class ConfigHolder {
   #config: AcceptedConfig = EMPTY_CONFIG;
 
-  #confirmedMs = Number.NEGATIVE_INFINITY;
+  #startedMs = Number.NEGATIVE_INFINITY;
 
-  #rowVersion = 0;
+  #confirmedMs = Number.NEGATIVE_INFINITY;
 
   /** The configuration in force. */
   get config(): AcceptedConfig {
@@ -35,6 +36,20 @@
     return this.#config.version;
   }
 
+  /** When no newer configuration was in force for certain, on this process's clock. */
+  get confirmedMs(): number {
+    return this.#confirmedMs;
+  }
+
+  /**
+   * Sets when the process started. A confirmation from before is ignored, so that a restarted
+   * process never admits by a version older than its predecessor did.
+   * @param startedMs - this process's clock
+   */
+  begin(startedMs: number): void {
+    this.#startedMs = startedMs;
+  }
+
   /**
    * Adopts a configuration unless it is older.
    * @param config - what the platform or a peer has
@@ -47,24 +62,11 @@
   }
 
   /**
-   * Takes in a read of the configuration row.
-   * @param rows - the row
-   * @param sentMs - when the read was sent
-   * @returns true when a newer configuration is now in force
-   */
-  applyRead(rows: readonly Row[], sentMs: number): boolean {
-    const row = rows[0];
-    if (row === undefined) return false;
-    this.#rowVersion = row.version;
-    this.confirm(sentMs);
-    return isAcceptedConfig(row.value) && this.tryAdopt(row.value);
-  }
-
-  /**
-   * Records that no newer configuration existed at a time.
+   * Records that no newer configuration was in force at a time.
    * @param atMs - this process's clock
    */
   confirm(atMs: number): void {
+    if (atMs < this.#startedMs) return;
     this.#confirmedMs = Math.max(this.#confirmedMs, atMs);
   }
 
@@ -77,24 +79,6 @@
     return this.#confirmedMs + CONFIG_FRESH_MS;
   }
 
-  /**
-   * Builds the transaction that makes a configuration the current one.
-   * @param config - the next configuration
-   * @param operationId - of the change
-   * @returns the call; it conflicts when the row has changed since it was read
-   */
-  createWrite(config: AcceptedConfig, operationId: OperationId): PlatformCall {
-    const value = JSON.parse(JSON.stringify({ ...config, operationId }));
-    return {
-      kind: 'transact',
-      transaction: {
-        operationId,
-        checks: [{ key: CONFIG_KEY, version: this.#rowVersion }],
-        writes: [{ key: CONFIG_KEY, value }],
-      },
-    };
-  }
-
   /**
    * Asks whether work may be taken now.
    * @param teamId - whose work
@@ -110,18 +94,4 @@
     if (queue.access.kind === 'team' && queue.access.teamId !== teamId) return 'queueForbidden';
     return queue;
   }
-
-  /**
-   * Reads the version that a platform result shows, for a write that lost against another.
-   * @param result - of the write
-   * @returns the version of the conflicting row, 0 when there is none
-   */
-  static getConflictVersion(result: PlatformResult): ConfigVersion {
-    if (result.kind !== 'conflict') return toConfigVersion(0);
-    const value = result.rows[0]?.value;
-    return isAcceptedConfig(value) ? value.version : toConfigVersion(0);
-  }
 }
-
-/** Operation ids of configuration changes start with this. */
-export const CONFIG_OPERATION_PREFIX = toId<OperationId>('config/');
--- a/src/gate/core.ts
+++ b/src/gate/core.ts
@@ -19,6 +19,8 @@
 const ROUTES_INTERVAL_MS = 500;
 const ROUTES_TIMEOUT_MS = 800;
 const JOB_TIMEOUT_MS = 5_000;
+/** Longer than a scheduler takes to commit a change and to hear from every other one. */
+const CONFIG_TIMEOUT_MS = 9_000;
 const GATHER_TIMEOUT_MS = 2_000;
 const MAX_ATTEMPTS = 3;
 
@@ -243,11 +245,16 @@
     return this.#forward(callId, home, call);
   }
 
-  #forward(callId: number, member: MemberStatus, call: SchedulerCall): readonly GateEffect[] {
+  #forward(
+    callId: number,
+    member: MemberStatus,
+    call: SchedulerCall,
+    timeoutMs = JOB_TIMEOUT_MS,
+  ): readonly GateEffect[] {
     this.#open.set(callId, { kind: 'forward' });
     const origin: GateOrigin = { kind: 'forward', callId, attempt: 1 };
     const { address } = member;
-    return [{ kind: 'callScheduler', origin, address, call, timeoutMs: JOB_TIMEOUT_MS }];
+    return [{ kind: 'callScheduler', origin, address, call, timeoutMs }];
   }
 
   #arriveOperator(
@@ -263,12 +270,15 @@
       case 'getConfig':
         return [this.#respond(callId, renderJson(this.#config.config))];
       case 'changeConfig': {
-        const [member] = members;
-        if (member === undefined) return [this.#refuse(callId, createDiagnostic('configRefused'))];
         this.#operationCount += 1;
-        const operationId = toId<OperationId>(`${this.#instance}/${this.#operationCount}`);
+        // A repeated change goes through another scheduler.
+        const member = members[this.#operationCount % members.length];
+        if (member === undefined) return [this.#refuse(callId, createDiagnostic('configRefused'))];
+        const newId = `${this.#instance}/${this.#operationCount}`;
+        const operationId = toId<OperationId>(call.operationId || newId);
         const { change } = call;
-        return this.#forward(callId, member, { kind: 'changeConfig', change, operationId });
+        const forwarded = { kind: 'changeConfig', change, operationId } as const;
+        return this.#forward(callId, member, forwarded, CONFIG_TIMEOUT_MS);
       }
       case 'dumpState':
         return this.#gather(callId, { kind: 'dumpState' }, (schedulers) =>
@@ -344,6 +354,8 @@
     }
     const routes = result.value as Routes;
     this.#router.update(routes);
+    // A scheduler that can't confirm the configuration is no use for admission; ask another.
+    if (routes.freshForMs === 0) this.#addressIndex += 1;
     if (routes.configVersion <= this.#config.version) {
       this.#freshUntilMs = Math.max(this.#freshUntilMs, origin.sentMs + routes.freshForMs);
       return [];
--- a/src/gate/parse.ts
+++ b/src/gate/parse.ts
@@ -102,7 +102,11 @@
   if (json.kind === 'error') return refuse(json.diagnostic);
   const change = tryParseChange(json.value);
   if (change.kind === 'error') return refuse(change.diagnostic);
-  return accept({ kind: 'changeConfig', token, change: change.value });
+  const operationId = getHeader(request.headers, 'idempotency-key');
+  if (operationId !== '' && !NAME_PATTERN.test(operationId)) {
+    return refuse(createDiagnostic('badHeader', 'idempotency-key'));
+  }
+  return accept({ kind: 'changeConfig', token, change: change.value, operationId });
 }
 
 /**
--- a/src/gate/types.ts
+++ b/src/gate/types.ts
@@ -24,7 +24,13 @@
   | { readonly kind: 'listJobs'; readonly token: string }
   | { readonly kind: 'cancelJob'; readonly token: string; readonly jobId: JobId }
   | { readonly kind: 'getConfig'; readonly token: string }
-  | { readonly kind: 'changeConfig'; readonly token: string; readonly change: ConfigChange }
+  | {
+      readonly kind: 'changeConfig';
+      readonly token: string;
+      readonly change: ConfigChange;
+      /** From the operator, so that a repeated call has one effect; empty for a new one. */
+      readonly operationId: string;
+    }
   | { readonly kind: 'dumpState'; readonly token: string }
   | { readonly kind: 'drain'; readonly token: string; readonly schedulerId: SchedulerId }
   | { readonly kind: 'metrics' }
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -8,6 +8,7 @@
 import type { RequestId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import type {
+  AdmissionCheck,
   ArrivedRequest,
   RequestEffect,
   RequestOrigin,
@@ -66,6 +67,8 @@
 
   #guard: StartGuard;
 
+  #admission: AdmissionCheck | undefined;
+
   #open = new Map<RequestId, OpenRequest>();
 
   #waiting: RequestId[] = [];
@@ -73,10 +76,12 @@
   /**
    * @param pool - budgets of the targets
    * @param guard - the check at the moment of each start
+   * @param admission - the check of key and queue, again at the moment of each start
    */
-  constructor(pool: TargetPool, guard: StartGuard) {
+  constructor(pool: TargetPool, guard: StartGuard, admission?: AdmissionCheck) {
     this.#pool = pool;
     this.#guard = guard;
+    this.#admission = admission;
   }
 
   /** Requests that wait for a target. */
@@ -193,6 +198,8 @@
   #tryStart(nowMs: number, request: OpenRequest): readonly RequestEffect[] {
     if (nowMs >= request.deadlineMs) return [this.#finishRefused(request, 'windowExpired')];
     const { call } = request.arrived;
+    const admitted = this.#admission?.checkAdmission(call.teamId, call.keyId, call.queueId);
+    if (typeof admitted === 'string') return [this.#finishRefused(request, admitted)];
     const candidates =
       call.serviceName === ''
         ? this.#guard.getCandidates()
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -4,8 +4,8 @@
 import type { Target } from '../placement/types';
 import type { RequestStart } from '../rpc/types';
 import type { TargetCall } from '../target/types';
-import type { Epoch, RequestId } from '../types/ids';
-import type { RequestOutcome } from '../types/outcomes';
+import type { Epoch, KeyId, QueueId, RequestId, TeamId } from '../types/ids';
+import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 
 /** Which call a target's result belongs to. */
 export interface RequestOrigin {
@@ -50,6 +50,17 @@
   getReplicas(serviceName: string): readonly Target[];
 }
 
+/** Checks key and queue of work against the configuration in force. */
+export interface AdmissionCheck {
+  /**
+   * @param teamId - whose work
+   * @param keyId - the key that came with it
+   * @param queueId - the queue it is for
+   * @returns the queue, or why the work may not start
+   */
+  checkAdmission(teamId: TeamId, keyId: KeyId, queueId: QueueId): Queue | NotRunReason;
+}
+
 /** A request as it arrived, with what the configuration says of its queue. */
 export interface ArrivedRequest {
   readonly callId: number;
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -1,6 +1,6 @@
 /** Calls between hemlockway's own processes, carried as JSON-RPC 2.0 over HTTP. */
 
-import type { AcceptedConfig, ConfigChange } from '../config/types';
+import type { AcceptedConfig, ConfigChange, ConfigGossip } from '../config/types';
 import type { JobSpec, TaskNews } from '../jobs/types';
 import type {
   ConfigVersion,
@@ -62,7 +62,11 @@
 
 /** Every call that a scheduler answers. */
 export type SchedulerCall =
-  | { readonly kind: 'heartbeat'; readonly from: MemberStatus }
+  | {
+      readonly kind: 'heartbeat';
+      readonly from: MemberStatus;
+      readonly config: ConfigGossip;
+    }
   | { readonly kind: 'getRoutes' }
   | { readonly kind: 'getConfig' }
   | { readonly kind: 'offerConfig'; readonly config: AcceptedConfig }
@@ -87,6 +91,9 @@
   readonly from: MemberStatus;
   /** The answerer will not take over the caller's shards for this long; 0 when it may. */
   readonly promiseMs: number;
+  readonly config: ConfigGossip;
+  /** The answerer counts the caller among the processes that must learn of every change. */
+  readonly isCallerRegistered: boolean;
 }
 
 /** Who owns a shard, as far as the answerer knows. */
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -1,8 +1,7 @@
 /** The scheduler's reducer: one function from an event to the effects that it calls for. */
 
-import { applyChange } from '../config/applyChange';
-import { CONFIG_KEY, ConfigHolder } from '../config/configHolder';
-import type { AcceptedConfig } from '../config/types';
+import { ConfigHolder } from '../config/configHolder';
+import type { ConfigEffect } from '../config/effects';
 import type { SchedulerSettings } from '../config/settings';
 import { StaticSplit } from '../escrow/staticSplit';
 import { createShardLoad, JobTable } from '../jobs/jobTable';
@@ -23,28 +22,33 @@
   MemberStatus,
   RequestStart,
   Routes,
+  RpcResult,
   SchedulerCall,
   ShardOwner,
 } from '../rpc/types';
-import { createDiagnostic } from '../types/diagnostics';
 import { assertNever } from '../types/debug';
 import { toId } from '../types/ids';
 import type { MemberId, ShardId, TargetId } from '../types/ids';
-import { fail, ok } from '../types/outcomes';
+import { ok } from '../types/outcomes';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
+import { ConfigDuty } from './configDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
-const CONFIG_READ_INTERVAL_MS = 1_000;
 const VM_LIST_INTERVAL_MS = 2_000;
 const HEARTBEAT_INTERVAL_MS = 1_000;
 const REPORT_INTERVAL_MS = 1_000;
 const REPORT_TIMEOUT_MS = 1_500;
 
+/** Where a heartbeat goes. */
+interface HeartbeatPeer {
+  readonly memberId: MemberId;
+  readonly address: string;
+}
+
 /** When each periodic duty is next due. */
 interface Schedule {
-  configReadMs: number;
   vmListMs: number;
   heartbeatMs: number;
   reportMs: number;
@@ -75,6 +79,8 @@
 
   #config = new ConfigHolder();
 
+  #configDuty: ConfigDuty;
+
   #split = new StaticSplit();
 
   #pool = new TargetPool(this.#split);
@@ -89,7 +95,7 @@
 
   #peers = new Peers();
 
-  #due: Schedule = { configReadMs: 0, vmListMs: 0, heartbeatMs: 0, reportMs: 0 };
+  #due: Schedule = { vmListMs: 0, heartbeatMs: 0, reportMs: 0 };
 
   #isDraining = false;
 
@@ -101,8 +107,9 @@
     this.#settings = settings;
     const { dataCentreId, region, advertisedAddress } = settings;
     this.#lease = new LeaseKeeper(memberId, { address: advertisedAddress, dataCentreId, region });
+    this.#configDuty = new ConfigDuty(memberId, advertisedAddress, this.#config);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestTable(this.#pool, this.#ownership);
+    this.#requests = new RequestTable(this.#pool, this.#ownership, this.#config);
     this.#tasks = new TaskRunner(this.#pool, this.#ownership);
     this.#ownership.setReplicas(this.#tasks);
   }
@@ -147,7 +154,7 @@
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
-      ...this.#readConfig(nowMs),
+      ...this.#fromConfig(nowMs, this.#configDuty.tick(nowMs)),
       ...this.#listVms(nowMs),
       ...this.#sendHeartbeats(nowMs),
       ...this.#askReports(nowMs),
@@ -156,13 +163,6 @@
     ];
   }
 
-  #readConfig(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.configReadMs) return [];
-    this.#due.configReadMs = nowMs + CONFIG_READ_INTERVAL_MS;
-    const origin = { kind: 'configRead', sentMs: nowMs } as const;
-    return [{ kind: 'callPlatform', origin, call: { kind: 'read', keys: [CONFIG_KEY] } }];
-  }
-
   #listVms(nowMs: number): readonly SchedulerEffect[] {
     if (nowMs < this.#due.vmListMs) return [];
     this.#due.vmListMs = nowMs + VM_LIST_INTERVAL_MS;
@@ -173,14 +173,25 @@
     if (nowMs < this.#due.heartbeatMs) return [];
     this.#due.heartbeatMs = nowMs + HEARTBEAT_INTERVAL_MS;
     const from = this.#getStatus(nowMs);
-    return this.#lease.members.views
-      .filter((view) => view.row.memberId !== this.#lease.memberId)
-      .map(({ row }) => ({
-        kind: 'callPeer',
-        origin: { kind: 'heartbeat', memberId: row.memberId, sentMs: nowMs },
-        address: row.address,
-        call: { kind: 'heartbeat', from },
-      }));
+    const config = this.#configDuty.getGossip(nowMs);
+    return this.#getHeartbeatPeers().map(({ memberId, address }) => ({
+      kind: 'callPeer',
+      origin: { kind: 'heartbeat', memberId, address, sentMs: nowMs },
+      address,
+      call: { kind: 'heartbeat', from, config },
+    }));
+  }
+
+  /** Members of the lease table, and further processes that only the configuration counts. */
+  #getHeartbeatPeers(): readonly HeartbeatPeer[] {
+    const members = this.#lease.members.views
+      .map(({ row }) => ({ memberId: row.memberId, address: row.address }))
+      .filter(({ memberId }) => memberId !== this.#lease.memberId);
+    const addresses = new Set(members.map(({ address }) => address));
+    const others = this.#configDuty.peers
+      .filter(({ address }) => !addresses.has(address))
+      .map(({ processId, address }) => ({ memberId: processId, address }));
+    return [...members, ...others];
   }
 
   #askReports(nowMs: number): readonly SchedulerEffect[] {
@@ -204,7 +215,7 @@
       },
       {
         kind: 'callTarget',
-        origin: { kind: 'report', targetId, ...token },
+        origin: { kind: 'report', targetId, ...token, sentMs: nowMs },
         call: { kind: 'report', token },
         ...common,
       },
@@ -215,10 +226,12 @@
     const { nowMs, origin, result } = event;
     switch (origin.kind) {
       case 'configRead':
-        if (result.kind !== 'rows') return [];
-        return this.#config.applyRead(result.rows, origin.sentMs) ? this.#onConfig() : [];
-      case 'configWrite':
-        return this.#applyConfigWrite(event, origin.callId, origin.config);
+      case 'configMembers':
+      case 'configRegister':
+      case 'configUnregister':
+      case 'configChangeRead':
+      case 'configChangeWrite':
+        return this.#fromConfig(nowMs, this.#configDuty.applyPlatform(nowMs, origin, result));
       case 'vmList':
         if (result.kind === 'vms') this.#updateTargets(result.vms);
         return [];
@@ -257,16 +270,17 @@
     if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
     const effects = this.#tasks.applyReport(target, permit, result.report);
     this.#ownership.markSettled(target.targetId, origin.epoch);
+    this.#ownership.markReported(target.targetId, result.report.leaving, origin.sentMs);
     return this.#fromTasks(nowMs, effects);
   }
 
   #applyPeer({ nowMs, origin, result }: PeerReplied): readonly SchedulerEffect[] {
-    if (result.kind !== 'ok') return [];
     switch (origin.kind) {
       case 'heartbeat':
-        return this.#applyHeartbeatReply(nowMs, result.value as HeartbeatReply);
+        return this.#applyHeartbeatResult(nowMs, origin, result as RpcResult<HeartbeatReply>);
       case 'configFetch':
-        return this.#config.tryAdopt(result.value as AcceptedConfig) ? this.#onConfig() : [];
+      case 'configOffer':
+        return this.#fromConfig(nowMs, this.#configDuty.applyPeer(nowMs, origin, result));
       case 'oneWay':
         return [];
       default:
@@ -274,15 +288,14 @@
     }
   }
 
-  #applyHeartbeatReply(nowMs: number, { from }: HeartbeatReply): readonly SchedulerEffect[] {
-    this.#peers.update(from, nowMs);
-    return this.#fetchConfigFrom(from);
-  }
-
-  #fetchConfigFrom(status: MemberStatus): readonly SchedulerEffect[] {
-    if (status.configVersion <= this.#config.version) return [];
-    const origin: PeerOrigin = { kind: 'configFetch' };
-    return [{ kind: 'callPeer', origin, address: status.address, call: { kind: 'getConfig' } }];
+  #applyHeartbeatResult(
+    nowMs: number,
+    origin: Extract<PeerOrigin, { kind: 'heartbeat' }>,
+    result: RpcResult<HeartbeatReply>,
+  ): readonly SchedulerEffect[] {
+    if (result.kind === 'ok') this.#peers.update(result.value.from, nowMs);
+    const effects = this.#configDuty.applyHeartbeatResult(nowMs, origin, result);
+    return this.#fromConfig(nowMs, effects);
   }
 
   #answer(nowMs: number, callId: number, call: SchedulerCall): readonly SchedulerEffect[] {
@@ -291,17 +304,22 @@
       case 'heartbeat':
         this.#peers.update(call.from, nowMs);
         return [
-          reply({ from: this.#getStatus(nowMs), promiseMs: 0 } satisfies HeartbeatReply),
-          ...this.#fetchConfigFrom(call.from),
+          reply({
+            from: this.#getStatus(nowMs),
+            promiseMs: 0,
+            config: this.#configDuty.getGossip(nowMs),
+            isCallerRegistered: this.#configDuty.isRegistered(call.config.processId),
+          } satisfies HeartbeatReply),
+          ...this.#fromConfig(nowMs, this.#configDuty.applyHeartbeat(nowMs, call.config)),
         ];
       case 'getRoutes':
         return [reply(this.#getRoutes(nowMs))];
       case 'getConfig':
         return [reply(this.#config.config)];
       case 'offerConfig':
-        return [reply({}), ...(this.#config.tryAdopt(call.config) ? this.#onConfig() : [])];
+        return [...this.#fromConfig(nowMs, this.#configDuty.adopt(call.config)), reply({})];
       case 'changeConfig':
-        return this.#changeConfig(nowMs, callId, call);
+        return this.#fromConfig(nowMs, this.#configDuty.change(nowMs, callId, call));
       case 'startRequest':
         return this.#startRequest(nowMs, callId, call);
       case 'cancelRequest':
@@ -342,53 +360,24 @@
     return fromRequests(this.#requests.start(nowMs, { callId, call, queue }));
   }
 
-  #changeConfig(
-    nowMs: number,
-    callId: number,
-    call: Extract<SchedulerCall, { kind: 'changeConfig' }>,
-  ): readonly SchedulerEffect[] {
-    const next = applyChange(this.#config.config, call.change);
-    if (next.kind === 'error') return [{ kind: 'replyCall', callId, value: next }];
-    return [
-      {
-        kind: 'callPlatform',
-        origin: { kind: 'configWrite', sentMs: nowMs, callId, config: next.value },
-        call: this.#config.createWrite(next.value, call.operationId),
-      },
-    ];
-  }
-
-  #applyConfigWrite(
-    { nowMs, result }: PlatformReplied,
-    callId: number,
-    config: AcceptedConfig,
-  ): readonly SchedulerEffect[] {
-    this.#due.configReadMs = nowMs;
-    if (result.kind !== 'committed') {
-      const name = result.kind === 'conflict' ? 'configConflict' : 'configRefused';
-      return [{ kind: 'replyCall', callId, value: fail(createDiagnostic(name)) }];
-    }
-    this.#config.tryAdopt(config);
-    const offers = this.#lease.members.views
-      .filter((view) => view.row.memberId !== this.#lease.memberId)
-      .map(({ row }): SchedulerEffect => ({
-        kind: 'callPeer',
-        origin: { kind: 'oneWay' },
-        address: row.address,
-        call: { kind: 'offerConfig', config },
-      }));
-    const value = ok(config.version);
-    return [{ kind: 'replyCall', callId, value }, ...offers, ...this.#onConfig()];
+  #fromConfig(nowMs: number, effects: readonly ConfigEffect[]): readonly SchedulerEffect[] {
+    return effects.flatMap((effect): readonly SchedulerEffect[] =>
+      effect.kind === 'configChanged' ? this.#onConfig(nowMs) : [effect],
+    );
   }
 
-  #onConfig(): readonly SchedulerEffect[] {
+  #onConfig(nowMs: number): readonly SchedulerEffect[] {
     const { sheet, version } = this.#config.config;
+    this.#ownership.updateDataCentres(sheet.dataCentres, nowMs);
     const shardIds = getShardPlacements(sheet)
       .map((placement) => placement.shardId)
       .filter((shardId) => !isHomeShard(shardId));
     this.#split.update(sheet.teams, shardIds);
     this.#due.vmListMs = 0;
-    return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
+    return [
+      { kind: 'log', message: 'configuration in force', fields: { version } },
+      ...fromRequests(this.#requests.startWaiting(nowMs)),
+    ];
   }
 
   #updateTargets(vms: readonly Vm[]): void {
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -7,7 +7,18 @@
 import type { TargetPool } from '../placement/targetPool';
 import type { Target } from '../placement/types';
 import type { StartGuard, StartPermit } from '../requests/types';
+import type { DataCentre } from '../config/types';
 import type { Epoch, ShardId, TargetId } from '../types/ids';
+import { ReturnRamp } from './returnRamp';
+
+/** A target that has not reported for longer may be leaving and gets no new work. */
+const REPORT_VALID_MS = 5_000;
+
+/** What a target said last of its leaving. */
+interface LeavingReport {
+  readonly isLeaving: boolean;
+  readonly sentMs: number;
+}
 
 interface ReplicaSource {
   getReplicas(serviceName: string): readonly Target[];
@@ -27,6 +38,10 @@
 
   #settledEpochs = new Map<TargetId, Epoch>();
 
+  #reports = new Map<TargetId, LeavingReport>();
+
+  #ramp = new ReturnRamp();
+
   /**
    * @param lease - which shards are owned
    * @param config - which data centres are in service
@@ -64,6 +79,27 @@
     this.#settledEpochs.set(targetId, epoch);
   }
 
+  /**
+   * Records what a target said of its leaving. The platform's list lags behind it.
+   * @param targetId - which target
+   * @param isLeaving - what it said
+   * @param sentMs - when it was asked
+   */
+  markReported(targetId: TargetId, isLeaving: boolean, sentMs: number): void {
+    const known = this.#reports.get(targetId);
+    if (known !== undefined && known.sentMs > sentMs) return;
+    this.#reports.set(targetId, { isLeaving, sentMs });
+  }
+
+  /**
+   * Takes in the data centres of a newer configuration.
+   * @param dataCentres - from the sheet
+   * @param nowMs - this process's clock
+   */
+  updateDataCentres(dataCentres: readonly DataCentre[], nowMs: number): void {
+    this.#ramp.update(dataCentres, nowMs);
+  }
+
   /**
    * Gets the permit to speak to a target as its owner, for reports and renewals.
    * @param target - which target
@@ -83,10 +119,12 @@
     if (this.#settledEpochs.get(target.targetId) !== permit.epoch) return undefined;
     const acquiredMs = this.#acquiredMs.get(target.shardId) ?? Number.POSITIVE_INFINITY;
     if (nowMs < acquiredMs + SETTLE_MS) return undefined;
-    if (!this.#isInService(target)) return undefined;
-    const freshUntilMs = this.#config.getFreshUntilMs();
-    if (nowMs >= freshUntilMs) return undefined;
-    return { epoch: permit.epoch, untilMs: Math.min(permit.untilMs, freshUntilMs) };
+    if (!this.#isInService(target) || !this.#ramp.isOpen(target, nowMs)) return undefined;
+    const report = this.#reports.get(target.targetId);
+    if (report === undefined || report.isLeaving) return undefined;
+    const reportUntilMs = report.sentMs + REPORT_VALID_MS;
+    const untilMs = Math.min(permit.untilMs, this.#config.getFreshUntilMs(), reportUntilMs);
+    return nowMs < untilMs ? { epoch: permit.epoch, untilMs } : undefined;
   }
 
   /** {@inheritDoc StartGuard.getCandidates} */
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -7,21 +7,13 @@
 import type { RequestOrigin } from '../requests/types';
 import type { HeartbeatReply, RpcResult, SchedulerCall } from '../rpc/types';
 import type { TargetCall, TargetResult } from '../target/types';
+import type { ConfigPeerOrigin } from '../config/effects';
+import type { ConfigOrigin } from '../config/rows';
 import type { AcceptedConfig } from '../config/types';
 import type { Epoch, MemberId, ShardId, TargetId } from '../types/ids';
 
 /** Which platform call a result belongs to. */
-export type PlatformOrigin =
-  | LeaseOrigin
-  | JobOrigin
-  | { readonly kind: 'configRead'; readonly sentMs: number }
-  | {
-      readonly kind: 'configWrite';
-      readonly sentMs: number;
-      readonly callId: number;
-      readonly config: AcceptedConfig;
-    }
-  | { readonly kind: 'vmList' };
+export type PlatformOrigin = LeaseOrigin | JobOrigin | ConfigOrigin | { readonly kind: 'vmList' };
 
 /** Which target call a result belongs to. */
 export type TargetOrigin =
@@ -32,13 +24,19 @@
       readonly targetId: TargetId;
       readonly shardId: ShardId;
       readonly epoch: Epoch;
+      readonly sentMs: number;
     }
   | { readonly kind: 'renew'; readonly targetId: TargetId };
 
 /** Which peer call a result belongs to. */
 export type PeerOrigin =
-  | { readonly kind: 'heartbeat'; readonly memberId: MemberId; readonly sentMs: number }
-  | { readonly kind: 'configFetch' }
+  | {
+      readonly kind: 'heartbeat';
+      readonly memberId: MemberId;
+      readonly address: string;
+      readonly sentMs: number;
+    }
+  | ConfigPeerOrigin
   | { readonly kind: 'oneWay' };
 
 /** Everything that can happen to a scheduler. Times are on the process's own clock. */
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -45,6 +45,7 @@
   configRefused: row('HW6002', 503, 'the configuration cannot be changed now'),
   unknownKey: row('HW6003', 404, 'no such key'),
   unknownDataCentre: row('HW6004', 404, 'no such data centre'),
+  configUnknown: row('HW6005', 504, 'the change may take effect; repeat it under the same id'),
   badSettings: row('HW7001', 500, 'the settings file has mistakes'),
   internal: row('HW9001', 500, 'an internal error'),
 } as const;
