--- a/src/config/configMembers.ts
+++ b/src/config/configMembers.ts
@@ -128,14 +128,14 @@
   /**
    * Takes in the answer to a heartbeat.
    * @param gossip - what the process said
-   * @param isCallerRegistered - whether it knows this process as registered
+   * @param isCallerCounted - whether it accepts no change without telling this process
    * @param sentMs - when the heartbeat was sent
    * @param nowMs - when the answer came
    * @param ownVersion - the version in force here
    */
   applyReply(
     gossip: ConfigGossip,
-    isCallerRegistered: boolean,
+    isCallerCounted: boolean,
     sentMs: number,
     nowMs: number,
     ownVersion: ConfigVersion,
@@ -144,7 +144,7 @@
     const member = this.#members.get(gossip.processId);
     if (member === undefined || member.state !== 'live') return;
     member.exchangedMs = Math.max(member.exchangedMs, sentMs);
-    if (gossip.version > ownVersion || !isCallerRegistered) return;
+    if (gossip.version > ownVersion || !isCallerCounted) return;
     member.goodMs = Math.max(member.goodMs, sentMs);
   }
 
@@ -170,12 +170,13 @@
   }
 
   /**
-   * Asks whether a process is registered, as far as this one has listed.
-   * @param processId - which
-   * @returns true when its row was in the last listing
+   * Asks whether this process accepts no change without telling another.
+   * @param processId - the other
+   * @returns true while this process is not registered, since it accepts nothing then, or when the
+   *   other's row was in the last listing
    */
-  isRegistered(processId: MemberId): boolean {
-    return (this.#members.get(processId)?.rowVersion ?? 0) > 0;
+  isCounted(processId: MemberId): boolean {
+    return !this.isSelfRegistered || (this.#members.get(processId)?.rowVersion ?? 0) > 0;
   }
 
   /**
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -92,8 +92,8 @@
   /** The answerer will not take over the caller's shards for this long; 0 when it may. */
   readonly promiseMs: number;
   readonly config: ConfigGossip;
-  /** The answerer counts the caller among the processes that must learn of every change. */
-  readonly isCallerRegistered: boolean;
+  /** The answerer accepts no change without telling the caller. */
+  readonly isCallerCounted: boolean;
 }
 
 /** Who owns a shard, as far as the answerer knows. */
--- a/src/scheduler/configDuty.ts
+++ b/src/scheduler/configDuty.ts
@@ -111,12 +111,12 @@
   }
 
   /**
-   * Asks whether a process is registered, as far as this one has listed.
-   * @param processId - which
-   * @returns true when it is
+   * Asks whether this process accepts no change without telling another.
+   * @param processId - the other
+   * @returns true when the other may rely on it
    */
-  isRegistered(processId: MemberId): boolean {
-    return this.#members.isRegistered(processId);
+  isCounted(processId: MemberId): boolean {
+    return this.#members.isCounted(processId);
   }
 
   /**
@@ -135,9 +135,9 @@
       this.#members.applyRefused(sent.address, nowMs);
     }
     if (result.kind !== 'ok') return [];
-    const { config: gossip, isCallerRegistered } = result.value;
+    const { config: gossip, isCallerCounted } = result.value;
     const { version } = this.#holder;
-    this.#members.applyReply(gossip, isCallerRegistered, sent.sentMs, nowMs, version);
+    this.#members.applyReply(gossip, isCallerCounted, sent.sentMs, nowMs, version);
     const { confirmedAgeMs } = gossip;
     // Another's confirmation holds here too, as of the same moment.
     if (gossip.version <= version && confirmedAgeMs !== null) {
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -308,7 +308,7 @@
             from: this.#getStatus(nowMs),
             promiseMs: 0,
             config: this.#configDuty.getGossip(nowMs),
-            isCallerRegistered: this.#configDuty.isRegistered(call.config.processId),
+            isCallerCounted: this.#configDuty.isCounted(call.config.processId),
           } satisfies HeartbeatReply),
           ...this.#fromConfig(nowMs, this.#configDuty.applyHeartbeat(nowMs, call.config)),
         ];
--- /dev/null
+++ b/tests/config.property.test.ts
@@ -0,0 +1,163 @@
+/** Promises 3, 4, 6 and 12 over interleavings of operators' changes and faults. */
+
+import * as fc from 'fast-check';
+import type { ConfigChange } from '../src/config/types';
+import { EMPTY_CONFIG } from '../src/config/types';
+import { getDigest } from '../src/config/keys';
+import { toConfigVersion, toId } from '../src/types/ids';
+import { ConfigWorld, createConfigSheet, DATA_CENTRES, TEAMS } from './support/configWorld';
+
+const MEMBER_COUNT = 3;
+
+type Step =
+  | { readonly kind: 'change'; readonly index: number; readonly change: ConfigChange }
+  | { readonly kind: 'sheet'; readonly index: number; readonly basedOnVersion: number }
+  | {
+      readonly kind: 'kill' | 'restart' | 'cut' | 'heal' | 'isolate' | 'rejoin' | 'staleOffer';
+      readonly index: number;
+    }
+  | { readonly kind: 'pause'; readonly index: number; readonly durationMs: number }
+  | { readonly kind: 'link'; readonly index: number; readonly isCut: boolean }
+  | { readonly kind: 'platform'; readonly isDown: boolean; readonly delayMs: number }
+  | { readonly kind: 'loseAnswers'; readonly count: number };
+
+const index = fc.nat({ max: MEMBER_COUNT - 1 });
+const teamId = fc.constantFrom(...TEAMS);
+
+const change: fc.Arbitrary<ConfigChange> = fc.oneof(
+  teamId.map((team) => ({ kind: 'withdrawKey', keyId: toId(`key-${team}`) }) as ConfigChange),
+  teamId.map((team) => {
+    const secretDigest = getDigest(`secret-${team}`);
+    const key = { keyId: toId(`key-${team}`), teamId: toId(team), secretDigest } as const;
+    return { kind: 'grantKey', key } as ConfigChange;
+  }),
+  fc
+    .tuple(fc.constantFrom(...DATA_CENTRES), fc.boolean())
+    .map(
+      ([dataCentreId, inService]) =>
+        ({ kind: 'setDataCentre', dataCentreId: toId(dataCentreId), inService }) as ConfigChange,
+    ),
+);
+
+const anyStep: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 8, arbitrary: fc.record({ kind: fc.constant('change'), index, change }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('sheet'),
+      index,
+      basedOnVersion: fc.integer({ min: 1, max: 6 }),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({ kind: fc.constantFrom('kill', 'restart', 'cut', 'heal'), index }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({ kind: fc.constantFrom('isolate', 'rejoin', 'staleOffer'), index }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('pause'),
+      index,
+      durationMs: fc.integer({ min: 500, max: 14_000 }),
+    }),
+  },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('link'), index, isCut: fc.boolean() }) },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('platform'),
+      isDown: fc.boolean(),
+      delayMs: fc.constantFrom(0, 0, 300, 1_200),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('loseAnswers'),
+      count: fc.integer({ min: 1, max: 3 }),
+    }),
+  },
+) as fc.Arbitrary<Step>;
+
+const plan = fc.record({
+  seed: fc.nat(),
+  steps: fc.array(fc.tuple(fc.constantFrom(0, 0, 300, 1_500, 4_000, 10_000), anyStep), {
+    minLength: 4,
+    maxLength: 14,
+  }),
+});
+
+function apply(config: ConfigWorld, step: Step): void {
+  const { world } = config;
+  switch (step.kind) {
+    case 'change':
+      config.change(step.index, step.change);
+      return;
+    case 'sheet': {
+      const basedOnVersion = toConfigVersion(step.basedOnVersion);
+      config.change(step.index, { kind: 'applySheet', basedOnVersion, sheet: createConfigSheet() });
+      return;
+    }
+    case 'kill':
+      world.kill(step.index);
+      return;
+    case 'restart':
+      world.restart(step.index);
+      return;
+    case 'cut':
+    case 'heal':
+      world.setPlatformCut(step.index, step.kind === 'cut');
+      return;
+    case 'isolate':
+    case 'rejoin': {
+      const isCut = step.kind === 'isolate';
+      world.setPlatformCut(step.index, isCut);
+      world.setPeerCut(step.index, (step.index + 1) % MEMBER_COUNT, isCut);
+      world.setPeerCut(step.index, (step.index + 2) % MEMBER_COUNT, isCut);
+      return;
+    }
+    case 'staleOffer': {
+      const [oldest] = config.getVersions();
+      const offer = { kind: 'offerConfig', config: oldest ?? EMPTY_CONFIG } as const;
+      world.call(step.index, offer, () => undefined);
+      return;
+    }
+    case 'pause':
+      world.pause(step.index, step.durationMs);
+      return;
+    case 'link':
+      world.setPeerCut(step.index, (step.index + 1) % MEMBER_COUNT, step.isCut);
+      return;
+    case 'platform':
+      world.store.setFaults({ isDown: step.isDown, delayMs: step.delayMs });
+      return;
+    default:
+      world.store.setFaults({ loseAnswerCount: step.count });
+  }
+}
+
+test('no start under a configuration overridden 9 s before, and none goes back', () => {
+  let answered = 0;
+  let runs = 0;
+  fc.assert(
+    fc.property(plan, ({ seed, steps }) => {
+      const config = new ConfigWorld(seed, MEMBER_COUNT);
+      steps.forEach(([waitMs, next]) => {
+        config.runFor(waitMs);
+        apply(config, next);
+      });
+      config.runFor(11_000);
+      answered += config.answered.length;
+      runs += config.world.requestRuns.length;
+      expect(config.violations).toEqual([]);
+    }),
+    { seed: 4, numRuns: Number(process.env.CONFIG_RUNS ?? 40) },
+  );
+  // The faults must not have kept everything from happening.
+  expect(answered).toBeGreaterThan(60);
+  expect(runs).toBeGreaterThan(10_000);
+});
--- /dev/null
+++ b/tests/configFaults.test.ts
@@ -0,0 +1,268 @@
+/** Freshness in outages, changes with lost answers and races, leaving targets and returns. */
+
+import { ConfigHolder } from '../src/config/configHolder';
+import { EMPTY_CONFIG } from '../src/config/types';
+import type { ConfigChange, TeamKey } from '../src/config/types';
+import type { RequestStart } from '../src/rpc/types';
+import { toConfigVersion, toId } from '../src/types/ids';
+import { getDigest } from '../src/config/keys';
+import { RAMP_STEP_COUNT, RAMP_STEP_MS } from '../src/scheduler/returnRamp';
+import { ConfigWorld, createConfigSheet } from './support/configWorld';
+
+const TEN_MINUTES_MS = 600_000;
+const WITHDRAW: ConfigChange = { kind: 'withdrawKey', keyId: toId('key-team-a') };
+const CLOSE_DELFT: ConfigChange = {
+  kind: 'setDataCentre',
+  dataCentreId: toId('delft'),
+  inService: false,
+};
+const OPEN_DELFT: ConfigChange = { ...CLOSE_DELFT, inService: true };
+
+function getFreshForMs(config: ConfigWorld): readonly number[] {
+  return config.world.processes
+    .filter((process) => !process.isDown)
+    .map((process) => process.core.dump(config.world.nowMs).configFreshForMs);
+}
+
+function isFresh(config: ConfigWorld): boolean {
+  return getFreshForMs(config).every((freshForMs) => freshForMs > 0);
+}
+
+function getOutcomes(config: ConfigWorld): readonly string[] {
+  return config.outcomes.map((outcome) =>
+    outcome.kind === 'ok' ? `version ${outcome.value.version}` : outcome.diagnostic.name,
+  );
+}
+
+describe('an outage of the platform', () => {
+  test('of ten minutes keeps every process admitting, also after one was killed', () => {
+    const config = new ConfigWorld(1);
+    config.world.store.setFaults({ isDown: true });
+    for (let passedMs = 0; passedMs < TEN_MINUTES_MS; passedMs += 500) {
+      config.world.runFor(500);
+      if (passedMs === 60_000) config.world.kill(1);
+      expect(isFresh(config)).toBe(true);
+    }
+  });
+
+  test('stops admission within 6 s when a registered process is silent', () => {
+    const config = new ConfigWorld(2);
+    config.world.store.setFaults({ isDown: true });
+    config.world.runFor(20_000);
+    config.world.setPeerCut(0, 2, true);
+    config.world.setPeerCut(1, 2, true);
+    config.world.runFor(6_000);
+    expect(getFreshForMs(config).every((freshForMs) => freshForMs <= 0)).toBe(true);
+    config.world.setPeerCut(0, 2, false);
+    config.world.setPeerCut(1, 2, false);
+    config.world.runFor(2_500);
+    expect(isFresh(config)).toBe(true);
+  });
+
+  test('lets a restarted process take the newest from its peers before it admits', () => {
+    const config = new ConfigWorld(3);
+    config.change(0, WITHDRAW);
+    config.world.runFor(2_000);
+    config.world.store.setFaults({ isDown: true });
+    config.world.restart(2);
+    const dump = () => config.world.processes[2]?.core.dump(config.world.nowMs);
+    expect(dump()?.configFreshForMs).toBe(Number.NEGATIVE_INFINITY);
+    config.world.runFor(4_000);
+    expect(dump()).toMatchObject({ configVersion: 2 });
+    expect(isFresh(config)).toBe(true);
+  });
+
+  test('of one process alone is bridged by the others', () => {
+    const config = new ConfigWorld(4);
+    config.world.setPlatformCut(1, true);
+    config.world.runFor(30_000);
+    expect(isFresh(config)).toBe(true);
+    config.change(0, WITHDRAW);
+    config.world.runFor(2_000);
+    expect(config.world.processes[1]?.core.dump(config.world.nowMs).configVersion).toBe(2);
+  });
+
+  test('leaves a frozen process without admission when it thaws', () => {
+    const config = new ConfigWorld(5);
+    config.world.pause(1, 20_000);
+    config.world.runFor(10_000);
+    config.change(0, WITHDRAW);
+    config.world.runFor(9_990);
+    const frozen = config.world.processes[1];
+    expect(frozen?.core.dump(config.world.nowMs).configVersion).toBe(1);
+    expect(frozen?.core.dump(config.world.nowMs).configFreshForMs).toBeLessThan(0);
+    config.runFor(10_000);
+    expect(config.violations).toEqual([]);
+  });
+});
+
+describe('a change', () => {
+  test('whose answer was lost is committed once and answered with its version', () => {
+    const config = new ConfigWorld(6);
+    for (let attempt = 0; attempt < 6; attempt += 1) {
+      config.world.store.setFaults({ loseAnswerCount: 3 });
+      config.change(attempt % 3, attempt % 2 === 0 ? CLOSE_DELFT : OPEN_DELFT);
+      config.world.runFor(5_000);
+    }
+    expect(getOutcomes(config)).toEqual(
+      [1, 2, 3, 4, 5, 6, 7].map((version) => `version ${version}`),
+    );
+    expect(config.getVersions().map((version) => version.version)).toEqual([1, 2, 3, 4, 5, 6, 7]);
+  });
+
+  test('repeated under its id through another process has one effect and the same answer', () => {
+    const config = new ConfigWorld(7);
+    config.change(0, WITHDRAW, 'withdraw-1');
+    config.change(1, WITHDRAW, 'withdraw-1');
+    config.world.runFor(3_000);
+    config.change(2, WITHDRAW, 'withdraw-1');
+    config.world.runFor(3_000);
+    expect(getOutcomes(config)).toEqual(['version 1', 'version 2', 'version 2', 'version 2']);
+  });
+
+  test('by a command commutes with a racing one; a racing sheet is told the difference', () => {
+    const config = new ConfigWorld(8);
+    config.change(0, WITHDRAW);
+    config.change(1, CLOSE_DELFT);
+    const basedOnVersion = toConfigVersion(1);
+    config.world.runFor(2_000);
+    config.change(2, { kind: 'applySheet', basedOnVersion, sheet: createConfigSheet() });
+    config.world.runFor(2_000);
+    expect(getOutcomes(config).slice(1, 3).sort()).toEqual(['version 2', 'version 3']);
+    const last = config.outcomes.at(-1);
+    expect(last).toMatchObject({ kind: 'error', diagnostic: { name: 'configConflict' } });
+    expect(JSON.stringify(last)).toContain('- keys/key-team-a, ~ dataCentres/delft (inService)');
+  });
+
+  test('is undone by no older sheet, and the operator is told what was left', () => {
+    const config = new ConfigWorld(9);
+    const secretDigest = getDigest('new');
+    const key: TeamKey = { keyId: toId('key-new'), teamId: toId('team-b'), secretDigest };
+    config.change(0, WITHDRAW);
+    config.change(0, { kind: 'grantKey', key });
+    config.change(0, CLOSE_DELFT);
+    config.world.runFor(2_000);
+    const basedOnVersion = toConfigVersion(4);
+    config.change(1, { kind: 'applySheet', basedOnVersion, sheet: createConfigSheet() });
+    config.world.runFor(2_000);
+    expect(config.outcomes.at(-1)).toMatchObject({
+      value: {
+        version: 5,
+        ignoredKeyIds: ['key-team-a'],
+        keptKeyIds: ['key-new'],
+        droppedKeyIds: [],
+        stillOutDataCentreIds: ['delft'],
+      },
+    });
+    const keys = config.getVersions().at(-1)?.sheet.keys ?? [];
+    expect(keys.map((known) => known.keyId)).toEqual(['key-team-b', 'key-new']);
+  });
+
+  test('is in force everywhere within 2 s, and within 9 s with one frozen or one link cut', () => {
+    const getVersions = (config: ConfigWorld) =>
+      config.world.processes.map((process) => process.core.dump(config.world.nowMs).configVersion);
+    const whole = new ConfigWorld(10, 6);
+    whole.change(0, WITHDRAW);
+    whole.world.runFor(2_000);
+    expect(getVersions(whole)).toEqual([2, 2, 2, 2, 2, 2]);
+    const frozen = new ConfigWorld(11, 6);
+    frozen.world.pause(3, 8_500);
+    frozen.change(0, WITHDRAW);
+    frozen.world.runFor(9_000);
+    expect(getVersions(frozen)).toEqual([2, 2, 2, 2, 2, 2]);
+    expect(frozen.outcomes.at(-1)).toMatchObject({ value: { unreachedProcessIds: ['s3#0'] } });
+    const cut = new ConfigWorld(12, 6);
+    cut.world.setPeerCut(0, 3, true);
+    cut.world.setPlatformCut(3, true);
+    cut.change(0, WITHDRAW);
+    cut.world.runFor(9_000);
+    expect(getVersions(cut)).toEqual([2, 2, 2, 2, 2, 2]);
+  });
+
+  test('is refused by a process that has not met a registered one', () => {
+    const config = new ConfigWorld(13);
+    config.world.setPeerCut(0, 1, true);
+    config.world.restart(0);
+    config.world.runFor(4_000);
+    config.change(0, WITHDRAW);
+    config.world.runFor(5_000);
+    const last = config.outcomes.at(-1);
+    expect(last).toMatchObject({ kind: 'error', diagnostic: { name: 'configRefused' } });
+    expect(JSON.stringify(last)).toContain('s1#0');
+  });
+});
+
+test('a waiting request is refused when its key is withdrawn meanwhile', () => {
+  const config = new ConfigWorld(16);
+  const { world } = config;
+  const send = (requestId: string, serviceMs: string, onReply: (value: unknown) => void) => {
+    const owner = world.processes.findIndex(({ core }) =>
+      core.dump(world.nowMs).ownedShards.some(({ shardId }) => shardId.startsWith('targets')),
+    );
+    const call: RequestStart = {
+      kind: 'startRequest',
+      requestId: toId(requestId),
+      teamId: toId('team-a'),
+      keyId: toId('key-team-a'),
+      queueId: toId('open'),
+      serviceName: '',
+      isIdempotent: true,
+      windowRemainingMs: 20_000,
+      contentType: 'text/plain',
+      bodyBase64: Buffer.from(serviceMs).toString('base64'),
+    };
+    world.call(owner, call, onReply);
+  };
+  for (let count = 0; count < 48; count += 1) send(`filler-${count}`, '5000', () => undefined);
+  world.runFor(500);
+  const outcomes: unknown[] = [];
+  send('waiting', '10', (value) => outcomes.push(value));
+  world.runFor(500);
+  expect(outcomes).toEqual([]);
+  config.change(0, WITHDRAW);
+  world.runFor(2_000);
+  expect(outcomes).toEqual([{ kind: 'refusedNotRun', reason: 'unauthorized' }]);
+});
+
+test('a confirmation from before a start does not count', () => {
+  const holder = new ConfigHolder();
+  holder.begin(10_000);
+  holder.tryAdopt({ ...EMPTY_CONFIG, version: toConfigVersion(3) });
+  holder.confirm(9_999);
+  expect(holder.getFreshUntilMs()).toBe(Number.NEGATIVE_INFINITY);
+  holder.confirm(10_000);
+  expect(holder.getFreshUntilMs()).toBe(16_000);
+});
+
+describe('targets', () => {
+  test('that report leaving get no new work while the list lags', () => {
+    const config = new ConfigWorld(14);
+    const address = 'target-rotterdam-1';
+    config.runFor(3_000);
+    expect(config.world.requestRuns.some((run) => run.address === address)).toBe(true);
+    config.world.targets.get(address)?.setFaults({ isLeaving: true });
+    const leavingMs = config.world.nowMs;
+    config.runFor(12_000);
+    const late = config.world.requestRuns.filter((run) => run.atMs > leavingMs + 5_500);
+    expect(late.length).toBeGreaterThan(50);
+    expect(late.filter((run) => run.address === address)).toEqual([]);
+  });
+
+  test('of a data centre that returns open in steps', () => {
+    const config = new ConfigWorld(15);
+    config.change(0, CLOSE_DELFT);
+    config.runFor(9_000);
+    config.change(0, OPEN_DELFT);
+    const returnedMs = config.world.nowMs;
+    config.runFor(RAMP_STEP_COUNT * RAMP_STEP_MS + 2_000);
+    const steps = ['target-delft-0', 'target-delft-1', 'target-delft-2'].map((address) => {
+      const run = config.world.requestRuns.find(
+        (known) => known.atMs > returnedMs && known.address === address,
+      );
+      return Math.floor(((run?.atMs ?? 0) - returnedMs) / RAMP_STEP_MS);
+    });
+    // The hash of each id gives its step.
+    expect(steps).toEqual([7, 2, 7]);
+    expect(config.violations).toEqual([]);
+  });
+});
--- /dev/null
+++ b/tests/support/configWorld.ts
@@ -0,0 +1,185 @@
+/** A world with operators and callers, and the checks of promises 3, 4, 6 and 12 in it. */
+
+import type { AcceptedConfig, ChangeAnswer, ConfigChange, Sheet } from '../../src/config/types';
+import { isConfigVersionRow } from '../../src/config/rows';
+import type { RequestStart } from '../../src/rpc/types';
+import { toConfigVersion, toId } from '../../src/types/ids';
+import type { ConfigVersion } from '../../src/types/ids';
+import type { RequestOutcome, Result } from '../../src/types/outcomes';
+import { createSheet } from './sheets';
+import { World } from './world';
+
+export const TEAMS = ['team-a', 'team-b'];
+export const DATA_CENTRES = ['rotterdam', 'delft'];
+/** The pages' bound on a withdrawal and on a data centre taken out. */
+export const IN_FORCE_MS = 9_000;
+
+const CAPACITY = {
+  cpuMillis: 64_000,
+  memoryMb: 131_072,
+  accelerators: 0,
+  slots: 8,
+  connections: 64,
+};
+const PROBE_INTERVAL_MS = 400;
+const PROBES = TEAMS.flatMap((teamId) =>
+  [...TEAMS, 'open'].map((queueId) => ({ teamId, keyId: `key-${teamId}`, queueId })),
+);
+
+export interface AnsweredChange {
+  readonly answeredMs: number;
+  readonly version: ConfigVersion;
+}
+
+export function createConfigSheet(overrides: { inService?: boolean } = {}): Sheet {
+  const sheet = createSheet(TEAMS, DATA_CENTRES);
+  const open = { queueId: toId('open'), access: { kind: 'open' }, urgency: 'normal' } as const;
+  const dataCentres = sheet.dataCentres.map((known) => ({ ...known, ...overrides }));
+  return { ...sheet, dataCentres, queues: [...sheet.queues, open as Sheet['queues'][number]] };
+}
+
+/** Drives one world and collects what broke. */
+export class ConfigWorld {
+  readonly world: World;
+
+  readonly answered: AnsweredChange[] = [];
+
+  readonly outcomes: Result<ChangeAnswer>[] = [];
+
+  readonly violations: string[] = [];
+
+  startCount = 0;
+
+  refusals = new Map<string, number>();
+
+  #operationCount = 0;
+
+  #checkedRuns = 0;
+
+  #versions = new Map<string, number>();
+
+  constructor(seed: number, memberCount = 3) {
+    this.world = new World({
+      seed,
+      memberCount,
+      dataCentreIds: DATA_CENTRES,
+      targetsPerDataCentre: 3,
+      capacity: CAPACITY,
+    });
+    this.world.onEvent = (process, event, effects) => {
+      const dump = process.core.dump(this.world.nowMs);
+      const version = dump.configVersion;
+      const key = `${process.index}/${process.generation}`;
+      if (version < (this.#versions.get(key) ?? 0)) this.violations.push(`${key} went back`);
+      this.#versions.set(key, version);
+      if (dump.configFreshForMs > 0 && version < this.getBindingVersion()) {
+        this.violations.push(`${key} would admit under ${version} at ${event.nowMs}`);
+      }
+      const isStart = effects.some(
+        (effect) =>
+          effect.kind === 'callTarget' && ['request', 'startTask'].includes(effect.call.kind),
+      );
+      if (isStart && version < this.getBindingVersion()) {
+        this.violations.push(`${key} started under ${version} at ${event.nowMs}`);
+      }
+    };
+    this.world.runFor(2_500);
+    this.change(0, {
+      kind: 'applySheet',
+      basedOnVersion: toConfigVersion(0),
+      sheet: createConfigSheet(),
+    });
+    this.world.runFor(9_000);
+  }
+
+  /** Version that must be in force everywhere by now. */
+  getBindingVersion(): number {
+    return this.answered
+      .filter((change) => change.answeredMs + IN_FORCE_MS <= this.world.nowMs)
+      .reduce((highest, change) => Math.max(highest, change.version), 0);
+  }
+
+  change(index: number, change: ConfigChange, operationId = ''): void {
+    this.#operationCount += 1;
+    const id = operationId || `op-${this.#operationCount}`;
+    this.world.call(index, { kind: 'changeConfig', change, operationId: toId(id) }, (value) => {
+      const result = value as Result<ChangeAnswer>;
+      this.outcomes.push(result);
+      if (result.kind === 'error') return;
+      this.answered.push({ answeredMs: this.world.nowMs, version: result.value.version });
+    });
+  }
+
+  /** Every accepted version by its immutable row. */
+  getVersions(): readonly AcceptedConfig[] {
+    const { faults } = this.world.store;
+    this.world.store.setFaults({ isDown: false });
+    const call = { kind: 'range', prefix: 'config/version/', after: '', limit: 1_000 } as const;
+    const result = this.world.store.perform(call, this.world.nowMs);
+    this.world.store.setFaults(faults);
+    if (result.kind !== 'rows') return [];
+    return result.rows.flatMap(({ value }) => (isConfigVersionRow(value) ? [value.config] : []));
+  }
+
+  /** Lets time pass with callers probing every key and queue through every live process. */
+  runFor(durationMs: number): void {
+    const untilMs = this.world.nowMs + durationMs;
+    while (this.world.nowMs < untilMs) {
+      this.world.processes.forEach((process) => this.#probe(process.index));
+      this.world.runFor(Math.min(PROBE_INTERVAL_MS, untilMs - this.world.nowMs));
+      this.#checkRuns();
+    }
+  }
+
+  #probe(index: number): void {
+    if (this.world.processes[index]?.isDown !== false) return;
+    PROBES.forEach(({ teamId, keyId, queueId }) => {
+      this.startCount += 1;
+      const call: RequestStart = {
+        kind: 'startRequest',
+        requestId: toId(`${this.startCount}|${teamId}|${keyId}|${queueId}`),
+        teamId: toId(teamId),
+        keyId: toId(keyId),
+        queueId: toId(queueId),
+        serviceName: '',
+        isIdempotent: true,
+        windowRemainingMs: 12_000,
+        contentType: 'text/plain',
+        bodyBase64: '',
+      };
+      this.world.call(index, call, (value) => {
+        const outcome = value as RequestOutcome;
+        const name = outcome.kind === 'refusedNotRun' ? outcome.reason : outcome.kind;
+        this.refusals.set(name, (this.refusals.get(name) ?? 0) + 1);
+      });
+    });
+  }
+
+  /** A run is allowed when some version that was not overridden 9 s before permits it. */
+  #checkRuns(): void {
+    const runs = this.world.requestRuns.slice(this.#checkedRuns);
+    this.#checkedRuns = this.world.requestRuns.length;
+    if (runs.length === 0) return;
+    const versions = this.getVersions();
+    runs.forEach((run) => {
+      const [, teamId, keyId, queueId] = run.requestId.split('|');
+      const binding = this.answered
+        .filter((change) => change.answeredMs + IN_FORCE_MS <= run.atMs)
+        .reduce((highest, change) => Math.max(highest, change.version), 0);
+      const isAllowed = versions
+        .filter((config) => config.version >= binding)
+        .some(({ sheet }) => {
+          const key = sheet.keys.find((known) => known.keyId === keyId);
+          const queue = sheet.queues.find((known) => known.queueId === queueId);
+          const isQueueOpen =
+            queue?.access.kind === 'open' ||
+            (queue?.access.kind === 'team' && queue.access.teamId === teamId);
+          const dataCentre = sheet.dataCentres.find((known) =>
+            run.address.startsWith(`target-${known.dataCentreId}-`),
+          );
+          return key?.teamId === teamId && isQueueOpen && dataCentre?.inService === true;
+        });
+      if (!isAllowed) this.violations.push(`${run.requestId} ran at ${run.atMs} on ${run.address}`);
+    });
+  }
+}
