--- a/src/config/configChanger.ts
+++ b/src/config/configChanger.ts
@@ -213,6 +213,28 @@
     return retryAt(pending, nowMs + RETRY_INTERVAL_MS);
   }
 
+  /**
+   * Gets the changes under way for an operator.
+   * @param nowMs - this process's clock
+   * @returns plain data
+   */
+  dump(nowMs: number) {
+    const waiting = this.#waiting.map(
+      ({ operationId, attempt, isCalling, isUncertain, nextMs }) => ({
+        operationId,
+        attempt,
+        isCalling,
+        isUncertain,
+        retryInMs: nextMs - nowMs,
+      }),
+    );
+    const announced = this.#announcements.map(({ report, untilMs }) => ({
+      version: report.version,
+      waitsForMs: untilMs - nowMs,
+    }));
+    return { waiting, announced };
+  }
+
   #tryResume(attempt: number): PendingChange | undefined {
     const pending = this.#waiting[0];
     if (pending === undefined || !pending.isCalling || pending.attempt !== attempt) {
--- a/src/config/configMembers.ts
+++ b/src/config/configMembers.ts
@@ -224,6 +224,22 @@
     });
   }
 
+  /**
+   * Gets the members for an operator.
+   * @param nowMs - this process's clock
+   * @returns plain data
+   */
+  dump(nowMs: number) {
+    return [...this.#members.values()].map((member) => ({
+      processId: member.processId,
+      state: member.state,
+      version: member.version,
+      isListed: member.rowVersion > 0,
+      confirmedForMs: nowMs - member.goodMs,
+      heardAgoMs: nowMs - member.heardMs,
+    }));
+  }
+
   #getOrAdd(processId: MemberId, address: string): ConfigMember {
     const known = this.#members.get(processId);
     if (known !== undefined) return known;
--- a/src/scheduler/configDuty.ts
+++ b/src/scheduler/configDuty.ts
@@ -229,6 +229,22 @@
     }
   }
 
+  /**
+   * Gets the state for an operator; it holds no secret.
+   * @param nowMs - this process's clock
+   * @returns plain data
+   */
+  dump(nowMs: number) {
+    return {
+      version: this.#holder.version,
+      freshForMs: this.#holder.getFreshUntilMs() - nowMs,
+      isRegistered: this.#members.isSelfRegistered,
+      unmetProcessIds: this.#members.getUnmet(),
+      members: this.#members.dump(nowMs),
+      changes: this.#changer.dump(nowMs),
+    };
+  }
+
   #applyRead(rows: readonly Row[], sentMs: number): readonly ConfigEffect[] {
     const value = rows[0]?.value;
     const effects = isAcceptedConfig(value) ? this.adopt(value) : [];
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -514,6 +514,7 @@
       })),
       configVersion: this.#config.version,
       configFreshForMs: this.#config.getFreshUntilMs() - nowMs,
+      config: this.#configDuty.dump(nowMs),
       openRequests: this.#requests.openCount,
       waitingRequests: this.#requests.waitingCount,
       tasks: this.#tasks.taskCount,
