--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -1,6 +1,6 @@
 /** Calls between hemlockway's own processes, carried as JSON-RPC 2.0 over HTTP. */
 
-import type { AcceptedConfig, ConfigChange } from '../config/types';
+import type { AcceptedConfig, ConfigChange, ConfigGossip } from '../config/types';
 import type { JobSpec, TaskNews } from '../jobs/types';
 import type { EndedPromise } from '../lease/types';
 import type {
@@ -63,7 +63,11 @@
 
 /** Every call that a scheduler answers. */
 export type SchedulerCall =
-  | { readonly kind: 'heartbeat'; readonly from: MemberStatus }
+  | {
+      readonly kind: 'heartbeat';
+      readonly from: MemberStatus;
+      readonly config: ConfigGossip;
+    }
   | { readonly kind: 'getRoutes' }
   | { readonly kind: 'getConfig' }
   | { readonly kind: 'offerConfig'; readonly config: AcceptedConfig }
@@ -90,6 +94,9 @@
   readonly promiseMs: number;
   /** Rows of members that the answerer will never protect again. */
   readonly endedPromises: readonly EndedPromise[];
+  readonly config: ConfigGossip;
+  /** The answerer accepts no change without telling the caller. */
+  readonly isCallerCounted: boolean;
 }
 
 /** Who owns a shard, as far as the answerer knows. */
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -1,8 +1,7 @@
 /** The scheduler's reducer: one function from an event to the effects that it calls for. */
 
-import { applyChange } from '../config/applyChange';
-import { CONFIG_KEY, ConfigHolder } from '../config/configHolder';
-import type { AcceptedConfig } from '../config/types';
+import { ConfigHolder } from '../config/configHolder';
+import type { ConfigEffect } from '../config/effects';
 import type { SchedulerSettings } from '../config/settings';
 import { StaticSplit } from '../escrow/staticSplit';
 import { createShardLoad, JobTable } from '../jobs/jobTable';
@@ -27,26 +26,24 @@
   SchedulerCall,
   ShardOwner,
 } from '../rpc/types';
-import { createDiagnostic } from '../types/diagnostics';
 import { assertNever } from '../types/debug';
 import { toId } from '../types/ids';
 import type { MemberId, ShardId, TargetId } from '../types/ids';
-import { fail, ok } from '../types/outcomes';
+import { ok } from '../types/outcomes';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
+import { ConfigDuty } from './configDuty';
 import { InFlightStarts } from './inFlightStarts';
 import { MemberDuty } from './memberDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
-const CONFIG_READ_INTERVAL_MS = 1_000;
 const VM_LIST_INTERVAL_MS = 2_000;
 const REPORT_INTERVAL_MS = 1_000;
 const REPORT_TIMEOUT_MS = 1_500;
 
 /** When each periodic duty is next due. */
 interface Schedule {
-  configReadMs: number;
   vmListMs: number;
   reportMs: number;
 }
@@ -76,6 +73,8 @@
 
   #config = new ConfigHolder();
 
+  #configDuty: ConfigDuty;
+
   #split = new StaticSplit();
 
   #pool = new TargetPool(this.#split);
@@ -96,7 +95,7 @@
 
   #tickedMs = 0;
 
-  #due: Schedule = { configReadMs: 0, vmListMs: 0, reportMs: 0 };
+  #due: Schedule = { vmListMs: 0, reportMs: 0 };
 
   #isDraining = false;
 
@@ -108,9 +107,10 @@
     this.#settings = settings;
     const { dataCentreId, region, advertisedAddress: address, vmId } = settings;
     this.#lease = new LeaseKeeper(memberId, { address, vmId, dataCentreId, region });
-    this.#memberDuty = new MemberDuty(this.#lease, this.#peers);
+    this.#configDuty = new ConfigDuty(memberId, address, this.#config);
+    this.#memberDuty = new MemberDuty(this.#lease, this.#peers, this.#configDuty);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestTable(this.#pool, this.#ownership);
+    this.#requests = new RequestTable(this.#pool, this.#ownership, this.#config);
     this.#tasks = new TaskRunner(this.#pool, this.#ownership);
     this.#ownership.setReplicas(this.#tasks);
   }
@@ -163,7 +163,7 @@
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
-      ...this.#readConfig(nowMs),
+      ...this.#fromConfig(nowMs, this.#configDuty.tick(nowMs)),
       ...this.#listVms(nowMs),
       ...this.#memberDuty.tick(nowMs, () => this.#getStatus(nowMs)),
       ...this.#askReports(nowMs),
@@ -172,13 +172,6 @@
     ];
   }
 
-  #readConfig(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.configReadMs) return [];
-    this.#due.configReadMs = nowMs + CONFIG_READ_INTERVAL_MS;
-    const origin = { kind: 'configRead', sentMs: nowMs } as const;
-    return [{ kind: 'callPlatform', origin, call: { kind: 'read', keys: [CONFIG_KEY] } }];
-  }
-
   #listVms(nowMs: number): readonly SchedulerEffect[] {
     if (nowMs < this.#due.vmListMs) return [];
     this.#due.vmListMs = nowMs + VM_LIST_INTERVAL_MS;
@@ -222,10 +215,12 @@
     const { nowMs, origin, result } = event;
     switch (origin.kind) {
       case 'configRead':
-        if (result.kind !== 'rows') return [];
-        return this.#config.applyRead(result.rows, origin.sentMs) ? this.#onConfig() : [];
-      case 'configWrite':
-        return this.#applyConfigWrite(event, origin.callId, origin.config);
+      case 'configMembers':
+      case 'configRegister':
+      case 'configUnregister':
+      case 'configChangeRead':
+      case 'configChangeWrite':
+        return this.#fromConfig(nowMs, this.#configDuty.applyPlatform(nowMs, origin, result));
       case 'vmList':
         if (result.kind === 'vms') this.#applyVms(nowMs, result.vms);
         return [];
@@ -264,22 +259,17 @@
     if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
     const effects = this.#tasks.applyReport(target, permit, result.report);
     this.#ownership.markReported(target, origin.epoch, origin.sentMs);
+    this.#ownership.markLeaving(target.targetId, result.report.leaving, origin.sentMs);
     return this.#fromTasks(nowMs, effects);
   }
 
   #applyPeer({ nowMs, origin, result }: PeerReplied): readonly SchedulerEffect[] {
     switch (origin.kind) {
-      case 'heartbeat': {
-        const from = this.#memberDuty.applyResult(
-          nowMs,
-          origin,
-          result as RpcResult<HeartbeatReply>,
-        );
-        return from === undefined ? [] : this.#fetchConfigFrom(from);
-      }
+      case 'heartbeat':
+        return this.#applyHeartbeatResult(nowMs, origin, result as RpcResult<HeartbeatReply>);
       case 'configFetch':
-        if (result.kind !== 'ok') return [];
-        return this.#config.tryAdopt(result.value as AcceptedConfig) ? this.#onConfig() : [];
+      case 'configOffer':
+        return this.#fromConfig(nowMs, this.#configDuty.applyPeer(nowMs, origin, result));
       case 'oneWay':
         return [];
       default:
@@ -287,10 +277,14 @@
     }
   }
 
-  #fetchConfigFrom(status: MemberStatus): readonly SchedulerEffect[] {
-    if (status.configVersion <= this.#config.version) return [];
-    const origin: PeerOrigin = { kind: 'configFetch' };
-    return [{ kind: 'callPeer', origin, address: status.address, call: { kind: 'getConfig' } }];
+  #applyHeartbeatResult(
+    nowMs: number,
+    origin: Extract<PeerOrigin, { kind: 'heartbeat' }>,
+    result: RpcResult<HeartbeatReply>,
+  ): readonly SchedulerEffect[] {
+    this.#memberDuty.applyResult(nowMs, origin, result);
+    const effects = this.#configDuty.applyHeartbeatResult(nowMs, origin, result);
+    return this.#fromConfig(nowMs, effects);
   }
 
   #answer(nowMs: number, callId: number, call: SchedulerCall): readonly SchedulerEffect[] {
@@ -298,17 +292,17 @@
     switch (call.kind) {
       case 'heartbeat':
         return [
-          reply(this.#memberDuty.answer(nowMs, call.from, this.#getStatus(nowMs))),
-          ...this.#fetchConfigFrom(call.from),
+          reply(this.#memberDuty.answer(nowMs, call, this.#getStatus(nowMs))),
+          ...this.#fromConfig(nowMs, this.#configDuty.applyHeartbeat(nowMs, call.config)),
         ];
       case 'getRoutes':
         return [reply(this.#getRoutes(nowMs))];
       case 'getConfig':
         return [reply(this.#config.config)];
       case 'offerConfig':
-        return [reply({}), ...(this.#config.tryAdopt(call.config) ? this.#onConfig() : [])];
+        return [...this.#fromConfig(nowMs, this.#configDuty.adopt(call.config)), reply({})];
       case 'changeConfig':
-        return this.#changeConfig(nowMs, callId, call);
+        return this.#fromConfig(nowMs, this.#configDuty.change(nowMs, callId, call));
       case 'startRequest':
         return this.#startRequest(nowMs, callId, call);
       case 'cancelRequest':
@@ -349,53 +343,24 @@
     return fromRequests(this.#requests.start(nowMs, { callId, call, queue }));
   }
 
-  #changeConfig(
-    nowMs: number,
-    callId: number,
-    call: Extract<SchedulerCall, { kind: 'changeConfig' }>,
-  ): readonly SchedulerEffect[] {
-    const next = applyChange(this.#config.config, call.change);
-    if (next.kind === 'error') return [{ kind: 'replyCall', callId, value: next }];
-    return [
-      {
-        kind: 'callPlatform',
-        origin: { kind: 'configWrite', sentMs: nowMs, callId, config: next.value },
-        call: this.#config.createWrite(next.value, call.operationId),
-      },
-    ];
-  }
-
-  #applyConfigWrite(
-    { nowMs, result }: PlatformReplied,
-    callId: number,
-    config: AcceptedConfig,
-  ): readonly SchedulerEffect[] {
-    this.#due.configReadMs = nowMs;
-    if (result.kind !== 'committed') {
-      const name = result.kind === 'conflict' ? 'configConflict' : 'configRefused';
-      return [{ kind: 'replyCall', callId, value: fail(createDiagnostic(name)) }];
-    }
-    this.#config.tryAdopt(config);
-    const offers = this.#lease.members.views
-      .filter((view) => view.row.memberId !== this.#lease.memberId)
-      .map(({ row }): SchedulerEffect => ({
-        kind: 'callPeer',
-        origin: { kind: 'oneWay' },
-        address: row.address,
-        call: { kind: 'offerConfig', config },
-      }));
-    const value = ok(config.version);
-    return [{ kind: 'replyCall', callId, value }, ...offers, ...this.#onConfig()];
+  #fromConfig(nowMs: number, effects: readonly ConfigEffect[]): readonly SchedulerEffect[] {
+    return effects.flatMap((effect): readonly SchedulerEffect[] =>
+      effect.kind === 'configChanged' ? this.#onConfig(nowMs) : [effect],
+    );
   }
 
-  #onConfig(): readonly SchedulerEffect[] {
+  #onConfig(nowMs: number): readonly SchedulerEffect[] {
     const { sheet, version } = this.#config.config;
+    this.#ownership.updateDataCentres(sheet.dataCentres, nowMs);
     const shardIds = getShardPlacements(sheet)
       .map((placement) => placement.shardId)
       .filter((shardId) => !isHomeShard(shardId));
     this.#split.update(sheet.teams, shardIds);
     this.#due.vmListMs = 0;
-    return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
+    return [
+      { kind: 'log', message: 'configuration in force', fields: { version } },
+      ...fromRequests(this.#requests.startWaiting(nowMs)),
+    ];
   }
 
   #applyVms(nowMs: number, vms: readonly Vm[]): void {
@@ -537,6 +502,7 @@
       })),
       configVersion: this.#config.version,
       configFreshForMs: this.#config.getFreshUntilMs() - nowMs,
+      config: this.#configDuty.dump(nowMs),
       openRequests: this.#requests.openCount,
       waitingRequests: this.#requests.waitingCount,
       tasks: this.#tasks.taskCount,
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -7,21 +7,13 @@
 import type { RequestOrigin } from '../requests/types';
 import type { HeartbeatReply, RpcResult, SchedulerCall } from '../rpc/types';
 import type { TargetCall, TargetResult } from '../target/types';
+import type { ConfigPeerOrigin } from '../config/effects';
+import type { ConfigOrigin } from '../config/rows';
 import type { AcceptedConfig } from '../config/types';
 import type { Epoch, MemberId, ShardId, TargetId } from '../types/ids';
 
 /** Which platform call a result belongs to. */
-export type PlatformOrigin =
-  | LeaseOrigin
-  | JobOrigin
-  | { readonly kind: 'configRead'; readonly sentMs: number }
-  | {
-      readonly kind: 'configWrite';
-      readonly sentMs: number;
-      readonly callId: number;
-      readonly config: AcceptedConfig;
-    }
-  | { readonly kind: 'vmList' };
+export type PlatformOrigin = LeaseOrigin | JobOrigin | ConfigOrigin | { readonly kind: 'vmList' };
 
 /** Which target call a result belongs to. */
 export type TargetOrigin =
@@ -44,9 +36,10 @@
       readonly memberId: MemberId;
       /** Incarnation that sends it. */
       readonly sentById: MemberId;
+      readonly address: string;
       readonly sentMs: number;
     }
-  | { readonly kind: 'configFetch' }
+  | ConfigPeerOrigin
   | { readonly kind: 'oneWay' };
 
 /** Everything that can happen to a scheduler. Times are on the process's own clock. */
