--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -1,5 +1,6 @@
 /** Runs the reducers of several schedulers against one fake platform and fake targets, in virtual time. */
 
+import { Heap } from 'heap-js';
 import { SchedulerCore } from '../../src/scheduler/core';
 import type { SchedulerEffect, SchedulerEvent } from '../../src/scheduler/types';
 import type { SchedulerSettings } from '../../src/config/settings';
@@ -20,9 +21,14 @@
 
 interface Pending {
   readonly atMs: number;
+  readonly order: number;
   readonly run: () => void;
 }
 
+function comparePending(left: Pending, right: Pending): number {
+  return left.atMs - right.atMs || left.order - right.order;
+}
+
 /** One scheduler process of the world. */
 export interface Process {
   readonly index: number;
@@ -79,7 +85,9 @@
 
   #plan: WorldPlan;
 
-  #queue: Pending[] = [];
+  #queue = new Heap<Pending>(comparePending);
+
+  #order = 0;
 
   #calls = new Map<string, (value: unknown) => void>();
 
@@ -148,20 +156,12 @@
   }
 
   schedule(delayMs: number, run: () => void): void {
-    const pending = { atMs: this.nowMs + delayMs, run };
-    // Kept with the earliest last; of steps at the same time the one scheduled first is earlier.
-    let low = 0;
-    let high = this.#queue.length;
-    while (low < high) {
-      const middle = Math.floor((low + high) / 2);
-      if ((this.#queue[middle]?.atMs ?? 0) > pending.atMs) low = middle + 1;
-      else high = middle;
-    }
-    this.#queue.splice(low, 0, pending);
+    this.#order += 1;
+    this.#queue.push({ atMs: this.nowMs + delayMs, order: this.#order, run });
   }
 
   #takeNext(untilMs: number): Pending | undefined {
-    const next = this.#queue[this.#queue.length - 1];
+    const next = this.#queue.peek();
     if (next === undefined || next.atMs > untilMs) return undefined;
     return this.#queue.pop();
   }
