--- a/src/gate/core.ts
+++ b/src/gate/core.ts
@@ -5,14 +5,15 @@
 import type { GateSettings } from '../config/settings';
 import type { AcceptedConfig, TeamKey } from '../config/types';
 import type { JobSummary } from '../jobs/types';
-import type { MemberStatus, RequestStart, RpcResult, Routes, SchedulerCall } from '../rpc/types';
+import type { MemberStatus, RpcResult, Routes, SchedulerCall } from '../rpc/types';
 import { createDiagnostic } from '../types/diagnostics';
 import type { Diagnostic } from '../types/diagnostics';
 import { assertNever } from '../types/debug';
 import { getSchedulerId, toId } from '../types/ids';
-import type { MemberId, OperationId } from '../types/ids';
+import type { OperationId } from '../types/ids';
 import type { NotRunReason, RequestOutcome, Result } from '../types/outcomes';
 import { renderDiagnostic, renderJson, renderOutcome, renderResult } from './render';
+import { RequestCalls } from './requestCalls';
 import { Router } from './router';
 import type { GateAnswer, GateCall, GateEffect, GateEvent, GateOrigin } from './types';
 
@@ -20,24 +21,11 @@
 const ROUTES_TIMEOUT_MS = 800;
 const JOB_TIMEOUT_MS = 5_000;
 const GATHER_TIMEOUT_MS = 2_000;
-const MAX_ATTEMPTS = 3;
 
 type Arrived = Extract<GateEvent, { kind: 'arrived' }>;
 type Replied = Extract<GateEvent, { kind: 'schedulerReplied' }>;
 type RequestCall = Extract<GateCall, { kind: 'request' }>;
 
-/** A request that has not been answered yet. */
-interface OpenRequest {
-  readonly kind: 'request';
-  readonly call: RequestCall;
-  readonly key: TeamKey;
-  readonly deadlineMs: number;
-  readonly tried: Set<MemberId>;
-  attempt: number;
-  /** An attempt was lost, so that "not run" can no longer be said. */
-  mayHaveRun: boolean;
-}
-
 /** A call that one scheduler answers with a result. */
 interface OpenForward {
   readonly kind: 'forward';
@@ -51,7 +39,7 @@
   readonly render: (values: readonly unknown[]) => GateAnswer;
 }
 
-type OpenCall = OpenRequest | OpenForward | OpenGather;
+type OpenCall = OpenForward | OpenGather;
 
 /** State of one gate, changed by events alone. */
 export class GateCore {
@@ -61,6 +49,8 @@
 
   #router: Router;
 
+  #requests: RequestCalls;
+
   #open = new Map<number, OpenCall>();
 
   #freshUntilMs = Number.NEGATIVE_INFINITY;
@@ -83,16 +73,17 @@
     this.#settings = settings;
     this.#instance = instance;
     this.#router = new Router(settings.dataCentreId);
+    this.#requests = new RequestCalls(this.#router, instance);
   }
 
   /** Calls that are not answered yet. */
   get openCount(): number {
-    return this.#open.size;
+    return this.#open.size + this.#requests.openCount;
   }
 
   /** True when a planned stop was asked for and every call is answered. */
   get isDrained(): boolean {
-    return this.#isDraining && this.#open.size === 0;
+    return this.#isDraining && this.openCount === 0;
   }
 
   /**
@@ -103,7 +94,7 @@
   reduce(event: GateEvent): readonly GateEffect[] {
     switch (event.kind) {
       case 'tick':
-        return this.#askRoutes(event.nowMs);
+        return [...this.#askRoutes(event.nowMs), ...this.#requests.tick(event.nowMs)];
       case 'arrived':
         return this.#arrive(event);
       case 'callerGone':
@@ -164,52 +155,10 @@
     if (typeof key === 'string') return [this.#refuseRequest(callId, key)];
     const queue = this.#config.checkAdmission(key.teamId, key.keyId, call.queueId);
     if (typeof queue === 'string') return [this.#refuseRequest(callId, queue)];
-    if (this.#open.size >= this.#settings.maxOpenRequests) {
+    if (this.openCount >= this.#settings.maxOpenRequests) {
       return [this.#refuseRequest(callId, 'overloaded')];
     }
-    const deadlineMs = nowMs + call.windowMs;
-    const open: OpenRequest = {
-      kind: 'request',
-      call,
-      key,
-      deadlineMs,
-      tried: new Set(),
-      attempt: 0,
-      mayHaveRun: false,
-    };
-    this.#open.set(callId, open);
-    return this.#forwardRequest(nowMs, callId, open, 'noOwner');
-  }
-
-  /** Sends a request to the best scheduler not tried yet, or answers with the last refusal. */
-  #forwardRequest(
-    nowMs: number,
-    callId: number,
-    open: OpenRequest,
-    lastRefusal: NotRunReason,
-  ): readonly GateEffect[] {
-    const windowRemainingMs = open.deadlineMs - nowMs;
-    if (windowRemainingMs <= 0) return [this.#finishRefused(callId, open, 'windowExpired')];
-    const member =
-      open.attempt < MAX_ATTEMPTS ? this.#router.tryPick(open.call, open.tried) : undefined;
-    if (member === undefined) return [this.#finishRefused(callId, open, lastRefusal)];
-    open.tried.add(member.memberId);
-    open.attempt += 1;
-    const call: RequestStart = {
-      kind: 'startRequest',
-      requestId: open.call.requestId,
-      teamId: open.key.teamId,
-      keyId: open.key.keyId,
-      queueId: open.call.queueId,
-      serviceName: open.call.serviceName,
-      isIdempotent: open.call.isIdempotent,
-      windowRemainingMs,
-      contentType: open.call.contentType,
-      bodyBase64: open.call.body.toString('base64'),
-    };
-    const origin: GateOrigin = { kind: 'forward', callId, attempt: open.attempt };
-    const { address } = member;
-    return [{ kind: 'callScheduler', origin, address, call, timeoutMs: windowRemainingMs }];
+    return this.#requests.start(nowMs, callId, call, key);
   }
 
   #arriveJob(
@@ -365,11 +314,8 @@
     origin: Extract<GateOrigin, { kind: 'forward' }>,
     result: RpcResult<unknown>,
   ): readonly GateEffect[] {
-    const open = this.#open.get(origin.callId);
-    if (open === undefined || open.kind === 'gather') return [];
-    if (open.kind === 'request') {
-      if (open.attempt !== origin.attempt) return [];
-      return this.#settleRequest(nowMs, origin.callId, open, result as RpcResult<RequestOutcome>);
+    if (!this.#open.has(origin.callId)) {
+      return this.#requests.applyReply(nowMs, origin, result as RpcResult<RequestOutcome>);
     }
     if (result.kind === 'ok') {
       return [this.#respond(origin.callId, renderResult(result.value as Result<unknown>))];
@@ -378,62 +324,17 @@
     return [this.#refuse(origin.callId, createDiagnostic(name))];
   }
 
-  #settleRequest(
-    nowMs: number,
-    callId: number,
-    open: OpenRequest,
-    result: RpcResult<RequestOutcome>,
-  ): readonly GateEffect[] {
-    switch (result.kind) {
-      case 'ok':
-        if (result.value.kind === 'refusedNotRun' && GateCore.#isElsewhere(result.value.reason)) {
-          return this.#forwardRequest(nowMs, callId, open, result.value.reason);
-        }
-        if (result.value.kind === 'refusedNotRun') {
-          return [this.#finishRefused(callId, open, result.value.reason)];
-        }
-        return [this.#respond(callId, renderOutcome(result.value))];
-      case 'notSent':
-        return this.#forwardRequest(nowMs, callId, open, 'noOwner');
-      case 'error':
-      case 'lost': {
-        open.mayHaveRun = true;
-        if (open.call.isIdempotent) return this.#forwardRequest(nowMs, callId, open, 'noCapacity');
-        const outcome: RequestOutcome = { kind: 'unknown', detail: 'the scheduler did not answer' };
-        return [this.#respond(callId, renderOutcome(outcome))];
-      }
-      default:
-        return assertNever(result);
-    }
-  }
-
-  /** Another scheduler may be able to take what this one refused. */
-  static #isElsewhere(reason: NotRunReason): boolean {
-    return ['noOwner', 'noCapacity', 'draining', 'configStale', 'limitReached'].includes(reason);
-  }
-
   #applyGather(callId: number, result: RpcResult<unknown>): readonly GateEffect[] {
     const open = this.#open.get(callId);
-    if (open === undefined || open.kind !== 'gather') return [];
+    if (open?.kind !== 'gather') return [];
     if (result.kind === 'ok') open.values.push(result.value);
     open.remainingCount -= 1;
     return open.remainingCount > 0 ? [] : [this.#respond(callId, open.render(open.values))];
   }
 
   #applyGone(callId: number): readonly GateEffect[] {
-    const open = this.#open.get(callId);
     this.#open.delete(callId);
-    if (open === undefined || open.kind !== 'request') return [];
-    const { requestId } = open.call;
-    return this.#router.members
-      .filter((member) => open.tried.has(member.memberId))
-      .map(({ address }) => ({
-        kind: 'callScheduler',
-        origin: { kind: 'oneWay' },
-        address,
-        call: { kind: 'cancelRequest', requestId },
-        timeoutMs: ROUTES_TIMEOUT_MS,
-      }));
+    return this.#requests.applyGone(callId);
   }
 
   #admit(nowMs: number, token: string): TeamKey | NotRunReason {
@@ -456,12 +357,6 @@
     return this.#respond(callId, renderOutcome({ kind: 'refusedNotRun', reason }));
   }
 
-  #finishRefused(callId: number, open: OpenRequest, reason: NotRunReason): GateEffect {
-    if (!open.mayHaveRun) return this.#refuseRequest(callId, reason);
-    const detail = `an attempt was lost, then: ${reason}`;
-    return this.#respond(callId, renderOutcome({ kind: 'unknown', detail }));
-  }
-
   #respond(callId: number, answer: GateAnswer): GateEffect {
     this.#open.delete(callId);
     return { kind: 'respond', callId, answer };
@@ -477,7 +372,7 @@
       gateId: this.#settings.gateId,
       configVersion: this.#config.version,
       freshForMs: this.#freshUntilMs - nowMs,
-      openCalls: this.#open.size,
+      openCalls: this.openCount,
       members: this.#router.members,
       isDraining: this.#isDraining,
     };
--- a/src/gate/parse.ts
+++ b/src/gate/parse.ts
@@ -4,6 +4,8 @@
 import { tryGetBearer } from '../config/keys';
 import { tryParseChange } from '../config/sheetSchema';
 import { tryParseJobSpec } from '../jobs/jobSchema';
+import { MAX_WINDOW_MS } from '../requests/constants';
+import { isUuidV7 } from '../requests/requestId';
 import type { HttpRequest } from '../rpc/httpListener';
 import { createDiagnostic } from '../types/diagnostics';
 import type { Diagnostic } from '../types/diagnostics';
@@ -13,9 +15,7 @@
 import type { Result } from '../types/outcomes';
 import type { GateCall, ParsedCall } from './types';
 
-const MAX_WINDOW_MS = 600_000;
 const REQUEST_ID_PATTERN = /^[A-Za-z0-9._-]{1,128}$/;
-const UUID_V7_PATTERN = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
 const NAME_PATTERN = /^[A-Za-z0-9._-]{1,128}$/;
 
 function refuse(diagnostic: Diagnostic): ParsedCall {
@@ -58,14 +58,15 @@
   }
   const isIdempotent = idempotent === 'true';
   // The id of a non-idempotent request carries its issue time, which a new home needs.
-  if (!isIdempotent && !UUID_V7_PATTERN.test(requestId)) {
+  if (!isIdempotent && !isUuidV7(requestId)) {
     return refuse(createDiagnostic('badRequestId'));
   }
   return accept({
     kind: 'request',
     token,
     queueId: toId<QueueId>(queueId),
-    requestId: toId<RequestId>(requestId),
+    // The case of a UUID says nothing, and its home must not depend on it.
+    requestId: toId<RequestId>(isIdempotent ? requestId : requestId.toLowerCase()),
     windowMs,
     isIdempotent,
     serviceName,
--- a/src/gate/render.ts
+++ b/src/gate/render.ts
@@ -67,6 +67,10 @@
     }
     case 'duplicateRunning':
       return renderDiagnostic({ name: 'duplicateRunning' }, 'duplicate-running');
+    case 'alreadyRan': {
+      const detail = `status ${outcome.status}`;
+      return renderDiagnostic({ name: 'alreadyRan', detail }, 'already-ran');
+    }
     case 'failed':
       return renderDiagnostic({ name: 'failedAfterStart', detail: outcome.detail }, 'failed');
     case 'unknown':
--- /dev/null
+++ b/src/requests/requestQueue.ts
@@ -0,0 +1,145 @@
+/** Waiting requests of one service, ordered by urgency, team priority and deadline. */
+
+import type { Queue } from '../config/types';
+import { assertNever } from '../types/debug';
+
+const URGENCY_RANKS = { urgent: 0, normal: 1, background: 2 } as const;
+const COMPACT_MIN = 64;
+
+/** Where a request stands among those that wait. */
+export interface QueueRank {
+  readonly urgency: Queue['urgency'];
+  /** Lower first. */
+  readonly teamPriority: number;
+  readonly deadlineMs: number;
+}
+
+interface QueueEntry {
+  readonly callId: number;
+  readonly rank: QueueRank;
+}
+
+function isBefore(left: QueueEntry, right: QueueEntry): boolean {
+  const urgency = URGENCY_RANKS[left.rank.urgency] - URGENCY_RANKS[right.rank.urgency];
+  if (urgency !== 0) return urgency < 0;
+  const priority = left.rank.teamPriority - right.rank.teamPriority;
+  if (priority !== 0) return priority < 0;
+  if (left.rank.deadlineMs !== right.rank.deadlineMs) {
+    return left.rank.deadlineMs < right.rank.deadlineMs;
+  }
+  return left.callId < right.callId;
+}
+
+/** Binary heap (Williams, 1964) whose removed entries leave when they come to the top. */
+export class RequestQueue {
+  #heap: QueueEntry[] = [];
+
+  #live = new Map<number, QueueRank>();
+
+  #liveCounts = { urgent: 0, normal: 0, background: 0 };
+
+  /** Requests that wait. */
+  get size(): number {
+    return this.#live.size;
+  }
+
+  /**
+   * Adds a request.
+   * @param callId - which; it must not wait already
+   * @param rank - where it stands
+   */
+  push(callId: number, rank: QueueRank): void {
+    this.#live.set(callId, rank);
+    this.#liveCounts[rank.urgency] += 1;
+    this.#heap.push({ callId, rank });
+    this.#siftUp(this.#heap.length - 1);
+  }
+
+  /**
+   * Removes a request, if it waits.
+   * @param callId - which
+   */
+  remove(callId: number): void {
+    const rank = this.#live.get(callId);
+    if (rank === undefined) return;
+    this.#live.delete(callId);
+    this.#liveCounts[rank.urgency] -= 1;
+    const deadCount = this.#heap.length - this.#live.size;
+    if (deadCount < COMPACT_MIN || deadCount < this.#live.size) return;
+    this.#heap = this.#heap.filter((entry) => this.#isLive(entry));
+    for (let index = Math.floor(this.#heap.length / 2) - 1; index >= 0; index -= 1) {
+      this.#siftDown(index);
+    }
+  }
+
+  /** @returns the request that goes next, undefined when none waits */
+  peek(): number | undefined {
+    for (;;) {
+      const top = this.#heap[0];
+      if (top === undefined || this.#isLive(top)) return top?.callId;
+      this.#removeTop();
+    }
+  }
+
+  /**
+   * Counts the requests that would go before a new one, up to those of equal urgency.
+   * @param urgency - of the new request
+   * @returns the requests ahead of it
+   */
+  countAhead(urgency: Queue['urgency']): number {
+    const { urgent, normal, background } = this.#liveCounts;
+    switch (urgency) {
+      case 'urgent':
+        return urgent;
+      case 'normal':
+        return urgent + normal;
+      case 'background':
+        return urgent + normal + background;
+      default:
+        return assertNever(urgency);
+    }
+  }
+
+  #isLive(entry: QueueEntry): boolean {
+    return this.#live.get(entry.callId) === entry.rank;
+  }
+
+  #removeTop(): void {
+    const last = this.#heap.pop();
+    if (last === undefined || this.#heap.length === 0) return;
+    this.#heap[0] = last;
+    this.#siftDown(0);
+  }
+
+  #siftUp(start: number): void {
+    let index = start;
+    while (index > 0) {
+      const parent = Math.floor((index - 1) / 2);
+      if (!this.#trySwap(index, parent)) return;
+      index = parent;
+    }
+  }
+
+  #siftDown(start: number): void {
+    let index = start;
+    for (;;) {
+      const left = 2 * index + 1;
+      const [leftEntry, rightEntry] = [this.#heap[left], this.#heap[left + 1]];
+      if (leftEntry === undefined) return;
+      const isRight = rightEntry !== undefined && isBefore(rightEntry, leftEntry);
+      const child = isRight ? left + 1 : left;
+      if (!this.#trySwap(child, index)) return;
+      index = child;
+    }
+  }
+
+  /** Swaps a child with its parent when it goes first. */
+  #trySwap(child: number, parent: number): boolean {
+    const [childEntry, parentEntry] = [this.#heap[child], this.#heap[parent]];
+    if (childEntry === undefined || parentEntry === undefined) return false;
+    if (!isBefore(childEntry, parentEntry)) return false;
+    this.#heap[child] = parentEntry;
+    this.#heap[parent] = childEntry;
+    return true;
+  }
+}
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -1,87 +1,83 @@
 /** Admits, queues, starts, retries and answers the requests of one scheduler. */
 
-import type { Charge, ChargeResult, Target } from '../placement/types';
 import type { TargetPool } from '../placement/targetPool';
-import type { TargetResult } from '../target/types';
+import type { TargetReport, TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import { NO_RESOURCES, getDominantFraction } from '../types/resources';
-import type { RequestId } from '../types/ids';
+import type { TargetId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
+import { MAX_ATTEMPTS, MAX_WAITING_REQUESTS } from './constants';
+import { LingeringCharges } from './lingeringCharges';
+import { createTargetCall, getNotRunReason, OpenRequest } from './openRequest';
+import type { OutcomeMemory } from './outcomeMemory';
+import { getRequestKey } from './requestId';
+import type { RequestKey } from './requestId';
+import { RetryBudget } from './retryBudget';
+import { TargetChooser } from './targetChoice';
+import type { ChosenTarget } from './targetChoice';
 import type {
   ArrivedRequest,
+  HomeGuard,
   RequestEffect,
   RequestOrigin,
   StartGuard,
-  StartPermit,
+  TeamOrder,
 } from './types';
+import { WaitingRoom } from './waitingRoom';
 
-/** What one request takes of a target while it runs. */
-export const REQUEST_DEMAND = { ...NO_RESOURCES, slots: 1, connections: 1 };
+const EQUAL_TEAMS: TeamOrder = { getPriority: () => 0 };
 
-const MAX_ATTEMPTS = 3;
-
-interface OpenRequest {
-  readonly arrived: ArrivedRequest;
-  readonly deadlineMs: number;
-  attempt: number;
-  charge: Charge | undefined;
-  /** An attempt was lost, so that "not run" can no longer be said. */
-  mayHaveRun: boolean;
-}
-
-interface ChosenTarget {
-  readonly target: Target;
-  readonly permit: StartPermit;
+/** What the request table decides with. */
+export interface RequestPorts {
+  readonly pool: TargetPool;
+  readonly guard: StartGuard;
+  readonly homes: HomeGuard;
+  readonly memory: OutcomeMemory;
+  readonly teamOrder?: TeamOrder;
 }
 
-function createTargetCall(
-  nowMs: number,
-  request: OpenRequest,
-  { target, permit }: ChosenTarget,
-): RequestEffect {
-  const { call } = request.arrived;
-  request.attempt += 1;
-  const timeoutMs = Math.max(1, request.deadlineMs - nowMs);
-  return {
-    kind: 'callTarget',
-    origin: { kind: 'request', requestId: call.requestId, attempt: request.attempt },
-    address: target.address,
-    call: {
-      kind: 'request',
-      token: { shardId: target.shardId, epoch: permit.epoch },
-      requestId: call.requestId,
-      teamId: call.teamId,
-      timeoutMs,
-      contentType: call.contentType,
-      bodyBase64: call.bodyBase64,
-    },
-    timeoutMs,
-    notAfterMs: Math.min(permit.untilMs, request.deadlineMs),
-  };
-}
+/** What came of trying to start a request. */
+type StartAttempt =
+  | { readonly kind: 'started'; readonly effect: RequestEffect }
+  | { readonly kind: 'full' }
+  | { readonly kind: 'refused'; readonly reason: NotRunReason };
 
 /** The request reducer of one scheduler. */
 export class RequestTable {
+  #homes: HomeGuard;
+
+  #memory: OutcomeMemory;
+
+  #chooser: TargetChooser;
+
+  #waiting: WaitingRoom;
+
+  #lingering: LingeringCharges;
+
   #pool: TargetPool;
 
-  #guard: StartGuard;
+  #budget = new RetryBudget();
+
+  #open = new Map<number, OpenRequest>();
 
-  #open = new Map<RequestId, OpenRequest>();
+  #callIds = new Map<RequestKey, number>();
 
-  #waiting: RequestId[] = [];
+  #callIdsByCancelId = new Map<string, number>();
 
   /**
-   * @param pool - budgets of the targets
-   * @param guard - the check at the moment of each start
+   * @param ports - what it decides with
    */
-  constructor(pool: TargetPool, guard: StartGuard) {
-    this.#pool = pool;
-    this.#guard = guard;
+  constructor(ports: RequestPorts) {
+    this.#pool = ports.pool;
+    this.#homes = ports.homes;
+    this.#memory = ports.memory;
+    this.#chooser = new TargetChooser(ports.pool, ports.guard);
+    this.#waiting = new WaitingRoom(ports.teamOrder ?? EQUAL_TEAMS);
+    this.#lingering = new LingeringCharges(ports.pool);
   }
 
   /** Requests that wait for a target. */
   get waitingCount(): number {
-    return this.#waiting.length;
+    return this.#waiting.size;
   }
 
   /** Requests that are not answered yet. */
@@ -90,42 +86,43 @@
   }
 
   /**
-   * Takes in a request.
+   * Takes in a request; the id of a non-idempotent one must be in state `unseen`.
    * @param nowMs - this process's clock
    * @param arrived - the request
    * @returns what to do
    */
   start(nowMs: number, arrived: ArrivedRequest): readonly RequestEffect[] {
     const { call, callId } = arrived;
-    if (this.#open.has(call.requestId)) {
+    const key = getRequestKey(call.teamId, call.requestId);
+    if (this.#callIds.has(key)) {
       return [{ kind: 'reply', callId, outcome: { kind: 'duplicateRunning' } }];
     }
-    const deadlineMs = nowMs + call.windowRemainingMs;
-    const request: OpenRequest = {
-      arrived,
-      deadlineMs,
-      attempt: 0,
-      charge: undefined,
-      mayHaveRun: false,
-    };
-    this.#open.set(call.requestId, request);
-    return this.#tryStart(nowMs, request);
+    const request = new OpenRequest(arrived, nowMs + call.windowRemainingMs);
+    this.#open.set(callId, request);
+    this.#callIds.set(key, callId);
+    this.#callIdsByCancelId.set(call.cancelId, callId);
+    if (!call.isIdempotent) this.#memory.reserve(call.teamId, call.requestId);
+    this.#budget.recordRequest(nowMs);
+    // Those that wait already go first.
+    if (this.#waiting.has(call.serviceName)) return this.#admitToWait(nowMs, request);
+    return this.#startOrAdmit(nowMs, request);
   }
 
   /**
    * Cancels a request that has not started.
-   * @param requestId - which
+   * @param nowMs - this process's clock
+   * @param cancelId - which, as its gate named it
    * @returns what to do
    */
-  cancel(requestId: RequestId): readonly RequestEffect[] {
-    const request = this.#open.get(requestId);
-    if (request === undefined || request.charge !== undefined) return [];
-    return [this.#finishRefused(request, 'cancelled')];
+  cancel(nowMs: number, cancelId: string): readonly RequestEffect[] {
+    const request = this.#open.get(this.#callIdsByCancelId.get(cancelId) ?? -1);
+    if (request === undefined || request.running !== undefined) return [];
+    return [this.#finishRefused(nowMs, request, 'cancelled')];
   }
 
   /**
    * Takes in what came of a call to a target. A result for an earlier attempt or an unknown request
-   * is dropped.
+   * is dropped and counted.
    * @param nowMs - this process's clock
    * @param origin - which attempt of which request
    * @param result - what came
@@ -136,130 +133,194 @@
     origin: RequestOrigin,
     result: TargetResult,
   ): readonly RequestEffect[] {
-    const request = this.#open.get(origin.requestId);
-    if (request === undefined || request.attempt !== origin.attempt) return [];
-    const targetId = request.charge?.targetId ?? '';
-    this.#releaseCharge(request);
-    return [...this.#settle(nowMs, request, targetId, result), ...this.startWaiting(nowMs)];
+    const request = this.#open.get(origin.callId);
+    if (request === undefined || request.attempt !== origin.attempt) {
+      return [{ kind: 'count', name: 'late_target_answers' }];
+    }
+    const { running } = request;
+    if (running !== undefined) this.#endAttempt(nowMs, request, running, result);
+    return [
+      ...this.#settle(nowMs, request, running?.target.targetId, result),
+      ...this.startWaiting(nowMs),
+    ];
   }
 
   /**
-   * Starts what waits as far as there is room, and refuses what waited past its window.
+   * Takes in what a target reports to be running, so that lost requests that ended are given back.
    * @param nowMs - this process's clock
+   * @param targetId - which target
+   * @param report - what it reports
    * @returns what to do
    */
-  startWaiting(nowMs: number): readonly RequestEffect[] {
-    const waiting = this.#waiting;
-    this.#waiting = [];
-    return waiting.flatMap((requestId) => {
-      const request = this.#open.get(requestId);
-      return request === undefined ? [] : this.#tryStart(nowMs, request);
+  applyReport(nowMs: number, targetId: TargetId, report: TargetReport): readonly RequestEffect[] {
+    return this.#lingering.settle(nowMs, targetId, report) ? this.startWaiting(nowMs) : [];
+  }
+
+  /**
+   * Refuses what waited past its window and starts what there is room for.
+   * @param nowMs - this process's clock
+   * @returns what to do
+   */
+  tick(nowMs: number): readonly RequestEffect[] {
+    const expired = this.#waiting.getExpired(nowMs).flatMap((callId) => {
+      const request = this.#open.get(callId);
+      return request === undefined ? [] : [this.#finishRefused(nowMs, request, 'windowExpired')];
     });
+    return [...expired, ...this.startWaiting(nowMs)];
+  }
+
+  /**
+   * Starts what waits as far as there is room, in the order of the queues.
+   * @param nowMs - this process's clock
+   * @returns what to do
+   */
+  startWaiting(nowMs: number): readonly RequestEffect[] {
+    return this.#waiting.serviceNames.flatMap((name) => this.#startWaitingOf(nowMs, name));
+  }
+
+  #startWaitingOf(nowMs: number, serviceName: string): readonly RequestEffect[] {
+    const effects: RequestEffect[] = [];
+    for (;;) {
+      const request = this.#open.get(this.#waiting.peek(serviceName) ?? -1);
+      if (request === undefined) return effects;
+      if (this.#waiting.isPastHope(nowMs, request)) {
+        effects.push(this.#finishRefused(nowMs, request, 'windowExpired'));
+        continue;
+      }
+      const attempt = this.#tryStart(nowMs, request);
+      if (attempt.kind === 'full') return effects;
+      this.#waiting.remove(request);
+      if (attempt.kind === 'started') effects.push(attempt.effect);
+      else effects.push(this.#finishRefused(nowMs, request, attempt.reason));
+    }
+  }
+
+  #startOrAdmit(nowMs: number, request: OpenRequest): readonly RequestEffect[] {
+    const attempt = this.#tryStart(nowMs, request);
+    switch (attempt.kind) {
+      case 'started':
+        return [attempt.effect];
+      case 'full':
+        return this.#admitToWait(nowMs, request);
+      case 'refused':
+        return [this.#finishRefused(nowMs, request, attempt.reason)];
+      default:
+        return assertNever(attempt);
+    }
+  }
+
+  /** Refuses at once what would not be answered within its window. */
+  #admitToWait(nowMs: number, request: OpenRequest): readonly RequestEffect[] {
+    const isFull = this.#waiting.size >= MAX_WAITING_REQUESTS;
+    if (isFull || !this.#waiting.isHopeful(nowMs, request)) {
+      return [this.#finishRefused(nowMs, request, 'overloaded')];
+    }
+    this.#waiting.push(request);
+    return [];
+  }
+
+  #endAttempt(
+    nowMs: number,
+    request: OpenRequest,
+    running: ChosenTarget,
+    result: TargetResult,
+  ): void {
+    const { serviceName } = request.arrived.call;
+    request.running = undefined;
+    this.#waiting.recordEnd(serviceName);
+    if (result.kind === 'answer')
+      this.#waiting.times.record(serviceName, nowMs - request.startedMs);
+    // What was lost may still run and take its slot.
+    if (result.kind === 'lost') this.#lingering.add(nowMs, running.charge);
+    else this.#pool.release(running.charge);
   }
 
   #settle(
     nowMs: number,
     request: OpenRequest,
-    targetId: string,
+    targetId: TargetId | undefined,
     result: TargetResult,
   ): readonly RequestEffect[] {
-    const { isIdempotent } = request.arrived.call;
     switch (result.kind) {
       case 'answer': {
         const { status, contentType, bodyBase64 } = result;
-        const outcome = { kind: 'answered', status, contentType, bodyBase64, targetId } as const;
-        return [this.#finish(request, outcome)];
+        const answer = { status, contentType, bodyBase64, targetId: targetId ?? '' };
+        return [this.#finish(nowMs, request, { kind: 'answered', ...answer })];
       }
       case 'refused':
       case 'notSent':
         if (request.attempt >= MAX_ATTEMPTS) {
-          return [this.#finishRefused(request, 'targetRefused')];
+          return [this.#finishRefused(nowMs, request, 'targetRefused')];
         }
-        return this.#tryStart(nowMs, request);
+        return this.#startOrAdmit(nowMs, request);
       case 'lost':
         request.mayHaveRun = true;
-        if (isIdempotent && request.attempt < MAX_ATTEMPTS && nowMs < request.deadlineMs) {
-          return this.#tryStart(nowMs, request);
-        }
-        return [this.#finish(request, { kind: 'unknown', detail: result.detail })];
+        if (this.#mayRetry(nowMs, request)) return this.#startOrAdmit(nowMs, request);
+        return [this.#finish(nowMs, request, { kind: 'unknown', detail: result.detail })];
       case 'accepted':
       case 'report':
-        return [this.#finish(request, { kind: 'unknown', detail: 'unexpected answer' })];
+        return [this.#finish(nowMs, request, { kind: 'unknown', detail: 'unexpected answer' })];
       default:
         return assertNever(result);
     }
   }
 
-  #tryStart(nowMs: number, request: OpenRequest): readonly RequestEffect[] {
-    if (nowMs >= request.deadlineMs) return [this.#finishRefused(request, 'windowExpired')];
-    const { call } = request.arrived;
-    const candidates =
-      call.serviceName === ''
-        ? this.#guard.getCandidates()
-        : this.#guard.getReplicas(call.serviceName);
-    const target = this.#getLeastLoaded(nowMs, candidates);
-    const permit = target && this.#guard.tryGetPermit(target, nowMs);
-    if (target === undefined || permit === undefined) return this.#wait(request);
-    const charged = this.#pool.tryCharge(target.targetId, call.teamId, REQUEST_DEMAND);
-    return this.#applyCharge(nowMs, request, { target, permit }, charged);
+  /** An attempt that may have run is repeated only when running twice does no harm. */
+  #mayRetry(nowMs: number, request: OpenRequest): boolean {
+    if (!request.arrived.call.isIdempotent) return false;
+    if (request.attempt >= MAX_ATTEMPTS || nowMs >= request.deadlineMs) return false;
+    return this.#budget.trySpend(nowMs);
   }
 
-  #applyCharge(
-    nowMs: number,
-    request: OpenRequest,
-    chosen: ChosenTarget,
-    charged: ChargeResult,
-  ): readonly RequestEffect[] {
-    switch (charged.kind) {
+  #tryStart(nowMs: number, request: OpenRequest): StartAttempt {
+    const { call } = request.arrived;
+    if (nowMs >= request.deadlineMs) return { kind: 'refused', reason: 'windowExpired' };
+    const homeUntilMs = call.isIdempotent
+      ? Number.POSITIVE_INFINITY
+      : this.#homes.getHomeUntilMs(call.requestId);
+    if (nowMs >= homeUntilMs) return { kind: 'refused', reason: 'noOwner' };
+    const choice = this.#chooser.tryChoose(nowMs, call, request.triedTargetIds);
+    switch (choice.kind) {
+      case 'full':
+        return { kind: 'full' };
       case 'limitReached':
-        return [this.#finishRefused(request, 'limitReached')];
-      case 'noCapacity':
-        return this.#wait(request);
-      case 'charged':
-        request.charge = charged.charge;
-        return [createTargetCall(nowMs, request, chosen)];
+      case 'noTarget':
+        return { kind: 'refused', reason: getNotRunReason(choice.kind, call.serviceName) };
+      case 'chosen': {
+        request.begin(nowMs, choice.chosen);
+        this.#waiting.recordStart(call.serviceName);
+        const attemptMs = this.#getAttemptMs(nowMs, request);
+        return {
+          kind: 'started',
+          effect: createTargetCall(nowMs, request, choice.chosen, { attemptMs, homeUntilMs }),
+        };
+      }
       default:
-        return assertNever(charged);
+        return assertNever(choice);
     }
   }
 
-  #getLeastLoaded(nowMs: number, candidates: readonly Target[]): Target | undefined {
-    let best: Target | undefined;
-    let bestFraction = Number.POSITIVE_INFINITY;
-    candidates.forEach((target) => {
-      if (this.#guard.tryGetPermit(target, nowMs) === undefined) return;
-      const free = this.#pool.getFree(target.targetId);
-      if (free.slots < 1 || free.connections < 1) return;
-      const fraction = getDominantFraction(
-        { ...NO_RESOURCES, slots: target.capacity.slots - free.slots },
-        target.capacity,
-      );
-      if (fraction >= bestFraction) return;
-      best = target;
-      bestFraction = fraction;
-    });
-    return best;
-  }
-
-  #wait(request: OpenRequest): readonly RequestEffect[] {
-    this.#waiting.push(request.arrived.call.requestId);
-    return [];
-  }
-
-  #releaseCharge(request: OpenRequest): void {
-    if (request.charge === undefined) return;
-    this.#pool.release(request.charge);
-    request.charge = undefined;
+  /** A first attempt is given up early only where a second could still be made. */
+  #getAttemptMs(nowMs: number, request: OpenRequest): number {
+    const { isIdempotent, serviceName } = request.arrived.call;
+    const isLast = request.attempt >= MAX_ATTEMPTS;
+    if (!isIdempotent || isLast || !this.#budget.canSpend(nowMs)) return Number.POSITIVE_INFINITY;
+    return this.#waiting.times.getAttemptMs(serviceName);
   }
 
-  #finishRefused(request: OpenRequest, reason: NotRunReason): RequestEffect {
-    if (!request.mayHaveRun) return this.#finish(request, { kind: 'refusedNotRun', reason });
+  #finishRefused(nowMs: number, request: OpenRequest, reason: NotRunReason): RequestEffect {
+    if (!request.mayHaveRun) return this.#finish(nowMs, request, { kind: 'refusedNotRun', reason });
     const detail = `an attempt was lost, then: ${reason}`;
-    return this.#finish(request, { kind: 'unknown', detail });
+    return this.#finish(nowMs, request, { kind: 'unknown', detail });
   }
 
-  #finish(request: OpenRequest, outcome: RequestOutcome): RequestEffect {
-    this.#open.delete(request.arrived.call.requestId);
-    return { kind: 'reply', callId: request.arrived.callId, outcome };
+  #finish(nowMs: number, request: OpenRequest, outcome: RequestOutcome): RequestEffect {
+    const { call, callId } = request.arrived;
+    this.#waiting.remove(request);
+    this.#open.delete(callId);
+    this.#callIds.delete(getRequestKey(call.teamId, call.requestId));
+    this.#callIdsByCancelId.delete(call.cancelId);
+    if (!call.isIdempotent) this.#memory.record(nowMs, call.teamId, call.requestId, outcome);
+    return { kind: 'reply', callId, outcome };
   }
 }
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -4,13 +4,13 @@
 import type { Target } from '../placement/types';
 import type { RequestStart } from '../rpc/types';
 import type { TargetCall } from '../target/types';
-import type { Epoch, RequestId } from '../types/ids';
+import type { Epoch, RequestId, TeamId } from '../types/ids';
 import type { RequestOutcome } from '../types/outcomes';
 
 /** Which call a target's result belongs to. */
 export interface RequestOrigin {
   readonly kind: 'request';
-  readonly requestId: RequestId;
+  readonly callId: number;
   readonly attempt: number;
 }
 
@@ -25,7 +25,8 @@
       /** The call must not leave after this time on this process's clock. */
       readonly notAfterMs: number;
     }
-  | { readonly kind: 'reply'; readonly callId: number; readonly outcome: RequestOutcome };
+  | { readonly kind: 'reply'; readonly callId: number; readonly outcome: RequestOutcome }
+  | { readonly kind: 'count'; readonly name: string };
 
 /** Right to start work on one target now. */
 export interface StartPermit {
@@ -50,6 +51,24 @@
   getReplicas(serviceName: string): readonly Target[];
 }
 
+/** Says for which non-idempotent ids this scheduler is the home. */
+export interface HomeGuard {
+  /**
+   * @param requestId - the id
+   * @returns the end of this scheduler's authority over it; negative infinity when it has none
+   */
+  getHomeUntilMs(requestId: RequestId): number;
+}
+
+/** Says whose requests go first when targets are scarce. */
+export interface TeamOrder {
+  /**
+   * @param teamId - a team
+   * @returns its priority, lower first
+   */
+  getPriority(teamId: TeamId): number;
+}
+
 /** A request as it arrived, with what the configuration says of its queue. */
 export interface ArrivedRequest {
   readonly callId: number;
--- a/src/rpc/httpCaller.ts
+++ b/src/rpc/httpCaller.ts
@@ -29,12 +29,7 @@
   readonly timeoutMs: number;
 }
 
-const NOT_SENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 
 function getCode(error: unknown): string {
   if (typeof error !== 'object' || error === null) return 'unknown';
@@ -42,6 +37,18 @@
   return 'name' in error ? String(error.name) : 'unknown';
 }
 
+/**
+ * Asks whether a failure proves that no byte of a request left. The codes of a failed connection can
+ * also come from one that was established, so the failed system call decides.
+ * @param error - what the request failed with
+ * @returns true when no connection came about
+ */
+export function isConnectFailure(error: unknown): boolean {
+  if (typeof error !== 'object' || error === null) return false;
+  if (getCode(error) === CONNECT_TIMEOUT_CODE) return true;
+  return 'syscall' in error && error.syscall === 'connect';
+}
+
 /** Keeps connections to peers open between calls. */
 export class HttpCaller {
   #agent = new Agent({
@@ -81,7 +88,7 @@
       return { kind: 'response', status: response.statusCode, contentType, body };
     } catch (error) {
       const code = getCode(error);
-      if (!NOT_SENT_CODES.has(code)) return { kind: 'lost', detail: code };
+      if (!isConnectFailure(error)) return { kind: 'lost', detail: code };
       return { kind: 'notSent', isRefused: code === 'ECONNREFUSED', detail: code };
     }
   }
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -37,6 +37,8 @@
 export interface RequestStart {
   readonly kind: 'startRequest';
   readonly requestId: RequestId;
+  /** Names this call of this gate, so that only its own caller can cancel it. */
+  readonly cancelId: string;
   readonly teamId: TeamId;
   readonly keyId: KeyId;
   readonly queueId: QueueId;
@@ -72,7 +74,7 @@
       readonly operationId: OperationId;
     }
   | RequestStart
-  | { readonly kind: 'cancelRequest'; readonly requestId: RequestId }
+  | { readonly kind: 'cancelRequest'; readonly cancelId: string }
   | { readonly kind: 'submitJob'; readonly spec: JobSpec; readonly teamId: TeamId }
   | { readonly kind: 'getJob'; readonly jobId: JobId; readonly teamId: TeamId }
   | { readonly kind: 'listJobs'; readonly teamId: TeamId }
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -16,24 +16,15 @@
 import { TargetPool } from '../placement/targetPool';
 import type { Target } from '../placement/types';
 import type { Vm } from '../platform/types';
-import { RequestTable } from '../requests/requestTable';
-import type { RequestEffect } from '../requests/types';
-import type {
-  HeartbeatReply,
-  MemberStatus,
-  RequestStart,
-  Routes,
-  SchedulerCall,
-  ShardOwner,
-} from '../rpc/types';
+import type { HeartbeatReply, MemberStatus, Routes, SchedulerCall, ShardOwner } from '../rpc/types';
 import { createDiagnostic } from '../types/diagnostics';
 import { assertNever } from '../types/debug';
 import { toId } from '../types/ids';
 import type { MemberId, ShardId, TargetId } from '../types/ids';
 import { fail, ok } from '../types/outcomes';
-import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
+import { RequestDuty } from './requestDuty';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
 const CONFIG_READ_INTERVAL_MS = 1_000;
@@ -53,19 +44,7 @@
 type PlatformReplied = Extract<SchedulerEvent, { kind: 'platformReplied' }>;
 type TargetReplied = Extract<SchedulerEvent, { kind: 'targetReplied' }>;
 type PeerReplied = Extract<SchedulerEvent, { kind: 'peerReplied' }>;
-
-function fromRequests(effects: readonly RequestEffect[]): readonly SchedulerEffect[] {
-  return effects.map((effect): SchedulerEffect => {
-    switch (effect.kind) {
-      case 'callTarget':
-        return effect;
-      case 'reply':
-        return { kind: 'replyCall', callId: effect.callId, value: effect.outcome };
-      default:
-        return assertNever(effect);
-    }
-  });
-}
+type Called = Extract<SchedulerEvent, { kind: 'called' }>;
 
 /** State of one scheduler, changed by events alone. */
 export class SchedulerCore {
@@ -81,7 +60,7 @@
 
   #ownership: Ownership;
 
-  #requests: RequestTable;
+  #requests: RequestDuty;
 
   #tasks: TaskRunner;
 
@@ -102,7 +81,7 @@
     const { dataCentreId, region, advertisedAddress } = settings;
     this.#lease = new LeaseKeeper(memberId, { address: advertisedAddress, dataCentreId, region });
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestTable(this.#pool, this.#ownership);
+    this.#requests = new RequestDuty(this.#lease, this.#config, this.#pool, this.#ownership);
     this.#tasks = new TaskRunner(this.#pool, this.#ownership);
     this.#ownership.setReplicas(this.#tasks);
   }
@@ -121,7 +100,7 @@
   reduce(event: SchedulerEvent): readonly SchedulerEffect[] {
     switch (event.kind) {
       case 'tick':
-        return this.#tick(event.nowMs);
+        return this.#tick(event.nowMs, event.wallMs);
       case 'platformReplied':
         return this.#applyPlatform(event);
       case 'targetReplied':
@@ -129,7 +108,7 @@
       case 'peerReplied':
         return this.#applyPeer(event);
       case 'called':
-        return this.#answer(event.nowMs, event.callId, event.call);
+        return this.#answer(event);
       case 'drainRequested':
         this.#isDraining = true;
         return [{ kind: 'log', message: 'draining', fields: {} }];
@@ -138,7 +117,7 @@
     }
   }
 
-  #tick(nowMs: number): readonly SchedulerEffect[] {
+  #tick(nowMs: number, wallMs: number): readonly SchedulerEffect[] {
     const placements = getShardPlacements(this.#config.config.sheet);
     const context = {
       shards: placements,
@@ -151,7 +130,7 @@
       ...this.#listVms(nowMs),
       ...this.#sendHeartbeats(nowMs),
       ...this.#askReports(nowMs),
-      ...fromRequests(this.#requests.startWaiting(nowMs)),
+      ...this.#requests.tick(nowMs, wallMs),
       ...this.#fromJobs(nowMs, this.#jobs.tick(nowMs)),
     ];
   }
@@ -233,7 +212,7 @@
   #applyTarget({ nowMs, origin, result }: TargetReplied): readonly SchedulerEffect[] {
     switch (origin.kind) {
       case 'request':
-        return fromRequests(this.#requests.applyTargetResult(nowMs, origin, result));
+        return this.#requests.applyTargetResult(nowMs, origin, result);
       case 'taskStart':
       case 'taskAcknowledge':
         return this.#fromTasks(nowMs, this.#tasks.applyTargetResult(origin, result));
@@ -257,7 +236,10 @@
     if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
     const effects = this.#tasks.applyReport(target, permit, result.report);
     this.#ownership.markSettled(target.targetId, origin.epoch);
-    return this.#fromTasks(nowMs, effects);
+    return [
+      ...this.#fromTasks(nowMs, effects),
+      ...this.#requests.applyReport(nowMs, target.targetId, result.report),
+    ];
   }
 
   #applyPeer({ nowMs, origin, result }: PeerReplied): readonly SchedulerEffect[] {
@@ -285,7 +267,7 @@
     return [{ kind: 'callPeer', origin, address: status.address, call: { kind: 'getConfig' } }];
   }
 
-  #answer(nowMs: number, callId: number, call: SchedulerCall): readonly SchedulerEffect[] {
+  #answer({ nowMs, wallMs, callId, call }: Called): readonly SchedulerEffect[] {
     const reply = (value: unknown): SchedulerEffect => ({ kind: 'replyCall', callId, value });
     switch (call.kind) {
       case 'heartbeat':
@@ -303,9 +285,9 @@
       case 'changeConfig':
         return this.#changeConfig(nowMs, callId, call);
       case 'startRequest':
-        return this.#startRequest(nowMs, callId, call);
+        return this.#requests.start({ nowMs, wallMs, callId, isDraining: this.#isDraining }, call);
       case 'cancelRequest':
-        return [reply({}), ...fromRequests(this.#requests.cancel(call.requestId))];
+        return [reply({}), ...this.#requests.cancel(nowMs, call.cancelId)];
       case 'submitJob':
         return this.#fromJobs(nowMs, this.#jobs.submit(callId, call.spec, call.teamId));
       case 'getJob':
@@ -328,20 +310,6 @@
     }
   }
 
-  #startRequest(nowMs: number, callId: number, call: RequestStart): readonly SchedulerEffect[] {
-    const refuse = (reason: NotRunReason): readonly SchedulerEffect[] => {
-      const outcome: RequestOutcome = { kind: 'refusedNotRun', reason };
-      return [{ kind: 'replyCall', callId, value: outcome }];
-    };
-    if (this.#isDraining) return refuse('draining');
-    if (nowMs >= this.#config.getFreshUntilMs()) return refuse('configStale');
-    const queue = this.#config.checkAdmission(call.teamId, call.keyId, call.queueId);
-    if (typeof queue === 'string') return refuse(queue);
-    const isHome = nowMs < this.#lease.getAuthorityUntilMs(getHomeShard(call.requestId));
-    if (!call.isIdempotent && !isHome) return refuse('noOwner');
-    return fromRequests(this.#requests.start(nowMs, { callId, call, queue }));
-  }
-
   #changeConfig(
     nowMs: number,
     callId: number,
@@ -427,6 +395,7 @@
   #onAcquired(nowMs: number, shardId: ShardId, epoch: number): readonly SchedulerEffect[] {
     this.#ownership.markAcquired(shardId, nowMs);
     this.#due.reportMs = nowMs;
+    if (isHomeShard(shardId)) this.#requests.markTakenOver(shardId);
     const loads = isHomeShard(shardId) ? createShardLoad(shardId) : [];
     return [
       { kind: 'log', message: 'shard acquired', fields: { shardId, epoch } },
@@ -527,6 +496,7 @@
       configFreshForMs: this.#config.getFreshUntilMs() - nowMs,
       openRequests: this.#requests.openCount,
       waitingRequests: this.#requests.waitingCount,
+      requestMemory: this.#requests.memoryUse,
       tasks: this.#tasks.taskCount,
       jobs: this.#jobs.jobCount,
     };
--- a/src/scheduler/shell.ts
+++ b/src/scheduler/shell.ts
@@ -54,7 +54,8 @@
 
   /** Applies the passing of time. */
   tick(): void {
-    this.#dispatch({ kind: 'tick', nowMs: this.#ports.clock.nowMs() });
+    const { clock } = this.#ports;
+    this.#dispatch({ kind: 'tick', nowMs: clock.nowMs(), wallMs: clock.wallMs() });
   }
 
   /** Begins a planned stop. */
@@ -77,7 +78,8 @@
         this.#ports.metrics.record(`call_${call.kind}`, this.#ports.clock.nowMs() - receivedMs);
         resolve(value);
       });
-      this.#dispatch({ kind: 'called', nowMs: receivedMs, callId, call });
+      const wallMs = this.#ports.clock.wallMs();
+      this.#dispatch({ kind: 'called', nowMs: receivedMs, wallMs, callId, call });
     });
   }
 
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -43,7 +43,7 @@
 
 /** Everything that can happen to a scheduler. Times are on the process's own clock. */
 export type SchedulerEvent =
-  | { readonly kind: 'tick'; readonly nowMs: number }
+  | { readonly kind: 'tick'; readonly nowMs: number; readonly wallMs: number }
   | {
       readonly kind: 'platformReplied';
       readonly nowMs: number;
@@ -65,6 +65,7 @@
   | {
       readonly kind: 'called';
       readonly nowMs: number;
+      readonly wallMs: number;
       readonly callId: number;
       readonly call: SchedulerCall;
     }
--- a/src/target/httpTarget.ts
+++ b/src/target/httpTarget.ts
@@ -1,18 +1,29 @@
 /** Talks to targets over plain HTTP; nothing outside this file knows the wire. */
 
+import * as z from 'zod';
 import type { HttpCaller } from '../rpc/httpCaller';
 import type { TargetCall, TargetClient, TargetResult } from './types';
 
 const HTTP_OK = 200;
 
-function isTargetResult(value: unknown): value is TargetResult {
-  return typeof value === 'object' && value !== null && 'kind' in value;
-}
+const resultSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('accepted') }),
+  z.object({ kind: z.literal('report'), report: z.looseObject({ tasks: z.array(z.unknown()) }) }),
+  z.object({
+    kind: z.literal('answer'),
+    requestId: z.string(),
+    status: z.int().min(200).max(599),
+    contentType: z.string().regex(/^[\t\x20-\x7e]*$/),
+    bodyBase64: z.base64(),
+  }),
+  z.object({ kind: z.literal('refused'), detail: z.string(), highestEpoch: z.number() }),
+]);
 
+/** What is malformed may come from a call that took effect. */
 function parseResult(body: Buffer): TargetResult {
   try {
-    const value: unknown = JSON.parse(body.toString('utf8'));
-    if (isTargetResult(value)) return value;
+    const parsed = resultSchema.safeParse(JSON.parse(body.toString('utf8')));
+    if (parsed.success) return parsed.data as unknown as TargetResult;
     return { kind: 'lost', detail: 'malformed answer' };
   } catch {
     return { kind: 'lost', detail: 'malformed answer' };
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -37,6 +37,7 @@
   targetRefused: row('HW3011', 503, 'not run: the target refused the start'),
   failedAfterStart: row('HW4001', 502, 'the request started and its target failed'),
   outcomeUnknown: row('HW4002', 504, 'the request may have run; its answer is lost'),
+  alreadyRan: row('HW4003', 409, 'the request has run; its answer is no longer kept'),
   unknownJob: row('HW5001', 404, 'no such job'),
   duplicateJob: row('HW5002', 409, 'a different job with this id exists'),
   jobUnplaceable: row('HW5003', 422, 'no target could ever run this job'),
--- a/src/types/outcomes.ts
+++ b/src/types/outcomes.ts
@@ -32,6 +32,8 @@
     }
   | { readonly kind: 'refusedNotRun'; readonly reason: NotRunReason; readonly detail?: string }
   | { readonly kind: 'duplicateRunning' }
+  /** It has run and was answered, and its answer is no longer kept. */
+  | { readonly kind: 'alreadyRan'; readonly status: number }
   | { readonly kind: 'failed'; readonly detail: string }
   | { readonly kind: 'unknown'; readonly detail: string };
 
--- a/tests/scheduler.test.ts
+++ b/tests/scheduler.test.ts
@@ -35,6 +35,7 @@
   return {
     kind: 'startRequest',
     requestId: toId(requestId),
+    cancelId: requestId,
     teamId: toId('team-a'),
     keyId: toId('key-team-a'),
     queueId: toId('team-a'),
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -33,6 +33,8 @@
   isDown: boolean;
   pausedUntilMs: number;
   isCutFromPlatform: boolean;
+  /** How far its wall clock is ahead of true time. */
+  wallErrorMs: number;
   readonly cutPeers: Set<string>;
 }
 
@@ -51,9 +53,13 @@
   readonly capacity: ResourceVector;
 }
 
+/** What becomes of an answer: it arrives, its connection breaks, or nothing comes at all. */
+export type AnswerFault = 'none' | 'reset' | 'silent';
+
 /** A request's run on a target, for checks of doubled or lost work. */
 export interface RequestRun {
   readonly requestId: string;
+  readonly teamId: string;
   readonly address: string;
   readonly atMs: number;
 }
@@ -75,6 +81,9 @@
   /** Effects of every reducer so far, the events of a soak run. */
   eventCount = 0;
 
+  /** What becomes of the answer of each request that ran. */
+  getAnswerFault: () => AnswerFault = () => 'none';
+
   /** Called after every event with the process that it changed. */
   onEvent: EventListener | undefined;
 
@@ -227,6 +236,7 @@
       isDown: false,
       pausedUntilMs: 0,
       isCutFromPlatform: false,
+      wallErrorMs: 0,
       cutPeers: new Set(),
     };
     this.processes.push(process);
@@ -240,7 +250,11 @@
 
   #tick(process: Process, generation: number): void {
     this.#whenAwake(process, generation, () => {
-      this.#dispatch(process, { kind: 'tick', nowMs: this.nowMs });
+      this.#dispatch(process, {
+        kind: 'tick',
+        nowMs: this.nowMs,
+        wallMs: this.nowMs + process.wallErrorMs,
+      });
       this.schedule(TICK_MS, () => this.#tick(process, generation));
     });
   }
@@ -358,11 +372,29 @@
     }
     const { call } = effect;
     this.schedule(this.#getLatencyMs(), () => {
-      if (call.kind === 'request') this.#runRequest(target, effect.address, call, onResult);
-      else onResult(target.perform(call, this.nowMs));
+      if (call.kind !== 'request') {
+        onResult(target.perform(call, this.nowMs));
+        return;
+      }
+      this.#runRequest(target, effect.address, call, this.#createDeadline(effect, onResult));
     });
   }
 
+  /** Reports a call as lost at its timeout; what comes later is dropped, as by an HTTP client. */
+  #createDeadline(
+    { timeoutMs }: Extract<SchedulerEffect, { kind: 'callTarget' }>,
+    onResult: (result: TargetResult) => void,
+  ): (result: TargetResult) => void {
+    let isEnded = false;
+    const endOnce = (result: TargetResult) => {
+      if (isEnded) return;
+      isEnded = true;
+      onResult(result);
+    };
+    this.schedule(timeoutMs, () => endOnce({ kind: 'lost', detail: 'timeout' }));
+    return endOnce;
+  }
+
   #runRequest(
     target: TargetModel,
     address: string,
@@ -374,12 +406,19 @@
       onResult(refusal);
       return;
     }
-    this.requestRuns.push({ requestId: call.requestId, address, atMs: this.nowMs });
+    const { requestId: runId, teamId } = call;
+    this.requestRuns.push({ requestId: runId, teamId, address, atMs: this.nowMs });
     const serviceMs = Number(Buffer.from(call.bodyBase64, 'base64').toString('utf8')) || 10;
     this.schedule(serviceMs, () => {
       target.endRequest(call.teamId);
       const status = target.faults.isFailingEverything ? 500 : 200;
       const { requestId, contentType, bodyBase64 } = call;
+      const fault = this.getAnswerFault();
+      if (fault === 'silent') return;
+      if (fault === 'reset') {
+        onResult({ kind: 'lost', detail: 'reset' });
+        return;
+      }
       onResult({ kind: 'answer', requestId, status, contentType, bodyBase64 });
     });
   }
@@ -419,7 +458,8 @@
     this.#calls.set(`${process.index}/${generation}/${callId}`, onReply);
     this.schedule(this.#getLatencyMs(), () => {
       this.#whenAwake(process, generation, () => {
-        this.#dispatch(process, { kind: 'called', nowMs: this.nowMs, callId, call });
+        const wallMs = this.nowMs + process.wallErrorMs;
+        this.#dispatch(process, { kind: 'called', nowMs: this.nowMs, wallMs, callId, call });
       });
     });
   }
