--- a/tools/mutants.mjs
+++ b/tools/mutants.mjs
@@ -2,6 +2,7 @@
 import { spawnSync } from 'node:child_process';
 import {
   cpSync,
+  existsSync,
   mkdtempSync,
   readdirSync,
   readFileSync,
