--- a/src/requests/lingeringCharges.ts
+++ b/src/requests/lingeringCharges.ts
@@ -5,8 +5,8 @@
 import type { TargetReport } from '../target/types';
 import type { TargetId, TeamId } from '../types/ids';
 
-/** A report that comes this long after the loss was asked for after the call had arrived or failed. */
-const REPORT_LAG_MS = 2_000;
+/** A call arrives at its target or fails this long after it was found lost. */
+const ARRIVAL_MS = 500;
 
 interface LingeringCharge {
   readonly charge: Charge;
@@ -44,17 +44,17 @@
   /**
    * Gives back what a target no longer runs: of a team's lost requests, no more can run than the
    * target reports of that team altogether.
-   * @param nowMs - this process's clock
+   * @param sentMs - when the report was asked for, on this process's clock
    * @param targetId - the target
    * @param report - what it runs
    * @returns true when something was given back
    */
-  settle(nowMs: number, targetId: TargetId, report: TargetReport): boolean {
+  settle(sentMs: number, targetId: TargetId, report: TargetReport): boolean {
     const known = this.#charges.get(targetId);
     if (known === undefined) return false;
     const keptByTeam = new Map<TeamId, number>();
     const kept = known.filter(({ charge, lostMs }) => {
-      if (nowMs - lostMs < REPORT_LAG_MS) return true;
+      if (sentMs - lostMs < ARRIVAL_MS) return true;
       const keptCount = keptByTeam.get(charge.teamId) ?? 0;
       if (keptCount >= countReported(report, charge.teamId)) return false;
       keptByTeam.set(charge.teamId, keptCount + 1);
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -148,12 +148,18 @@
   /**
    * Takes in what a target reports to be running, so that lost requests that ended are given back.
    * @param nowMs - this process's clock
+   * @param sentMs - when the report was asked for
    * @param targetId - which target
    * @param report - what it reports
    * @returns what to do
    */
-  applyReport(nowMs: number, targetId: TargetId, report: TargetReport): readonly RequestEffect[] {
-    return this.#lingering.settle(nowMs, targetId, report) ? this.startWaiting(nowMs) : [];
+  applyReport(
+    nowMs: number,
+    sentMs: number,
+    targetId: TargetId,
+    report: TargetReport,
+  ): readonly RequestEffect[] {
+    return this.#lingering.settle(sentMs, targetId, report) ? this.startWaiting(nowMs) : [];
   }
 
   /**
--- a/src/scheduler/requestDuty.ts
+++ b/src/scheduler/requestDuty.ts
@@ -162,12 +162,18 @@
   /**
    * Takes in a target's report.
    * @param nowMs - this process's clock
+   * @param sentMs - when the report was asked for
    * @param targetId - which target
    * @param report - what it runs
    * @returns what to do
    */
-  applyReport(nowMs: number, targetId: TargetId, report: TargetReport): readonly SchedulerEffect[] {
-    return toSchedulerEffects(this.#table.applyReport(nowMs, targetId, report));
+  applyReport(
+    nowMs: number,
+    sentMs: number,
+    targetId: TargetId,
+    report: TargetReport,
+  ): readonly SchedulerEffect[] {
+    return toSchedulerEffects(this.#table.applyReport(nowMs, sentMs, targetId, report));
   }
 
   /**
