--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -10,7 +10,7 @@
 /** Which call a target's result belongs to. */
 export interface RequestOrigin {
   readonly kind: 'request';
-  readonly requestId: RequestId;
+  readonly callId: number;
   readonly attempt: number;
 }
 
@@ -25,7 +25,8 @@
       /** The call must not leave after this time on this process's clock. */
       readonly notAfterMs: number;
     }
-  | { readonly kind: 'reply'; readonly callId: number; readonly outcome: RequestOutcome };
+  | { readonly kind: 'reply'; readonly callId: number; readonly outcome: RequestOutcome }
+  | { readonly kind: 'count'; readonly name: string };
 
 /** Right to start work on one target now. */
 export interface StartPermit {
@@ -61,6 +62,24 @@
   checkAdmission(teamId: TeamId, keyId: KeyId, queueId: QueueId): Queue | NotRunReason;
 }
 
+/** Says for which non-idempotent ids this scheduler is the home. */
+export interface HomeGuard {
+  /**
+   * @param requestId - the id
+   * @returns the end of this scheduler's authority over it; negative infinity when it has none
+   */
+  getHomeUntilMs(requestId: RequestId): number;
+}
+
+/** Says whose requests go first when targets are scarce. */
+export interface TeamOrder {
+  /**
+   * @param teamId - a team
+   * @returns its priority, lower first
+   */
+  getPriority(teamId: TeamId): number;
+}
+
 /** A request as it arrived, with what the configuration says of its queue. */
 export interface ArrivedRequest {
   readonly callId: number;
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -38,6 +38,8 @@
 export interface RequestStart {
   readonly kind: 'startRequest';
   readonly requestId: RequestId;
+  /** Names this call of this gate, so that only its own caller can cancel it. */
+  readonly cancelId: string;
   readonly teamId: TeamId;
   readonly keyId: KeyId;
   readonly queueId: QueueId;
@@ -77,7 +79,7 @@
       readonly operationId: OperationId;
     }
   | RequestStart
-  | { readonly kind: 'cancelRequest'; readonly requestId: RequestId }
+  | { readonly kind: 'cancelRequest'; readonly cancelId: string }
   | { readonly kind: 'submitJob'; readonly spec: JobSpec; readonly teamId: TeamId }
   | { readonly kind: 'getJob'; readonly jobId: JobId; readonly teamId: TeamId }
   | { readonly kind: 'listJobs'; readonly teamId: TeamId }
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -15,27 +15,17 @@
 import { TargetPool } from '../placement/targetPool';
 import type { Target } from '../placement/types';
 import type { Vm } from '../platform/types';
-import { RequestTable } from '../requests/requestTable';
-import type { RequestEffect } from '../requests/types';
-import type {
-  HeartbeatReply,
-  MemberStatus,
-  RequestStart,
-  Routes,
-  RpcResult,
-  SchedulerCall,
-  ShardOwner,
-} from '../rpc/types';
+import type { HeartbeatReply, MemberStatus, Routes, RpcResult, ShardOwner } from '../rpc/types';
 import { assertNever } from '../types/debug';
 import { toId } from '../types/ids';
 import type { MemberId, ShardId, TargetId } from '../types/ids';
 import { ok } from '../types/outcomes';
-import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import { ConfigDuty } from './configDuty';
 import { InFlightStarts } from './inFlightStarts';
 import { MemberDuty } from './memberDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
+import { RequestDuty } from './requestDuty';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
 const VM_LIST_INTERVAL_MS = 2_000;
@@ -51,19 +41,7 @@
 type PlatformReplied = Extract<SchedulerEvent, { kind: 'platformReplied' }>;
 type TargetReplied = Extract<SchedulerEvent, { kind: 'targetReplied' }>;
 type PeerReplied = Extract<SchedulerEvent, { kind: 'peerReplied' }>;
-
-function fromRequests(effects: readonly RequestEffect[]): readonly SchedulerEffect[] {
-  return effects.map((effect): SchedulerEffect => {
-    switch (effect.kind) {
-      case 'callTarget':
-        return effect;
-      case 'reply':
-        return { kind: 'replyCall', callId: effect.callId, value: effect.outcome };
-      default:
-        return assertNever(effect);
-    }
-  });
-}
+type Called = Extract<SchedulerEvent, { kind: 'called' }>;
 
 /** State of one scheduler, changed by events alone. */
 export class SchedulerCore {
@@ -81,7 +59,7 @@
 
   #ownership: Ownership;
 
-  #requests: RequestTable;
+  #requests: RequestDuty;
 
   #tasks: TaskRunner;
 
@@ -110,7 +88,7 @@
     this.#configDuty = new ConfigDuty(memberId, address, this.#config);
     this.#memberDuty = new MemberDuty(this.#lease, this.#peers, this.#configDuty);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestTable(this.#pool, this.#ownership, this.#config);
+    this.#requests = new RequestDuty(this.#lease, this.#config, this.#pool, this.#ownership);
     this.#tasks = new TaskRunner(this.#pool, this.#ownership);
     this.#ownership.setReplicas(this.#tasks);
   }
@@ -136,7 +114,7 @@
   #reduce(event: SchedulerEvent): readonly SchedulerEffect[] {
     switch (event.kind) {
       case 'tick':
-        return this.#tick(event.nowMs);
+        return this.#tick(event.nowMs, event.wallMs);
       case 'platformReplied':
         return this.#applyPlatform(event);
       case 'targetReplied':
@@ -144,7 +122,7 @@
       case 'peerReplied':
         return this.#applyPeer(event);
       case 'called':
-        return this.#answer(event.nowMs, event.callId, event.call);
+        return this.#answer(event);
       case 'drainRequested':
         this.#isDraining = true;
         return [{ kind: 'log', message: 'draining', fields: {} }];
@@ -153,7 +131,7 @@
     }
   }
 
-  #tick(nowMs: number): readonly SchedulerEffect[] {
+  #tick(nowMs: number, wallMs: number): readonly SchedulerEffect[] {
     const placements = getShardPlacements(this.#config.config.sheet);
     const context = {
       shards: placements,
@@ -167,7 +145,7 @@
       ...this.#listVms(nowMs),
       ...this.#memberDuty.tick(nowMs, () => this.#getStatus(nowMs)),
       ...this.#askReports(nowMs),
-      ...fromRequests(this.#requests.startWaiting(nowMs)),
+      ...this.#requests.tick(nowMs, wallMs),
       ...this.#fromJobs(nowMs, this.#jobs.tick(nowMs)),
     ];
   }
@@ -235,7 +213,7 @@
   #applyTarget({ nowMs, origin, result }: TargetReplied): readonly SchedulerEffect[] {
     switch (origin.kind) {
       case 'request':
-        return fromRequests(this.#requests.applyTargetResult(nowMs, origin, result));
+        return this.#requests.applyTargetResult(nowMs, origin, result);
       case 'taskStart':
       case 'taskAcknowledge':
         return this.#fromTasks(nowMs, this.#tasks.applyTargetResult(origin, result));
@@ -260,7 +238,10 @@
     const effects = this.#tasks.applyReport(target, permit, result.report);
     this.#ownership.markReported(target, origin.epoch, origin.sentMs);
     this.#ownership.markLeaving(target.targetId, result.report.leaving, origin.sentMs);
-    return this.#fromTasks(nowMs, effects);
+    return [
+      ...this.#fromTasks(nowMs, effects),
+      ...this.#requests.applyReport(nowMs, origin.sentMs, target.targetId, result.report),
+    ];
   }
 
   #applyPeer({ nowMs, origin, result }: PeerReplied): readonly SchedulerEffect[] {
@@ -287,7 +268,7 @@
     return this.#fromConfig(nowMs, effects);
   }
 
-  #answer(nowMs: number, callId: number, call: SchedulerCall): readonly SchedulerEffect[] {
+  #answer({ nowMs, wallMs, callId, call }: Called): readonly SchedulerEffect[] {
     const reply = (value: unknown): SchedulerEffect => ({ kind: 'replyCall', callId, value });
     switch (call.kind) {
       case 'heartbeat':
@@ -304,9 +285,9 @@
       case 'changeConfig':
         return this.#fromConfig(nowMs, this.#configDuty.change(nowMs, callId, call));
       case 'startRequest':
-        return this.#startRequest(nowMs, callId, call);
+        return this.#requests.start({ nowMs, wallMs, callId, isDraining: this.#isDraining }, call);
       case 'cancelRequest':
-        return [reply({}), ...fromRequests(this.#requests.cancel(call.requestId))];
+        return [reply({}), ...this.#requests.cancel(nowMs, call.cancelId)];
       case 'submitJob':
         return this.#fromJobs(nowMs, this.#jobs.submit(callId, call.spec, call.teamId));
       case 'getJob':
@@ -329,20 +310,6 @@
     }
   }
 
-  #startRequest(nowMs: number, callId: number, call: RequestStart): readonly SchedulerEffect[] {
-    const refuse = (reason: NotRunReason): readonly SchedulerEffect[] => {
-      const outcome: RequestOutcome = { kind: 'refusedNotRun', reason };
-      return [{ kind: 'replyCall', callId, value: outcome }];
-    };
-    if (this.#isDraining) return refuse('draining');
-    if (nowMs >= this.#config.getFreshUntilMs()) return refuse('configStale');
-    const queue = this.#config.checkAdmission(call.teamId, call.keyId, call.queueId);
-    if (typeof queue === 'string') return refuse(queue);
-    const isHome = nowMs < this.#lease.getAuthorityUntilMs(getHomeShard(call.requestId));
-    if (!call.isIdempotent && !isHome) return refuse('noOwner');
-    return fromRequests(this.#requests.start(nowMs, { callId, call, queue }));
-  }
-
   #fromConfig(nowMs: number, effects: readonly ConfigEffect[]): readonly SchedulerEffect[] {
     return effects.flatMap((effect): readonly SchedulerEffect[] =>
       effect.kind === 'configChanged' ? this.#onConfig(nowMs) : [effect],
@@ -357,10 +324,7 @@
       .filter((shardId) => !isHomeShard(shardId));
     this.#split.update(sheet.teams, shardIds);
     this.#due.vmListMs = 0;
-    return [
-      { kind: 'log', message: 'configuration in force', fields: { version } },
-      ...fromRequests(this.#requests.startWaiting(nowMs)),
-    ];
+    return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
   }
 
   #applyVms(nowMs: number, vms: readonly Vm[]): void {
@@ -404,6 +368,7 @@
   #onAcquired(nowMs: number, shardId: ShardId, epoch: number): readonly SchedulerEffect[] {
     this.#ownership.markAcquired(shardId, nowMs);
     this.#due.reportMs = nowMs;
+    if (isHomeShard(shardId)) this.#requests.markTakenOver(shardId);
     const loads = isHomeShard(shardId) ? createShardLoad(shardId) : [];
     return [
       { kind: 'log', message: 'shard acquired', fields: { shardId, epoch } },
@@ -505,6 +470,7 @@
       config: this.#configDuty.dump(nowMs),
       openRequests: this.#requests.openCount,
       waitingRequests: this.#requests.waitingCount,
+      requestMemory: this.#requests.memoryUse,
       tasks: this.#tasks.taskCount,
       jobs: this.#jobs.jobCount,
     };
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -44,7 +44,7 @@
 
 /** Everything that can happen to a scheduler. Times are on the process's own clock. */
 export type SchedulerEvent =
-  | { readonly kind: 'tick'; readonly nowMs: number }
+  | { readonly kind: 'tick'; readonly nowMs: number; readonly wallMs: number }
   | {
       readonly kind: 'platformReplied';
       readonly nowMs: number;
@@ -66,6 +66,7 @@
   | {
       readonly kind: 'called';
       readonly nowMs: number;
+      readonly wallMs: number;
       readonly callId: number;
       readonly call: SchedulerCall;
     }
--- a/tests/configFaults.test.ts
+++ b/tests/configFaults.test.ts
@@ -202,6 +202,7 @@
     const call: RequestStart = {
       kind: 'startRequest',
       requestId: toId(requestId),
+      cancelId: requestId,
       teamId: toId('team-a'),
       keyId: toId('key-team-a'),
       queueId: toId('open'),
--- a/tests/support/configWorld.ts
+++ b/tests/support/configWorld.ts
@@ -138,6 +138,7 @@
       const call: RequestStart = {
         kind: 'startRequest',
         requestId: toId(`${this.startCount}|${teamId}|${keyId}|${queueId}`),
+        cancelId: String(this.startCount),
         teamId: toId(teamId),
         keyId: toId(keyId),
         queueId: toId(queueId),
