Command line: diff, tables, exit codes, causes, repeats under one operation id

Cause: output was JSON only, a lost answer to a change was left to the operator, mistakes in files came without the value. Change: commands as functions over a gate interface, each tested without a process; HW7002 and HW7003 for files; values of digests, secrets and tokens never shown.

--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -2,17 +2,11 @@
 
 import { HttpCaller } from '../rpc/httpCaller';
 import type { HttpResult } from '../rpc/httpCaller';
+import type { CliCall, CliResult, GateApi } from './types';
 
 const CALL_TIMEOUT_MS = 10_000;
 const FIRST_ERROR_STATUS = 400;
-
-/** What a gate answered to an operator's call. */
-export type CliResult =
-  | { readonly kind: 'value'; readonly value: unknown }
-  /** The gate refused the call. */
-  | { readonly kind: 'refused'; readonly code: string; readonly message: string }
-  /** The gate could not be reached or did not answer. */
-  | { readonly kind: 'unreachable'; readonly detail: string };
+const GATEWAY_TIMEOUT_STATUS = 504;
 
 interface ErrorBody {
   readonly code: string;
@@ -24,17 +18,35 @@
   return typeof value === 'object' && value !== null && 'code' in value && 'message' in value;
 }
 
-function toResult(result: HttpResult): CliResult {
-  if (result.kind !== 'response') return { kind: 'unreachable', detail: result.detail };
-  const value: unknown = JSON.parse(result.body.toString('utf8'));
-  if (result.status < FIRST_ERROR_STATUS) return { kind: 'value', value };
-  if (!isErrorBody(value)) return { kind: 'refused', code: '', message: `status ${result.status}` };
-  const detail = value.detail === '' ? '' : `: ${value.detail}`;
-  return { kind: 'refused', code: value.code, message: `${value.message}${detail}` };
+function tryParseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Reads a gate's answer.
+ * @param result - what came of the HTTP exchange
+ * @returns the value, the refusal, or that the outcome is unknown
+ */
+export function toCliResult(result: HttpResult): CliResult {
+  if (result.kind !== 'response') return { kind: 'unknown', detail: result.detail };
+  const { status } = result;
+  const value = tryParseJson(result.body.toString('utf8'));
+  if (value === undefined) return { kind: 'unknown', detail: `status ${status} without JSON` };
+  if (status < FIRST_ERROR_STATUS) return { kind: 'value', value };
+  if (!isErrorBody(value)) return { kind: 'refused', code: '', message: `status ${status}` };
+  const message = value.detail ? `${value.message}: ${value.detail}` : value.message;
+  if (status === GATEWAY_TIMEOUT_STATUS) {
+    return { kind: 'unknown', detail: `${value.code} ${message}` };
+  }
+  return { kind: 'refused', code: value.code, message };
 }
 
 /** Calls one gate. */
-export class CliClient {
+export class CliClient implements GateApi {
   #caller = new HttpCaller();
 
   #address: string;
@@ -50,23 +62,21 @@
     this.#token = token;
   }
 
-  /**
-   * Performs one call.
-   * @param method - HTTP method
-   * @param path - path below `/v1/`
-   * @param body - JSON to send, if any
-   * @returns the answer
-   */
-  async call(method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown): Promise<CliResult> {
+  /** {@inheritDoc GateApi.call} */
+  async call({ method, path, body, operationId }: CliCall): Promise<CliResult> {
     const result = await this.#caller.perform({
       method,
       address: this.#address,
       path: `/v1/${path}`,
-      headers: { authorization: `Bearer ${this.#token}`, 'content-type': 'application/json' },
+      headers: {
+        authorization: `Bearer ${this.#token}`,
+        'content-type': 'application/json',
+        ...(operationId === undefined ? {} : { 'idempotency-key': operationId }),
+      },
       body: body === undefined ? '' : JSON.stringify(body),
       timeoutMs: CALL_TIMEOUT_MS,
     });
-    return toResult(result);
+    return toCliResult(result);
   }
 
   /** Closes the connection. */
--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,202 @@
+/** What each command does; the command line only parses and prints. */
+
+import VError from 'verror';
+import { createSecret, getDigest } from '../config/keys';
+import { tryReadJsonFile } from '../config/jsonFile';
+import { getSheetDiff } from '../config/sheetDiff';
+import { tryParseSheet } from '../config/sheetSchema';
+import type { AcceptedConfig, ChangeAnswer, Sheet } from '../config/types';
+import { tryParseJobSpec } from '../jobs/jobSchema';
+import { Diagnostics } from '../types/diagnostics';
+import type { Diagnostic } from '../types/diagnostics';
+import { fail } from '../types/outcomes';
+import type { Result } from '../types/outcomes';
+import { renderAny, renderChange, renderConfig, renderDiff } from './render';
+import { ExitCodes } from './types';
+import type { CliCall, CliResult, CommandOutcome, ExitCode, GateApi } from './types';
+
+const MAX_ATTEMPTS = 3;
+
+function createOutput(
+  value: unknown,
+  text: string,
+  exitCode: ExitCode = ExitCodes.ok,
+): CommandOutcome {
+  return { kind: 'output', exitCode, value, text };
+}
+
+function createFileFailure(diagnostic: Diagnostic): CommandOutcome {
+  const { code, message } = Diagnostics[diagnostic.name];
+  const cause = new VError('%s', diagnostic.detail ?? message);
+  const error = new VError(cause, '%s %s', code, message);
+  return { kind: 'failure', exitCode: ExitCodes.usage, error };
+}
+
+function createCallFailure(call: CliCall, result: Exclude<CliResult, { kind: 'value' }>) {
+  const isRefused = result.kind === 'refused';
+  const cause = isRefused
+    ? new VError('%s %s', result.code, result.message)
+    : new VError('%s', result.detail);
+  const summary = isRefused ? 'refused' : 'no answer, the outcome is unknown';
+  const error = new VError(cause, '%s %s: %s', call.method, call.path, summary);
+  const exitCode = isRefused ? ExitCodes.refused : ExitCodes.unknown;
+  return { kind: 'failure', exitCode, error } as const;
+}
+
+/**
+ * Performs one call and renders its answer.
+ * @param gate - the gate
+ * @param call - what to ask
+ * @param render - renders the answer for people
+ * @returns the outcome
+ */
+export async function show(
+  gate: GateApi,
+  call: CliCall,
+  render: (value: unknown) => string = renderAny,
+): Promise<CommandOutcome> {
+  const result = await gate.call(call);
+  if (result.kind !== 'value') return createCallFailure(call, result);
+  return createOutput(result.value, render(result.value));
+}
+
+/** Repeats a call whose outcome is unknown; its operation id keeps the effect single. */
+async function callOnce(gate: GateApi, call: CliCall): Promise<CliResult> {
+  let result = await gate.call(call);
+  for (let attempt = 1; attempt < MAX_ATTEMPTS && result.kind === 'unknown'; attempt += 1) {
+    result = await gate.call(call);
+  }
+  return result;
+}
+
+/**
+ * Makes a change of the configuration.
+ * @param gate - the gate
+ * @param change - the change
+ * @param operationId - under which a repeated change has one effect
+ * @returns the outcome
+ */
+export async function changeConfig(
+  gate: GateApi,
+  change: object,
+  operationId = createSecret(),
+): Promise<CommandOutcome> {
+  const path = 'operator/config/changes';
+  const call: CliCall = { method: 'POST', path, body: change, operationId };
+  const result = await callOnce(gate, call);
+  if (result.kind !== 'value') return createCallFailure(call, result);
+  return createOutput(result.value, renderChange(result.value as ChangeAnswer));
+}
+
+function tryReadSheet(file: string): Result<Sheet> {
+  const json = tryReadJsonFile(file, 'badSheet');
+  if (json.kind === 'error') return json;
+  const sheet = tryParseSheet(json.value);
+  if (sheet.kind === 'ok') return sheet;
+  const detail = `${file}: ${sheet.diagnostic.detail ?? ''}`;
+  return fail({ name: 'badSheet', detail });
+}
+
+/**
+ * Checks a sheet without a gate.
+ * @param file - path of the sheet
+ * @returns the outcome
+ */
+export function checkSheet(file: string): CommandOutcome {
+  const sheet = tryReadSheet(file);
+  if (sheet.kind === 'error') return createFileFailure(sheet.diagnostic);
+  const { teams, keys, queues, dataCentres } = sheet.value;
+  const counts = {
+    teams: teams.length,
+    keys: keys.length,
+    queues: queues.length,
+    dataCentres: dataCentres.length,
+  };
+  return createOutput(counts, renderAny(counts));
+}
+
+/**
+ * Compares the configuration in force with a sheet.
+ * @param gate - the gate
+ * @param file - path of the sheet
+ * @returns the outcome; it exits with `different` when anything differs
+ */
+export async function diffSheet(gate: GateApi, file: string): Promise<CommandOutcome> {
+  const sheet = tryReadSheet(file);
+  if (sheet.kind === 'error') return createFileFailure(sheet.diagnostic);
+  const call = { method: 'GET', path: 'operator/config' } as const;
+  const result = await gate.call(call);
+  if (result.kind !== 'value') return createCallFailure(call, result);
+  const differences = getSheetDiff((result.value as AcceptedConfig).sheet, sheet.value);
+  const exitCode = differences.length === 0 ? ExitCodes.ok : ExitCodes.different;
+  return createOutput(differences, renderDiff(differences), exitCode);
+}
+
+/**
+ * Makes a sheet the configuration in force.
+ * @param gate - the gate
+ * @param file - path of the sheet
+ * @param basedOn - version that the sheet was made from; the one in force when not given
+ * @returns the outcome
+ */
+export async function applySheet(
+  gate: GateApi,
+  file: string,
+  basedOn?: number,
+): Promise<CommandOutcome> {
+  const sheet = tryReadSheet(file);
+  if (sheet.kind === 'error') return createFileFailure(sheet.diagnostic);
+  const call = { method: 'GET', path: 'operator/config' } as const;
+  const current = await gate.call(call);
+  if (current.kind !== 'value') return createCallFailure(call, current);
+  const basedOnVersion = basedOn ?? (current.value as AcceptedConfig).version;
+  return changeConfig(gate, { kind: 'applySheet', basedOnVersion, sheet: sheet.value });
+}
+
+/**
+ * Shows the configuration in force.
+ * @param gate - the gate
+ * @returns the outcome
+ */
+export function showSheet(gate: GateApi): Promise<CommandOutcome> {
+  const call = { method: 'GET', path: 'operator/config' } as const;
+  return show(gate, call, (value) => renderConfig(value as AcceptedConfig));
+}
+
+/**
+ * Creates a key; its secret is printed once and kept nowhere.
+ * @param gate - the gate
+ * @param keyId - name of the key
+ * @param teamId - whose key
+ * @returns the outcome
+ */
+export async function grantKey(
+  gate: GateApi,
+  keyId: string,
+  teamId: string,
+): Promise<CommandOutcome> {
+  const secret = createSecret();
+  const key = { keyId, teamId, secretDigest: getDigest(secret) };
+  const outcome = await changeConfig(gate, { kind: 'grantKey', key });
+  if (outcome.kind !== 'output') return outcome;
+  const token = `${keyId}:${secret}`;
+  const value = { ...(outcome.value as ChangeAnswer), key: token };
+  return createOutput(value, `${outcome.text}\nkey, shown once: ${token}`);
+}
+
+/**
+ * Submits a job.
+ * @param gate - the gate
+ * @param file - path of the job's description
+ * @returns the outcome
+ */
+export async function submitJob(gate: GateApi, file: string): Promise<CommandOutcome> {
+  const json = tryReadJsonFile(file, 'badJob');
+  if (json.kind === 'error') return createFileFailure(json.diagnostic);
+  const spec = tryParseJobSpec(json.value);
+  if (spec.kind === 'error') {
+    const detail = `${file}: ${spec.diagnostic.detail ?? ''}`;
+    return createFileFailure({ name: 'badJob', detail });
+  }
+  return show(gate, { method: 'POST', path: 'jobs', body: json.value });
+}
--- /dev/null
+++ b/src/cli/render.ts
@@ -0,0 +1,158 @@
+/** Renders what people read: tables of configurations, jobs and states. */
+
+import { renderDifference } from '../config/sheetDiff';
+import type { SheetDifference } from '../config/sheetDiff';
+import type { AcceptedConfig, ChangeAnswer, Queue } from '../config/types';
+
+type Cell = string | number | boolean;
+
+/** Columns that a table shows of each row. */
+interface Column<T> {
+  readonly title: string;
+  getCell(row: T): Cell;
+}
+
+/**
+ * Renders rows as a table with aligned columns.
+ * @param columns - titles and cells
+ * @param rows - the rows
+ * @returns the table, one row a line
+ */
+export function renderTable<T>(columns: readonly Column<T>[], rows: readonly T[]): string {
+  const cells = rows.map((row) => columns.map((column) => String(column.getCell(row))));
+  const titles = columns.map((column) => column.title);
+  const widths = titles.map((title, index) =>
+    Math.max(title.length, ...cells.map((line) => line[index]?.length ?? 0)),
+  );
+  return [titles, ...cells]
+    .map((line) => line.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  '))
+    .map((line) => line.trimEnd())
+    .join('\n');
+}
+
+function getAccess({ access }: Queue): string {
+  return access.kind === 'open' ? '(open to all)' : access.teamId;
+}
+
+/**
+ * Renders the configuration in force.
+ * @param config - the configuration
+ * @returns tables of teams, keys, queues and data centres, without digests
+ */
+export function renderConfig(config: AcceptedConfig): string {
+  const { sheet, version, grants, closures, tombstones } = config;
+  const granted = new Set(grants.map((grant) => grant.keyId));
+  const closed = new Set(closures.map((closure) => closure.dataCentreId));
+  return [
+    `version ${version}`,
+    renderTable(
+      [
+        { title: 'TEAM', getCell: (team) => team.teamId },
+        { title: 'SHARE', getCell: (team) => team.shareWeight },
+        { title: 'LIMIT', getCell: (team) => team.limitSlots },
+      ],
+      sheet.teams,
+    ),
+    renderTable(
+      [
+        { title: 'KEY', getCell: (key) => key.keyId },
+        { title: 'TEAM', getCell: (key) => key.teamId },
+        { title: 'FROM', getCell: (key) => (granted.has(key.keyId) ? 'command' : 'sheet') },
+      ],
+      sheet.keys,
+    ),
+    renderTable(
+      [
+        { title: 'QUEUE', getCell: (queue) => queue.queueId },
+        { title: 'TEAM', getCell: getAccess },
+        { title: 'URGENCY', getCell: (queue) => queue.urgency },
+      ],
+      sheet.queues,
+    ),
+    renderTable(
+      [
+        { title: 'DATA CENTRE', getCell: (dataCentre) => dataCentre.dataCentreId },
+        { title: 'REGION', getCell: (dataCentre) => dataCentre.region },
+        {
+          title: 'SERVICE',
+          getCell: ({ dataCentreId, inService }) => {
+            if (inService) return 'in';
+            return closed.has(dataCentreId) ? 'out (command)' : 'out (sheet)';
+          },
+        },
+      ],
+      sheet.dataCentres,
+    ),
+    `withdrawn keys: ${tombstones.map((tombstone) => tombstone.keyId).join(', ') || 'none'}`,
+  ].join('\n\n');
+}
+
+/**
+ * Renders what an accepted change came to.
+ * @param answer - from the gate
+ * @returns one line, and one for each thing that the operator should know
+ */
+export function renderChange(answer: ChangeAnswer): string {
+  const notes: readonly (readonly [string, readonly string[]])[] = [
+    ['still withdrawn, not brought back', answer.ignoredKeyIds],
+    ['granted by command, kept', answer.keptKeyIds],
+    ['no longer listed, removed', answer.droppedKeyIds],
+    ['still out of service by command', answer.stillOutDataCentreIds],
+    ['did not confirm, admit nothing until they do', answer.unreachedProcessIds],
+  ];
+  const lines = notes.filter(([, ids]) => ids.length > 0);
+  return [
+    `version ${answer.version} accepted`,
+    ...lines.map(([note, ids]) => `${note}: ${ids.join(', ')}`),
+  ].join('\n');
+}
+
+/**
+ * Renders differences between two sheets.
+ * @param differences - each entry that differs
+ * @returns one line each, or `no differences`
+ */
+export function renderDiff(differences: readonly SheetDifference[]): string {
+  return differences.map(renderDifference).join('\n') || 'no differences';
+}
+
+function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function renderScalar(value: unknown): string {
+  if (value === null || value === undefined) return '-';
+  return typeof value === 'object' ? JSON.stringify(value) : String(value);
+}
+
+function isTable(value: unknown): value is readonly Readonly<Record<string, unknown>>[] {
+  return Array.isArray(value) && value.length > 0 && value.every(isRecord);
+}
+
+function indent(text: string): string {
+  return text.replace(/^/gm, '  ');
+}
+
+/**
+ * Renders any answer: fields one a line, lists of objects as tables.
+ * @param value - plain data
+ * @returns the text
+ */
+export function renderAny(value: unknown): string {
+  if (isTable(value)) {
+    const titles = [...new Set(value.flatMap((row) => Object.keys(row)))];
+    const columns = titles.map((title) => ({
+      title,
+      getCell: (row: Readonly<Record<string, unknown>>) => renderScalar(row[title]),
+    }));
+    return renderTable(columns, value);
+  }
+  if (!isRecord(value))
+    return Array.isArray(value) && value.length === 0 ? 'none' : renderScalar(value);
+  return Object.entries(value)
+    .map(([name, inner]) => {
+      const isNested = isRecord(inner) || isTable(inner);
+      return isNested ? `${name}:\n${indent(renderAny(inner))}` : `${name}: ${renderScalar(inner)}`;
+    })
+    .join('\n');
+}
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -1,11 +1,11 @@
 /** Settings of each daemon, read from one JSON file and checked before anything starts. */
 
-import { readFileSync } from 'node:fs';
 import * as z from 'zod';
 import { createDiagnostic } from '../types/diagnostics';
 import type { DataCentreId, SchedulerId, VmId } from '../types/ids';
 import { fail } from '../types/outcomes';
 import type { Result } from '../types/outcomes';
+import { tryReadJsonFile } from './jsonFile';
 import { tryParse } from './sheetSchema';
 
 const address = z.string().regex(/^[0-9.]+:\d+$/, 'expected ip:port');
@@ -80,14 +80,6 @@
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
 }
 
-function tryReadJson(file: string): Result<unknown> {
-  try {
-    return { kind: 'ok', value: JSON.parse(readFileSync(file, 'utf8')) };
-  } catch (error) {
-    return fail(createDiagnostic('badSettings', `${file}: ${String(error)}`));
-  }
-}
-
 /**
  * Checks a scheduler's settings.
  * @param value - parsed JSON
@@ -116,7 +108,9 @@
   file: string,
   tryParseSettings: (value: unknown) => Result<T>,
 ): Result<T> {
-  const json = tryReadJson(file);
+  const json = tryReadJsonFile(file, 'badSettings');
   if (json.kind === 'error') return json;
-  return tryParseSettings(json.value);
+  const settings = tryParseSettings(json.value);
+  if (settings.kind === 'ok') return settings;
+  return fail(createDiagnostic('badSettings', `${file}: ${settings.diagnostic.detail ?? ''}`));
 }
--- a/src/config/sheetSchema.ts
+++ b/src/config/sheetSchema.ts
@@ -97,14 +97,37 @@
   }),
 ]);
 
+/** Values under these names never appear in a report. */
+const SECRET_NAME_PATTERN = /digest|secret|token/i;
+const MAX_SHOWN_LENGTH = 60;
+
+function getAtPath(value: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>((inner, name) => {
+    if (typeof inner !== 'object' || inner === null) return undefined;
+    return Object.getOwnPropertyDescriptor(inner, name)?.value;
+  }, value);
+}
+
+function renderReceived(value: unknown, path: readonly PropertyKey[]): string {
+  if (path.some((name) => SECRET_NAME_PATTERN.test(String(name)))) return 'a hidden value';
+  const received = getAtPath(value, path);
+  if (received === undefined) return 'nothing';
+  const text = JSON.stringify(received);
+  return text.length > MAX_SHOWN_LENGTH ? `${text.slice(0, MAX_SHOWN_LENGTH)}...` : text;
+}
+
 /**
- * Renders every mistake of a failed check as `path: message`, joined by semicolons.
+ * Renders every mistake of a failed check as `path: got VALUE, MESSAGE`, joined by semicolons.
  * @param error - what the schema reported
- * @returns the report on one line
+ * @param value - what was checked
+ * @returns the report on one line, without secrets
  */
-export function getMistakes(error: z.ZodError): string {
+export function getMistakes(error: z.ZodError, value: unknown): string {
   return error.issues
-    .map((issue) => `${issue.path.join('.') || '(root)'}: ${issue.message}`)
+    .map(({ path, message }) => {
+      const name = path.join('.') || '(root)';
+      return `${name}: got ${renderReceived(value, path)}, ${message}`;
+    })
     .join('; ');
 }
 
@@ -117,7 +140,7 @@
  */
 export function tryParse<T>(schema: z.ZodType, value: unknown, name: DiagnosticName): Result<T> {
   const parsed = schema.safeParse(value);
-  if (!parsed.success) return fail(createDiagnostic(name, getMistakes(parsed.error)));
+  if (!parsed.success) return fail(createDiagnostic(name, getMistakes(parsed.error, value)));
   return ok(parsed.data as T);
 }
 
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -47,6 +47,8 @@
   unknownDataCentre: row('HW6004', 404, 'no such data centre'),
   configUnknown: row('HW6005', 504, 'the change may take effect; repeat it under the same id'),
   badSettings: row('HW7001', 500, 'the settings file has mistakes'),
+  badSheet: row('HW7002', 400, 'the sheet cannot be used'),
+  badJob: row('HW7003', 400, 'the job description cannot be used'),
   internal: row('HW9001', 500, 'an internal error'),
 } as const;
 
