--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -1,6 +1,6 @@
 /** Calls between hemlockway's own processes, carried as JSON-RPC 2.0 over HTTP. */
 
-import type { AcceptedConfig, ConfigChange } from '../config/types';
+import type { AcceptedConfig, ConfigChange, ConfigGossip } from '../config/types';
 import type { JobSpec, ShardRoom, TaskAsk, TaskNews, TaskRun } from '../jobs/types';
 import type { EndedPromise } from '../lease/types';
 import type {
@@ -38,6 +38,8 @@
 export interface RequestStart {
   readonly kind: 'startRequest';
   readonly requestId: RequestId;
+  /** Names this call of this gate, so that only its own caller can cancel it. */
+  readonly cancelId: string;
   readonly teamId: TeamId;
   readonly keyId: KeyId;
   readonly queueId: QueueId;
@@ -50,7 +52,11 @@
 
 /** Every call that a scheduler answers. */
 export type SchedulerCall =
-  | { readonly kind: 'heartbeat'; readonly from: MemberStatus }
+  | {
+      readonly kind: 'heartbeat';
+      readonly from: MemberStatus;
+      readonly config: ConfigGossip;
+    }
   | { readonly kind: 'getRoutes' }
   | { readonly kind: 'getConfig' }
   | { readonly kind: 'offerConfig'; readonly config: AcceptedConfig }
@@ -60,7 +66,7 @@
       readonly operationId: OperationId;
     }
   | RequestStart
-  | { readonly kind: 'cancelRequest'; readonly requestId: RequestId }
+  | { readonly kind: 'cancelRequest'; readonly cancelId: string }
   | { readonly kind: 'submitJob'; readonly spec: JobSpec; readonly teamId: TeamId }
   | { readonly kind: 'getJob'; readonly jobId: JobId; readonly teamId: TeamId }
   | { readonly kind: 'listJobs'; readonly teamId: TeamId }
@@ -79,6 +85,9 @@
   readonly promiseMs: number;
   /** Rows of members that the answerer will never protect again. */
   readonly endedPromises: readonly EndedPromise[];
+  readonly config: ConfigGossip;
+  /** The answerer accepts no change without telling the caller. */
+  readonly isCallerCounted: boolean;
 }
 
 /** What `tellTasks` is answered with. */
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -1,66 +1,46 @@
 /** The scheduler's reducer: one function from an event to the effects that it calls for. */
 
-import { applyChange } from '../config/applyChange';
-import { CONFIG_KEY, ConfigHolder } from '../config/configHolder';
-import type { AcceptedConfig } from '../config/types';
+import { ConfigHolder } from '../config/configHolder';
+import type { ConfigEffect } from '../config/effects';
 import type { SchedulerSettings } from '../config/settings';
 import { StaticSplit } from '../escrow/staticSplit';
 import { LeaseKeeper } from '../lease/leaseKeeper';
-import { getHomeShard, getShardPlacements, getTargetShard, isHomeShard } from '../lease/shards';
+import { getShardPlacements, getTargetShard, isHomeShard } from '../lease/shards';
 import type { LeaseEffect } from '../lease/types';
 import { TargetPool } from '../placement/targetPool';
 import type { Target } from '../placement/types';
 import type { Vm } from '../platform/types';
-import { RequestTable } from '../requests/requestTable';
-import type { RequestEffect } from '../requests/types';
 import type {
   HeartbeatReply,
   MemberStatus,
-  RequestStart,
   Routes,
   RpcResult,
-  SchedulerCall,
   ShardOwner,
   TaskAcknowledgement,
 } from '../rpc/types';
-import { createDiagnostic } from '../types/diagnostics';
 import { assertNever } from '../types/debug';
 import { toId } from '../types/ids';
 import type { MemberId, ShardId, TargetId } from '../types/ids';
-import { fail, ok } from '../types/outcomes';
-import type { NotRunReason, RequestOutcome } from '../types/outcomes';
+import { ConfigDuty } from './configDuty';
 import { InFlightStarts } from './inFlightStarts';
 import { JobDuty } from './jobDuty';
 import { MemberDuty } from './memberDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
-import type { PeerOrigin, SchedulerEffect, SchedulerEvent } from './types';
+import { RequestDuty } from './requestDuty';
+import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
-const CONFIG_READ_INTERVAL_MS = 1_000;
 const VM_LIST_INTERVAL_MS = 2_000;
 
 /** When each periodic duty is next due. */
 interface Schedule {
-  configReadMs: number;
   vmListMs: number;
 }
 
 type PlatformReplied = Extract<SchedulerEvent, { kind: 'platformReplied' }>;
 type TargetReplied = Extract<SchedulerEvent, { kind: 'targetReplied' }>;
 type PeerReplied = Extract<SchedulerEvent, { kind: 'peerReplied' }>;
-
-function fromRequests(effects: readonly RequestEffect[]): readonly SchedulerEffect[] {
-  return effects.map((effect): SchedulerEffect => {
-    switch (effect.kind) {
-      case 'callTarget':
-        return effect;
-      case 'reply':
-        return { kind: 'replyCall', callId: effect.callId, value: effect.outcome };
-      default:
-        return assertNever(effect);
-    }
-  });
-}
+type Called = Extract<SchedulerEvent, { kind: 'called' }>;
 
 /** State of one scheduler, changed by events alone. */
 export class SchedulerCore {
@@ -70,13 +50,15 @@
 
   #config = new ConfigHolder();
 
+  #configDuty: ConfigDuty;
+
   #split = new StaticSplit();
 
   #pool = new TargetPool(this.#split);
 
   #ownership: Ownership;
 
-  #requests: RequestTable;
+  #requests: RequestDuty;
 
   #peers = new Peers();
 
@@ -86,7 +68,7 @@
 
   #inFlight = new InFlightStarts();
 
-  #due: Schedule = { configReadMs: 0, vmListMs: 0 };
+  #due: Schedule = { vmListMs: 0 };
 
   #isDraining = false;
 
@@ -98,9 +80,10 @@
     this.#settings = settings;
     const { dataCentreId, region, advertisedAddress: address, vmId } = settings;
     this.#lease = new LeaseKeeper(memberId, { address, vmId, dataCentreId, region });
-    this.#memberDuty = new MemberDuty(this.#lease, this.#peers);
+    this.#configDuty = new ConfigDuty(memberId, address, this.#config);
+    this.#memberDuty = new MemberDuty(this.#lease, this.#peers, this.#configDuty);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestTable(this.#pool, this.#ownership);
+    this.#requests = new RequestDuty(this.#lease, this.#config, this.#pool, this.#ownership);
     this.#jobs = new JobDuty({
       lease: this.#lease,
       config: this.#config,
@@ -132,7 +115,7 @@
   #reduce(event: SchedulerEvent): readonly SchedulerEffect[] {
     switch (event.kind) {
       case 'tick':
-        return this.#tick(event.nowMs);
+        return this.#tick(event.nowMs, event.wallMs);
       case 'platformReplied':
         return this.#applyPlatform(event);
       case 'targetReplied':
@@ -140,7 +123,7 @@
       case 'peerReplied':
         return this.#applyPeer(event);
       case 'called':
-        return this.#answer(event.nowMs, event.callId, event.call);
+        return this.#answer(event);
       case 'drainRequested':
         this.#isDraining = true;
         return [{ kind: 'log', message: 'draining', fields: {} }];
@@ -149,7 +132,7 @@
     }
   }
 
-  #tick(nowMs: number): readonly SchedulerEffect[] {
+  #tick(nowMs: number, wallMs: number): readonly SchedulerEffect[] {
     const placements = getShardPlacements(this.#config.config.sheet);
     const context = {
       shards: placements,
@@ -159,21 +142,14 @@
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
-      ...this.#readConfig(nowMs),
+      ...this.#fromConfig(nowMs, this.#configDuty.tick(nowMs)),
       ...this.#listVms(nowMs),
       ...this.#memberDuty.tick(nowMs, () => this.#getStatus(nowMs)),
-      ...fromRequests(this.#requests.startWaiting(nowMs)),
+      ...this.#requests.tick(nowMs, wallMs),
       ...this.#jobs.tick(nowMs, this.#isDraining),
     ];
   }
 
-  #readConfig(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.configReadMs) return [];
-    this.#due.configReadMs = nowMs + CONFIG_READ_INTERVAL_MS;
-    const origin = { kind: 'configRead', sentMs: nowMs } as const;
-    return [{ kind: 'callPlatform', origin, call: { kind: 'read', keys: [CONFIG_KEY] } }];
-  }
-
   #listVms(nowMs: number): readonly SchedulerEffect[] {
     if (nowMs < this.#due.vmListMs) return [];
     this.#due.vmListMs = nowMs + VM_LIST_INTERVAL_MS;
@@ -190,10 +166,12 @@
     const { nowMs, origin, result } = event;
     switch (origin.kind) {
       case 'configRead':
-        if (result.kind !== 'rows') return [];
-        return this.#config.applyRead(result.rows, origin.sentMs) ? this.#onConfig() : [];
-      case 'configWrite':
-        return this.#applyConfigWrite(event, origin.callId, origin.config);
+      case 'configMembers':
+      case 'configRegister':
+      case 'configUnregister':
+      case 'configChangeRead':
+      case 'configChangeWrite':
+        return this.#fromConfig(nowMs, this.#configDuty.applyPlatform(nowMs, origin, result));
       case 'vmList':
         if (result.kind === 'vms') this.#applyVms(nowMs, result.vms, origin.sentMs);
         return [];
@@ -213,14 +191,14 @@
   #applyTarget({ nowMs, origin, result }: TargetReplied): readonly SchedulerEffect[] {
     switch (origin.kind) {
       case 'request':
-        return fromRequests(this.#requests.applyTargetResult(nowMs, origin, result));
+        return this.#requests.applyTargetResult(nowMs, origin, result);
       case 'taskStart':
       case 'taskStop':
       case 'taskAcknowledge':
         return this.#jobs.applyTarget(nowMs, origin, result);
       case 'report':
         if (result.kind !== 'report') return [];
-        return this.#jobs.applyReport(nowMs, origin, result.report);
+        return this.#applyReport(nowMs, origin, result);
       case 'renew':
         return [];
       default:
@@ -228,19 +206,30 @@
     }
   }
 
+  #applyReport(
+    nowMs: number,
+    origin: Extract<TargetOrigin, { kind: 'report' }>,
+    result: Extract<TargetReplied['result'], { kind: 'report' }>,
+  ): readonly SchedulerEffect[] {
+    const target = this.#pool.get(origin.targetId);
+    const permit = target && this.#ownership.tryGetOwnerPermit(target, nowMs);
+    if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
+    const effects = this.#jobs.applyReport(nowMs, target, permit, origin, result.report);
+    this.#ownership.markReported(target, origin.epoch, origin.sentMs);
+    this.#ownership.markLeaving(target.targetId, result.report.leaving, origin.sentMs);
+    return [
+      ...effects,
+      ...this.#requests.applyReport(nowMs, origin.sentMs, target.targetId, result.report),
+    ];
+  }
+
   #applyPeer({ nowMs, origin, result }: PeerReplied): readonly SchedulerEffect[] {
     switch (origin.kind) {
-      case 'heartbeat': {
-        const from = this.#memberDuty.applyResult(
-          nowMs,
-          origin,
-          result as RpcResult<HeartbeatReply>,
-        );
-        return from === undefined ? [] : this.#fetchConfigFrom(from);
-      }
+      case 'heartbeat':
+        return this.#applyHeartbeatResult(nowMs, origin, result as RpcResult<HeartbeatReply>);
       case 'configFetch':
-        if (result.kind !== 'ok') return [];
-        return this.#config.tryAdopt(result.value as AcceptedConfig) ? this.#onConfig() : [];
+      case 'configOffer':
+        return this.#fromConfig(nowMs, this.#configDuty.applyPeer(nowMs, origin, result));
       case 'tellTasks':
         if (result.kind !== 'ok') return [];
         return this.#jobs.acknowledge(nowMs, (result.value as TaskAcknowledgement).taken);
@@ -251,32 +240,36 @@
     }
   }
 
-  #fetchConfigFrom(status: MemberStatus): readonly SchedulerEffect[] {
-    if (status.configVersion <= this.#config.version) return [];
-    const origin: PeerOrigin = { kind: 'configFetch' };
-    return [{ kind: 'callPeer', origin, address: status.address, call: { kind: 'getConfig' } }];
+  #applyHeartbeatResult(
+    nowMs: number,
+    origin: Extract<PeerOrigin, { kind: 'heartbeat' }>,
+    result: RpcResult<HeartbeatReply>,
+  ): readonly SchedulerEffect[] {
+    this.#memberDuty.applyResult(nowMs, origin, result);
+    const effects = this.#configDuty.applyHeartbeatResult(nowMs, origin, result);
+    return this.#fromConfig(nowMs, effects);
   }
 
-  #answer(nowMs: number, callId: number, call: SchedulerCall): readonly SchedulerEffect[] {
+  #answer({ nowMs, wallMs, callId, call }: Called): readonly SchedulerEffect[] {
     const reply = (value: unknown): SchedulerEffect => ({ kind: 'replyCall', callId, value });
     switch (call.kind) {
       case 'heartbeat':
         return [
-          reply(this.#memberDuty.answer(nowMs, call.from, this.#getStatus(nowMs))),
-          ...this.#fetchConfigFrom(call.from),
+          reply(this.#memberDuty.answer(nowMs, call, this.#getStatus(nowMs))),
+          ...this.#fromConfig(nowMs, this.#configDuty.applyHeartbeat(nowMs, call.config)),
         ];
       case 'getRoutes':
         return [reply(this.#getRoutes(nowMs))];
       case 'getConfig':
         return [reply(this.#config.config)];
       case 'offerConfig':
-        return [reply({}), ...(this.#config.tryAdopt(call.config) ? this.#onConfig() : [])];
+        return [...this.#fromConfig(nowMs, this.#configDuty.adopt(call.config)), reply({})];
       case 'changeConfig':
-        return this.#changeConfig(nowMs, callId, call);
+        return this.#fromConfig(nowMs, this.#configDuty.change(nowMs, callId, call));
       case 'startRequest':
-        return this.#startRequest(nowMs, callId, call);
+        return this.#requests.start({ nowMs, wallMs, callId, isDraining: this.#isDraining }, call);
       case 'cancelRequest':
-        return [reply({}), ...fromRequests(this.#requests.cancel(call.requestId))];
+        return [reply({}), ...this.#requests.cancel(nowMs, call.cancelId)];
       case 'submitJob':
       case 'getJob':
       case 'listJobs':
@@ -293,61 +286,15 @@
     }
   }
 
-  #startRequest(nowMs: number, callId: number, call: RequestStart): readonly SchedulerEffect[] {
-    const refuse = (reason: NotRunReason): readonly SchedulerEffect[] => {
-      const outcome: RequestOutcome = { kind: 'refusedNotRun', reason };
-      return [{ kind: 'replyCall', callId, value: outcome }];
-    };
-    if (this.#isDraining) return refuse('draining');
-    if (nowMs >= this.#config.getFreshUntilMs()) return refuse('configStale');
-    const queue = this.#config.checkAdmission(call.teamId, call.keyId, call.queueId);
-    if (typeof queue === 'string') return refuse(queue);
-    const isHome = nowMs < this.#lease.getAuthorityUntilMs(getHomeShard(call.requestId));
-    if (!call.isIdempotent && !isHome) return refuse('noOwner');
-    return fromRequests(this.#requests.start(nowMs, { callId, call, queue }));
-  }
-
-  #changeConfig(
-    nowMs: number,
-    callId: number,
-    call: Extract<SchedulerCall, { kind: 'changeConfig' }>,
-  ): readonly SchedulerEffect[] {
-    const next = applyChange(this.#config.config, call.change);
-    if (next.kind === 'error') return [{ kind: 'replyCall', callId, value: next }];
-    return [
-      {
-        kind: 'callPlatform',
-        origin: { kind: 'configWrite', sentMs: nowMs, callId, config: next.value },
-        call: this.#config.createWrite(next.value, call.operationId),
-      },
-    ];
-  }
-
-  #applyConfigWrite(
-    { nowMs, result }: PlatformReplied,
-    callId: number,
-    config: AcceptedConfig,
-  ): readonly SchedulerEffect[] {
-    this.#due.configReadMs = nowMs;
-    if (result.kind !== 'committed') {
-      const name = result.kind === 'conflict' ? 'configConflict' : 'configRefused';
-      return [{ kind: 'replyCall', callId, value: fail(createDiagnostic(name)) }];
-    }
-    this.#config.tryAdopt(config);
-    const offers = this.#lease.members.views
-      .filter((view) => view.row.memberId !== this.#lease.memberId)
-      .map(({ row }): SchedulerEffect => ({
-        kind: 'callPeer',
-        origin: { kind: 'oneWay' },
-        address: row.address,
-        call: { kind: 'offerConfig', config },
-      }));
-    const value = ok(config.version);
-    return [{ kind: 'replyCall', callId, value }, ...offers, ...this.#onConfig()];
+  #fromConfig(nowMs: number, effects: readonly ConfigEffect[]): readonly SchedulerEffect[] {
+    return effects.flatMap((effect): readonly SchedulerEffect[] =>
+      effect.kind === 'configChanged' ? this.#onConfig(nowMs) : [effect],
+    );
   }
 
-  #onConfig(): readonly SchedulerEffect[] {
+  #onConfig(nowMs: number): readonly SchedulerEffect[] {
     const { sheet, version } = this.#config.config;
+    this.#ownership.updateDataCentres(sheet.dataCentres, nowMs);
     const shardIds = getShardPlacements(sheet)
       .map((placement) => placement.shardId)
       .filter((shardId) => !isHomeShard(shardId));
@@ -404,6 +351,7 @@
   #onAcquired(nowMs: number, shardId: ShardId, epoch: number): readonly SchedulerEffect[] {
     this.#ownership.markAcquired(shardId, nowMs);
     this.#jobs.hastenReports();
+    if (isHomeShard(shardId)) this.#requests.markTakenOver(shardId);
     return [{ kind: 'log', message: 'shard acquired', fields: { shardId, epoch } }];
   }
 
@@ -453,8 +401,10 @@
       })),
       configVersion: this.#config.version,
       configFreshForMs: this.#config.getFreshUntilMs() - nowMs,
+      config: this.#configDuty.dump(nowMs),
       openRequests: this.#requests.openCount,
       waitingRequests: this.#requests.waitingCount,
+      requestMemory: this.#requests.memoryUse,
       tasks: this.#jobs.runner.taskCount,
       jobs: this.#jobs.jobCount,
     };
--- a/src/scheduler/jobDuty.ts
+++ b/src/scheduler/jobDuty.ts
@@ -14,6 +14,7 @@
 import type { TargetPool } from '../placement/targetPool';
 import type { Target } from '../placement/types';
 import type { PlatformResult } from '../platform/types';
+import type { StartPermit } from '../requests/types';
 import type { SchedulerCall, TaskAcknowledgement } from '../rpc/types';
 import type { TargetReport, TargetResult } from '../target/types';
 import { createDiagnostic } from '../types/diagnostics';
@@ -190,22 +191,21 @@
   /**
    * Takes in a target's report.
    * @param nowMs - this process's clock
+   * @param target - which target
+   * @param permit - the ownership under which the report was asked for
    * @param origin - which report
    * @param report - what the target says
    * @returns what to do
    */
   applyReport(
     nowMs: number,
+    target: Target,
+    permit: StartPermit,
     origin: ReportOrigin,
     report: TargetReport,
   ): readonly SchedulerEffect[] {
-    const { pool, ownership } = this.#parts;
-    const target = pool.get(origin.targetId);
-    const permit = target && ownership.tryGetOwnerPermit(target, nowMs);
-    if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
     const effects = this.#runner.applyReport(nowMs, target, permit, report, origin.sentMs);
     this.#contacts.recordReport(target.targetId, origin.epoch, origin.sentMs);
-    ownership.markReported(target, origin.epoch, origin.sentMs);
     return this.#fromTasks(nowMs, effects);
   }
 
--- a/src/scheduler/memberDuty.ts
+++ b/src/scheduler/memberDuty.ts
@@ -1,12 +1,21 @@
 /** Heartbeats between schedulers: status, promises and proofs of death. */
 
 import type { LeaseKeeper } from '../lease/leaseKeeper';
-import type { HeartbeatReply, MemberStatus, RpcResult } from '../rpc/types';
+import type { HeartbeatReply, MemberStatus, RpcResult, SchedulerCall } from '../rpc/types';
+import type { MemberId } from '../types/ids';
+import type { ConfigDuty } from './configDuty';
 import type { Peers } from './peers';
 import type { PeerOrigin, SchedulerEffect } from './types';
 
 const HEARTBEAT_INTERVAL_MS = 1_000;
 
+/** Where a heartbeat goes. */
+interface HeartbeatPeer {
+  readonly memberId: MemberId;
+  readonly address: string;
+}
+
+type Heartbeat = Extract<SchedulerCall, { kind: 'heartbeat' }>;
 type HeartbeatOrigin = Extract<PeerOrigin, { kind: 'heartbeat' }>;
 
 /** One scheduler's part in the exchange. */
@@ -15,15 +24,19 @@
 
   #peers: Peers;
 
+  #config: ConfigDuty;
+
   #dueMs = 0;
 
   /**
    * @param lease - uses promises and proofs
    * @param peers - keeps the statuses
+   * @param config - says what of the configuration each heartbeat carries
    */
-  constructor(lease: LeaseKeeper, peers: Peers) {
+  constructor(lease: LeaseKeeper, peers: Peers, config: ConfigDuty) {
     this.#lease = lease;
     this.#peers = peers;
+    this.#config = config;
   }
 
   /**
@@ -36,28 +49,32 @@
     if (nowMs < this.#dueMs) return [];
     this.#dueMs = nowMs + HEARTBEAT_INTERVAL_MS;
     const from = getStatus();
+    const config = this.#config.getGossip(nowMs);
     const sentById = this.#lease.memberId;
-    return this.#lease.members.views
-      .filter((view) => view.row.memberId !== sentById)
-      .map(({ row }) => ({
-        kind: 'callPeer',
-        origin: { kind: 'heartbeat', memberId: row.memberId, sentById, sentMs: nowMs },
-        address: row.address,
-        call: { kind: 'heartbeat', from },
-      }));
+    return this.#getHeartbeatPeers().map(({ memberId, address }) => ({
+      kind: 'callPeer',
+      origin: { kind: 'heartbeat', memberId, sentById, address, sentMs: nowMs },
+      address,
+      call: { kind: 'heartbeat', from, config },
+    }));
   }
 
   /**
    * Answers a heartbeat.
    * @param nowMs - this process's clock
-   * @param from - the sender's status
+   * @param heartbeat - what the sender says
    * @param status - this process's status
    * @returns the answer, with a promise if one can be given
    */
-  answer(nowMs: number, from: MemberStatus, status: MemberStatus): HeartbeatReply {
+  answer(nowMs: number, { from, config }: Heartbeat, status: MemberStatus): HeartbeatReply {
     this.#peers.update(from, nowMs);
-    const promiseMs = this.#lease.getPromiseMs(from.memberId, nowMs);
-    return { from: status, promiseMs, endedPromises: this.#lease.endedPromises };
+    return {
+      from: status,
+      promiseMs: this.#lease.getPromiseMs(from.memberId, nowMs),
+      endedPromises: this.#lease.endedPromises,
+      config: this.#config.getGossip(nowMs),
+      isCallerCounted: this.#config.isCounted(config.processId),
+    };
   }
 
   /**
@@ -65,19 +82,14 @@
    * @param nowMs - this process's clock
    * @param origin - which heartbeat
    * @param result - what came of it
-   * @returns the status of the member that answered, or undefined
    */
-  applyResult(
-    nowMs: number,
-    origin: HeartbeatOrigin,
-    result: RpcResult<HeartbeatReply>,
-  ): MemberStatus | undefined {
+  applyResult(nowMs: number, origin: HeartbeatOrigin, result: RpcResult<HeartbeatReply>): void {
     if (result.kind === 'notSent' && result.isRefused) {
       // The listening socket that the member registered is gone, and its process with it.
       this.#lease.applyPeerDeath(nowMs, origin.memberId);
       this.#peers.forget(origin.memberId);
     }
-    if (result.kind !== 'ok') return undefined;
+    if (result.kind !== 'ok') return;
     const { from, promiseMs, endedPromises } = result.value;
     this.#lease.applyHeartbeatReply(nowMs, {
       sentToId: origin.memberId,
@@ -89,6 +101,17 @@
     });
     if (from.memberId !== origin.memberId) this.#peers.forget(origin.memberId);
     this.#peers.update(from, nowMs);
-    return from;
+  }
+
+  /** Members of the lease table, and further processes that only the configuration counts. */
+  #getHeartbeatPeers(): readonly HeartbeatPeer[] {
+    const members = this.#lease.members.views
+      .map(({ row }) => ({ memberId: row.memberId, address: row.address }))
+      .filter(({ memberId }) => memberId !== this.#lease.memberId);
+    const addresses = new Set(members.map(({ address }) => address));
+    const others = this.#config.peers
+      .filter(({ address }) => !addresses.has(address))
+      .map(({ processId, address }) => ({ memberId: processId, address }));
+    return [...members, ...others];
   }
 }
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -7,21 +7,14 @@
 import type { RequestOrigin } from '../requests/types';
 import type { HeartbeatReply, RpcResult, SchedulerCall, TaskAcknowledgement } from '../rpc/types';
 import type { TargetCall, TargetResult } from '../target/types';
+import type { ConfigPeerOrigin } from '../config/effects';
+import type { ConfigOrigin } from '../config/rows';
 import type { AcceptedConfig } from '../config/types';
 import type { Epoch, MemberId, ShardId, TargetId } from '../types/ids';
 
 /** Which platform call a result belongs to. */
 export type PlatformOrigin =
-  | LeaseOrigin
-  | JournalOrigin
-  | { readonly kind: 'configRead'; readonly sentMs: number }
-  | {
-      readonly kind: 'configWrite';
-      readonly sentMs: number;
-      readonly callId: number;
-      readonly config: AcceptedConfig;
-    }
-  | { readonly kind: 'vmList'; readonly sentMs: number };
+  LeaseOrigin | JournalOrigin | ConfigOrigin | { readonly kind: 'vmList'; readonly sentMs: number };
 
 /** Which target call a result belongs to. */
 export type TargetOrigin =
@@ -44,15 +37,16 @@
       readonly memberId: MemberId;
       /** Incarnation that sends it. */
       readonly sentById: MemberId;
+      readonly address: string;
       readonly sentMs: number;
     }
-  | { readonly kind: 'configFetch' }
+  | ConfigPeerOrigin
   | { readonly kind: 'tellTasks' }
   | { readonly kind: 'oneWay' };
 
 /** Everything that can happen to a scheduler. Times are on the process's own clock. */
 export type SchedulerEvent =
-  | { readonly kind: 'tick'; readonly nowMs: number }
+  | { readonly kind: 'tick'; readonly nowMs: number; readonly wallMs: number }
   | {
       readonly kind: 'platformReplied';
       readonly nowMs: number;
@@ -74,6 +68,7 @@
   | {
       readonly kind: 'called';
       readonly nowMs: number;
+      readonly wallMs: number;
       readonly callId: number;
       readonly call: SchedulerCall;
     }
