--- a/standins/targetModel.ts
+++ b/standins/targetModel.ts
@@ -99,14 +99,15 @@
   }
 
   /**
-   * Gets the tasks that run, for checks of tests.
+   * Gets the tasks in one state, for checks of tests.
+   * @param state - which state
    * @param nowMs - the target's clock
    * @returns the ids under which they were started
    */
-  getRunningTaskIds(nowMs: number): readonly TaskId[] {
+  getTaskIds(state: TaskReport['state'], nowMs: number): readonly TaskId[] {
     this.#advance(nowMs);
     return [...this.#tasks.values()]
-      .filter((task) => task.state === 'running')
+      .filter((task) => task.state === state)
       .map((task) => task.taskId);
   }
 
--- a/tests/support/jobWorld.ts
+++ b/tests/support/jobWorld.ts
@@ -52,6 +52,8 @@
   /** Most tasks of each job seen running at once. */
   readonly peaks = new Map<string, number>();
 
+  #finished = new Map<string, string>();
+
   constructor(seed: number, memberCount = 3) {
     this.world = new World({
       seed,
@@ -129,9 +131,9 @@
   }
 
   /** Ids of runs on all targets now, as `task~attempt`. */
-  getRunning(): readonly string[] {
+  getRunning(state: 'running' | 'finished' = 'running'): readonly string[] {
     return [...this.world.targets.values()].flatMap((target) =>
-      target.getRunningTaskIds(this.world.nowMs),
+      target.getTaskIds(state, this.world.nowMs),
     );
   }
 
@@ -147,6 +149,12 @@
       const attempts = this.attempts.get(taskId) ?? new Set();
       this.attempts.set(taskId, attempts.add(runId));
     });
+    this.getRunning('finished').forEach((runId) => {
+      const taskId = runId.slice(0, runId.indexOf('~'));
+      const first = this.#finished.get(taskId) ?? runId;
+      this.#finished.set(taskId, first);
+      if (first !== runId) this.violations.push(`${taskId} finished as ${first} and ${runId}`);
+    });
     countByTask.forEach((count, taskId) => {
       if (count > 1) this.violations.push(`${taskId} runs ${count} times at ${this.world.nowMs}`);
     });
