Index targets by room, so that a decision no longer scans the fleet

Change: TargetPool keeps targets by shard and in buckets by room (tasks, requests, accelerators); tasks take the best of a bounded sample from the tightest buckets, then from the roomiest; requests take the least loaded of three sampled from the emptiest bucket, near data centre first.

--- /dev/null
+++ b/bench/decision.ts
@@ -0,0 +1,210 @@
+/** Time of one placement decision in the task and request reducers, at three fleet sizes. */
+
+import { TaskRunner } from '../src/jobs/taskRunner';
+import { TargetPool } from '../src/placement/targetPool';
+import type { LimitSource, Target } from '../src/placement/types';
+import { RequestTable } from '../src/requests/requestTable';
+import type { ArrivedRequest, StartGuard } from '../src/requests/types';
+import type { TaskStart } from '../src/rpc/types';
+import { toEpoch, toId } from '../src/types/ids';
+import type { RequestId } from '../src/types/ids';
+import { Random } from '../src/types/random';
+import { addResources, getDominantFraction, isFitting } from '../src/types/resources';
+import type { ResourceVector } from '../src/types/resources';
+import type { Bench, Figure } from './types';
+
+const TARGET_COUNTS = [30, 300, 920];
+const TEAM_COUNT = 44;
+const TASKS_AT_920 = 4_300;
+const WARM_UP_COUNT = 20_000;
+const DECISION_COUNT = 40_000;
+const DATA_CENTRE_COUNT = 8;
+const SHARDS_PER_DATA_CENTRE = 4;
+const SEED = 7;
+const NS_PER_US = 1_000;
+const NS_PER_SECOND = 1_000_000_000;
+
+const UNLIMITED: LimitSource = {
+  getAllottedSlots: () => Number.MAX_SAFE_INTEGER,
+  noteShortage: () => undefined,
+};
+
+interface Fleet {
+  readonly pool: TargetPool;
+  readonly guard: StartGuard;
+  readonly runner: TaskRunner;
+  readonly requests: RequestTable;
+  readonly random: Random;
+  nextId: number;
+}
+
+function createTarget(index: number): Target {
+  const dataCentre = index % DATA_CENTRE_COUNT;
+  const shard = Math.floor(index / DATA_CENTRE_COUNT) % SHARDS_PER_DATA_CENTRE;
+  return {
+    targetId: toId(`t${index}`),
+    shardId: toId(`targets.dc${dataCentre}.${shard}`),
+    address: `t${index}`,
+    dataCentreId: toId(`dc${dataCentre}`),
+    rack: `rack-${dataCentre}-${Math.floor(index / 48)}`,
+    capacity: {
+      cpuMillis: 64_000,
+      memoryMb: 131_072,
+      accelerators: index % 4 === 0 ? 8 : 0,
+      slots: 8,
+      connections: 64,
+    },
+    isLeaving: false,
+  };
+}
+
+function createFleet(targetCount: number): Fleet {
+  const targets = Array.from({ length: targetCount }, (_, index) => createTarget(index));
+  const pool = new TargetPool(UNLIMITED);
+  pool.updateTargets(targets);
+  const guard: StartGuard = {
+    tryGetPermit: () => ({ epoch: toEpoch(1), untilMs: Number.MAX_SAFE_INTEGER }),
+    getCandidates: () => pool.targets,
+    getReplicas: () => [],
+  };
+  const runner = new TaskRunner(pool, guard);
+  const requests = new RequestTable(pool, guard, toId('dc0'));
+  return { pool, guard, runner, requests, random: new Random(SEED), nextId: 0 };
+}
+
+function createStart(fleet: Fleet): TaskStart {
+  fleet.nextId += 1;
+  return {
+    kind: 'startTask',
+    taskId: toId(`task-${fleet.nextId}`),
+    jobId: toId('job'),
+    teamId: toId(`team-${fleet.random.nextInt(TEAM_COUNT)}`),
+    queueId: toId('queue'),
+    serviceName: '',
+    demand: {
+      cpuMillis: 1_000 + fleet.random.nextInt(8_000),
+      memoryMb: 1_024 + fleet.random.nextInt(16_384),
+      accelerators: 0,
+      slots: 1,
+      connections: 0,
+    },
+    runMs: 60_000,
+    resumeFraction: 0,
+  };
+}
+
+/** Starts tasks until as many run as the design size has for this number of targets. */
+function fill(fleet: Fleet, targetCount: number): readonly TaskStart[] {
+  const wanted = Math.round((TASKS_AT_920 * targetCount) / 920);
+  const running = Array.from({ length: wanted }, () => createStart(fleet));
+  running.forEach((start) => fleet.runner.start(0, start));
+  return running;
+}
+
+/** One task ends and another starts; only the start is timed. */
+function createTaskStep(fleet: Fleet, targetCount: number): () => number {
+  const running = [...fill(fleet, targetCount)];
+  return () => {
+    const ended = running.shift();
+    if (ended !== undefined) {
+      const origin = { kind: 'taskStart', taskId: ended.taskId } as const;
+      fleet.runner.applyTargetResult(origin, { kind: 'notSent', detail: '' });
+    }
+    const start = createStart(fleet);
+    running.push(start);
+    const startedNs = process.hrtime.bigint();
+    fleet.runner.start(0, start);
+    return Number(process.hrtime.bigint() - startedNs);
+  };
+}
+
+/** The scan of every target that the first version made for each task. */
+function getByFullScan(fleet: Fleet, demand: ResourceVector): Target | undefined {
+  let best: Target | undefined;
+  let bestFraction = -1;
+  fleet.pool.targets.forEach((target) => {
+    const free = fleet.pool.getFree(target.targetId);
+    if (!isFitting(demand, free) || fleet.guard.tryGetPermit(target, 0) === undefined) return;
+    const used = addResources(target.capacity, free, -1);
+    const fraction = getDominantFraction(used, target.capacity);
+    if (fraction <= bestFraction) return;
+    best = target;
+    bestFraction = fraction;
+  });
+  return best;
+}
+
+function createScanStep(fleet: Fleet, targetCount: number): () => number {
+  fill(fleet, targetCount);
+  return () => {
+    const { teamId, demand } = createStart(fleet);
+    const startedNs = process.hrtime.bigint();
+    const target = getByFullScan(fleet, demand);
+    const charged = target && fleet.pool.tryCharge(target.targetId, teamId, demand);
+    const tookNs = Number(process.hrtime.bigint() - startedNs);
+    if (charged?.kind === 'charged') fleet.pool.release(charged.charge);
+    return tookNs;
+  };
+}
+
+function createRequestStep(fleet: Fleet, targetCount: number): () => number {
+  fill(fleet, targetCount);
+  return () => {
+    fleet.nextId += 1;
+    const requestId = toId<RequestId>(`r-${fleet.nextId}`);
+    const arrived: ArrivedRequest = {
+      callId: fleet.nextId,
+      call: {
+        kind: 'startRequest',
+        requestId,
+        teamId: toId(`team-${fleet.random.nextInt(TEAM_COUNT)}`),
+        keyId: toId('key'),
+        queueId: toId('queue'),
+        serviceName: '',
+        isIdempotent: true,
+        windowRemainingMs: 1_000,
+        contentType: 'text/plain',
+        bodyBase64: '',
+      },
+      queue: { queueId: toId('queue'), access: { kind: 'open' }, urgency: 'normal' },
+    };
+    const startedNs = process.hrtime.bigint();
+    fleet.requests.start(0, arrived);
+    const tookNs = Number(process.hrtime.bigint() - startedNs);
+    const origin = { kind: 'request', requestId, attempt: 1 } as const;
+    const result = { kind: 'answer', requestId } as const;
+    fleet.requests.applyTargetResult(0, origin, {
+      ...result,
+      status: 200,
+      contentType: '',
+      bodyBase64: '',
+    });
+    return tookNs;
+  };
+}
+
+function measure(name: string, step: () => number): readonly Figure[] {
+  for (let count = 0; count < WARM_UP_COUNT; count += 1) step();
+  const times = Float64Array.from({ length: DECISION_COUNT }, () => step()).sort();
+  const getUs = (fraction: number) => (times[Math.floor(fraction * times.length)] ?? 0) / NS_PER_US;
+  const totalNs = times.reduce((sum, time) => sum + time, 0);
+  const perSecond = (DECISION_COUNT * NS_PER_SECOND) / totalNs;
+  return [
+    { name: `${name}, p50`, value: getUs(0.5), unit: 'us' },
+    { name: `${name}, p99`, value: getUs(0.99), unit: 'us' },
+    { name: `${name}, starts on one core`, value: perSecond, unit: '1/s' },
+  ];
+}
+
+/** The `decision` benchmark. */
+export const decision: Bench = {
+  name: 'decision',
+  describe: 'time of one placement decision, against a scan of every target',
+  async run() {
+    return TARGET_COUNTS.flatMap((count) => [
+      ...measure(`task, ${count} targets`, createTaskStep(createFleet(count), count)),
+      ...measure(`request, ${count} targets`, createRequestStep(createFleet(count), count)),
+      ...measure(`baseline full scan, ${count} targets`, createScanStep(createFleet(count), count)),
+    ]);
+  },
+};
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,10 +2,11 @@
 
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
+import { decision } from './decision';
 import { footprint } from './footprint';
 import type { Bench, Figure } from './types';
 
-const BENCHES: readonly Bench[] = [footprint];
+const BENCHES: readonly Bench[] = [decision, footprint];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
   if (isJson) {
--- a/src/escrow/staticSplit.ts
+++ b/src/escrow/staticSplit.ts
@@ -29,4 +29,10 @@
     const remainder = index < limitSlots % shardCount ? 1 : 0;
     return Math.floor(limitSlots / shardCount) + remainder;
   }
+
+  /** {@inheritDoc LimitSource.noteShortage} */
+  // eslint-disable-next-line class-methods-use-this
+  noteShortage(): void {
+    // A static division never moves.
+  }
 }
--- a/src/jobs/taskRunner.ts
+++ b/src/jobs/taskRunner.ts
@@ -1,12 +1,12 @@
 /** Runs tasks on the targets that this scheduler owns, and tells their homes what became of them. */
 
+import { BestFit } from '../placement/bestFit';
 import type { Charge, Target } from '../placement/types';
 import type { TargetPool } from '../placement/targetPool';
 import type { StartGuard, StartPermit } from '../requests/types';
 import type { TaskStart } from '../rpc/types';
 import type { TargetCall, TargetReport, TargetResult, TaskReport } from '../target/types';
 import type { JobId, TargetId, TaskId } from '../types/ids';
-import { getDominantFraction, isFitting, addResources } from '../types/resources';
 import type { TaskAnnotation, TaskNews } from './types';
 
 /** Lease that a task runs under; renewed with every report. */
@@ -100,6 +100,8 @@
 
   #guard: StartGuard;
 
+  #bestFit: BestFit;
+
   #tasks = new Map<TaskId, RunningTask>();
 
   /**
@@ -109,6 +111,7 @@
   constructor(pool: TargetPool, guard: StartGuard) {
     this.#pool = pool;
     this.#guard = guard;
+    this.#bestFit = new BestFit(pool, guard);
   }
 
   /** Tasks that run or may run. */
@@ -245,19 +248,9 @@
     this.#pool.release(task.charge);
   }
 
-  #getBestFit(nowMs: number, start: TaskStart): Target | undefined {
-    let best: Target | undefined;
-    let bestFraction = -1;
-    this.#guard.getCandidates().forEach((target) => {
-      const free = this.#pool.getFree(target.targetId);
-      if (!isFitting(start.demand, free)) return;
-      if (this.#guard.tryGetPermit(target, nowMs) === undefined) return;
-      const used = addResources(target.capacity, free, -1);
-      const fraction = getDominantFraction(used, target.capacity);
-      if (fraction <= bestFraction) return;
-      best = target;
-      bestFraction = fraction;
-    });
-    return best;
+  #getBestFit(nowMs: number, { teamId, demand, serviceName }: TaskStart): Target | undefined {
+    const usedRacks =
+      serviceName === '' ? [] : this.getReplicas(serviceName).map((target) => target.rack);
+    return this.#bestFit.tryGetTarget({ nowMs, teamId, demand, usedRacks });
   }
 }
--- /dev/null
+++ b/src/placement/bestFit.ts
@@ -0,0 +1,170 @@
+/** Picks a target for a task: the fullest one that still fits it. */
+
+import type { StartGuard } from '../requests/types';
+import type { ShardId, TeamId } from '../types/ids';
+import { isFitting } from '../types/resources';
+import type { ResourceVector } from '../types/resources';
+import { TOP_ROOM_LEVEL } from './roomIndex';
+import type { TargetPool } from './targetPool';
+import type { Target } from './types';
+
+/** Targets looked at in one bucket. */
+const MAX_PER_BUCKET = 8;
+
+/** Targets that fit and are compared before the search ends. */
+const MAX_COMPARED = 16;
+
+/** Targets looked at, fitting or not, in each of the two passes. */
+const MAX_LOOKED_AT = 48;
+
+const TIGHT_FIRST: readonly number[] = Array.from(
+  { length: TOP_ROOM_LEVEL },
+  (_, index) => index + 1,
+);
+const ROOMY_FIRST: readonly number[] = [...TIGHT_FIRST].reverse();
+
+/** Penalties above any fullness, for spending accelerators or a rack that should be spread. */
+const ACCELERATOR_PENALTY = 4;
+const RACK_PENALTY = 2;
+
+/** What a target is picked for. */
+export interface TaskPlacement {
+  readonly nowMs: number;
+  readonly teamId: TeamId;
+  readonly demand: ResourceVector;
+  /** Racks that run a replica of the same service already, once for each replica. */
+  readonly usedRacks: readonly string[];
+}
+
+interface Search {
+  best: Target | undefined;
+  bestScore: number;
+  comparedCount: number;
+  lookedAtCount: number;
+}
+
+function getUsedFraction(demand: number, free: number, whole: number): number {
+  return whole === 0 ? 0 : (whole - free + demand) / whole;
+}
+
+/** The fraction in use on the dominant resource once the task runs there. */
+function getFullness(target: Target, free: ResourceVector, demand: ResourceVector): number {
+  const { capacity } = target;
+  return Math.max(
+    getUsedFraction(demand.cpuMillis, free.cpuMillis, capacity.cpuMillis),
+    getUsedFraction(demand.memoryMb, free.memoryMb, capacity.memoryMb),
+    getUsedFraction(demand.accelerators, free.accelerators, capacity.accelerators),
+    getUsedFraction(demand.slots, free.slots, capacity.slots),
+  );
+}
+
+function getScore(target: Target, free: ResourceVector, placement: TaskPlacement): number {
+  const { demand, usedRacks } = placement;
+  const fullness = getFullness(target, free, demand);
+  const isWastingAccelerators = demand.accelerators === 0 && target.capacity.accelerators > 0;
+  const acceleratorPenalty = isWastingAccelerators ? ACCELERATOR_PENALTY : 0;
+  if (usedRacks.length === 0) return fullness - acceleratorPenalty;
+  const replicasInRack = usedRacks.filter((rack) => rack === target.rack).length;
+  return fullness - acceleratorPenalty - RACK_PENALTY * replicasInRack;
+}
+
+/**
+ * Best fit on the dominant resource over a bounded sample (the "relaxed randomization" of Verma et
+ * al., "Large-scale cluster management at Google with Borg", 2015, section 3.4).
+ */
+export class BestFit {
+  #pool: TargetPool;
+
+  #guard: StartGuard;
+
+  #targets: readonly Target[] | undefined;
+
+  #shardIds: ReadonlySet<ShardId> = new Set();
+
+  #turn = 0;
+
+  /**
+   * @param pool - budgets of the targets
+   * @param guard - the check at the moment of each start
+   */
+  constructor(pool: TargetPool, guard: StartGuard) {
+    this.#pool = pool;
+    this.#guard = guard;
+  }
+
+  /**
+   * Picks a target for a task.
+   * @param placement - the task
+   * @returns the target, or undefined when none of those looked at fits
+   */
+  tryGetTarget(placement: TaskPlacement): Target | undefined {
+    const { teamId, demand } = placement;
+    const shardIds = this.#getShardIds();
+    const isAllotted = (id: ShardId) =>
+      shardIds.has(id) && this.#pool.isAllotted(id, teamId, demand.slots);
+    // Without an allotment anywhere the caller's charge fails and so tells the shard's shortage.
+    return (
+      this.#searchAll(placement, isAllotted) ?? this.#searchAll(placement, (id) => shardIds.has(id))
+    );
+  }
+
+  #searchAll(
+    placement: TaskPlacement,
+    isAllowed: (shardId: ShardId) => boolean,
+  ): Target | undefined {
+    this.#turn += 1;
+    return (
+      this.#search(placement, isAllowed, TIGHT_FIRST) ??
+      this.#search(placement, isAllowed, ROOMY_FIRST)
+    );
+  }
+
+  #getShardIds(): ReadonlySet<ShardId> {
+    const targets = this.#guard.getCandidates();
+    if (this.#targets === targets) return this.#shardIds;
+    this.#targets = targets;
+    this.#shardIds = new Set(targets.map((target) => target.shardId));
+    return this.#shardIds;
+  }
+
+  #search(
+    placement: TaskPlacement,
+    isAllowed: (shardId: ShardId) => boolean,
+    levels: readonly number[],
+  ): Target | undefined {
+    const search: Search = {
+      best: undefined,
+      bestScore: Number.NEGATIVE_INFINITY,
+      comparedCount: 0,
+      lookedAtCount: 0,
+    };
+    const { taskRoom, acceleratorRoom } = this.#pool;
+    const index = placement.demand.accelerators > 0 ? acceleratorRoom : taskRoom;
+    levels.forEach((level) => {
+      index.forEachBucket(level, (shardId, bucket) => {
+        if (isAllowed(shardId)) this.#searchBucket(placement, bucket, search);
+        return search.comparedCount >= MAX_COMPARED || search.lookedAtCount >= MAX_LOOKED_AT;
+      });
+    });
+    return search.best;
+  }
+
+  #searchBucket(placement: TaskPlacement, bucket: readonly Target[], search: Search): void {
+    const { demand, nowMs } = placement;
+    const tryCount = Math.min(bucket.length, MAX_PER_BUCKET);
+    for (let step = 0; step < tryCount; step += 1) {
+      if (search.comparedCount >= MAX_COMPARED || search.lookedAtCount >= MAX_LOOKED_AT) return;
+      search.lookedAtCount += 1;
+      const target = bucket[(this.#turn + step) % bucket.length];
+      if (target === undefined) return;
+      const free = this.#pool.getFree(target.targetId);
+      if (!isFitting(demand, free)) continue;
+      if (this.#guard.tryGetPermit(target, nowMs) === undefined) continue;
+      search.comparedCount += 1;
+      const score = getScore(target, free, placement);
+      if (score <= search.bestScore) continue;
+      search.best = target;
+      search.bestScore = score;
+    }
+  }
+}
--- /dev/null
+++ b/src/placement/shardGroups.ts
@@ -0,0 +1,25 @@
+/** Groups the shards of a candidate list by whether they are near. */
+
+import type { DataCentreId, ShardId } from '../types/ids';
+import type { Target } from './types';
+
+type ShardPair = readonly [near: ReadonlySet<ShardId>, far: ReadonlySet<ShardId>];
+
+/** The shards of a candidate list, near ones apart; kept while the list stays the same. */
+export class ShardGroups {
+  #targets: readonly Target[] | undefined;
+
+  #groups: ShardPair = [new Set(), new Set()];
+
+  get(targets: readonly Target[], nearDataCentreId: DataCentreId): ShardPair {
+    if (this.#targets === targets) return this.#groups;
+    const near = new Set<ShardId>();
+    const far = new Set<ShardId>();
+    targets.forEach(({ shardId, dataCentreId }) => {
+      (dataCentreId === nearDataCentreId ? near : far).add(shardId);
+    });
+    this.#targets = targets;
+    this.#groups = [near, far];
+    return this.#groups;
+  }
+}
--- a/src/placement/targetPool.ts
+++ b/src/placement/targetPool.ts
@@ -3,25 +3,37 @@
 import type { ShardId, TargetId, TeamId } from '../types/ids';
 import { addResources, isFitting, NO_RESOURCES } from '../types/resources';
 import type { ResourceVector } from '../types/resources';
+import { getAcceleratorRoom, getRequestRoom, getTaskRoom, RoomIndex } from './roomIndex';
 import type { Charge, ChargeResult, LimitSource, Target } from './types';
 
 interface TargetState {
   target: Target;
   used: ResourceVector;
+  free: ResourceVector;
 }
 
-function getTeamKey(shardId: ShardId, teamId: TeamId): string {
-  return `${shardId}|${teamId}`;
-}
+const NO_TARGETS: readonly Target[] = [];
 
 /** The targets that the platform lists, with what this scheduler has running on them. */
 export class TargetPool {
   #states = new Map<TargetId, TargetState>();
 
-  #slotsByTeam = new Map<string, number>();
+  #targets: readonly Target[] = NO_TARGETS;
+
+  #byShard = new Map<ShardId, Target[]>();
+
+  #slotsByTeam = new Map<ShardId, Map<TeamId, number>>();
+
+  #taskRoom = new RoomIndex(getTaskRoom);
+
+  #acceleratorRoom = new RoomIndex(getAcceleratorRoom);
+
+  #requestRoom = new RoomIndex(getRequestRoom);
 
   #limits: LimitSource;
 
+  #union: { readonly key: string; readonly targets: readonly Target[] } | undefined;
+
   /**
    * @param limits - how much of each team's limit each shard may use
    */
@@ -31,7 +43,22 @@
 
   /** Every target with its state. */
   get targets(): readonly Target[] {
-    return [...this.#states.values()].map((state) => state.target);
+    return this.#targets;
+  }
+
+  /** Targets by the room for tasks that is left on them. Leaving targets are not in it. */
+  get taskRoom(): RoomIndex {
+    return this.#taskRoom;
+  }
+
+  /** Targets by the accelerators that are left. Leaving targets are not in it. */
+  get acceleratorRoom(): RoomIndex {
+    return this.#acceleratorRoom;
+  }
+
+  /** Targets by the slots and connections that are left. Leaving targets are not in it. */
+  get requestRoom(): RoomIndex {
+    return this.#requestRoom;
   }
 
   /**
@@ -42,14 +69,16 @@
   updateTargets(targets: readonly Target[]): void {
     const listed = new Set(targets.map((target) => target.targetId));
     targets.forEach((target) => {
-      const known = this.#states.get(target.targetId);
-      this.#states.set(target.targetId, { target, used: known?.used ?? NO_RESOURCES });
+      const used = this.#states.get(target.targetId)?.used ?? NO_RESOURCES;
+      const free = addResources(target.capacity, used, -1);
+      this.#states.set(target.targetId, { target, used, free });
     });
     this.#states.forEach((state, targetId) => {
       if (listed.has(targetId)) return;
       if (state.used.slots === 0) this.#states.delete(targetId);
       else state.target = { ...state.target, isLeaving: true };
     });
+    this.#rebuildIndexes();
   }
 
   /**
@@ -67,7 +96,20 @@
    * @returns its targets
    */
   getOfShard(shardId: ShardId): readonly Target[] {
-    return this.targets.filter((target) => target.shardId === shardId);
+    return this.#byShard.get(shardId) ?? NO_TARGETS;
+  }
+
+  /**
+   * Gets the targets of several shards. The same shards give the same array until the list changes.
+   * @param shardIds - which shards
+   * @returns their targets
+   */
+  getOfShards(shardIds: readonly ShardId[]): readonly Target[] {
+    const key = shardIds.join('|');
+    if (this.#union?.key === key) return this.#union.targets;
+    const targets = shardIds.flatMap((shardId) => this.getOfShard(shardId));
+    this.#union = { key, targets };
+    return targets;
   }
 
   /**
@@ -76,9 +118,7 @@
    * @returns the free amounts; nothing for an unknown target
    */
   getFree(targetId: TargetId): ResourceVector {
-    const state = this.#states.get(targetId);
-    if (state === undefined) return NO_RESOURCES;
-    return addResources(state.target.capacity, state.used, -1);
+    return this.#states.get(targetId)?.free ?? NO_RESOURCES;
   }
 
   /**
@@ -92,10 +132,12 @@
     const state = this.#states.get(targetId);
     if (state === undefined) return { kind: 'noCapacity' };
     const { shardId } = state.target;
-    const teamKey = getTeamKey(shardId, teamId);
-    const teamSlots = (this.#slotsByTeam.get(teamKey) ?? 0) + demand.slots;
-    if (teamSlots > this.#limits.getAllottedSlots(shardId, teamId)) return { kind: 'limitReached' };
-    if (!isFitting(demand, this.getFree(targetId))) return { kind: 'noCapacity' };
+    const teamSlots = this.getTeamSlots(shardId, teamId) + demand.slots;
+    if (teamSlots > this.#limits.getAllottedSlots(shardId, teamId)) {
+      this.#limits.noteShortage(shardId, teamId, demand.slots);
+      return { kind: 'limitReached' };
+    }
+    if (!isFitting(demand, state.free)) return { kind: 'noCapacity' };
     return { kind: 'charged', charge: this.forceCharge(state.target, teamId, demand) };
   }
 
@@ -127,14 +169,53 @@
    * @returns the slots in use
    */
   getTeamSlots(shardId: ShardId, teamId: TeamId): number {
-    return this.#slotsByTeam.get(getTeamKey(shardId, teamId)) ?? 0;
+    return this.#slotsByTeam.get(shardId)?.get(teamId) ?? 0;
+  }
+
+  /**
+   * Asks whether a shard's allotment has room for a start of a team.
+   * @param shardId - which shard
+   * @param teamId - which team
+   * @param slots - what the start takes
+   * @returns true when the team would stay within the shard's allotment
+   */
+  isAllotted(shardId: ShardId, teamId: TeamId, slots: number): boolean {
+    const teamSlots = this.getTeamSlots(shardId, teamId) + slots;
+    return teamSlots <= this.#limits.getAllottedSlots(shardId, teamId);
   }
 
   #add(charge: Charge, factor: 1 | -1): void {
     const state = this.#states.get(charge.targetId);
-    if (state !== undefined) state.used = addResources(state.used, charge.demand, factor);
-    const teamKey = getTeamKey(charge.shardId, charge.teamId);
-    const teamSlots = (this.#slotsByTeam.get(teamKey) ?? 0) + factor * charge.demand.slots;
-    this.#slotsByTeam.set(teamKey, teamSlots);
+    if (state !== undefined) {
+      state.used = addResources(state.used, charge.demand, factor);
+      state.free = addResources(state.free, charge.demand, -factor);
+      this.#updateRoom(state);
+    }
+    const byTeam = this.#slotsByTeam.get(charge.shardId) ?? new Map<TeamId, number>();
+    byTeam.set(charge.teamId, (byTeam.get(charge.teamId) ?? 0) + factor * charge.demand.slots);
+    this.#slotsByTeam.set(charge.shardId, byTeam);
+  }
+
+  #updateRoom({ target, free }: TargetState): void {
+    if (target.isLeaving) return;
+    this.#taskRoom.update(target, free);
+    this.#acceleratorRoom.update(target, free);
+    this.#requestRoom.update(target, free);
+  }
+
+  #rebuildIndexes(): void {
+    this.#targets = [...this.#states.values()].map((state) => state.target);
+    this.#union = undefined;
+    this.#byShard.clear();
+    this.#taskRoom.clear();
+    this.#acceleratorRoom.clear();
+    this.#requestRoom.clear();
+    this.#states.forEach((state) => {
+      const { target } = state;
+      const ofShard = this.#byShard.get(target.shardId);
+      if (ofShard === undefined) this.#byShard.set(target.shardId, [target]);
+      else ofShard.push(target);
+      this.#updateRoom(state);
+    });
   }
 }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -36,4 +36,11 @@
    * @returns the slots that the team may have running on the shard
    */
   getAllottedSlots(shardId: ShardId, teamId: TeamId): number;
+  /**
+   * Tells that a start was held back by the shard's allotment.
+   * @param shardId - the shard on which the start would have been
+   * @param teamId - whose work it was
+   * @param slots - what it would have taken
+   */
+  noteShortage(shardId: ShardId, teamId: TeamId, slots: number): void;
 }
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -2,10 +2,14 @@
 
 import type { Charge, ChargeResult, Target } from '../placement/types';
 import type { TargetPool } from '../placement/targetPool';
+import { LeastLoaded } from '../placement/leastLoaded';
+import type { RequestStart } from '../rpc/types';
 import type { TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import { NO_RESOURCES, getDominantFraction } from '../types/resources';
-import type { RequestId } from '../types/ids';
+import { NO_RESOURCES } from '../types/resources';
+import { getHash } from '../types/hash';
+import { Random } from '../types/random';
+import type { DataCentreId, RequestId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import type {
   ArrivedRequest,
@@ -66,6 +70,10 @@
 
   #guard: StartGuard;
 
+  #nearDataCentreId: DataCentreId;
+
+  #leastLoaded: LeastLoaded;
+
   #open = new Map<RequestId, OpenRequest>();
 
   #waiting: RequestId[] = [];
@@ -73,10 +81,14 @@
   /**
    * @param pool - budgets of the targets
    * @param guard - the check at the moment of each start
+   * @param nearDataCentreId - where the callers are
    */
-  constructor(pool: TargetPool, guard: StartGuard) {
+  constructor(pool: TargetPool, guard: StartGuard, nearDataCentreId: DataCentreId) {
     this.#pool = pool;
     this.#guard = guard;
+    this.#nearDataCentreId = nearDataCentreId;
+    const random = new Random(getHash(nearDataCentreId));
+    this.#leastLoaded = new LeastLoaded({ pool, guard, random });
   }
 
   /** Requests that wait for a target. */
@@ -193,11 +205,7 @@
   #tryStart(nowMs: number, request: OpenRequest): readonly RequestEffect[] {
     if (nowMs >= request.deadlineMs) return [this.#finishRefused(request, 'windowExpired')];
     const { call } = request.arrived;
-    const candidates =
-      call.serviceName === ''
-        ? this.#guard.getCandidates()
-        : this.#guard.getReplicas(call.serviceName);
-    const target = this.#getLeastLoaded(nowMs, candidates);
+    const target = this.#getLeastLoaded(nowMs, call);
     const permit = target && this.#guard.tryGetPermit(target, nowMs);
     if (target === undefined || permit === undefined) return this.#wait(request);
     const charged = this.#pool.tryCharge(target.targetId, call.teamId, REQUEST_DEMAND);
@@ -223,22 +231,10 @@
     }
   }
 
-  #getLeastLoaded(nowMs: number, candidates: readonly Target[]): Target | undefined {
-    let best: Target | undefined;
-    let bestFraction = Number.POSITIVE_INFINITY;
-    candidates.forEach((target) => {
-      if (this.#guard.tryGetPermit(target, nowMs) === undefined) return;
-      const free = this.#pool.getFree(target.targetId);
-      if (free.slots < 1 || free.connections < 1) return;
-      const fraction = getDominantFraction(
-        { ...NO_RESOURCES, slots: target.capacity.slots - free.slots },
-        target.capacity,
-      );
-      if (fraction >= bestFraction) return;
-      best = target;
-      bestFraction = fraction;
-    });
-    return best;
+  #getLeastLoaded(nowMs: number, { teamId, serviceName }: RequestStart): Target | undefined {
+    const placement = { nowMs, teamId, nearDataCentreId: this.#nearDataCentreId };
+    if (serviceName === '') return this.#leastLoaded.tryGetTarget(placement);
+    return this.#leastLoaded.tryGetReplica(placement, this.#guard.getReplicas(serviceName));
   }
 
   #wait(request: OpenRequest): readonly RequestEffect[] {
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -102,7 +102,7 @@
     const { dataCentreId, region, advertisedAddress } = settings;
     this.#lease = new LeaseKeeper(memberId, { address: advertisedAddress, dataCentreId, region });
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestTable(this.#pool, this.#ownership);
+    this.#requests = new RequestTable(this.#pool, this.#ownership, dataCentreId);
     this.#tasks = new TaskRunner(this.#pool, this.#ownership);
     this.#ownership.setReplicas(this.#tasks);
   }
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -91,8 +91,7 @@
 
   /** {@inheritDoc StartGuard.getCandidates} */
   getCandidates(): readonly Target[] {
-    const owned = new Set(this.#lease.ownedShardIds);
-    return this.#pool.targets.filter((target) => owned.has(target.shardId));
+    return this.#pool.getOfShards(this.#lease.ownedShardIds);
   }
 
   /** {@inheritDoc StartGuard.getReplicas} */
--- /dev/null
+++ b/tests/placement.test.ts
@@ -0,0 +1,141 @@
+/** Budgets, their indexes and the placement that reads them. */
+
+import fc from 'fast-check';
+import { BestFit } from '../src/placement/bestFit';
+import { LeastLoaded } from '../src/placement/leastLoaded';
+import { TargetPool } from '../src/placement/targetPool';
+import type { Charge, LimitSource, Target } from '../src/placement/types';
+import type { StartGuard } from '../src/requests/types';
+import { toEpoch, toId } from '../src/types/ids';
+import type { TargetId, TeamId } from '../src/types/ids';
+import { Random } from '../src/types/random';
+import { isFitting, NO_RESOURCES, RESOURCE_KINDS } from '../src/types/resources';
+
+const TEAM: TeamId = toId('team');
+const ALLOTTED_SLOTS = 9;
+const LIMITS: LimitSource = {
+  getAllottedSlots: () => ALLOTTED_SLOTS,
+  noteShortage: () => undefined,
+};
+
+function createTarget(index: number): Target {
+  return {
+    targetId: toId(`t${index}`),
+    shardId: toId(`s${index % 2}`),
+    address: `t${index}`,
+    dataCentreId: toId(`d${index % 3}`),
+    rack: `r${index % 4}`,
+    capacity: {
+      cpuMillis: 8_000,
+      memoryMb: 8_000,
+      accelerators: index % 3,
+      slots: 1 + (index % 5),
+      connections: 4,
+    },
+    isLeaving: index === 5,
+  };
+}
+
+const TARGETS = Array.from({ length: 6 }, (_, index) => createTarget(index));
+
+function createGuard(pool: TargetPool): StartGuard {
+  return {
+    tryGetPermit: (target) =>
+      target.isLeaving ? undefined : { epoch: toEpoch(1), untilMs: 1_000_000 },
+    getCandidates: () => pool.targets,
+    getReplicas: () => [],
+  };
+}
+
+const demandArbitrary = fc.record({
+  cpuMillis: fc.integer({ min: 0, max: 4_000 }),
+  memoryMb: fc.integer({ min: 0, max: 4_000 }),
+  accelerators: fc.integer({ min: 0, max: 2 }),
+  slots: fc.integer({ min: 1, max: 3 }),
+  connections: fc.integer({ min: 0, max: 2 }),
+});
+
+const stepArbitrary = fc.oneof(
+  fc.record({ kind: fc.constant('task' as const), demand: demandArbitrary }),
+  fc.record({ kind: fc.constant('request' as const), demand: demandArbitrary }),
+  fc.record({ kind: fc.constant('end' as const), index: fc.nat(20) }),
+);
+
+describe('placement', () => {
+  test('never exceeds a budget or an allotment, charges all or nothing, and finds what fits', () => {
+    fc.assert(
+      fc.property(fc.array(stepArbitrary, { maxLength: 60 }), (steps) => {
+        const pool = new TargetPool(LIMITS);
+        pool.updateTargets(TARGETS);
+        const guard = createGuard(pool);
+        const bestFit = new BestFit(pool, guard);
+        const leastLoaded = new LeastLoaded({ pool, guard, random: new Random(1) });
+        const charges: Charge[] = [];
+        steps.forEach((step) => {
+          if (step.kind === 'end') {
+            const [ended] = charges.splice(step.index, 1);
+            if (ended !== undefined) pool.release(ended);
+            return;
+          }
+          const demand =
+            step.kind === 'task' ? step.demand : { ...NO_RESOURCES, slots: 1, connections: 1 };
+          const target =
+            step.kind === 'task'
+              ? bestFit.tryGetTarget({ nowMs: 0, teamId: TEAM, demand, usedRacks: [] })
+              : leastLoaded.tryGetTarget({ nowMs: 0, teamId: TEAM, nearDataCentreId: toId('d1') });
+          const fitting = TARGETS.filter(
+            (known) => !known.isLeaving && isFitting(demand, pool.getFree(known.targetId)),
+          );
+          // A demand for nothing but slots also fits where the processors are used up.
+          const isOrdinary = step.kind === 'request' || demand.cpuMillis * demand.memoryMb > 0;
+          if (target === undefined) {
+            if (isOrdinary) expect(fitting).toEqual([]);
+            return;
+          }
+          const before = [pool.getFree(target.targetId), pool.getTeamSlots(target.shardId, TEAM)];
+          const result = pool.tryCharge(target.targetId, TEAM, demand);
+          if (result.kind === 'charged') charges.push(result.charge);
+          else {
+            const after = [pool.getFree(target.targetId), pool.getTeamSlots(target.shardId, TEAM)];
+            expect(after).toEqual(before);
+          }
+        });
+        TARGETS.forEach(({ targetId, capacity }) => {
+          const held = charges.filter((charge) => charge.targetId === targetId);
+          RESOURCE_KINDS.forEach((kind) => {
+            const used = held.reduce((sum, charge) => sum + charge.demand[kind], 0);
+            expect(used).toBeLessThanOrEqual(capacity[kind]);
+            expect(pool.getFree(targetId)[kind]).toBe(capacity[kind] - used);
+          });
+        });
+        ['s0', 's1'].forEach((shardId) => {
+          const held = charges.filter((charge) => charge.shardId === shardId);
+          const used = held.reduce((sum, charge) => sum + charge.demand.slots, 0);
+          expect(used).toBeLessThanOrEqual(ALLOTTED_SLOTS);
+        });
+      }),
+      { seed: 11, numRuns: 600 },
+    );
+  });
+
+  test('spares accelerators and spreads a service over racks', () => {
+    const capacity = { ...NO_RESOURCES, cpuMillis: 8, memoryMb: 8, slots: 8 };
+    const targets = ['a', 'a', 'b', 'gpu'].map((rack, index): Target => ({
+      ...createTarget(index),
+      rack,
+      isLeaving: false,
+      capacity: { ...capacity, accelerators: rack === 'gpu' ? 2 : 0 },
+    }));
+    const pool = new TargetPool(LIMITS);
+    pool.updateTargets(targets);
+    const bestFit = new BestFit(pool, createGuard(pool));
+    const place = (accelerators: number, usedRacks: readonly string[]): string | undefined => {
+      const demand = { ...NO_RESOURCES, cpuMillis: 1, slots: 1, accelerators };
+      return bestFit.tryGetTarget({ nowMs: 0, teamId: TEAM, demand, usedRacks })?.rack;
+    };
+    expect(place(2, [])).toBe('gpu');
+    expect(place(0, ['a', 'a', 'b'])).toBe('b');
+    pool.forceCharge(pool.get(toId<TargetId>('t3')) as Target, TEAM, { ...capacity, cpuMillis: 4 });
+    expect(place(0, [])).not.toBe('gpu');
+  });
+});
