--- a/bench/decision.ts
+++ b/bench/decision.ts
@@ -64,6 +64,7 @@
   pool.updateTargets(targets);
   const guard: StartGuard = {
     tryGetPermit: () => ({ epoch: toEpoch(1), untilMs: Number.MAX_SAFE_INTEGER }),
+    tryGetOwnerPermit: () => undefined,
     getCandidates: () => pool.targets,
     getReplicas: () => [],
   };
@@ -108,7 +109,7 @@
     const ended = running.shift();
     if (ended !== undefined) {
       const origin = { kind: 'taskStart', taskId: ended.taskId } as const;
-      fleet.runner.applyTargetResult(origin, { kind: 'notSent', detail: '' });
+      fleet.runner.applyTargetResult(0, origin, { kind: 'notSent', detail: '' });
     }
     const start = createStart(fleet);
     running.push(start);
--- a/src/jobs/taskRunner.ts
+++ b/src/jobs/taskRunner.ts
@@ -6,7 +6,9 @@
 import type { StartGuard, StartPermit } from '../requests/types';
 import type { TaskStart } from '../rpc/types';
 import type { TargetCall, TargetReport, TargetResult, TaskReport } from '../target/types';
-import type { JobId, TargetId, TaskId } from '../types/ids';
+import { assertNever } from '../types/debug';
+import type { JobId, ShardId, TargetId, TaskId, TeamId } from '../types/ids';
+import { pickSurplus } from './surplus';
 import type { TaskAnnotation, TaskNews } from './types';
 
 /** Lease that a task runs under; renewed with every report. */
@@ -16,7 +18,10 @@
 /** Which call a target's result belongs to. */
 export type TaskOrigin =
   | { readonly kind: 'taskStart'; readonly taskId: TaskId }
-  | { readonly kind: 'taskAcknowledge'; readonly taskId: TaskId };
+  | { readonly kind: 'taskAcknowledge'; readonly taskId: TaskId }
+  /** A checkpoint that is followed by a stop, for a task above its team's limit. */
+  | { readonly kind: 'taskCheckpoint'; readonly taskId: TaskId }
+  | { readonly kind: 'taskStop'; readonly taskId: TaskId };
 
 /** What the task runner wants done. */
 export type TaskEffect =
@@ -30,6 +35,13 @@
     }
   | { readonly kind: 'tellHome'; readonly news: TaskNews };
 
+/** What runs of a team on a shard above its allotment. */
+export interface TeamSurplus {
+  readonly shardId: ShardId;
+  readonly teamId: TeamId;
+  readonly slots: number;
+}
+
 interface RunningTask {
   readonly taskId: TaskId;
   readonly jobId: JobId;
@@ -37,6 +49,8 @@
   readonly serviceName: string;
   readonly charge: Charge;
   isConfirmed: boolean;
+  isStopping: boolean;
+  checkpointFraction: number;
 }
 
 function parseAnnotation(text: string): TaskAnnotation {
@@ -160,19 +174,89 @@
       serviceName: start.serviceName,
       charge: charged.charge,
       isConfirmed: false,
+      isStopping: false,
+      checkpointFraction: start.resumeFraction,
     });
     return [createStartCall(start, target, permit)];
   }
 
   /**
    * Takes in what came of a call to a target. A lost start is settled by the target's next report.
+   * @param nowMs - this process's clock
    * @param origin - which call
    * @param result - what came
    * @returns what to do
    */
-  applyTargetResult(origin: TaskOrigin, result: TargetResult): readonly TaskEffect[] {
+  applyTargetResult(
+    nowMs: number,
+    origin: TaskOrigin,
+    result: TargetResult,
+  ): readonly TaskEffect[] {
     const task = this.#tasks.get(origin.taskId);
-    if (task === undefined || origin.kind !== 'taskStart') return [];
+    if (task === undefined) return [];
+    switch (origin.kind) {
+      case 'taskStart':
+        return this.#applyStart(task, result);
+      case 'taskAcknowledge':
+        return [];
+      case 'taskCheckpoint':
+        return this.#callOwned(nowMs, task, 'stop');
+      case 'taskStop':
+        return this.#applyStop(task, result);
+      default:
+        return assertNever(origin);
+    }
+  }
+
+  /**
+   * Checkpoints and stops what runs of a team above its allotment on a shard.
+   * @param nowMs - this process's clock
+   * @param surplus - how much of which team where
+   * @returns what to do
+   */
+  stopSurplus(nowMs: number, { shardId, teamId, slots }: TeamSurplus): readonly TaskEffect[] {
+    const candidates = [...this.#tasks.values()]
+      .filter(({ charge }) => charge.shardId === shardId && charge.teamId === teamId)
+      .map((task) => ({
+        task,
+        slots: task.charge.demand.slots,
+        serviceName: task.serviceName,
+        isStopping: task.isStopping,
+      }));
+    return pickSurplus(candidates, slots).flatMap(({ task }) => {
+      if (!task.isConfirmed) return [];
+      task.isStopping = true;
+      return this.#callOwned(nowMs, task, 'checkpoint');
+    });
+  }
+
+  #callOwned(nowMs: number, task: RunningTask, kind: 'checkpoint' | 'stop'): readonly TaskEffect[] {
+    const target = this.#pool.get(task.targetId);
+    const permit = target && this.#guard.tryGetOwnerPermit(target, nowMs);
+    if (target === undefined || permit === undefined) return [];
+    const { taskId } = task;
+    return [
+      {
+        kind: 'callTarget',
+        origin: { kind: kind === 'checkpoint' ? 'taskCheckpoint' : 'taskStop', taskId },
+        address: target.address,
+        call: { kind, token: { shardId: target.shardId, epoch: permit.epoch }, taskId },
+        timeoutMs: TARGET_TIMEOUT_MS,
+        notAfterMs: permit.untilMs,
+      },
+    ];
+  }
+
+  #applyStop(task: RunningTask, result: TargetResult): readonly TaskEffect[] {
+    if (result.kind !== 'accepted') {
+      task.isStopping = false;
+      return [];
+    }
+    this.#forget(task);
+    return [createNews(task, 'stopped', task.checkpointFraction)];
+  }
+
+  #applyStart(task: RunningTask, result: TargetResult): readonly TaskEffect[] {
     if (result.kind === 'accepted') {
       task.isConfirmed = true;
       return [createNews(task, 'running', 0)];
@@ -206,6 +290,7 @@
 
   #applyTaskReport(target: Target, permit: StartPermit, report: TaskReport): readonly TaskEffect[] {
     const known = this.#tasks.get(report.taskId) ?? this.#adopt(target, report);
+    known.checkpointFraction = report.checkpointFraction;
     if (report.state === 'running') {
       if (known.isConfirmed) return [];
       known.isConfirmed = true;
@@ -238,6 +323,8 @@
       serviceName: annotation.serviceName,
       charge: this.#pool.forceCharge(target, report.teamId, report.demand),
       isConfirmed: false,
+      isStopping: false,
+      checkpointFraction: report.checkpointFraction,
     };
     this.#tasks.set(task.taskId, task);
     return task;
--- a/src/lease/leaseKeeper.ts
+++ b/src/lease/leaseKeeper.ts
@@ -2,7 +2,7 @@
 
 import type { MemberRow } from '../membership/types';
 import { getMemberKey, MEMBER_PREFIX, MemberTable } from '../membership/memberTable';
-import type { PlatformResult, Row } from '../platform/types';
+import type { PlatformResult, Row, RowCheck } from '../platform/types';
 import { assertNever } from '../types/debug';
 import { getPreferred } from '../types/hash';
 import { toEpoch, toId } from '../types/ids';
@@ -120,6 +120,18 @@
     return this.#owned.get(shardId) ?? toEpoch(0);
   }
 
+  /**
+   * Gets the row that proves ownership of a shard, for a transaction that only its owner may make.
+   * @param shardId - which shard
+   * @returns its key and version, undefined until a scan has shown the row as acquired
+   */
+  tryGetOwnerCheck(shardId: ShardId): RowCheck | undefined {
+    const view = this.#shards.get(shardId);
+    if (view === undefined || view.row.ownerId !== this.#memberId) return undefined;
+    if (view.row.epoch !== this.#owned.get(shardId)) return undefined;
+    return { key: getShardKey(shardId), version: view.rowVersion };
+  }
+
   /**
    * Renews, scans, evicts, acquires and releases as far as it is time to.
    * @param nowMs - this process's clock
--- a/src/placement/targetPool.ts
+++ b/src/placement/targetPool.ts
@@ -172,6 +172,16 @@
     return this.#slotsByTeam.get(shardId)?.get(teamId) ?? 0;
   }
 
+  /**
+   * Gets the teams with something running on a shard.
+   * @param shardId - which shard
+   * @returns the teams, in no order
+   */
+  getTeamsInUse(shardId: ShardId): readonly TeamId[] {
+    const byTeam = this.#slotsByTeam.get(shardId) ?? new Map<TeamId, number>();
+    return [...byTeam].filter(([, slots]) => slots > 0).map(([teamId]) => teamId);
+  }
+
   /**
    * Asks whether a shard's allotment has room for a start of a team.
    * @param shardId - which shard
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -41,6 +41,12 @@
    * @returns the permit, or undefined when nothing may start there now
    */
   tryGetPermit(target: Target, nowMs: number): StartPermit | undefined;
+  /**
+   * @param target - where work runs
+   * @param nowMs - this process's clock
+   * @returns the permit to speak to the target as its owner, or undefined without authority
+   */
+  tryGetOwnerPermit(target: Target, nowMs: number): StartPermit | undefined;
   /** @returns targets on which this scheduler may at all start work, best guess */
   getCandidates(): readonly Target[];
   /**
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -4,18 +4,18 @@
 import { CONFIG_KEY, ConfigHolder } from '../config/configHolder';
 import type { AcceptedConfig } from '../config/types';
 import type { SchedulerSettings } from '../config/settings';
-import { StaticSplit } from '../escrow/staticSplit';
+import { EscrowLedger } from '../escrow/escrowLedger';
+import type { EscrowEffect } from '../escrow/types';
 import { createShardLoad, JobTable } from '../jobs/jobTable';
 import type { JobEffect } from '../jobs/jobTable';
 import { TASK_LEASE_MS, TaskRunner } from '../jobs/taskRunner';
 import type { TaskEffect } from '../jobs/taskRunner';
 import type { TaskNews } from '../jobs/types';
 import { LeaseKeeper } from '../lease/leaseKeeper';
-import { getHomeShard, getShardPlacements, getTargetShard, isHomeShard } from '../lease/shards';
+import { getHomeShard, getShardPlacements, isHomeShard } from '../lease/shards';
 import type { LeaseEffect } from '../lease/types';
 import { TargetPool } from '../placement/targetPool';
 import type { Target } from '../placement/types';
-import type { Vm } from '../platform/types';
 import { RequestTable } from '../requests/requestTable';
 import type { RequestEffect } from '../requests/types';
 import type {
@@ -28,12 +28,13 @@
 } from '../rpc/types';
 import { createDiagnostic } from '../types/diagnostics';
 import { assertNever } from '../types/debug';
-import { toId } from '../types/ids';
-import type { MemberId, ShardId, TargetId } from '../types/ids';
+import type { MemberId, ShardId } from '../types/ids';
 import { fail, ok } from '../types/outcomes';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
+import { EscrowDuty } from './escrowDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
+import { getTargets } from './targetDuty';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
 const CONFIG_READ_INTERVAL_MS = 1_000;
@@ -75,9 +76,11 @@
 
   #config = new ConfigHolder();
 
-  #split = new StaticSplit();
+  #ledger = new EscrowLedger();
 
-  #pool = new TargetPool(this.#split);
+  #pool = new TargetPool(this.#ledger);
+
+  #escrow: EscrowDuty;
 
   #ownership: Ownership;
 
@@ -101,6 +104,7 @@
     this.#settings = settings;
     const { dataCentreId, region, advertisedAddress } = settings;
     this.#lease = new LeaseKeeper(memberId, { address: advertisedAddress, dataCentreId, region });
+    this.#escrow = new EscrowDuty(this.#ledger, this.#lease, this.#pool);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
     this.#requests = new RequestTable(this.#pool, this.#ownership, dataCentreId);
     this.#tasks = new TaskRunner(this.#pool, this.#ownership);
@@ -147,6 +151,7 @@
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
+      ...this.#fromEscrow(nowMs, this.#escrow.tick(nowMs)),
       ...this.#readConfig(nowMs),
       ...this.#listVms(nowMs),
       ...this.#sendHeartbeats(nowMs),
@@ -220,8 +225,14 @@
       case 'configWrite':
         return this.#applyConfigWrite(event, origin.callId, origin.config);
       case 'vmList':
-        if (result.kind === 'vms') this.#updateTargets(result.vms);
+        if (result.kind !== 'vms') return [];
+        this.#pool.updateTargets(
+          getTargets(result.vms, this.#config.config.sheet.shardsPerDataCentre),
+        );
         return [];
+      case 'escrowRead':
+      case 'escrowWrite':
+        return this.#fromEscrow(nowMs, this.#escrow.applyResult(nowMs, origin, result));
       case 'jobFlush':
       case 'jobLoad':
         return this.#fromJobs(nowMs, this.#jobs.applyResult(origin, result));
@@ -236,7 +247,9 @@
         return fromRequests(this.#requests.applyTargetResult(nowMs, origin, result));
       case 'taskStart':
       case 'taskAcknowledge':
-        return this.#fromTasks(nowMs, this.#tasks.applyTargetResult(origin, result));
+      case 'taskCheckpoint':
+      case 'taskStop':
+        return this.#fromTasks(nowMs, this.#tasks.applyTargetResult(nowMs, origin, result));
       case 'report':
         if (result.kind !== 'report') return [];
         return this.#applyReport(nowMs, origin, result);
@@ -383,30 +396,12 @@
 
   #onConfig(): readonly SchedulerEffect[] {
     const { sheet, version } = this.#config.config;
-    const shardIds = getShardPlacements(sheet)
-      .map((placement) => placement.shardId)
-      .filter((shardId) => !isHomeShard(shardId));
-    this.#split.update(sheet.teams, shardIds);
+    const shardIds = getShardPlacements(sheet).map((placement) => placement.shardId);
+    this.#escrow.updateConfig(sheet.teams, shardIds);
     this.#due.vmListMs = 0;
     return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
   }
 
-  #updateTargets(vms: readonly Vm[]): void {
-    const { shardsPerDataCentre } = this.#config.config.sheet;
-    const targets = vms
-      .filter((vm) => vm.role === 'target')
-      .map((vm): Target => ({
-        targetId: toId<TargetId>(vm.vmId),
-        shardId: getTargetShard(vm.dataCentreId, vm.vmId, shardsPerDataCentre),
-        address: vm.address,
-        dataCentreId: vm.dataCentreId,
-        rack: vm.rack,
-        capacity: vm.capacity,
-        isLeaving: vm.leaving,
-      }));
-    this.#pool.updateTargets(targets);
-  }
-
   #fromLease(nowMs: number, effects: readonly LeaseEffect[]): readonly SchedulerEffect[] {
     return effects.flatMap((effect): readonly SchedulerEffect[] => {
       switch (effect.kind) {
@@ -426,6 +421,7 @@
 
   #onAcquired(nowMs: number, shardId: ShardId, epoch: number): readonly SchedulerEffect[] {
     this.#ownership.markAcquired(shardId, nowMs);
+    this.#escrow.addShard(shardId);
     this.#due.reportMs = nowMs;
     const loads = isHomeShard(shardId) ? createShardLoad(shardId) : [];
     return [
@@ -435,11 +431,25 @@
   }
 
   #onLost(shardId: ShardId, reason: string): readonly SchedulerEffect[] {
+    this.#escrow.removeShard(shardId);
     if (isHomeShard(shardId)) this.#jobs.forget((jobId) => getHomeShard(jobId) === shardId);
     else this.#tasks.forgetTargets(this.#pool.getOfShard(shardId));
     return [{ kind: 'log', message: 'shard lost', fields: { shardId, reason } }];
   }
 
+  #fromEscrow(nowMs: number, effects: readonly EscrowEffect[]): readonly SchedulerEffect[] {
+    return effects.flatMap((effect): readonly SchedulerEffect[] => {
+      switch (effect.kind) {
+        case 'callPlatform':
+          return [effect];
+        case 'stopSurplus':
+          return this.#fromTasks(nowMs, this.#tasks.stopSurplus(nowMs, effect));
+        default:
+          return assertNever(effect);
+      }
+    });
+  }
+
   #fromTasks(nowMs: number, effects: readonly TaskEffect[]): readonly SchedulerEffect[] {
     return effects.flatMap((effect): readonly SchedulerEffect[] => {
       switch (effect.kind) {
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -1,5 +1,6 @@
 /** Events and effects of the scheduler's reducer. */
 
+import type { EscrowOrigin } from '../escrow/types';
 import type { JobOrigin } from '../jobs/jobTable';
 import type { TaskOrigin } from '../jobs/taskRunner';
 import type { LeaseOrigin } from '../lease/types';
@@ -13,6 +14,7 @@
 /** Which platform call a result belongs to. */
 export type PlatformOrigin =
   | LeaseOrigin
+  | EscrowOrigin
   | JobOrigin
   | { readonly kind: 'configRead'; readonly sentMs: number }
   | {
--- /dev/null
+++ b/tests/escrow.test.ts
@@ -0,0 +1,180 @@
+/** No team over its upper limit: the escrow ledgers under kills, races, lost and late answers. */
+
+import fc from 'fast-check';
+import { getSlots, getUnits, WHOLE_UNITS } from '../src/escrow/units';
+import { EscrowModel } from './support/escrowModel';
+import type { Delivery } from './support/escrowModel';
+import { explore } from './support/explorer';
+
+const MEMBER_COUNT = 3;
+const SHARD_COUNT = 4;
+
+const member = fc.nat(MEMBER_COUNT - 1);
+const shard = fc.nat(SHARD_COUNT - 1);
+const delivery = fc.constantFrom<Delivery[]>(
+  'answered',
+  'answered',
+  'answered',
+  'answerLost',
+  'givenUpThenLate',
+  'dropped',
+);
+
+const step = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('tick' as const), member }) },
+  {
+    weight: 14,
+    arbitrary: fc.record({ kind: fc.constant('start' as const), shard, count: fc.nat(5) }),
+  },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('end' as const), shard }) },
+  {
+    weight: 8,
+    arbitrary: fc.record({ kind: fc.constant('deliver' as const), flight: fc.nat(4), delivery }),
+  },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('wait' as const), ms: fc.nat(1_500) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('kill' as const), member }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('restart' as const), member }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('pause' as const), member }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('scan' as const), member }) },
+  { weight: 5, arbitrary: fc.record({ kind: fc.constant('takeOver' as const), shard, member }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant('limit' as const), slots: fc.nat(24) }),
+  },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('adopt' as const), member }) },
+);
+
+type Step = typeof step extends fc.Arbitrary<infer T> ? T : never;
+
+function apply(model: EscrowModel, action: Step): void {
+  switch (action.kind) {
+    case 'tick':
+      return model.tick(action.member);
+    case 'start':
+      for (let count = 0; count < action.count; count += 1) model.tryStart(action.shard);
+      return undefined;
+    case 'end':
+      return model.end(action.shard);
+    case 'deliver':
+      return model.deliver(action.flight, action.delivery);
+    case 'wait':
+      model.nowMs += action.ms;
+      return undefined;
+    case 'kill':
+      return model.kill(action.member);
+    case 'restart':
+      return model.restart(action.member);
+    case 'pause':
+      return model.loseAuthority(action.member);
+    case 'scan':
+      return model.scanLeases(action.member);
+    case 'takeOver':
+      return model.takeOver(action.shard, action.member);
+    case 'limit':
+      return model.changeLimit(action.slots);
+    default:
+      return model.adopt(action.member);
+  }
+}
+
+/** One member is left and takes everything over. */
+function leaveOne(model: EscrowModel): void {
+  model.restart(0);
+  model.scanLeases(0);
+  model.kill(1);
+  model.kill(2);
+  model.shardIds.forEach((_, index) => model.takeOver(index, 0));
+  model.members.forEach((known) => model.adopt(known.index));
+}
+
+describe('escrow of upper limits', () => {
+  test('whole slots of any division never sum up to more than the limit', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.nat(WHOLE_UNITS), { minLength: 1, maxLength: 40 }),
+        fc.integer({ min: 1, max: 5_000_000 }),
+        (parts, limitSlots) => {
+          const whole = parts.reduce((sum, part) => sum + part, 0);
+          const units = parts.map((part) => Math.floor((part / Math.max(1, whole)) * WHOLE_UNITS));
+          const slots = units.reduce((sum, part) => sum + getSlots(part, limitSlots), 0);
+          expect(slots).toBeLessThanOrEqual(limitSlots);
+          const wanted = Math.min(limitSlots, parts.length);
+          expect(getSlots(getUnits(wanted, limitSlots), limitSlots)).toBe(wanted);
+          if (limitSlots < 1_000) {
+            expect(getUnits(1, limitSlots) * limitSlots).toBeLessThanOrEqual(WHOLE_UNITS);
+          }
+        },
+      ),
+      { seed: 3, numRuns: 2_000 },
+    );
+  });
+
+  test('holds in every run of three members, and all units come back to the one that is left', () => {
+    let stoppedSlots = 0;
+    let startedCount = 0;
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 24 }),
+        fc.array(step, { minLength: 60, maxLength: 160, size: 'max' }),
+        fc.boolean(),
+        (limitSlots, steps, isSettled) => {
+          const model = new EscrowModel(MEMBER_COUNT, SHARD_COUNT, limitSlots);
+          if (isSettled) model.settle(1_500, () => undefined);
+          steps.forEach((action) => {
+            const before = model.totalSlots;
+            apply(model, action);
+            startedCount += Math.max(0, model.totalSlots - before);
+            expect(model.findViolation()).toBeUndefined();
+          });
+          leaveOne(model);
+          model.settle(9_000, () => undefined);
+          expect(model.totalSlots).toBeLessThanOrEqual(model.limitSlots);
+          model.boundSlots = model.limitSlots;
+          model.shardIds.forEach((shardId) => model.running.set(shardId, 0));
+          model.settle(20_000, () => {
+            while (model.tryStart(0));
+            expect(model.findViolation()).toBeUndefined();
+          });
+          expect(model.totalSlots).toBe(model.limitSlots);
+          stoppedSlots += model.stoppedSlots;
+        },
+      ),
+      { seed: 5, numRuns: 260 },
+    );
+    expect(stoppedSlots).toBeGreaterThan(0);
+    expect(startedCount).toBeGreaterThan(1_000);
+  });
+
+  test('explored: no interleaving of two members breaks the limit', () => {
+    const actions: readonly Step[] = [
+      { kind: 'tick', member: 0 },
+      { kind: 'tick', member: 1 },
+      { kind: 'start', shard: 0, count: 1 },
+      { kind: 'start', shard: 1, count: 1 },
+      { kind: 'end', shard: 1 },
+      { kind: 'pause', member: 0 },
+      { kind: 'scan', member: 0 },
+      { kind: 'takeOver', shard: 0, member: 1 },
+      { kind: 'wait', ms: 2_000 },
+      { kind: 'deliver', flight: 0, delivery: 'answered' },
+      { kind: 'deliver', flight: 0, delivery: 'answerLost' },
+      { kind: 'deliver', flight: 0, delivery: 'givenUpThenLate' },
+    ];
+    const report = explore<Step>(() => {
+      const model = new EscrowModel(2, 2, 3);
+      model.settle(500, () => undefined);
+      model.tryStart(0);
+      return {
+        getActions: () => actions,
+        apply: (action) => apply(model, action),
+        getState: () => model.getState(),
+        findViolation: () => model.findViolation(),
+      };
+    }, 6);
+    process.stdout.write(
+      `escrow explorer: ${report.stateCount} states, ${report.transitionCount} steps\n`,
+    );
+    expect(report.violation).toBeUndefined();
+    expect(report.stateCount).toBeGreaterThan(1_000);
+  });
+});
