--- /dev/null
+++ b/tests/capacityWorld.test.ts
@@ -0,0 +1,138 @@
+/** Upper limits and budgets held by whole schedulers in virtual time. */
+
+import type { RequestStart } from '../src/rpc/types';
+import { toConfigVersion, toEpoch, toId } from '../src/types/ids';
+import { createSheet } from './support/sheets';
+import { World } from './support/world';
+
+const DATA_CENTRES = ['rotterdam', 'delft'];
+const LIMIT_SLOTS = 6;
+const SERVICE_MS = 300;
+/** From the acceptance of a lowered limit until nothing runs above it. */
+const LIMIT_IN_FORCE_MS = 9_000;
+
+const CAPACITY = {
+  cpuMillis: 64_000,
+  memoryMb: 131_072,
+  accelerators: 0,
+  slots: 8,
+  connections: 64,
+};
+
+function applyLimit(world: World, basedOn: number, limitSlots: number): void {
+  const sheet = createSheet(['team-a'], DATA_CENTRES, { limitSlots });
+  const change = {
+    kind: 'applySheet',
+    basedOnVersion: toConfigVersion(basedOn),
+    sheet,
+  } as const;
+  const operationId = toId<never>(`op-${basedOn}`);
+  const index = world.processes.findIndex((process) => !process.isDown);
+  world.call(index, { kind: 'changeConfig', change, operationId }, () => undefined);
+}
+
+function createWorld(seed: number): World {
+  const world = new World({
+    seed,
+    memberCount: 3,
+    dataCentreIds: DATA_CENTRES,
+    targetsPerDataCentre: 4,
+    capacity: CAPACITY,
+  });
+  world.runFor(2_000);
+  applyLimit(world, 0, LIMIT_SLOTS);
+  world.runFor(8_000);
+  return world;
+}
+
+function createRequest(requestId: string): RequestStart {
+  return {
+    kind: 'startRequest',
+    requestId: toId(requestId),
+    teamId: toId('team-a'),
+    keyId: toId('key-team-a'),
+    queueId: toId('team-a'),
+    serviceName: '',
+    isIdempotent: true,
+    windowRemainingMs: 2_000,
+    contentType: 'text/plain',
+    bodyBase64: Buffer.from(String(SERVICE_MS)).toString('base64'),
+  };
+}
+
+/** The most requests that ran at once, by the targets' own record. */
+function getPeak(world: World, fromMs: number): number {
+  const starts = world.requestRuns.map((run) => run.atMs).filter((atMs) => atMs >= fromMs);
+  return Math.max(
+    0,
+    ...starts.map((atMs) => starts.filter((ms) => ms <= atMs && ms + SERVICE_MS > atMs).length),
+  );
+}
+
+function countTasks(world: World): number {
+  return [...world.targets.values()].reduce((count, target) => {
+    const token = { shardId: toId<never>('watcher'), epoch: toEpoch(0) };
+    const result = target.perform({ kind: 'report', token }, world.nowMs);
+    if (result.kind !== 'report') return count;
+    return count + result.report.tasks.filter((task) => task.state === 'running').length;
+  }, 0);
+}
+
+describe('capacity of whole schedulers', () => {
+  test('a team reaches its limit through any scheduler, never passes it, also after a death', () => {
+    const world = createWorld(4);
+    const load = (name: string, indexes: readonly number[], count: number) => {
+      for (let round = 0; round < count; round += 1) {
+        indexes.forEach((index) => {
+          const request = createRequest(`${name}-${index}-${round}`);
+          world.call(index, request, () => undefined);
+        });
+        world.runFor(50);
+      }
+    };
+    const owners = world.processes
+      .filter((process) => process.core.dump(world.nowMs).status.freeSlots > 0)
+      .map((process) => process.index);
+    const [first, ...others] = owners;
+    load('one', [first as number], 200);
+    expect(getPeak(world, world.nowMs - 3_000)).toBe(LIMIT_SLOTS);
+    world.kill(first as number);
+    world.runFor(9_000);
+    const killedMs = world.nowMs;
+    load('others', others, 200);
+    expect(getPeak(world, killedMs + 5_000)).toBe(LIMIT_SLOTS);
+    expect(getPeak(world, 0)).toBe(LIMIT_SLOTS);
+  });
+
+  test('a lowered limit stops the surplus within seconds and starts nothing instead', () => {
+    const world = createWorld(6);
+    world.targets.forEach((target) => target.setFaults({ isFencing: false }));
+    const spec = {
+      jobId: toId<never>('job'),
+      queueId: toId<never>('team-a'),
+      policy: { kind: 'batch', taskCount: 10 },
+      demand: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0, slots: 1, connections: 0 },
+      expectedRunMs: 3_600_000,
+    } as const;
+    world.processes.forEach(({ index }) => {
+      world.call(index, { kind: 'submitJob', spec, teamId: toId('team-a') }, () => undefined);
+    });
+    let peak = 0;
+    const watch = (durationMs: number) => {
+      for (let passedMs = 0; passedMs < durationMs; passedMs += 100) {
+        world.runFor(100);
+        peak = Math.max(peak, countTasks(world));
+      }
+    };
+    watch(40_000);
+    expect(countTasks(world)).toBeGreaterThan(2);
+    expect(peak).toBeLessThanOrEqual(LIMIT_SLOTS);
+    applyLimit(world, 1, 2);
+    watch(LIMIT_IN_FORCE_MS);
+    peak = 0;
+    watch(10_000);
+    expect(peak).toBeLessThanOrEqual(2);
+    expect(peak).toBeGreaterThan(0);
+    world.targets.forEach((target) => expect(target.violations).toEqual([]));
+  });
+});
