--- a/bench/decision.ts
+++ b/bench/decision.ts
@@ -1,8 +1,10 @@
 /** Time of one placement decision in the task and request reducers, at three fleet sizes. */
 
+import type { Queue } from '../src/config/types';
 import { TaskRunner } from '../src/jobs/taskRunner';
 import { TargetPool } from '../src/placement/targetPool';
 import type { LimitSource, Target } from '../src/placement/types';
+import { OutcomeMemory } from '../src/requests/outcomeMemory';
 import { RequestTable } from '../src/requests/requestTable';
 import type { ArrivedRequest, StartGuard } from '../src/requests/types';
 import type { TaskStart } from '../src/rpc/types';
@@ -29,6 +31,8 @@
   noteShortage: () => undefined,
 };
 
+const QUEUE: Queue = { queueId: toId('queue'), access: { kind: 'open' }, urgency: 'normal' };
+
 interface Fleet {
   readonly pool: TargetPool;
   readonly guard: StartGuard;
@@ -69,7 +73,14 @@
     getReplicas: () => [],
   };
   const runner = new TaskRunner(pool, guard);
-  const requests = new RequestTable(pool, guard, toId('dc0'));
+  const requests = new RequestTable({
+    pool,
+    guard,
+    admission: { checkAdmission: () => QUEUE },
+    homes: { getHomeUntilMs: () => Number.MAX_SAFE_INTEGER },
+    memory: new OutcomeMemory(),
+    nearDataCentreId: toId('dc0'),
+  });
   return { pool, guard, runner, requests, random: new Random(SEED), nextId: 0 };
 }
 
@@ -158,6 +169,7 @@
       call: {
         kind: 'startRequest',
         requestId,
+        cancelId: requestId,
         teamId: toId(`team-${fleet.random.nextInt(TEAM_COUNT)}`),
         keyId: toId('key'),
         queueId: toId('queue'),
@@ -167,12 +179,12 @@
         contentType: 'text/plain',
         bodyBase64: '',
       },
-      queue: { queueId: toId('queue'), access: { kind: 'open' }, urgency: 'normal' },
+      queue: QUEUE,
     };
     const startedNs = process.hrtime.bigint();
     fleet.requests.start(0, arrived);
     const tookNs = Number(process.hrtime.bigint() - startedNs);
-    const origin = { kind: 'request', requestId, attempt: 1 } as const;
+    const origin = { kind: 'request', callId: arrived.callId, attempt: 1 } as const;
     const result = { kind: 'answer', requestId } as const;
     fleet.requests.applyTargetResult(0, origin, {
       ...result,
--- a/src/placement/leastLoaded.ts
+++ b/src/placement/leastLoaded.ts
@@ -1,7 +1,7 @@
 /** Picks a target for a request: near ones first, and of few sampled the least loaded. */
 
 import type { StartGuard } from '../requests/types';
-import type { DataCentreId, ShardId, TeamId } from '../types/ids';
+import type { DataCentreId, ShardId, TargetId, TeamId } from '../types/ids';
 import type { Random } from '../types/random';
 import { TOP_ROOM_LEVEL } from './roomIndex';
 import { ShardGroups } from './shardGroups';
@@ -20,6 +20,8 @@
   readonly teamId: TeamId;
   /** Targets of this data centre are taken before others. */
   readonly nearDataCentreId: DataCentreId;
+  /** Targets that are passed over. */
+  readonly avoid: ReadonlySet<TargetId>;
 }
 
 /** What a target is picked from. */
@@ -38,14 +40,14 @@
 /**
  * Samples a list from a random place on and keeps the least loaded of the first few that may start.
  * @param source - budgets, permits and randomness
- * @param nowMs - this process's clock
+ * @param placement - the request
  * @param targets - where the request could run
  * @param maxTries - how many are looked at
  * @returns the least loaded of the sample, or undefined when none of it may start
  */
 function trySample(
   { pool, guard, random }: PlacementSource,
-  nowMs: number,
+  { nowMs, avoid }: RequestPlacement,
   targets: readonly Target[],
   maxTries: number,
 ): Target | undefined {
@@ -58,6 +60,7 @@
   for (let step = 0; step < tryCount && sampledCount < SAMPLE_COUNT; step += 1) {
     const target = targets[(offset + step) % targets.length];
     if (target === undefined) break;
+    if (avoid.has(target.targetId)) continue;
     const load = getRequestLoad(pool, target);
     if (!Number.isFinite(load) || guard.tryGetPermit(target, nowMs) === undefined) continue;
     sampledCount += 1;
@@ -96,11 +99,11 @@
     const [near, far] = this.#groups.get(guard.getCandidates(), nearDataCentreId);
     const isAllotted = (shardId: ShardId) => pool.isAllotted(shardId, teamId, 1);
     return (
-      this.#tryGetOfShards(placement.nowMs, near, isAllotted) ??
-      this.#tryGetOfShards(placement.nowMs, far, isAllotted) ??
+      this.#tryGetOfShards(placement, near, isAllotted) ??
+      this.#tryGetOfShards(placement, far, isAllotted) ??
       // Without an allotment anywhere the caller's charge fails and so tells the shard's shortage.
-      this.#tryGetOfShards(placement.nowMs, near, () => true) ??
-      this.#tryGetOfShards(placement.nowMs, far, () => true)
+      this.#tryGetOfShards(placement, near, () => true) ??
+      this.#tryGetOfShards(placement, far, () => true)
     );
   }
 
@@ -112,37 +115,41 @@
    */
   tryGetReplica(placement: RequestPlacement, replicas: readonly Target[]): Target | undefined {
     const { pool } = this.#source;
-    const { nowMs, teamId, nearDataCentreId } = placement;
+    const { teamId, nearDataCentreId } = placement;
     const allotted = replicas.filter((target) => pool.isAllotted(target.shardId, teamId, 1));
     const usable = allotted.length > 0 ? allotted : replicas;
     const near = usable.filter((target) => target.dataCentreId === nearDataCentreId);
     return (
-      trySample(this.#source, nowMs, near, near.length) ??
-      trySample(this.#source, nowMs, usable, usable.length)
+      trySample(this.#source, placement, near, near.length) ??
+      trySample(this.#source, placement, usable, usable.length)
     );
   }
 
   #tryGetOfShards(
-    nowMs: number,
+    placement: RequestPlacement,
     shardIds: ReadonlySet<ShardId>,
     isAllowed: (shardId: ShardId) => boolean,
   ): Target | undefined {
     for (let level = TOP_ROOM_LEVEL; level > 0; level -= 1) {
-      const found = this.#tryGetOfLevel(nowMs, level, (id) => shardIds.has(id) && isAllowed(id));
+      const found = this.#tryGetOfLevel(
+        placement,
+        level,
+        (id) => shardIds.has(id) && isAllowed(id),
+      );
       if (found !== undefined) return found;
     }
     return undefined;
   }
 
   #tryGetOfLevel(
-    nowMs: number,
+    placement: RequestPlacement,
     level: number,
     isAllowed: (shardId: ShardId) => boolean,
   ): Target | undefined {
     let found: Target | undefined;
     this.#source.pool.requestRoom.forEachBucket(level, (shardId, bucket) => {
       if (!isAllowed(shardId)) return false;
-      found = trySample(this.#source, nowMs, bucket, MAX_TRIES);
+      found = trySample(this.#source, placement, bucket, MAX_TRIES);
       return found !== undefined;
     });
     return found;
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -1,8 +1,7 @@
 /** The scheduler's reducer: one function from an event to the effects that it calls for. */
 
-import { applyChange } from '../config/applyChange';
-import { CONFIG_KEY, ConfigHolder } from '../config/configHolder';
-import type { AcceptedConfig } from '../config/types';
+import { ConfigHolder } from '../config/configHolder';
+import type { ConfigEffect } from '../config/effects';
 import type { SchedulerSettings } from '../config/settings';
 import { EscrowLedger } from '../escrow/escrowLedger';
 import type { EscrowEffect } from '../escrow/types';
@@ -16,57 +15,35 @@
 import type { LeaseEffect } from '../lease/types';
 import { TargetPool } from '../placement/targetPool';
 import type { Target } from '../placement/types';
-import { RequestTable } from '../requests/requestTable';
-import type { RequestEffect } from '../requests/types';
-import type {
-  HeartbeatReply,
-  MemberStatus,
-  RequestStart,
-  Routes,
-  SchedulerCall,
-  ShardOwner,
-} from '../rpc/types';
-import { createDiagnostic } from '../types/diagnostics';
+import type { Vm } from '../platform/types';
+import type { HeartbeatReply, MemberStatus, Routes, RpcResult, ShardOwner } from '../rpc/types';
 import { assertNever } from '../types/debug';
 import type { MemberId, ShardId } from '../types/ids';
-import { fail, ok } from '../types/outcomes';
-import type { NotRunReason, RequestOutcome } from '../types/outcomes';
+import { ok } from '../types/outcomes';
+import { ConfigDuty } from './configDuty';
 import { EscrowDuty } from './escrowDuty';
+import { InFlightStarts } from './inFlightStarts';
+import { MemberDuty } from './memberDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
+import { RequestDuty } from './requestDuty';
 import { getTargets } from './targetDuty';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
-const CONFIG_READ_INTERVAL_MS = 1_000;
 const VM_LIST_INTERVAL_MS = 2_000;
-const HEARTBEAT_INTERVAL_MS = 1_000;
 const REPORT_INTERVAL_MS = 1_000;
 const REPORT_TIMEOUT_MS = 1_500;
 
 /** When each periodic duty is next due. */
 interface Schedule {
-  configReadMs: number;
   vmListMs: number;
-  heartbeatMs: number;
   reportMs: number;
 }
 
 type PlatformReplied = Extract<SchedulerEvent, { kind: 'platformReplied' }>;
 type TargetReplied = Extract<SchedulerEvent, { kind: 'targetReplied' }>;
 type PeerReplied = Extract<SchedulerEvent, { kind: 'peerReplied' }>;
-
-function fromRequests(effects: readonly RequestEffect[]): readonly SchedulerEffect[] {
-  return effects.map((effect): SchedulerEffect => {
-    switch (effect.kind) {
-      case 'callTarget':
-        return effect;
-      case 'reply':
-        return { kind: 'replyCall', callId: effect.callId, value: effect.outcome };
-      default:
-        return assertNever(effect);
-    }
-  });
-}
+type Called = Extract<SchedulerEvent, { kind: 'called' }>;
 
 /** State of one scheduler, changed by events alone. */
 export class SchedulerCore {
@@ -76,6 +53,8 @@
 
   #config = new ConfigHolder();
 
+  #configDuty: ConfigDuty;
+
   #ledger = new EscrowLedger();
 
   #pool = new TargetPool(this.#ledger);
@@ -84,7 +63,7 @@
 
   #ownership: Ownership;
 
-  #requests: RequestTable;
+  #requests: RequestDuty;
 
   #tasks: TaskRunner;
 
@@ -92,7 +71,13 @@
 
   #peers = new Peers();
 
-  #due: Schedule = { configReadMs: 0, vmListMs: 0, heartbeatMs: 0, reportMs: 0 };
+  #memberDuty: MemberDuty;
+
+  #inFlight = new InFlightStarts();
+
+  #tickedMs = 0;
+
+  #due: Schedule = { vmListMs: 0, reportMs: 0 };
 
   #isDraining = false;
 
@@ -102,11 +87,19 @@
    */
   constructor(memberId: MemberId, settings: SchedulerSettings) {
     this.#settings = settings;
-    const { dataCentreId, region, advertisedAddress } = settings;
-    this.#lease = new LeaseKeeper(memberId, { address: advertisedAddress, dataCentreId, region });
+    const { dataCentreId, region, advertisedAddress: address, vmId } = settings;
+    this.#lease = new LeaseKeeper(memberId, { address, vmId, dataCentreId, region });
+    this.#configDuty = new ConfigDuty(memberId, address, this.#config);
+    this.#memberDuty = new MemberDuty(this.#lease, this.#peers, this.#configDuty);
     this.#escrow = new EscrowDuty(this.#ledger, this.#lease, this.#pool);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestTable(this.#pool, this.#ownership, dataCentreId);
+    this.#requests = new RequestDuty(
+      this.#lease,
+      this.#config,
+      this.#pool,
+      this.#ownership,
+      dataCentreId,
+    );
     this.#tasks = new TaskRunner(this.#pool, this.#ownership);
     this.#ownership.setReplicas(this.#tasks);
   }
@@ -123,9 +116,16 @@
    * @returns what to do about it
    */
   reduce(event: SchedulerEvent): readonly SchedulerEffect[] {
+    if (event.kind === 'targetReplied') this.#inFlight.finish(event.origin);
+    const effects = this.#reduce(event);
+    this.#inFlight.track(effects);
+    return effects;
+  }
+
+  #reduce(event: SchedulerEvent): readonly SchedulerEffect[] {
     switch (event.kind) {
       case 'tick':
-        return this.#tick(event.nowMs);
+        return this.#tick(event.nowMs, event.wallMs);
       case 'platformReplied':
         return this.#applyPlatform(event);
       case 'targetReplied':
@@ -133,7 +133,7 @@
       case 'peerReplied':
         return this.#applyPeer(event);
       case 'called':
-        return this.#answer(event.nowMs, event.callId, event.call);
+        return this.#answer(event);
       case 'drainRequested':
         this.#isDraining = true;
         return [{ kind: 'log', message: 'draining', fields: {} }];
@@ -142,56 +142,41 @@
     }
   }
 
-  #tick(nowMs: number): readonly SchedulerEffect[] {
+  #tick(nowMs: number, wallMs: number): readonly SchedulerEffect[] {
     const placements = getShardPlacements(this.#config.config.sheet);
     const context = {
       shards: placements,
-      busyShardIds: new Set<ShardId>(),
-      isDraining: this.#isDraining && this.#requests.openCount === 0,
+      busyShardIds: this.#inFlight.busyShardIds,
+      isLeaving: this.#isDraining,
+      isHandingOver: this.#isDraining && this.#requests.openCount === 0,
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
       ...this.#fromEscrow(nowMs, this.#escrow.tick(nowMs)),
-      ...this.#readConfig(nowMs),
+      ...this.#fromConfig(nowMs, this.#configDuty.tick(nowMs)),
       ...this.#listVms(nowMs),
-      ...this.#sendHeartbeats(nowMs),
+      ...this.#memberDuty.tick(nowMs, () => this.#getStatus(nowMs)),
       ...this.#askReports(nowMs),
-      ...fromRequests(this.#requests.startWaiting(nowMs)),
+      ...this.#requests.tick(nowMs, wallMs),
       ...this.#fromJobs(nowMs, this.#jobs.tick(nowMs)),
     ];
   }
 
-  #readConfig(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.configReadMs) return [];
-    this.#due.configReadMs = nowMs + CONFIG_READ_INTERVAL_MS;
-    const origin = { kind: 'configRead', sentMs: nowMs } as const;
-    return [{ kind: 'callPlatform', origin, call: { kind: 'read', keys: [CONFIG_KEY] } }];
-  }
-
   #listVms(nowMs: number): readonly SchedulerEffect[] {
     if (nowMs < this.#due.vmListMs) return [];
     this.#due.vmListMs = nowMs + VM_LIST_INTERVAL_MS;
     return [{ kind: 'callPlatform', origin: { kind: 'vmList' }, call: { kind: 'listVms' } }];
   }
 
-  #sendHeartbeats(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.heartbeatMs) return [];
-    this.#due.heartbeatMs = nowMs + HEARTBEAT_INTERVAL_MS;
-    const from = this.#getStatus(nowMs);
-    return this.#lease.members.views
-      .filter((view) => view.row.memberId !== this.#lease.memberId)
-      .map(({ row }) => ({
-        kind: 'callPeer',
-        origin: { kind: 'heartbeat', memberId: row.memberId, sentMs: nowMs },
-        address: row.address,
-        call: { kind: 'heartbeat', from },
-      }));
-  }
-
   #askReports(nowMs: number): readonly SchedulerEffect[] {
-    if (nowMs < this.#due.reportMs) return [];
-    this.#due.reportMs = nowMs + REPORT_INTERVAL_MS;
-    return this.#ownership.getCandidates().flatMap((target) => this.#askReport(nowMs, target));
+    const sinceMs = this.#tickedMs;
+    this.#tickedMs = nowMs;
+    const isDue = nowMs >= this.#due.reportMs;
+    if (isDue) this.#due.reportMs = nowMs + REPORT_INTERVAL_MS;
+    const targets = isDue
+      ? this.#ownership.getCandidates()
+      : this.#ownership.getSettledBetween(sinceMs, nowMs);
+    return targets.flatMap((target) => this.#askReport(nowMs, target));
   }
 
   #askReport(nowMs: number, target: Target): readonly SchedulerEffect[] {
@@ -209,7 +194,7 @@
       },
       {
         kind: 'callTarget',
-        origin: { kind: 'report', targetId, ...token },
+        origin: { kind: 'report', targetId, ...token, sentMs: nowMs },
         call: { kind: 'report', token },
         ...common,
       },
@@ -220,15 +205,14 @@
     const { nowMs, origin, result } = event;
     switch (origin.kind) {
       case 'configRead':
-        if (result.kind !== 'rows') return [];
-        return this.#config.applyRead(result.rows, origin.sentMs) ? this.#onConfig() : [];
-      case 'configWrite':
-        return this.#applyConfigWrite(event, origin.callId, origin.config);
+      case 'configMembers':
+      case 'configRegister':
+      case 'configUnregister':
+      case 'configChangeRead':
+      case 'configChangeWrite':
+        return this.#fromConfig(nowMs, this.#configDuty.applyPlatform(nowMs, origin, result));
       case 'vmList':
-        if (result.kind !== 'vms') return [];
-        this.#pool.updateTargets(
-          getTargets(result.vms, this.#config.config.sheet.shardsPerDataCentre),
-        );
+        if (result.kind === 'vms') this.#applyVms(nowMs, result.vms);
         return [];
       case 'escrowRead':
       case 'escrowWrite':
@@ -244,7 +228,7 @@
   #applyTarget({ nowMs, origin, result }: TargetReplied): readonly SchedulerEffect[] {
     switch (origin.kind) {
       case 'request':
-        return fromRequests(this.#requests.applyTargetResult(nowMs, origin, result));
+        return this.#requests.applyTargetResult(nowMs, origin, result);
       case 'taskStart':
       case 'taskAcknowledge':
       case 'taskCheckpoint':
@@ -269,17 +253,21 @@
     const permit = target && this.#ownership.tryGetOwnerPermit(target, nowMs);
     if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
     const effects = this.#tasks.applyReport(target, permit, result.report);
-    this.#ownership.markSettled(target.targetId, origin.epoch);
-    return this.#fromTasks(nowMs, effects);
+    this.#ownership.markReported(target, origin.epoch, origin.sentMs);
+    this.#ownership.markLeaving(target.targetId, result.report.leaving, origin.sentMs);
+    return [
+      ...this.#fromTasks(nowMs, effects),
+      ...this.#requests.applyReport(nowMs, origin.sentMs, target.targetId, result.report),
+    ];
   }
 
   #applyPeer({ nowMs, origin, result }: PeerReplied): readonly SchedulerEffect[] {
-    if (result.kind !== 'ok') return [];
     switch (origin.kind) {
       case 'heartbeat':
-        return this.#applyHeartbeatReply(nowMs, result.value as HeartbeatReply);
+        return this.#applyHeartbeatResult(nowMs, origin, result as RpcResult<HeartbeatReply>);
       case 'configFetch':
-        return this.#config.tryAdopt(result.value as AcceptedConfig) ? this.#onConfig() : [];
+      case 'configOffer':
+        return this.#fromConfig(nowMs, this.#configDuty.applyPeer(nowMs, origin, result));
       case 'oneWay':
         return [];
       default:
@@ -287,38 +275,36 @@
     }
   }
 
-  #applyHeartbeatReply(nowMs: number, { from }: HeartbeatReply): readonly SchedulerEffect[] {
-    this.#peers.update(from, nowMs);
-    return this.#fetchConfigFrom(from);
-  }
-
-  #fetchConfigFrom(status: MemberStatus): readonly SchedulerEffect[] {
-    if (status.configVersion <= this.#config.version) return [];
-    const origin: PeerOrigin = { kind: 'configFetch' };
-    return [{ kind: 'callPeer', origin, address: status.address, call: { kind: 'getConfig' } }];
+  #applyHeartbeatResult(
+    nowMs: number,
+    origin: Extract<PeerOrigin, { kind: 'heartbeat' }>,
+    result: RpcResult<HeartbeatReply>,
+  ): readonly SchedulerEffect[] {
+    this.#memberDuty.applyResult(nowMs, origin, result);
+    const effects = this.#configDuty.applyHeartbeatResult(nowMs, origin, result);
+    return this.#fromConfig(nowMs, effects);
   }
 
-  #answer(nowMs: number, callId: number, call: SchedulerCall): readonly SchedulerEffect[] {
+  #answer({ nowMs, wallMs, callId, call }: Called): readonly SchedulerEffect[] {
     const reply = (value: unknown): SchedulerEffect => ({ kind: 'replyCall', callId, value });
     switch (call.kind) {
       case 'heartbeat':
-        this.#peers.update(call.from, nowMs);
         return [
-          reply({ from: this.#getStatus(nowMs), promiseMs: 0 } satisfies HeartbeatReply),
-          ...this.#fetchConfigFrom(call.from),
+          reply(this.#memberDuty.answer(nowMs, call, this.#getStatus(nowMs))),
+          ...this.#fromConfig(nowMs, this.#configDuty.applyHeartbeat(nowMs, call.config)),
         ];
       case 'getRoutes':
         return [reply(this.#getRoutes(nowMs))];
       case 'getConfig':
         return [reply(this.#config.config)];
       case 'offerConfig':
-        return [reply({}), ...(this.#config.tryAdopt(call.config) ? this.#onConfig() : [])];
+        return [...this.#fromConfig(nowMs, this.#configDuty.adopt(call.config)), reply({})];
       case 'changeConfig':
-        return this.#changeConfig(nowMs, callId, call);
+        return this.#fromConfig(nowMs, this.#configDuty.change(nowMs, callId, call));
       case 'startRequest':
-        return this.#startRequest(nowMs, callId, call);
+        return this.#requests.start({ nowMs, wallMs, callId, isDraining: this.#isDraining }, call);
       case 'cancelRequest':
-        return [reply({}), ...fromRequests(this.#requests.cancel(call.requestId))];
+        return [reply({}), ...this.#requests.cancel(nowMs, call.cancelId)];
       case 'submitJob':
         return this.#fromJobs(nowMs, this.#jobs.submit(callId, call.spec, call.teamId));
       case 'getJob':
@@ -341,67 +327,27 @@
     }
   }
 
-  #startRequest(nowMs: number, callId: number, call: RequestStart): readonly SchedulerEffect[] {
-    const refuse = (reason: NotRunReason): readonly SchedulerEffect[] => {
-      const outcome: RequestOutcome = { kind: 'refusedNotRun', reason };
-      return [{ kind: 'replyCall', callId, value: outcome }];
-    };
-    if (this.#isDraining) return refuse('draining');
-    if (nowMs >= this.#config.getFreshUntilMs()) return refuse('configStale');
-    const queue = this.#config.checkAdmission(call.teamId, call.keyId, call.queueId);
-    if (typeof queue === 'string') return refuse(queue);
-    const isHome = nowMs < this.#lease.getAuthorityUntilMs(getHomeShard(call.requestId));
-    if (!call.isIdempotent && !isHome) return refuse('noOwner');
-    return fromRequests(this.#requests.start(nowMs, { callId, call, queue }));
+  #fromConfig(nowMs: number, effects: readonly ConfigEffect[]): readonly SchedulerEffect[] {
+    return effects.flatMap((effect): readonly SchedulerEffect[] =>
+      effect.kind === 'configChanged' ? this.#onConfig(nowMs) : [effect],
+    );
   }
 
-  #changeConfig(
-    nowMs: number,
-    callId: number,
-    call: Extract<SchedulerCall, { kind: 'changeConfig' }>,
-  ): readonly SchedulerEffect[] {
-    const next = applyChange(this.#config.config, call.change);
-    if (next.kind === 'error') return [{ kind: 'replyCall', callId, value: next }];
-    return [
-      {
-        kind: 'callPlatform',
-        origin: { kind: 'configWrite', sentMs: nowMs, callId, config: next.value },
-        call: this.#config.createWrite(next.value, call.operationId),
-      },
-    ];
-  }
-
-  #applyConfigWrite(
-    { nowMs, result }: PlatformReplied,
-    callId: number,
-    config: AcceptedConfig,
-  ): readonly SchedulerEffect[] {
-    this.#due.configReadMs = nowMs;
-    if (result.kind !== 'committed') {
-      const name = result.kind === 'conflict' ? 'configConflict' : 'configRefused';
-      return [{ kind: 'replyCall', callId, value: fail(createDiagnostic(name)) }];
-    }
-    this.#config.tryAdopt(config);
-    const offers = this.#lease.members.views
-      .filter((view) => view.row.memberId !== this.#lease.memberId)
-      .map(({ row }): SchedulerEffect => ({
-        kind: 'callPeer',
-        origin: { kind: 'oneWay' },
-        address: row.address,
-        call: { kind: 'offerConfig', config },
-      }));
-    const value = ok(config.version);
-    return [{ kind: 'replyCall', callId, value }, ...offers, ...this.#onConfig()];
-  }
-
-  #onConfig(): readonly SchedulerEffect[] {
+  #onConfig(nowMs: number): readonly SchedulerEffect[] {
     const { sheet, version } = this.#config.config;
+    this.#ownership.updateDataCentres(sheet.dataCentres, nowMs);
     const shardIds = getShardPlacements(sheet).map((placement) => placement.shardId);
     this.#escrow.updateConfig(sheet.teams, shardIds);
     this.#due.vmListMs = 0;
     return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
   }
 
+  #applyVms(nowMs: number, vms: readonly Vm[]): void {
+    this.#lease.applyVms(nowMs, vms);
+    const { shardsPerDataCentre } = this.#config.config.sheet;
+    this.#pool.updateTargets(getTargets(vms, shardsPerDataCentre));
+  }
+
   #fromLease(nowMs: number, effects: readonly LeaseEffect[]): readonly SchedulerEffect[] {
     return effects.flatMap((effect): readonly SchedulerEffect[] => {
       switch (effect.kind) {
@@ -423,6 +369,7 @@
     this.#ownership.markAcquired(shardId, nowMs);
     this.#escrow.addShard(shardId);
     this.#due.reportMs = nowMs;
+    if (isHomeShard(shardId)) this.#requests.markTakenOver(shardId);
     const loads = isHomeShard(shardId) ? createShardLoad(shardId) : [];
     return [
       { kind: 'log', message: 'shard acquired', fields: { shardId, epoch } },
@@ -535,8 +482,10 @@
       })),
       configVersion: this.#config.version,
       configFreshForMs: this.#config.getFreshUntilMs() - nowMs,
+      config: this.#configDuty.dump(nowMs),
       openRequests: this.#requests.openCount,
       waitingRequests: this.#requests.waitingCount,
+      requestMemory: this.#requests.memoryUse,
       tasks: this.#tasks.taskCount,
       jobs: this.#jobs.jobCount,
     };
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -90,7 +90,12 @@
           const target =
             step.kind === 'task'
               ? bestFit.tryGetTarget({ nowMs: 0, teamId: TEAM, demand, usedRacks: [] })
-              : leastLoaded.tryGetTarget({ nowMs: 0, teamId: TEAM, nearDataCentreId: toId('d1') });
+              : leastLoaded.tryGetTarget({
+                  nowMs: 0,
+                  teamId: TEAM,
+                  nearDataCentreId: toId('d1'),
+                  avoid: new Set(),
+                });
           const fitting = TARGETS.filter(
             (known) => !known.isLeaving && isFitting(demand, pool.getFree(known.targetId)),
           );
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -1,5 +1,6 @@
 /** Runs the reducers of several schedulers against one fake platform and fake targets, in virtual time. */
 
+import { Heap } from 'heap-js';
 import { SchedulerCore } from '../../src/scheduler/core';
 import type { SchedulerEffect, SchedulerEvent } from '../../src/scheduler/types';
 import type { SchedulerSettings } from '../../src/config/settings';
@@ -24,6 +25,10 @@
   readonly run: () => void;
 }
 
+function comparePending(left: Pending, right: Pending): number {
+  return left.atMs - right.atMs || left.order - right.order;
+}
+
 /** One scheduler process of the world. */
 export interface Process {
   readonly index: number;
@@ -33,6 +38,8 @@
   isDown: boolean;
   pausedUntilMs: number;
   isCutFromPlatform: boolean;
+  /** How far its wall clock is ahead of true time. */
+  wallErrorMs: number;
   readonly cutPeers: Set<string>;
 }
 
@@ -51,9 +58,13 @@
   readonly capacity: ResourceVector;
 }
 
+/** What becomes of an answer: it arrives, its connection breaks, or nothing comes at all. */
+export type AnswerFault = 'none' | 'reset' | 'silent';
+
 /** A request's run on a target, for checks of doubled or lost work. */
 export interface RequestRun {
   readonly requestId: string;
+  readonly teamId: string;
   readonly address: string;
   readonly atMs: number;
 }
@@ -75,12 +86,15 @@
   /** Effects of every reducer so far, the events of a soak run. */
   eventCount = 0;
 
+  /** What becomes of the answer of each request that ran. */
+  answerFault: AnswerFault = 'none';
+
   /** Called after every event with the process that it changed. */
   onEvent: EventListener | undefined;
 
   #plan: WorldPlan;
 
-  #queue: Pending[] = [];
+  #queue = new Heap<Pending>(comparePending);
 
   #order = 0;
 
@@ -156,20 +170,9 @@
   }
 
   #takeNext(untilMs: number): Pending | undefined {
-    let bestIndex = -1;
-    this.#queue.forEach((pending, index) => {
-      const best = this.#queue[bestIndex];
-      const isEarlier =
-        best === undefined ||
-        pending.atMs < best.atMs ||
-        (pending.atMs === best.atMs && pending.order < best.order);
-      if (isEarlier) bestIndex = index;
-    });
-    const next = this.#queue[bestIndex];
+    const next = this.#queue.peek();
     if (next === undefined || next.atMs > untilMs) return undefined;
-    const last = this.#queue.pop();
-    if (last !== undefined && last !== next) this.#queue[bestIndex] = last;
-    return next;
+    return this.#queue.pop();
   }
 
   #getProcess(index: number): Process {
@@ -227,6 +230,7 @@
       isDown: false,
       pausedUntilMs: 0,
       isCutFromPlatform: false,
+      wallErrorMs: 0,
       cutPeers: new Set(),
     };
     this.processes.push(process);
@@ -240,7 +244,11 @@
 
   #tick(process: Process, generation: number): void {
     this.#whenAwake(process, generation, () => {
-      this.#dispatch(process, { kind: 'tick', nowMs: this.nowMs });
+      this.#dispatch(process, {
+        kind: 'tick',
+        nowMs: this.nowMs,
+        wallMs: this.nowMs + process.wallErrorMs,
+      });
       this.schedule(TICK_MS, () => this.#tick(process, generation));
     });
   }
@@ -358,11 +366,29 @@
     }
     const { call } = effect;
     this.schedule(this.#getLatencyMs(), () => {
-      if (call.kind === 'request') this.#runRequest(target, effect.address, call, onResult);
-      else onResult(target.perform(call, this.nowMs));
+      if (call.kind !== 'request') {
+        onResult(target.perform(call, this.nowMs));
+        return;
+      }
+      this.#runRequest(target, effect.address, call, this.#createDeadline(effect, onResult));
     });
   }
 
+  /** Reports a call as lost at its timeout; what comes later is dropped, as by an HTTP client. */
+  #createDeadline(
+    { timeoutMs }: Extract<SchedulerEffect, { kind: 'callTarget' }>,
+    onResult: (result: TargetResult) => void,
+  ): (result: TargetResult) => void {
+    let isEnded = false;
+    const endOnce = (result: TargetResult) => {
+      if (isEnded) return;
+      isEnded = true;
+      onResult(result);
+    };
+    this.schedule(timeoutMs, () => endOnce({ kind: 'lost', detail: 'timeout' }));
+    return endOnce;
+  }
+
   #runRequest(
     target: TargetModel,
     address: string,
@@ -374,12 +400,18 @@
       onResult(refusal);
       return;
     }
-    this.requestRuns.push({ requestId: call.requestId, address, atMs: this.nowMs });
+    const { requestId: runId, teamId } = call;
+    this.requestRuns.push({ requestId: runId, teamId, address, atMs: this.nowMs });
     const serviceMs = Number(Buffer.from(call.bodyBase64, 'base64').toString('utf8')) || 10;
     this.schedule(serviceMs, () => {
       target.endRequest(call.teamId);
       const status = target.faults.isFailingEverything ? 500 : 200;
       const { requestId, contentType, bodyBase64 } = call;
+      if (this.answerFault === 'silent') return;
+      if (this.answerFault === 'reset') {
+        onResult({ kind: 'lost', detail: 'reset' });
+        return;
+      }
       onResult({ kind: 'answer', requestId, status, contentType, bodyBase64 });
     });
   }
@@ -419,7 +451,8 @@
     this.#calls.set(`${process.index}/${generation}/${callId}`, onReply);
     this.schedule(this.#getLatencyMs(), () => {
       this.#whenAwake(process, generation, () => {
-        this.#dispatch(process, { kind: 'called', nowMs: this.nowMs, callId, call });
+        const wallMs = this.nowMs + process.wallErrorMs;
+        this.#dispatch(process, { kind: 'called', nowMs: this.nowMs, wallMs, callId, call });
       });
     });
   }
