--- a/src/escrow/escrowLedger.ts
+++ b/src/escrow/escrowLedger.ts
@@ -80,6 +80,11 @@
 
   #nextWriteMs = 0;
 
+  /** Shards whose allotments are held. */
+  get shardIds(): readonly ShardId[] {
+    return [...this.#allotments.keys()];
+  }
+
   /**
    * Takes in the teams of a configuration. A lowered limit shrinks every allotment at once and in
    * proportion, without a write.
--- a/src/lease/leaseKeeper.ts
+++ b/src/lease/leaseKeeper.ts
@@ -124,14 +124,15 @@
   }
 
   /**
-   * Gets the row that proves ownership of a shard, for a transaction that only its owner may make.
+   * Gets the check that makes a write of a shard's owner fail once the shard has another owner.
    * @param shardId - which shard
-   * @returns its key and version, undefined until a scan has shown the row as acquired
+   * @returns the shard's row at this member's acquisition, or undefined until it was scanned
    */
-  tryGetOwnerCheck(shardId: ShardId): RowCheck | undefined {
+  tryGetFence(shardId: ShardId): RowCheck | undefined {
     const view = this.#shards.get(shardId);
+    const epoch = this.#owned.get(shardId);
     if (view === undefined || view.row.ownerId !== this.memberId) return undefined;
-    if (view.row.epoch !== this.#owned.get(shardId)) return undefined;
+    if (view.row.epoch !== epoch) return undefined;
     return { key: getShardKey(shardId), version: view.rowVersion };
   }
 
--- a/src/lease/transactions.ts
+++ b/src/lease/transactions.ts
@@ -21,8 +21,8 @@
 }
 
 /**
- * Gets the key of a shard's lease row.
- * @param shardId - which shard
+ * Gets the key of a shard's row.
+ * @param shardId - the shard
  * @returns the key
  */
 export function getShardKey(shardId: ShardId): string {
--- a/src/placement/bestFit.ts
+++ b/src/placement/bestFit.ts
@@ -30,6 +30,8 @@
 /** What a target is picked for. */
 export interface TaskPlacement {
   readonly nowMs: number;
+  /** Where its job's home has placed it. */
+  readonly shardId: ShardId;
   readonly teamId: TeamId;
   readonly demand: ResourceVector;
   /** Racks that run a replica of the same service already, once for each replica. */
@@ -77,10 +79,6 @@
 
   #guard: StartGuard;
 
-  #targets: readonly Target[] | undefined;
-
-  #shardIds: ReadonlySet<ShardId> = new Set();
-
   #turn = 0;
 
   /**
@@ -98,40 +96,11 @@
    * @returns the target, or undefined when none of those looked at fits
    */
   tryGetTarget(placement: TaskPlacement): Target | undefined {
-    const { teamId, demand } = placement;
-    const shardIds = this.#getShardIds();
-    const isAllotted = (id: ShardId) =>
-      shardIds.has(id) && this.#pool.isAllotted(id, teamId, demand.slots);
-    // Without an allotment anywhere the caller's charge fails and so tells the shard's shortage.
-    return (
-      this.#searchAll(placement, isAllotted) ?? this.#searchAll(placement, (id) => shardIds.has(id))
-    );
-  }
-
-  #searchAll(
-    placement: TaskPlacement,
-    isAllowed: (shardId: ShardId) => boolean,
-  ): Target | undefined {
     this.#turn += 1;
-    return (
-      this.#search(placement, isAllowed, TIGHT_FIRST) ??
-      this.#search(placement, isAllowed, ROOMY_FIRST)
-    );
-  }
-
-  #getShardIds(): ReadonlySet<ShardId> {
-    const targets = this.#guard.getCandidates();
-    if (this.#targets === targets) return this.#shardIds;
-    this.#targets = targets;
-    this.#shardIds = new Set(targets.map((target) => target.shardId));
-    return this.#shardIds;
+    return this.#search(placement, TIGHT_FIRST) ?? this.#search(placement, ROOMY_FIRST);
   }
 
-  #search(
-    placement: TaskPlacement,
-    isAllowed: (shardId: ShardId) => boolean,
-    levels: readonly number[],
-  ): Target | undefined {
+  #search(placement: TaskPlacement, levels: readonly number[]): Target | undefined {
     const search: Search = {
       best: undefined,
       bestScore: Number.NEGATIVE_INFINITY,
@@ -141,10 +110,7 @@
     const { taskRoom, acceleratorRoom } = this.#pool;
     const index = placement.demand.accelerators > 0 ? acceleratorRoom : taskRoom;
     levels.forEach((level) => {
-      index.forEachBucket(level, (shardId, bucket) => {
-        if (isAllowed(shardId)) this.#searchBucket(placement, bucket, search);
-        return search.comparedCount >= MAX_COMPARED || search.lookedAtCount >= MAX_LOOKED_AT;
-      });
+      this.#searchBucket(placement, index.getBucket(placement.shardId, level), search);
     });
     return search.best;
   }
--- a/src/placement/roomIndex.ts
+++ b/src/placement/roomIndex.ts
@@ -109,6 +109,16 @@
     }
   }
 
+  /**
+   * Gets one bucket.
+   * @param shardId - which shard
+   * @param level - which level
+   * @returns the shard's targets at the level, in no order
+   */
+  getBucket(shardId: ShardId, level: number): readonly Target[] {
+    return this.#levels[level]?.get(shardId) ?? [];
+  }
+
   #getOrCreateBucket(level: number, shardId: ShardId): Target[] {
     const buckets = this.#levels[level];
     const known = buckets?.get(shardId);
--- a/src/scheduler/escrowDuty.ts
+++ b/src/scheduler/escrowDuty.ts
@@ -62,6 +62,11 @@
    * @returns what to do
    */
   tick(nowMs: number): readonly EscrowEffect[] {
+    // A shard that was handed over is gone without a loss.
+    const owned = new Set(this.#lease.ownedShardIds);
+    this.#ledger.shardIds
+      .filter((shardId) => !owned.has(shardId))
+      .forEach((shardId) => this.#ledger.removeShard(shardId));
     return this.#ledger.tick(nowMs, this.#getContext());
   }
 
@@ -86,7 +91,7 @@
       shardCount: this.#shardCount,
       getUsedSlots: (shardId, teamId) => this.#pool.getTeamSlots(shardId, teamId),
       getTeamsInUse: (shardId) => this.#pool.getTeamsInUse(shardId),
-      tryGetLeaseCheck: (shardId) => this.#lease.tryGetOwnerCheck(shardId),
+      tryGetLeaseCheck: (shardId) => this.#lease.tryGetFence(shardId),
     };
   }
 }
--- a/src/scheduler/inFlightStarts.ts
+++ b/src/scheduler/inFlightStarts.ts
@@ -5,7 +5,7 @@
 
 function tryGetKey(origin: TargetOrigin): string | undefined {
   if (origin.kind === 'request') return `request/${origin.callId}/${origin.attempt}`;
-  if (origin.kind === 'taskStart') return `task/${origin.taskId}`;
+  if (origin.kind === 'taskStart') return `task/${origin.runId}`;
   return undefined;
 }
 
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -1,12 +1,12 @@
 /** Events and effects of the scheduler's reducer. */
 
 import type { EscrowOrigin } from '../escrow/types';
-import type { JobOrigin } from '../jobs/jobTable';
+import type { JournalOrigin } from '../journal/types';
 import type { TaskOrigin } from '../jobs/taskRunner';
 import type { LeaseOrigin } from '../lease/types';
 import type { PlatformCall, PlatformResult } from '../platform/types';
 import type { RequestOrigin } from '../requests/types';
-import type { HeartbeatReply, RpcResult, SchedulerCall } from '../rpc/types';
+import type { HeartbeatReply, RpcResult, SchedulerCall, TaskAcknowledgement } from '../rpc/types';
 import type { TargetCall, TargetResult } from '../target/types';
 import type { ConfigPeerOrigin } from '../config/effects';
 import type { ConfigOrigin } from '../config/rows';
@@ -15,7 +15,11 @@
 
 /** Which platform call a result belongs to. */
 export type PlatformOrigin =
-  LeaseOrigin | EscrowOrigin | JobOrigin | ConfigOrigin | { readonly kind: 'vmList' };
+  | LeaseOrigin
+  | EscrowOrigin
+  | JournalOrigin
+  | ConfigOrigin
+  | { readonly kind: 'vmList'; readonly sentMs: number };
 
 /** Which target call a result belongs to. */
 export type TargetOrigin =
@@ -42,6 +46,7 @@
       readonly sentMs: number;
     }
   | ConfigPeerOrigin
+  | { readonly kind: 'tellTasks' }
   | { readonly kind: 'oneWay' };
 
 /** Everything that can happen to a scheduler. Times are on the process's own clock. */
@@ -63,7 +68,7 @@
       readonly kind: 'peerReplied';
       readonly nowMs: number;
       readonly origin: PeerOrigin;
-      readonly result: RpcResult<HeartbeatReply | AcceptedConfig>;
+      readonly result: RpcResult<HeartbeatReply | AcceptedConfig | TaskAcknowledgement>;
     }
   | {
       readonly kind: 'called';
