--- a/src/requests/targetChoice.ts
+++ b/src/requests/targetChoice.ts
@@ -1,15 +1,21 @@
 /** Chooses the target that a request starts on, and charges it. */
 
 import type { Charge, Target } from '../placement/types';
+import { LeastLoaded } from '../placement/leastLoaded';
 import type { TargetPool } from '../placement/targetPool';
 import type { RequestStart } from '../rpc/types';
-import type { ShardId, TargetId } from '../types/ids';
+import { assertNever } from '../types/debug';
+import { getHash } from '../types/hash';
+import type { DataCentreId, TargetId } from '../types/ids';
+import { Random } from '../types/random';
 import { NO_RESOURCES } from '../types/resources';
 import type { StartGuard, StartPermit } from './types';
 
 /** What one request takes of a target while it runs. */
 export const REQUEST_DEMAND = { ...NO_RESOURCES, slots: 1, connections: 1 };
 
+const NO_TARGET_IDS: ReadonlySet<TargetId> = new Set();
+
 /** A target with the right to start on it and the charge for it. */
 export interface ChosenTarget {
   readonly target: Target;
@@ -27,25 +33,33 @@
   /** Nothing of this scheduler's may be started on at all. */
   | { readonly kind: 'noTarget' };
 
-interface Startable {
-  readonly target: Target;
-  readonly permit: StartPermit;
-  readonly usedFraction: number;
+/** What a target is chosen with. */
+export interface ChooserPorts {
+  readonly pool: TargetPool;
+  readonly guard: StartGuard;
+  /** Where the callers are; targets there are taken before others. */
+  readonly nearDataCentreId: DataCentreId;
 }
 
-/** Least loaded first, by the fraction of slots in use. */
+/** Near and least loaded targets first, on shards whose allotment has room for the team. */
 export class TargetChooser {
   #pool: TargetPool;
 
   #guard: StartGuard;
 
+  #nearDataCentreId: DataCentreId;
+
+  #leastLoaded: LeastLoaded;
+
   /**
-   * @param pool - budgets of the targets
-   * @param guard - the check at the moment of each start
+   * @param ports - what it chooses with
    */
-  constructor(pool: TargetPool, guard: StartGuard) {
+  constructor({ pool, guard, nearDataCentreId }: ChooserPorts) {
     this.#pool = pool;
     this.#guard = guard;
+    this.#nearDataCentreId = nearDataCentreId;
+    const random = new Random(getHash(nearDataCentreId));
+    this.#leastLoaded = new LeastLoaded({ pool, guard, random });
   }
 
   /**
@@ -56,49 +70,41 @@
    * @returns the charged target, or why there is none
    */
   tryChoose(nowMs: number, call: RequestStart, avoid: ReadonlySet<TargetId>): TargetChoice {
-    const candidates = this.#getCandidates(call.serviceName);
-    const permitted = candidates.flatMap((target) => this.#getStartable(nowMs, target));
-    if (permitted.length === 0) return { kind: 'noTarget' };
-    const withRoom = permitted.filter(({ target }) => this.#hasRoom(target));
-    if (withRoom.length === 0) return { kind: 'full' };
-    const untried = withRoom.filter(({ target }) => !avoid.has(target.targetId));
-    return this.#tryCharge(call, untried.length > 0 ? untried : withRoom);
-  }
-
-  #tryCharge(call: RequestStart, startables: readonly Startable[]): TargetChoice {
-    const limitedShards = new Set<ShardId>();
-    for (;;) {
-      let best: Startable | undefined;
-      startables.forEach((startable) => {
-        if (limitedShards.has(startable.target.shardId)) return;
-        if (best === undefined || startable.usedFraction < best.usedFraction) best = startable;
-      });
-      if (best === undefined) return { kind: 'limitReached' };
-      const { target, permit } = best as Startable;
-      const result = this.#pool.tryCharge(target.targetId, call.teamId, REQUEST_DEMAND);
-      if (result.kind === 'charged') {
+    const target =
+      this.#tryGetTarget(nowMs, call, avoid) ??
+      (avoid.size > 0 ? this.#tryGetTarget(nowMs, call, NO_TARGET_IDS) : undefined);
+    const permit = target && this.#guard.tryGetPermit(target, nowMs);
+    if (target === undefined || permit === undefined) return this.#getRefusal(nowMs, call);
+    const result = this.#pool.tryCharge(target.targetId, call.teamId, REQUEST_DEMAND);
+    switch (result.kind) {
+      case 'charged':
         return { kind: 'chosen', chosen: { target, permit, charge: result.charge } };
-      }
-      if (result.kind === 'noCapacity') return { kind: 'full' };
-      limitedShards.add(target.shardId);
+      case 'noCapacity':
+        return { kind: 'full' };
+      case 'limitReached':
+        return result;
+      default:
+        return assertNever(result);
     }
   }
 
-  #getCandidates(serviceName: string): readonly Target[] {
-    if (serviceName === '') return this.#guard.getCandidates();
-    return this.#guard.getReplicas(serviceName);
-  }
-
-  #getStartable(nowMs: number, target: Target): readonly Startable[] {
-    const permit = this.#guard.tryGetPermit(target, nowMs);
-    if (permit === undefined) return [];
-    const { slots } = target.capacity;
-    const usedFraction = slots === 0 ? 1 : 1 - this.#pool.getFree(target.targetId).slots / slots;
-    return [{ target, permit, usedFraction }];
+  #tryGetTarget(
+    nowMs: number,
+    { teamId, serviceName }: RequestStart,
+    avoid: ReadonlySet<TargetId>,
+  ): Target | undefined {
+    const placement = { nowMs, teamId, nearDataCentreId: this.#nearDataCentreId, avoid };
+    if (serviceName === '') return this.#leastLoaded.tryGetTarget(placement);
+    return this.#leastLoaded.tryGetReplica(placement, this.#guard.getReplicas(serviceName));
   }
 
-  #hasRoom(target: Target): boolean {
-    const free = this.#pool.getFree(target.targetId);
-    return free.slots >= 1 && free.connections >= 1;
+  /** Ends at the first target on which a start is allowed, which is nearly always the first. */
+  #getRefusal(nowMs: number, { serviceName }: RequestStart): TargetChoice {
+    const candidates =
+      serviceName === '' ? this.#guard.getCandidates() : this.#guard.getReplicas(serviceName);
+    const isStartable = candidates.some(
+      (target) => this.#guard.tryGetPermit(target, nowMs) !== undefined,
+    );
+    return { kind: isStartable ? 'full' : 'noTarget' };
   }
 }
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -3,12 +3,12 @@
 import { ConfigHolder } from '../config/configHolder';
 import type { ConfigEffect } from '../config/effects';
 import type { SchedulerSettings } from '../config/settings';
-import { StaticSplit } from '../escrow/staticSplit';
+import { EscrowLedger } from '../escrow/escrowLedger';
+import type { EscrowEffect } from '../escrow/types';
 import { LeaseKeeper } from '../lease/leaseKeeper';
-import { getShardPlacements, getTargetShard, isHomeShard } from '../lease/shards';
+import { getShardPlacements, isHomeShard } from '../lease/shards';
 import type { LeaseEffect } from '../lease/types';
 import { TargetPool } from '../placement/targetPool';
-import type { Target } from '../placement/types';
 import type { Vm } from '../platform/types';
 import type {
   HeartbeatReply,
@@ -19,15 +19,16 @@
   TaskAcknowledgement,
 } from '../rpc/types';
 import { assertNever } from '../types/debug';
-import { toId } from '../types/ids';
-import type { MemberId, ShardId, TargetId } from '../types/ids';
+import type { MemberId, ShardId } from '../types/ids';
 import { ConfigDuty } from './configDuty';
+import { EscrowDuty } from './escrowDuty';
 import { InFlightStarts } from './inFlightStarts';
 import { JobDuty } from './jobDuty';
 import { MemberDuty } from './memberDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
 import { RequestDuty } from './requestDuty';
+import { getTargets } from './targetDuty';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
 const VM_LIST_INTERVAL_MS = 2_000;
@@ -52,9 +53,11 @@
 
   #configDuty: ConfigDuty;
 
-  #split = new StaticSplit();
+  #ledger = new EscrowLedger();
 
-  #pool = new TargetPool(this.#split);
+  #pool = new TargetPool(this.#ledger);
+
+  #escrow: EscrowDuty;
 
   #ownership: Ownership;
 
@@ -82,8 +85,15 @@
     this.#lease = new LeaseKeeper(memberId, { address, vmId, dataCentreId, region });
     this.#configDuty = new ConfigDuty(memberId, address, this.#config);
     this.#memberDuty = new MemberDuty(this.#lease, this.#peers, this.#configDuty);
+    this.#escrow = new EscrowDuty(this.#ledger, this.#lease, this.#pool);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestDuty(this.#lease, this.#config, this.#pool, this.#ownership);
+    this.#requests = new RequestDuty(
+      this.#lease,
+      this.#config,
+      this.#pool,
+      this.#ownership,
+      dataCentreId,
+    );
     this.#jobs = new JobDuty({
       lease: this.#lease,
       config: this.#config,
@@ -142,6 +152,7 @@
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
+      ...this.#fromEscrow(nowMs, this.#escrow.tick(nowMs)),
       ...this.#fromConfig(nowMs, this.#configDuty.tick(nowMs)),
       ...this.#listVms(nowMs),
       ...this.#memberDuty.tick(nowMs, () => this.#getStatus(nowMs)),
@@ -175,6 +186,9 @@
       case 'vmList':
         if (result.kind === 'vms') this.#applyVms(nowMs, result.vms, origin.sentMs);
         return [];
+      case 'escrowRead':
+      case 'escrowWrite':
+        return this.#fromEscrow(nowMs, this.#escrow.applyResult(nowMs, origin, result));
       case 'journalWrite':
       case 'journalTrim':
       case 'journalPutSnapshot':
@@ -194,6 +208,8 @@
         return this.#requests.applyTargetResult(nowMs, origin, result);
       case 'taskStart':
       case 'taskStop':
+      case 'taskCheckpoint':
+      case 'taskSurplusStop':
       case 'taskAcknowledge':
         return this.#jobs.applyTarget(nowMs, origin, result);
       case 'report':
@@ -295,33 +311,16 @@
   #onConfig(nowMs: number): readonly SchedulerEffect[] {
     const { sheet, version } = this.#config.config;
     this.#ownership.updateDataCentres(sheet.dataCentres, nowMs);
-    const shardIds = getShardPlacements(sheet)
-      .map((placement) => placement.shardId)
-      .filter((shardId) => !isHomeShard(shardId));
-    this.#split.update(sheet.teams, shardIds);
+    const shardIds = getShardPlacements(sheet).map((placement) => placement.shardId);
+    this.#escrow.updateConfig(sheet.teams, shardIds);
     this.#due.vmListMs = 0;
     return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
   }
 
   #applyVms(nowMs: number, vms: readonly Vm[], sentMs: number): void {
     this.#lease.applyVms(nowMs, vms);
-    this.#updateTargets(vms, sentMs);
-  }
-
-  #updateTargets(vms: readonly Vm[], sentMs: number): void {
     const { shardsPerDataCentre } = this.#config.config.sheet;
-    const targets = vms
-      .filter((vm) => vm.role === 'target')
-      .map((vm): Target => ({
-        targetId: toId<TargetId>(vm.vmId),
-        shardId: getTargetShard(vm.dataCentreId, vm.vmId, shardsPerDataCentre),
-        address: vm.address,
-        dataCentreId: vm.dataCentreId,
-        rack: vm.rack,
-        capacity: vm.capacity,
-        isLeaving: vm.leaving,
-      }));
-    this.#pool.updateTargets(targets);
+    this.#pool.updateTargets(getTargets(vms, shardsPerDataCentre));
     this.#jobs.recordList(sentMs);
   }
 
@@ -333,6 +332,7 @@
         case 'shardAcquired':
           return this.#onAcquired(nowMs, effect.shardId, effect.epoch);
         case 'shardLost':
+          this.#escrow.removeShard(effect.shardId);
           return [
             {
               kind: 'log',
@@ -350,11 +350,25 @@
 
   #onAcquired(nowMs: number, shardId: ShardId, epoch: number): readonly SchedulerEffect[] {
     this.#ownership.markAcquired(shardId, nowMs);
+    this.#escrow.addShard(shardId);
     this.#jobs.hastenReports();
     if (isHomeShard(shardId)) this.#requests.markTakenOver(shardId);
     return [{ kind: 'log', message: 'shard acquired', fields: { shardId, epoch } }];
   }
 
+  #fromEscrow(nowMs: number, effects: readonly EscrowEffect[]): readonly SchedulerEffect[] {
+    return effects.flatMap((effect): readonly SchedulerEffect[] => {
+      switch (effect.kind) {
+        case 'callPlatform':
+          return [effect];
+        case 'stopSurplus':
+          return this.#jobs.stopSurplus(nowMs, effect);
+        default:
+          return assertNever(effect);
+      }
+    });
+  }
+
   #getStatus(nowMs: number): MemberStatus {
     const freeSlots = this.#ownership
       .getCandidates()
