--- a/src/scheduler/inFlightStarts.ts
+++ b/src/scheduler/inFlightStarts.ts
@@ -4,8 +4,8 @@
 import type { SchedulerEffect, TargetOrigin } from './types';
 
 function tryGetKey(origin: TargetOrigin): string | undefined {
-  if (origin.kind === 'request') return `request/${origin.requestId}/${origin.attempt}`;
-  if (origin.kind === 'taskStart') return `task/${origin.taskId}`;
+  if (origin.kind === 'request') return `request/${origin.callId}/${origin.attempt}`;
+  if (origin.kind === 'taskStart') return `task/${origin.runId}`;
   return undefined;
 }
 
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -37,6 +37,7 @@
   targetRefused: row('HW3011', 503, 'not run: the target refused the start'),
   failedAfterStart: row('HW4001', 502, 'the request started and its target failed'),
   outcomeUnknown: row('HW4002', 504, 'the request may have run; its answer is lost'),
+  alreadyRan: row('HW4003', 409, 'the request has run; its answer is no longer kept'),
   unknownJob: row('HW5001', 404, 'no such job'),
   duplicateJob: row('HW5002', 409, 'a different job with this id exists'),
   jobUnplaceable: row('HW5003', 422, 'no target could ever run this job'),
@@ -45,7 +46,10 @@
   configRefused: row('HW6002', 503, 'the configuration cannot be changed now'),
   unknownKey: row('HW6003', 404, 'no such key'),
   unknownDataCentre: row('HW6004', 404, 'no such data centre'),
+  configUnknown: row('HW6005', 504, 'the change may take effect; repeat it under the same id'),
   badSettings: row('HW7001', 500, 'the settings file has mistakes'),
+  badSheet: row('HW7002', 400, 'the sheet cannot be used'),
+  badJob: row('HW7003', 400, 'the job description cannot be used'),
   internal: row('HW9001', 500, 'an internal error'),
 } as const;
 
--- a/standins/targetModel.ts
+++ b/standins/targetModel.ts
@@ -98,6 +98,19 @@
     return this.#startedCount;
   }
 
+  /**
+   * Gets the tasks in one state, for checks of tests.
+   * @param state - which state
+   * @param nowMs - the target's clock
+   * @returns the ids under which they were started
+   */
+  getTaskIds(state: TaskReport['state'], nowMs: number): readonly TaskId[] {
+    this.#advance(nowMs);
+    return [...this.#tasks.values()]
+      .filter((task) => task.state === state)
+      .map((task) => task.taskId);
+  }
+
   /**
    * Switches faults.
    * @param faults - the fields to change
