--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,10 +3,12 @@
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
 import { capacity } from './capacity';
+import { configuration } from './configuration';
+import { datacentre } from './datacentre';
 import { footprint } from './footprint';
 import type { Bench, Figure } from './types';
 
-const BENCHES: readonly Bench[] = [capacity, footprint];
+const BENCHES: readonly Bench[] = [capacity, configuration, datacentre, footprint];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
   if (isJson) {
--- a/src/scheduler/returnRamp.ts
+++ b/src/scheduler/returnRamp.ts
@@ -9,7 +9,7 @@
 export const RAMP_STEP_COUNT = 10;
 
 /** Time between two steps. */
-export const RAMP_STEP_MS = 1_000;
+export const RAMP_STEP_MS = 300;
 
 /** When each data centre returned, as this process saw it. */
 export class ReturnRamp {
--- a/tests/config.property.test.ts
+++ b/tests/config.property.test.ts
@@ -5,6 +5,7 @@
 import { EMPTY_CONFIG } from '../src/config/types';
 import { getDigest } from '../src/config/keys';
 import { toConfigVersion, toId } from '../src/types/ids';
+import { GATE_COUNT } from './support/gateLoop';
 import { ConfigWorld, createConfigSheet, DATA_CENTRES, TEAMS } from './support/configWorld';
 
 const MEMBER_COUNT = 3;
@@ -19,6 +20,12 @@
   | { readonly kind: 'pause'; readonly index: number; readonly durationMs: number }
   | { readonly kind: 'link'; readonly index: number; readonly isCut: boolean }
   | { readonly kind: 'platform'; readonly isDown: boolean; readonly delayMs: number }
+  | {
+      readonly kind: 'gateLink';
+      readonly gate: number;
+      readonly index: number;
+      readonly isCut: boolean;
+    }
   | { readonly kind: 'loseAnswers'; readonly count: number };
 
 const index = fc.nat({ max: MEMBER_COUNT - 1 });
@@ -74,6 +81,15 @@
       delayMs: fc.constantFrom(0, 0, 300, 1_200),
     }),
   },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('gateLink'),
+      gate: fc.nat({ max: GATE_COUNT - 1 }),
+      index,
+      isCut: fc.boolean(),
+    }),
+  },
   {
     weight: 2,
     arbitrary: fc.record({
@@ -132,6 +148,12 @@
     case 'link':
       world.setPeerCut(step.index, (step.index + 1) % MEMBER_COUNT, step.isCut);
       return;
+    case 'gateLink': {
+      const link = `${step.gate}/${step.index}`;
+      if (step.isCut) config.gates.cuts.add(link);
+      else config.gates.cuts.delete(link);
+      return;
+    }
     case 'platform':
       world.store.setFaults({ isDown: step.isDown, delayMs: step.delayMs });
       return;
--- a/tests/support/configWorld.ts
+++ b/tests/support/configWorld.ts
@@ -6,6 +6,7 @@
 import { toConfigVersion, toId } from '../../src/types/ids';
 import type { ConfigVersion } from '../../src/types/ids';
 import type { RequestOutcome, Result } from '../../src/types/outcomes';
+import { GATE_COUNT, GateLoop } from './gateLoop';
 import { createSheet } from './sheets';
 import { World } from './world';
 
@@ -52,6 +53,8 @@
 
   refusals = new Map<string, number>();
 
+  readonly gates: GateLoop;
+
   #operationCount = 0;
 
   #checkedRuns = 0;
@@ -90,6 +93,8 @@
       sheet: createConfigSheet(),
     });
     this.world.runFor(9_000);
+    this.gates = new GateLoop(this.world);
+    this.world.runFor(1_500);
   }
 
   /** Version that must be in force everywhere by now. */
@@ -126,6 +131,7 @@
     const untilMs = this.world.nowMs + durationMs;
     while (this.world.nowMs < untilMs) {
       this.world.processes.forEach((process) => this.#probe(process.index));
+      PROBES.forEach((probe, index) => this.#probeGate(index % GATE_COUNT, probe));
       this.world.runFor(Math.min(PROBE_INTERVAL_MS, untilMs - this.world.nowMs));
       this.#checkRuns();
     }
@@ -156,6 +162,21 @@
     });
   }
 
+  #probeGate(gate: number, { teamId, keyId, queueId }: (typeof PROBES)[number]): void {
+    this.startCount += 1;
+    this.gates.send(gate, {
+      kind: 'request',
+      token: `${keyId}:secret-${teamId}`,
+      queueId: toId(queueId),
+      requestId: toId(`${this.startCount}|${teamId}|${keyId}|${queueId}`),
+      windowMs: 12_000,
+      isIdempotent: true,
+      serviceName: '',
+      contentType: 'text/plain',
+      body: Buffer.from(''),
+    });
+  }
+
   /** A run is allowed when some version that was not overridden 9 s before permits it. */
   #checkRuns(): void {
     const runs = this.world.requestRuns.slice(this.#checkedRuns);
