--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,10 +3,11 @@
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
 import { capacity } from './capacity';
+import { decision } from './decision';
 import { footprint } from './footprint';
 import type { Bench, Figure } from './types';
 
-const BENCHES: readonly Bench[] = [capacity, footprint];
+const BENCHES: readonly Bench[] = [capacity, decision, footprint];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
   if (isJson) {
--- a/src/jobs/taskRunner.ts
+++ b/src/jobs/taskRunner.ts
@@ -1,14 +1,15 @@
 /** Runs tasks on the targets that this scheduler owns, and tells their homes what became of them. */
 
+import { BestFit } from '../placement/bestFit';
 import type { Charge, Target } from '../placement/types';
 import type { TargetPool } from '../placement/targetPool';
 import type { StartGuard, StartPermit } from '../requests/types';
 import type { TargetCall, TargetReport, TargetResult, TaskReport } from '../target/types';
 import { assertNever } from '../types/debug';
 import { toId } from '../types/ids';
-import type { Epoch, JobId, ShardId, TargetId, TaskId } from '../types/ids';
-import { getDominantFraction, isFitting, addResources } from '../types/resources';
+import type { Epoch, JobId, ShardId, TargetId, TaskId, TeamId } from '../types/ids';
 import { ClosedAttempts } from './closedAttempts';
+import { pickSurplus } from './surplus';
 import { LEASE_CALL_LEAVES_MS, TASK_LEASE_MS } from './targetContacts';
 import type { TargetContacts } from './targetContacts';
 import type { TaskAnnotation, TaskAsk, TaskNews, TaskRun, TaskStart } from './types';
@@ -22,7 +23,10 @@
 export type TaskOrigin =
   | { readonly kind: 'taskStart'; readonly runId: TaskId }
   | { readonly kind: 'taskStop'; readonly runId: TaskId }
-  | { readonly kind: 'taskAcknowledge'; readonly runId: TaskId };
+  | { readonly kind: 'taskAcknowledge'; readonly runId: TaskId }
+  /** A checkpoint that is followed by a stop, for a run above its team's limit. */
+  | { readonly kind: 'taskCheckpoint'; readonly runId: TaskId }
+  | { readonly kind: 'taskSurplusStop'; readonly runId: TaskId };
 
 /** What the task runner wants done. */
 export type TaskEffect =
@@ -46,6 +50,15 @@
   tryGetEpoch(shardId: ShardId, nowMs: number): Epoch | undefined;
 }
 
+/** What runs of a team on a shard above its allotment. */
+export interface TeamSurplus {
+  readonly shardId: ShardId;
+  readonly teamId: TeamId;
+  readonly slots: number;
+}
+
+type StopKind = 'taskStop' | 'taskSurplusStop' | 'taskAcknowledge';
+
 interface RunningTask {
   /** Names this run to the target. */
   readonly runId: TaskId;
@@ -60,6 +73,10 @@
   /** Told until the home has made it durable. */
   end: TaskNews | undefined;
   nextTellMs: number;
+  /** It is checkpointed and stopped for its team's limit. */
+  isSurplus: boolean;
+  /** As last reported; a stop resumes from here. */
+  checkpointFraction: number;
 }
 
 function getRunId({ taskId, attempt }: TaskRun): TaskId {
@@ -80,6 +97,8 @@
 
   #contacts: TargetContacts;
 
+  #bestFit: BestFit;
+
   #runs = new Map<TaskId, RunningTask>();
 
   #closed = new ClosedAttempts();
@@ -98,6 +117,7 @@
   ) {
     this.#pool = pool;
     this.#guard = guard;
+    this.#bestFit = new BestFit(pool, guard);
     this.#authority = authority;
     this.#contacts = contacts;
   }
@@ -181,6 +201,11 @@
         return this.#applyStart(nowMs, run, result);
       case 'taskStop':
         return result.kind === 'accepted' ? this.#end(nowMs, run, 'stopped', 0) : [];
+      case 'taskCheckpoint':
+        return this.#createStop(nowMs, run, 'taskSurplusStop');
+      case 'taskSurplusStop':
+        run.isSurplus = result.kind === 'accepted';
+        return run.isSurplus ? this.#end(nowMs, run, 'stopped', run.checkpointFraction) : [];
       case 'taskAcknowledge':
         return [];
       default:
@@ -239,6 +264,28 @@
     });
   }
 
+  /**
+   * Checkpoints and stops what runs of a team above its allotment on a shard.
+   * @param nowMs - this process's clock
+   * @param surplus - how much of which team where
+   * @returns what to do
+   */
+  stopSurplus(nowMs: number, { shardId, teamId, slots }: TeamSurplus): readonly TaskEffect[] {
+    const candidates = [...this.#runs.values()]
+      .filter((run) => run.charge.shardId === shardId && run.charge.teamId === teamId)
+      .filter((run) => run.state === 'running')
+      .map((run) => ({
+        run,
+        slots: run.charge.demand.slots,
+        serviceName: run.serviceName,
+        isStopping: run.isSurplus,
+      }));
+    return pickSurplus(candidates, slots).flatMap(({ run }) => {
+      run.isSurplus = true;
+      return this.#createCheckpoint(nowMs, run);
+    });
+  }
+
   /**
    * Forgets runs whose end is durable at their home; their targets may forget them too.
    * @param nowMs - this process's clock
@@ -295,6 +342,8 @@
       certainAfterMs: nowMs + TARGET_TIMEOUT_MS + LATE_START_MS,
       end: undefined,
       nextTellMs: nowMs,
+      isSurplus: false,
+      checkpointFraction: start.resumeFraction,
     });
     this.#contacts.recordExtension(target.targetId, permit.epoch, nowMs);
     const untilMs = Math.min(permit.untilMs, nowMs + LEASE_CALL_LEAVES_MS);
@@ -369,6 +418,7 @@
     if (report.state !== 'running') {
       return this.#end(nowMs, run, report.state, report.checkpointFraction);
     }
+    run.checkpointFraction = report.checkpointFraction;
     if (run.state === 'running') return [];
     run.state = 'running';
     run.certainAfterMs = nowMs;
@@ -392,6 +442,8 @@
       certainAfterMs: nowMs,
       end: undefined,
       nextTellMs: nowMs,
+      isSurplus: false,
+      checkpointFraction: report.checkpointFraction,
     };
     this.#runs.set(run.runId, run);
     return run;
@@ -426,11 +478,23 @@
     };
   }
 
-  #createStop(
-    nowMs: number,
-    run: RunningTask,
-    kind: 'taskStop' | 'taskAcknowledge',
-  ): readonly TaskEffect[] {
+  #createCheckpoint(nowMs: number, { target, runId }: RunningTask): readonly TaskEffect[] {
+    const epoch = this.#authority.tryGetEpoch(target.shardId, nowMs);
+    if (epoch === undefined) return [];
+    const token = { shardId: target.shardId, epoch };
+    return [
+      {
+        kind: 'callTarget',
+        origin: { kind: 'taskCheckpoint', runId },
+        address: target.address,
+        call: { kind: 'checkpoint', token, taskId: runId },
+        timeoutMs: TARGET_TIMEOUT_MS,
+        notAfterMs: nowMs + TARGET_TIMEOUT_MS,
+      },
+    ];
+  }
+
+  #createStop(nowMs: number, run: RunningTask, kind: StopKind): readonly TaskEffect[] {
     const { target } = run;
     const epoch = this.#authority.tryGetEpoch(target.shardId, nowMs);
     if (epoch === undefined) return [];
@@ -442,7 +506,7 @@
     target: Target,
     permit: StartPermit,
     runId: TaskId,
-    kind: 'taskStop' | 'taskAcknowledge',
+    kind: StopKind,
   ): TaskEffect {
     return {
       kind: 'callTarget',
@@ -459,18 +523,15 @@
   }
 
   #getBestFit(nowMs: number, start: TaskStart): Target | undefined {
-    let best: Target | undefined;
-    let bestFraction = -1;
-    this.#pool.getOfShard(start.placement.shardId).forEach((target) => {
-      const free = this.#pool.getFree(target.targetId);
-      if (!isFitting(start.demand, free)) return;
-      if (this.#guard.tryGetPermit(target, nowMs) === undefined) return;
-      const used = addResources(target.capacity, free, -1);
-      const fraction = getDominantFraction(used, target.capacity);
-      if (fraction <= bestFraction) return;
-      best = target;
-      bestFraction = fraction;
+    const { teamId, demand, serviceName, placement } = start;
+    const usedRacks =
+      serviceName === '' ? [] : this.getReplicas(serviceName).map((target) => target.rack);
+    return this.#bestFit.tryGetTarget({
+      nowMs,
+      shardId: placement.shardId,
+      teamId,
+      demand,
+      usedRacks,
     });
-    return best;
   }
 }
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -3,7 +3,7 @@
 import type { TargetPool } from '../placement/targetPool';
 import type { TargetReport, TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import type { TargetId } from '../types/ids';
+import type { DataCentreId, TargetId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import { MAX_ATTEMPTS, MAX_WAITING_REQUESTS } from './constants';
 import { LingeringCharges } from './lingeringCharges';
@@ -35,6 +35,8 @@
   readonly admission: AdmissionCheck;
   readonly homes: HomeGuard;
   readonly memory: OutcomeMemory;
+  /** Where the callers are. */
+  readonly nearDataCentreId: DataCentreId;
   readonly teamOrder?: TeamOrder;
 }
 
@@ -75,7 +77,7 @@
     this.#pool = ports.pool;
     this.#homes = ports.homes;
     this.#memory = ports.memory;
-    this.#chooser = new TargetChooser(ports.pool, ports.guard);
+    this.#chooser = new TargetChooser(ports);
     this.#waiting = new WaitingRoom(ports.teamOrder ?? EQUAL_TEAMS);
     this.#lingering = new LingeringCharges(ports.pool);
     this.#admission = ports.admission;
--- a/src/scheduler/jobDuty.ts
+++ b/src/scheduler/jobDuty.ts
@@ -6,7 +6,7 @@
 import type { PlaceableRoom, PlacementView } from '../jobs/placer';
 import { LEASE_CALL_LEAVES_MS, TargetContacts, TASK_LEASE_MS } from '../jobs/targetContacts';
 import { TaskRunner } from '../jobs/taskRunner';
-import type { TaskEffect, TaskOrigin } from '../jobs/taskRunner';
+import type { TaskEffect, TaskOrigin, TeamSurplus } from '../jobs/taskRunner';
 import type { ShardRoom, TaskAsk, TaskNews, TaskRun } from '../jobs/types';
 import type { JournalOrigin } from '../journal/types';
 import type { LeaseKeeper } from '../lease/leaseKeeper';
@@ -188,6 +188,16 @@
     return this.#fromTasks(nowMs, this.#runner.applyTargetResult(nowMs, origin, result));
   }
 
+  /**
+   * Stops what runs of a team above its allotment on a shard.
+   * @param nowMs - this process's clock
+   * @param surplus - how much of which team where
+   * @returns what to do
+   */
+  stopSurplus(nowMs: number, surplus: TeamSurplus): readonly SchedulerEffect[] {
+    return this.#fromTasks(nowMs, this.#runner.stopSurplus(nowMs, surplus));
+  }
+
   /**
    * Takes in a target's report.
    * @param nowMs - this process's clock
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -1,5 +1,6 @@
 /** Events and effects of the scheduler's reducer. */
 
+import type { EscrowOrigin } from '../escrow/types';
 import type { JournalOrigin } from '../journal/types';
 import type { TaskOrigin } from '../jobs/taskRunner';
 import type { LeaseOrigin } from '../lease/types';
@@ -14,7 +15,11 @@
 
 /** Which platform call a result belongs to. */
 export type PlatformOrigin =
-  LeaseOrigin | JournalOrigin | ConfigOrigin | { readonly kind: 'vmList'; readonly sentMs: number };
+  | LeaseOrigin
+  | EscrowOrigin
+  | JournalOrigin
+  | ConfigOrigin
+  | { readonly kind: 'vmList'; readonly sentMs: number };
 
 /** Which target call a result belongs to. */
 export type TargetOrigin =
