--- a/src/lease/leaseKeeper.ts
+++ b/src/lease/leaseKeeper.ts
@@ -2,7 +2,7 @@
 
 import type { MemberRow, MemberView } from '../membership/types';
 import { MEMBER_PREFIX, MemberTable } from '../membership/memberTable';
-import type { PlatformResult, Row, Vm } from '../platform/types';
+import type { PlatformResult, Row, RowCheck, Vm } from '../platform/types';
 import { assertNever } from '../types/debug';
 import { toEpoch, toId } from '../types/ids';
 import type { Epoch, MemberId, OperationId, ShardId } from '../types/ids';
@@ -10,7 +10,13 @@
 import { RENEW_INTERVAL_MS, SCAN_INTERVAL_MS, STABLE_MS } from './constants';
 import { EvictionJudge } from './evictionJudge';
 import { Session } from './session';
-import { createEviction, createShardChange, isShardRow, SHARD_PREFIX } from './transactions';
+import {
+  createEviction,
+  createShardChange,
+  getShardKey,
+  isShardRow,
+  SHARD_PREFIX,
+} from './transactions';
 import type { ShardView } from './transactions';
 import type {
   EndedPromise,
@@ -117,6 +123,19 @@
     return this.#owned.get(shardId) ?? toEpoch(0);
   }
 
+  /**
+   * Gets the check that makes a write of a shard's owner fail once the shard has another owner.
+   * @param shardId - which shard
+   * @returns the shard's row at this member's acquisition, or undefined until it was scanned
+   */
+  tryGetFence(shardId: ShardId): RowCheck | undefined {
+    const view = this.#shards.get(shardId);
+    const epoch = this.#owned.get(shardId);
+    if (view === undefined || view.row.ownerId !== this.memberId) return undefined;
+    if (view.row.epoch !== epoch) return undefined;
+    return { key: getShardKey(shardId), version: view.rowVersion };
+  }
+
   /**
    * Promises another member not to evict it, if that can still be kept.
    * @param memberId - who asks with its heartbeat
--- a/src/lease/transactions.ts
+++ b/src/lease/transactions.ts
@@ -20,7 +20,12 @@
   readonly rowVersion: number;
 }
 
-function getShardKey(shardId: ShardId): string {
+/**
+ * Gets the key of a shard's row.
+ * @param shardId - the shard
+ * @returns the key
+ */
+export function getShardKey(shardId: ShardId): string {
   return `${SHARD_PREFIX}${shardId}`;
 }
 
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -3,39 +3,39 @@
 import { ConfigHolder } from '../config/configHolder';
 import type { ConfigEffect } from '../config/effects';
 import type { SchedulerSettings } from '../config/settings';
-import { StaticSplit } from '../escrow/staticSplit';
-import { createShardLoad, JobTable } from '../jobs/jobTable';
-import type { JobEffect } from '../jobs/jobTable';
-import { TASK_LEASE_MS, TaskRunner } from '../jobs/taskRunner';
-import type { TaskEffect } from '../jobs/taskRunner';
-import type { TaskNews } from '../jobs/types';
+import { EscrowLedger } from '../escrow/escrowLedger';
+import type { EscrowEffect } from '../escrow/types';
 import { LeaseKeeper } from '../lease/leaseKeeper';
-import { getHomeShard, getShardPlacements, getTargetShard, isHomeShard } from '../lease/shards';
+import { getShardPlacements, isHomeShard } from '../lease/shards';
 import type { LeaseEffect } from '../lease/types';
 import { TargetPool } from '../placement/targetPool';
-import type { Target } from '../placement/types';
 import type { Vm } from '../platform/types';
-import type { HeartbeatReply, MemberStatus, Routes, RpcResult, ShardOwner } from '../rpc/types';
+import type {
+  HeartbeatReply,
+  MemberStatus,
+  Routes,
+  RpcResult,
+  ShardOwner,
+  TaskAcknowledgement,
+} from '../rpc/types';
 import { assertNever } from '../types/debug';
-import { toId } from '../types/ids';
-import type { MemberId, ShardId, TargetId } from '../types/ids';
-import { ok } from '../types/outcomes';
+import type { MemberId, ShardId } from '../types/ids';
 import { ConfigDuty } from './configDuty';
+import { EscrowDuty } from './escrowDuty';
 import { InFlightStarts } from './inFlightStarts';
+import { JobDuty } from './jobDuty';
 import { MemberDuty } from './memberDuty';
 import { Ownership } from './ownership';
 import { Peers } from './peers';
 import { RequestDuty } from './requestDuty';
+import { getTargets } from './targetDuty';
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
 const VM_LIST_INTERVAL_MS = 2_000;
-const REPORT_INTERVAL_MS = 1_000;
-const REPORT_TIMEOUT_MS = 1_500;
 
 /** When each periodic duty is next due. */
 interface Schedule {
   vmListMs: number;
-  reportMs: number;
 }
 
 type PlatformReplied = Extract<SchedulerEvent, { kind: 'platformReplied' }>;
@@ -53,27 +53,25 @@
 
   #configDuty: ConfigDuty;
 
-  #split = new StaticSplit();
+  #ledger = new EscrowLedger();
 
-  #pool = new TargetPool(this.#split);
+  #pool = new TargetPool(this.#ledger);
+
+  #escrow: EscrowDuty;
 
   #ownership: Ownership;
 
   #requests: RequestDuty;
 
-  #tasks: TaskRunner;
-
-  #jobs = new JobTable();
-
   #peers = new Peers();
 
+  #jobs: JobDuty;
+
   #memberDuty: MemberDuty;
 
   #inFlight = new InFlightStarts();
 
-  #tickedMs = 0;
-
-  #due: Schedule = { vmListMs: 0, reportMs: 0 };
+  #due: Schedule = { vmListMs: 0 };
 
   #isDraining = false;
 
@@ -87,10 +85,23 @@
     this.#lease = new LeaseKeeper(memberId, { address, vmId, dataCentreId, region });
     this.#configDuty = new ConfigDuty(memberId, address, this.#config);
     this.#memberDuty = new MemberDuty(this.#lease, this.#peers, this.#configDuty);
+    this.#escrow = new EscrowDuty(this.#ledger, this.#lease, this.#pool);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestDuty(this.#lease, this.#config, this.#pool, this.#ownership);
-    this.#tasks = new TaskRunner(this.#pool, this.#ownership);
-    this.#ownership.setReplicas(this.#tasks);
+    this.#requests = new RequestDuty(
+      this.#lease,
+      this.#config,
+      this.#pool,
+      this.#ownership,
+      dataCentreId,
+    );
+    this.#jobs = new JobDuty({
+      lease: this.#lease,
+      config: this.#config,
+      pool: this.#pool,
+      ownership: this.#ownership,
+      peers: this.#peers,
+    });
+    this.#ownership.setReplicas(this.#jobs.runner);
   }
 
   /** True when a planned stop was asked for and nothing is left to do. */
@@ -137,54 +148,27 @@
       shards: placements,
       busyShardIds: this.#inFlight.busyShardIds,
       isLeaving: this.#isDraining,
-      isHandingOver: this.#isDraining && this.#requests.openCount === 0,
+      isHandingOver: this.#isDraining && this.#requests.openCount === 0 && this.#jobs.isIdle,
     };
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
+      ...this.#fromEscrow(nowMs, this.#escrow.tick(nowMs)),
       ...this.#fromConfig(nowMs, this.#configDuty.tick(nowMs)),
       ...this.#listVms(nowMs),
       ...this.#memberDuty.tick(nowMs, () => this.#getStatus(nowMs)),
-      ...this.#askReports(nowMs),
       ...this.#requests.tick(nowMs, wallMs),
-      ...this.#fromJobs(nowMs, this.#jobs.tick(nowMs)),
+      ...this.#jobs.tick(nowMs, this.#isDraining),
     ];
   }
 
   #listVms(nowMs: number): readonly SchedulerEffect[] {
     if (nowMs < this.#due.vmListMs) return [];
     this.#due.vmListMs = nowMs + VM_LIST_INTERVAL_MS;
-    return [{ kind: 'callPlatform', origin: { kind: 'vmList' }, call: { kind: 'listVms' } }];
-  }
-
-  #askReports(nowMs: number): readonly SchedulerEffect[] {
-    const sinceMs = this.#tickedMs;
-    this.#tickedMs = nowMs;
-    const isDue = nowMs >= this.#due.reportMs;
-    if (isDue) this.#due.reportMs = nowMs + REPORT_INTERVAL_MS;
-    const targets = isDue
-      ? this.#ownership.getCandidates()
-      : this.#ownership.getSettledBetween(sinceMs, nowMs);
-    return targets.flatMap((target) => this.#askReport(nowMs, target));
-  }
-
-  #askReport(nowMs: number, target: Target): readonly SchedulerEffect[] {
-    const permit = this.#ownership.tryGetOwnerPermit(target, nowMs);
-    if (permit === undefined) return [];
-    const { targetId, shardId, address } = target;
-    const token = { shardId, epoch: permit.epoch };
-    const common = { address, timeoutMs: REPORT_TIMEOUT_MS, notAfterMs: permit.untilMs };
     return [
       {
-        kind: 'callTarget',
-        origin: { kind: 'renew', targetId },
-        call: { kind: 'renew', token, leaseMs: TASK_LEASE_MS },
-        ...common,
-      },
-      {
-        kind: 'callTarget',
-        origin: { kind: 'report', targetId, ...token, sentMs: nowMs },
-        call: { kind: 'report', token },
-        ...common,
+        kind: 'callPlatform',
+        origin: { kind: 'vmList', sentMs: nowMs },
+        call: { kind: 'listVms' },
       },
     ];
   }
@@ -200,11 +184,19 @@
       case 'configChangeWrite':
         return this.#fromConfig(nowMs, this.#configDuty.applyPlatform(nowMs, origin, result));
       case 'vmList':
-        if (result.kind === 'vms') this.#applyVms(nowMs, result.vms);
+        if (result.kind === 'vms') this.#applyVms(nowMs, result.vms, origin.sentMs);
         return [];
-      case 'jobFlush':
-      case 'jobLoad':
-        return this.#fromJobs(nowMs, this.#jobs.applyResult(origin, result));
+      case 'escrowRead':
+      case 'escrowWrite':
+        return this.#fromEscrow(nowMs, this.#escrow.applyResult(nowMs, origin, result));
+      case 'journalWrite':
+      case 'journalTrim':
+      case 'journalPutSnapshot':
+      case 'journalSetHead':
+      case 'journalReadHead':
+      case 'journalReadSnapshot':
+      case 'journalReadRows':
+        return this.#jobs.applyPlatform(nowMs, origin, result);
       default:
         return this.#fromLease(nowMs, this.#lease.applyResult(nowMs, origin, result));
     }
@@ -215,8 +207,11 @@
       case 'request':
         return this.#requests.applyTargetResult(nowMs, origin, result);
       case 'taskStart':
+      case 'taskStop':
+      case 'taskCheckpoint':
+      case 'taskSurplusStop':
       case 'taskAcknowledge':
-        return this.#fromTasks(nowMs, this.#tasks.applyTargetResult(origin, result));
+        return this.#jobs.applyTarget(nowMs, origin, result);
       case 'report':
         if (result.kind !== 'report') return [];
         return this.#applyReport(nowMs, origin, result);
@@ -235,11 +230,11 @@
     const target = this.#pool.get(origin.targetId);
     const permit = target && this.#ownership.tryGetOwnerPermit(target, nowMs);
     if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
-    const effects = this.#tasks.applyReport(target, permit, result.report);
+    const effects = this.#jobs.applyReport(nowMs, target, permit, origin, result.report);
     this.#ownership.markReported(target, origin.epoch, origin.sentMs);
     this.#ownership.markLeaving(target.targetId, result.report.leaving, origin.sentMs);
     return [
-      ...this.#fromTasks(nowMs, effects),
+      ...effects,
       ...this.#requests.applyReport(nowMs, origin.sentMs, target.targetId, result.report),
     ];
   }
@@ -251,6 +246,9 @@
       case 'configFetch':
       case 'configOffer':
         return this.#fromConfig(nowMs, this.#configDuty.applyPeer(nowMs, origin, result));
+      case 'tellTasks':
+        if (result.kind !== 'ok') return [];
+        return this.#jobs.acknowledge(nowMs, (result.value as TaskAcknowledgement).taken);
       case 'oneWay':
         return [];
       default:
@@ -289,18 +287,12 @@
       case 'cancelRequest':
         return [reply({}), ...this.#requests.cancel(nowMs, call.cancelId)];
       case 'submitJob':
-        return this.#fromJobs(nowMs, this.#jobs.submit(callId, call.spec, call.teamId));
       case 'getJob':
-        return [reply(this.#jobs.get(call.jobId, call.teamId))];
       case 'listJobs':
-        return [reply(ok(this.#jobs.list(call.teamId)))];
       case 'cancelJob':
-        return [reply(this.#jobs.cancel(call.jobId, call.teamId))];
-      case 'startTask':
-        return [reply({}), ...this.#fromTasks(nowMs, this.#tasks.start(nowMs, call))];
-      case 'taskNews':
-        this.#jobs.applyNews(call);
-        return [reply({})];
+      case 'askTasks':
+      case 'tellTasks':
+        return this.#jobs.answer(nowMs, callId, call);
       case 'dumpState':
         return [reply(this.dump(nowMs))];
       case 'drain':
@@ -319,33 +311,17 @@
   #onConfig(nowMs: number): readonly SchedulerEffect[] {
     const { sheet, version } = this.#config.config;
     this.#ownership.updateDataCentres(sheet.dataCentres, nowMs);
-    const shardIds = getShardPlacements(sheet)
-      .map((placement) => placement.shardId)
-      .filter((shardId) => !isHomeShard(shardId));
-    this.#split.update(sheet.teams, shardIds);
+    const shardIds = getShardPlacements(sheet).map((placement) => placement.shardId);
+    this.#escrow.updateConfig(sheet.teams, shardIds);
     this.#due.vmListMs = 0;
     return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
   }
 
-  #applyVms(nowMs: number, vms: readonly Vm[]): void {
+  #applyVms(nowMs: number, vms: readonly Vm[], sentMs: number): void {
     this.#lease.applyVms(nowMs, vms);
-    this.#updateTargets(vms);
-  }
-
-  #updateTargets(vms: readonly Vm[]): void {
     const { shardsPerDataCentre } = this.#config.config.sheet;
-    const targets = vms
-      .filter((vm) => vm.role === 'target')
-      .map((vm): Target => ({
-        targetId: toId<TargetId>(vm.vmId),
-        shardId: getTargetShard(vm.dataCentreId, vm.vmId, shardsPerDataCentre),
-        address: vm.address,
-        dataCentreId: vm.dataCentreId,
-        rack: vm.rack,
-        capacity: vm.capacity,
-        isLeaving: vm.leaving,
-      }));
-    this.#pool.updateTargets(targets);
+    this.#pool.updateTargets(getTargets(vms, shardsPerDataCentre));
+    this.#jobs.recordList(sentMs);
   }
 
   #fromLease(nowMs: number, effects: readonly LeaseEffect[]): readonly SchedulerEffect[] {
@@ -356,7 +332,14 @@
         case 'shardAcquired':
           return this.#onAcquired(nowMs, effect.shardId, effect.epoch);
         case 'shardLost':
-          return this.#onLost(effect.shardId, effect.reason);
+          this.#escrow.removeShard(effect.shardId);
+          return [
+            {
+              kind: 'log',
+              message: 'shard lost',
+              fields: { shardId: effect.shardId, reason: effect.reason },
+            },
+          ];
         case 'memberChanged':
           return [{ kind: 'log', message: 'evicted', fields: { memberId: effect.memberId } }];
         default:
@@ -367,55 +350,19 @@
 
   #onAcquired(nowMs: number, shardId: ShardId, epoch: number): readonly SchedulerEffect[] {
     this.#ownership.markAcquired(shardId, nowMs);
-    this.#due.reportMs = nowMs;
+    this.#escrow.addShard(shardId);
+    this.#jobs.hastenReports();
     if (isHomeShard(shardId)) this.#requests.markTakenOver(shardId);
-    const loads = isHomeShard(shardId) ? createShardLoad(shardId) : [];
-    return [
-      { kind: 'log', message: 'shard acquired', fields: { shardId, epoch } },
-      ...this.#fromJobs(nowMs, loads),
-    ];
-  }
-
-  #onLost(shardId: ShardId, reason: string): readonly SchedulerEffect[] {
-    if (isHomeShard(shardId)) this.#jobs.forget((jobId) => getHomeShard(jobId) === shardId);
-    else this.#tasks.forgetTargets(this.#pool.getOfShard(shardId));
-    return [{ kind: 'log', message: 'shard lost', fields: { shardId, reason } }];
-  }
-
-  #fromTasks(nowMs: number, effects: readonly TaskEffect[]): readonly SchedulerEffect[] {
-    return effects.flatMap((effect): readonly SchedulerEffect[] => {
-      switch (effect.kind) {
-        case 'callTarget':
-          return [effect];
-        case 'tellHome':
-          return this.#tellHome(nowMs, effect.news);
-        default:
-          return assertNever(effect);
-      }
-    });
-  }
-
-  #tellHome(nowMs: number, news: TaskNews): readonly SchedulerEffect[] {
-    const homeShard = getHomeShard(news.jobId);
-    if (nowMs < this.#lease.getAuthorityUntilMs(homeShard)) {
-      this.#jobs.applyNews(news);
-      return [];
-    }
-    const owner = this.#lease.getOwners().find((row) => row.shardId === homeShard)?.ownerId;
-    const address = owner && this.#lease.members.get(owner)?.row.address;
-    if (!address) return [];
-    return [{ kind: 'callPeer', origin: { kind: 'oneWay' }, address, call: news }];
+    return [{ kind: 'log', message: 'shard acquired', fields: { shardId, epoch } }];
   }
 
-  #fromJobs(nowMs: number, effects: readonly JobEffect[]): readonly SchedulerEffect[] {
+  #fromEscrow(nowMs: number, effects: readonly EscrowEffect[]): readonly SchedulerEffect[] {
     return effects.flatMap((effect): readonly SchedulerEffect[] => {
       switch (effect.kind) {
         case 'callPlatform':
           return [effect];
-        case 'replyJob':
-          return [{ kind: 'replyCall', callId: effect.callId, value: effect.result }];
-        case 'placeTask':
-          return this.#fromTasks(nowMs, this.#tasks.start(nowMs, effect.start));
+        case 'stopSurplus':
+          return this.#jobs.stopSurplus(nowMs, effect);
         default:
           return assertNever(effect);
       }
@@ -436,7 +383,8 @@
       freeSlots,
       queuedRequests: this.#requests.waitingCount,
       activeShards: this.#ownership.getActiveShards(nowMs),
-      services: this.#tasks.services,
+      services: this.#jobs.runner.services,
+      shardRooms: this.#jobs.getShardRooms(nowMs),
     };
   }
 
@@ -471,7 +419,7 @@
       openRequests: this.#requests.openCount,
       waitingRequests: this.#requests.waitingCount,
       requestMemory: this.#requests.memoryUse,
-      tasks: this.#tasks.taskCount,
+      tasks: this.#jobs.runner.taskCount,
       jobs: this.#jobs.jobCount,
     };
   }
--- a/src/scheduler/requestDuty.ts
+++ b/src/scheduler/requestDuty.ts
@@ -10,7 +10,7 @@
 import type { RequestStart } from '../rpc/types';
 import type { TargetReport, TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import type { RequestId, ShardId, TargetId } from '../types/ids';
+import type { DataCentreId, RequestId, ShardId, TargetId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import type { SchedulerEffect } from './types';
 
@@ -52,8 +52,15 @@
    * @param config - what may be admitted
    * @param pool - budgets of the targets
    * @param guard - the check at the moment of each start
+   * @param nearDataCentreId - where the callers are
    */
-  constructor(lease: LeaseKeeper, config: ConfigHolder, pool: TargetPool, guard: StartGuard) {
+  constructor(
+    lease: LeaseKeeper,
+    config: ConfigHolder,
+    pool: TargetPool,
+    guard: StartGuard,
+    nearDataCentreId: DataCentreId,
+  ) {
     this.#lease = lease;
     this.#config = config;
     this.#table = new RequestTable({
@@ -62,6 +69,7 @@
       admission: config,
       homes: this,
       memory: this.#memory,
+      nearDataCentreId,
     });
   }
 
