--- a/tests/cli.test.ts
+++ b/tests/cli.test.ts
@@ -14,6 +14,7 @@
   submitJob,
 } from '../src/cli/commands';
 import { toCliResult } from '../src/cli/client';
+import { parseAndRun } from '../src/cli/parser';
 import { print } from '../src/cli/print';
 import type { CliCall, CliResult, CommandOutcome, GateApi } from '../src/cli/types';
 import { EMPTY_CONFIG } from '../src/config/types';
@@ -219,3 +220,52 @@
     expect(answer(409, '{"code":"HW6001","message":"m","detail":"d"}')).toBe('refused');
   });
 });
+
+describe('the command line', () => {
+  const parse = async (line: string) => {
+    const gate = new FakeGate({ kind: 'value', value: ANSWER }, { kind: 'value', value: ANSWER });
+    const outcomes: CommandOutcome[] = [];
+    const mistake = await parseAndRun(line.split(' '), async (_options, command) => {
+      outcomes.push(await command(gate));
+    });
+    return { outcomes, mistake, calls: gate.calls.map(({ method, path }) => `${method} ${path}`) };
+  };
+
+  test.each([
+    ['sheet check samples/mattis.sheet.json', []],
+    [
+      'sheet apply samples/mattis.sheet.json --based-on 3',
+      ['GET operator/config', 'POST operator/config/changes'],
+    ],
+    ['key grant k team', ['POST operator/config/changes']],
+    ['key withdraw k --json', ['POST operator/config/changes']],
+    ['datacentre out delft --gate 127.0.0.1:1', ['POST operator/config/changes']],
+    ['job list', ['GET jobs']],
+    ['job show j', ['GET jobs/j']],
+    ['job cancel j', ['DELETE jobs/j']],
+    ['state dump', ['GET operator/state']],
+    ['drain scheduler-1', ['POST operator/drain/scheduler-1']],
+    ['version', []],
+  ])('%s', async (line, calls) => {
+    const parsed = await parse(line);
+    expect(parsed.mistake).toBeUndefined();
+    expect(parsed.outcomes.map((outcome) => outcome.exitCode)).toEqual([0]);
+    expect(parsed.calls).toEqual(calls);
+  });
+
+  test.each([
+    'sheet',
+    'sheet burn',
+    'key grant k',
+    'datacentre up delft',
+    'job',
+    'list',
+    'version --fast',
+  ])('the mistake in "%s" is told in one line and exits with 2', async (line) => {
+    const { mistake, outcomes, calls } = await parse(line);
+    expect(outcomes).toEqual([]);
+    expect(calls).toEqual([]);
+    expect(mistake?.exitCode).toBe(2);
+    expect(mistake && printText(mistake).stderr).toMatch(/^hemlockway: [^\n]+\n$/);
+  });
+});
