Jobs: gangs reserved whole before any start; an end is known by report alone

Cause: gangs were started task by task. Change: each gang task is reserved in the order of shard ids, the decision to start is durable before the first start, a refusal gives everything back. A stop keeps the ended task until a separate acknowledgement, so that the next report says whether it had finished; the stand-in's progress stands still after the end of a task. Ruled out: taking an accepted stop as 'stopped' (that was the fault); the state in the stop's answer (lost with the answer).

--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -30,6 +30,8 @@
   nextAskMs: number;
   /** Epoch under which an owner said last that it runs. */
   confirmedEpoch: Epoch | undefined;
+  /** Its owner holds room for it, as a task of a gang. */
+  isReserved: boolean;
   /** Shard that refused it last. */
   refusedShardId: ShardId | undefined;
 }
@@ -45,6 +47,10 @@
   /** Nothing of it is placed before this time. */
   nextPlaceMs: number;
   refusalCount: number;
+  /** Of a gang: whether room is being reserved, held and started, or given back. */
+  gangStep: 'idle' | 'reserving' | 'committed' | 'releasing';
+  /** Number of the journal entry that commits the gang. */
+  gangEntryNumber: number;
 }
 
 /**
@@ -112,6 +118,7 @@
     entryNumber: 0,
     nextAskMs: 0,
     confirmedEpoch: undefined,
+    isReserved: false,
     refusedShardId: undefined,
   }));
   return {
@@ -123,6 +130,8 @@
     note: '',
     nextPlaceMs: 0,
     refusalCount: 0,
+    gangStep: 'idle',
+    gangEntryNumber: 0,
   };
 }
 
@@ -211,11 +220,12 @@
  * @returns its submission, its phase and every task that is not as submitted
  */
 export function createJobEntries(job: KeptJob): readonly JobEntry[] {
-  const { spec, teamId, submitNumber, phase } = job;
+  const { spec, teamId, submitNumber, phase, gangStep } = job;
   const tasks = job.tasks.filter((task) => task.attempt > 0 || task.state.kind !== 'pending');
   return [
     { kind: 'submitted', spec, teamId, submitNumber },
     { kind: 'phase', jobId: spec.jobId, phase },
+    { kind: 'gang', jobId: spec.jobId, isCommitted: gangStep === 'committed' },
     ...tasks.map((task) => createTaskEntry(spec.jobId, task)),
   ];
 }
@@ -236,6 +246,11 @@
       if (job !== undefined) job.phase = entry.phase;
       return;
     }
+    case 'gang': {
+      const job = jobs.get(entry.jobId);
+      if (job !== undefined) job.gangStep = entry.isCommitted ? 'committed' : 'idle';
+      return;
+    }
     case 'task': {
       const task = jobs.get(entry.jobId)?.tasks[entry.index];
       if (task === undefined) return;
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -27,6 +27,7 @@
 import { createPlan } from './placer';
 import type { PlacementView } from './placer';
 import { applyNews } from './taskProgress';
+import { advanceGang, beginGang, releaseGang, restoreGang } from './gang';
 import type { JobEffect } from './effects';
 import type { JobEntry, JobSpec, JobSummary, TaskNews } from './types';
 
@@ -170,12 +171,12 @@
    */
   tick(nowMs: number, view: PlacementView): readonly JobEffect[] {
     const jobs = [...this.#activeIds].flatMap((jobId) => this.#jobs.get(jobId) ?? []);
-    const plan = createPlan(nowMs, jobs, view, (job, task) =>
-      this.#journal.isDurable(getHomeShard(job.spec.jobId), task.entryNumber),
-    );
+    const plan = createPlan(nowMs, jobs, view, this);
+    const gangs = new Set(plan.placed.filter(({ ask }) => ask === undefined).map(({ job }) => job));
+    gangs.forEach((job) => this.#append(nowMs, job.spec.jobId, beginGang(job), [], false));
     plan.placed.forEach(({ job, task, ask }) => {
-      const effect: JobEffect = { kind: 'askOwner', ask };
-      this.#appendTask(nowMs, job, task, [effect]);
+      const asks: readonly JobEffect[] = ask === undefined ? [] : [{ kind: 'askOwner', ask }];
+      this.#appendTask(nowMs, job, task, asks, true);
     });
     plan.changed.forEach((job) => this.#updatePhase(nowMs, job));
     return [
@@ -256,6 +257,16 @@
     return JSON.stringify(jobs.filter((job) => !dropped.has(job)).flatMap(createJobEntries));
   }
 
+  /** {@inheritDoc DurabilitySource.isTaskDurable} */
+  isTaskDurable(job: KeptJob, task: KeptTask): boolean {
+    return this.#journal.isDurable(getHomeShard(job.spec.jobId), task.entryNumber);
+  }
+
+  /** {@inheritDoc DurabilitySource.isGangDurable} */
+  isGangDurable(job: KeptJob): boolean {
+    return this.#journal.isDurable(getHomeShard(job.spec.jobId), job.gangEntryNumber);
+  }
+
   #resubmit(
     nowMs: number,
     callId: number,
@@ -291,15 +302,22 @@
     job: KeptJob,
     task: KeptTask,
     released: readonly JobEffect[] = [],
+    isUrgent = false,
   ): void {
     const entry = createTaskEntry(job.spec.jobId, task);
-    const isUrgent = released.length > 0;
     task.entryNumber = this.#append(nowMs, job.spec.jobId, entry, released, isUrgent);
   }
 
   #applyCurrent(nowMs: number, job: KeptJob, task: KeptTask, news: TaskNews): void {
     const change = applyNews(nowMs, job, task, news);
     if (change === 'durable') this.#appendTask(nowMs, job, task);
+    if (job.spec.policy.kind === 'gang') {
+      const commit = advanceGang(nowMs, job, task, news);
+      if (commit !== undefined) {
+        job.gangEntryNumber = this.#append(nowMs, job.spec.jobId, commit, [], true);
+      }
+      if (job.gangStep === 'releasing') releaseGang(nowMs, job);
+    }
     this.#updatePhase(nowMs, job);
   }
 
@@ -353,6 +371,7 @@
       this.#submitCount = Math.max(this.#submitCount, job.submitNumber);
       this.#jobs.set(jobId, job);
       this.#activeIds.add(jobId);
+      restoreGang(job);
       this.#updateActive(job);
     });
     this.#loadingShards.delete(shardId);
--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -1,5 +1,7 @@
 /** Decides where pending tasks go, and which owners must be asked about placed ones. */
 
+import { tryGetAskKind } from './gang';
+import type { AskKind } from './gang';
 import { getPlacement, isEnded, createStart } from './job';
 import type { KeptJob, KeptTask } from './job';
 import type { DataCentreId, Epoch, QueueId, ShardId } from '../types/ids';
@@ -58,8 +60,8 @@
 export interface PlacedTask {
   readonly job: KeptJob;
   readonly task: KeptTask;
-  /** Leaves once the placement is durable. */
-  readonly ask: TaskAsk;
+  /** Leaves once the placement is durable; undefined for a gang's task. */
+  readonly ask: TaskAsk | undefined;
 }
 
 /** What a round of placing came to. */
@@ -71,7 +73,20 @@
   readonly changed: readonly KeptJob[];
 }
 
-type DurabilityCheck = (job: KeptJob, task: KeptTask) => boolean;
+/** Tells what the journal holds for certain. */
+export interface DurabilitySource {
+  /**
+   * @param job - a job
+   * @param task - a task of it
+   * @returns true when the task's last change is durable
+   */
+  isTaskDurable(job: KeptJob, task: KeptTask): boolean;
+  /**
+   * @param job - a gang
+   * @returns true when the decision to start it is durable
+   */
+  isGangDurable(job: KeptJob): boolean;
+}
 
 interface Room {
   readonly room: PlaceableRoom;
@@ -93,10 +108,9 @@
   );
 }
 
-/** Builds the ask about a placed task: stop it when its job has ended, else start it. */
-function createAsk(job: KeptJob, task: KeptTask, placement: TaskPlacement): TaskAsk {
-  if (!isEnded(job.phase)) return { kind: 'start', start: createStart(job, task, placement) };
-  return { kind: 'stop', taskId: task.taskId, jobId: job.spec.jobId, placement };
+function createAsk(kind: AskKind, job: KeptJob, task: KeptTask, placement: TaskPlacement): TaskAsk {
+  if (kind !== 'stop') return { kind, start: createStart(job, task, placement) };
+  return { kind, taskId: task.taskId, jobId: job.spec.jobId, placement };
 }
 
 function isAskNeeded(
@@ -106,6 +120,7 @@
   view: PlacementView,
 ): boolean {
   if (isEnded(job.phase) || task.state.kind === 'assigned') return true;
+  if (job.gangStep === 'releasing') return true;
   // A new owner is asked whether it found the task; until then it counts as running.
   const epoch = view.getEpoch(placement.shardId);
   return epoch !== undefined && epoch !== task.confirmedEpoch;
@@ -115,7 +130,7 @@
   nowMs: number,
   jobs: readonly KeptJob[],
   view: PlacementView,
-  isDurable: DurabilityCheck,
+  durability: DurabilitySource,
 ): readonly TaskAsk[] {
   const asks: TaskAsk[] = [];
   jobs.forEach((job) => {
@@ -123,9 +138,11 @@
       const placement = getPlacement(task);
       if (placement === undefined || nowMs < task.nextAskMs) return;
       if (asks.length >= MAX_ASKS_PER_TICK || !isAskNeeded(job, task, placement, view)) return;
-      if (!isDurable(job, task)) return;
+      if (!durability.isTaskDurable(job, task)) return;
+      const kind = tryGetAskKind(job, task, durability.isGangDurable(job));
+      if (kind === undefined) return;
       task.nextAskMs = nowMs + ASK_INTERVAL_MS;
-      asks.push(createAsk(job, task, placement));
+      asks.push(createAsk(kind, job, task, placement));
     });
   });
   return asks;
@@ -188,7 +205,25 @@
   const placement: TaskPlacement = { attempt: task.attempt, shardId, epoch };
   task.state = { kind: 'assigned', placement };
   task.nextAskMs = nowMs + ASK_INTERVAL_MS;
-  return { job, task, ask: { kind: 'start', start: createStart(job, task, placement) } };
+  const isGang = job.spec.policy.kind === 'gang';
+  // A gang's asks follow in the order of the shards.
+  if (isGang) task.nextAskMs = nowMs;
+  const start = createStart(job, task, placement);
+  return { job, task, ask: isGang ? undefined : { kind: 'start', start } };
+}
+
+/** Takes a room for each task, as far as there are any. */
+function pickRooms(
+  job: KeptJob,
+  tasks: readonly KeptTask[],
+  rooms: readonly Room[],
+): readonly Room[] {
+  return tasks.flatMap((task) => {
+    const room = pickRoom(job, task, rooms);
+    if (room === undefined) return [];
+    room.freeSlots -= job.spec.demand.slots;
+    return [room];
+  });
 }
 
 function placeJob(
@@ -198,16 +233,23 @@
   rooms: readonly Room[],
   placed: PlacedTask[],
 ): void {
-  const { demand } = job.spec;
+  const { demand, policy } = job.spec;
+  const isGang = policy.kind === 'gang';
+  if (placed.length >= MAX_STARTS_PER_TICK || (isGang && job.gangStep !== 'idle')) return;
   const large = rooms.filter((room) => view.isLargeEnough(room.room.shardId, demand));
   const pending = job.tasks.filter((task) => task.state.kind === 'pending');
-  const taken: Room[] = [];
-  pending.slice(0, MAX_STARTS_PER_TICK - placed.length).forEach((task) => {
-    const room = pickRoom(job, task, large);
-    if (room === undefined) return;
-    room.freeSlots -= demand.slots;
-    taken.push(room);
-    placed.push(place(nowMs, job, task, room.room));
+  // A gang is placed whole, also when it is larger than what is left of the tick.
+  const tasks = isGang ? pending : pending.slice(0, MAX_STARTS_PER_TICK - placed.length);
+  const taken = pickRooms(job, tasks, large);
+  if (isGang && taken.length < tasks.length) {
+    taken.forEach((room) => {
+      room.freeSlots += demand.slots;
+    });
+    return;
+  }
+  taken.forEach((room, index) => {
+    const task = tasks[index];
+    if (task !== undefined) placed.push(place(nowMs, job, task, room.room));
   });
 }
 
@@ -216,16 +258,16 @@
  * @param nowMs - this process's clock
  * @param jobs - jobs that have not come to rest
  * @param view - the cluster
- * @param isDurable - tells whether the last change of a task is durable
+ * @param durability - tells what is durable
  * @returns the plan; placed tasks are changed in place
  */
 export function createPlan(
   nowMs: number,
   jobs: readonly KeptJob[],
   view: PlacementView,
-  isDurable: DurabilityCheck,
+  durability: DurabilitySource,
 ): PlacementPlan {
-  const asks = getAsks(nowMs, jobs, view, isDurable);
+  const asks = getAsks(nowMs, jobs, view, durability);
   const waiting = jobs
     .filter((job) => !isEnded(job.phase) && nowMs >= job.nextPlaceMs)
     .filter((job) => job.tasks.some((task) => task.state.kind === 'pending'));
--- a/src/jobs/taskProgress.ts
+++ b/src/jobs/taskProgress.ts
@@ -54,6 +54,9 @@
   if (state.kind !== 'assigned' && state.kind !== 'running') return 'volatile';
   const { placement } = state;
   switch (news.state) {
+    case 'reserved':
+      job.refusalCount = 0;
+      return 'volatile';
     case 'running':
       // A task that runs is found again by asking its owner, so that this needs no journal entry.
       task.state = { kind: 'running', placement, targetId: news.targetId };
--- a/src/jobs/taskRunner.ts
+++ b/src/jobs/taskRunner.ts
@@ -17,6 +17,8 @@
 /** No start arrives at a target later than this after its call was given up. */
 const LATE_START_MS = 500;
 const TELL_INTERVAL_MS = 1_000;
+/** A reservation that its home does not extend is given up after this. */
+const RESERVATION_MS = 4_000;
 
 /** Which call a target's result belongs to. */
 export type TaskOrigin =
@@ -54,7 +56,8 @@
   readonly target: Target;
   readonly serviceName: string;
   readonly charge: Charge;
-  state: 'starting' | 'running' | 'ended';
+  state: 'reserved' | 'starting' | 'running' | 'ended';
+  reservedUntilMs: number;
   /** A report that was asked for after this time and doesn't list the run proves that it ended. */
   certainAfterMs: number;
   /** Told until the home has made it durable. */
@@ -134,7 +137,7 @@
    * @returns what to do; nothing when the truth is not known yet, so that the home asks again
    */
   ask(nowMs: number, ask: TaskAsk): readonly TaskEffect[] {
-    const { taskId, jobId, placement } = ask.kind === 'start' ? ask.start : ask;
+    const { taskId, jobId, placement } = ask.kind === 'stop' ? ask : ask.start;
     const epoch = this.#authority.tryGetEpoch(placement.shardId, nowMs);
     if (epoch === undefined || epoch < placement.epoch) return [];
     const run = { taskId, attempt: placement.attempt };
@@ -156,10 +159,10 @@
       );
       return isCertain ? [createAnswer('absent')] : [];
     }
-    const started = ask.kind === 'start' ? this.#tryStart(nowMs, ask.start) : undefined;
+    const started = ask.kind === 'stop' ? undefined : this.#tryStart(nowMs, ask);
     if (started !== undefined) return [started];
     this.#closed.add(placement.shardId, run, nowMs);
-    return [createAnswer(ask.kind === 'start' ? 'refused' : 'absent')];
+    return [createAnswer(ask.kind === 'stop' ? 'absent' : 'refused')];
   }
 
   /**
@@ -180,8 +183,8 @@
       case 'taskStart':
         return this.#applyStart(nowMs, run, result);
       case 'taskStop':
-        return result.kind === 'accepted' ? this.#end(nowMs, run, 'stopped', 0) : [];
       case 'taskAcknowledge':
+        // Whether it was stopped or had finished before is told by the next report.
         return [];
       default:
         return assertNever(origin);
@@ -208,7 +211,7 @@
     const gone = [...this.#runs.values()].filter(
       (run) =>
         run.target.targetId === target.targetId &&
-        run.state !== 'ended' &&
+        (run.state === 'starting' || run.state === 'running') &&
         !reported.has(run.runId) &&
         sentMs > run.certainAfterMs,
     );
@@ -229,6 +232,10 @@
     return [...this.#runs.values()].flatMap((run): readonly TaskEffect[] => {
       const epoch = this.#authority.tryGetEpoch(run.target.shardId, nowMs);
       if (epoch === undefined) return [];
+      if (run.state === 'reserved') {
+        if (nowMs >= run.reservedUntilMs) this.#dropReserved(nowMs, run);
+        return [];
+      }
       if (run.end === undefined) {
         const isLapsed = this.#contacts.isLapsed(run.target, epoch, nowMs);
         return isLapsed ? this.#end(nowMs, run, 'stopped', 0) : [];
@@ -271,31 +278,72 @@
   #askKnown(nowMs: number, run: RunningTask, epoch: Epoch, ask: TaskAsk): readonly TaskEffect[] {
     if (run.end !== undefined) return [{ kind: 'tellHome', news: { ...run.end, epoch } }];
     if (run.state === 'starting') return [];
-    if (ask.kind === 'start') return [TaskRunner.#createNews(run, epoch, 'running', 0)];
+    if (run.state === 'reserved') return this.#askReserved(nowMs, run, epoch, ask);
+    if (ask.kind !== 'stop') return [TaskRunner.#createNews(run, epoch, 'running', 0)];
     return this.#createStop(nowMs, run, 'taskStop');
   }
 
-  #tryStart(nowMs: number, start: TaskStart): TaskEffect | undefined {
+  #askReserved(nowMs: number, run: RunningTask, epoch: Epoch, ask: TaskAsk): readonly TaskEffect[] {
+    switch (ask.kind) {
+      case 'reserve':
+        run.reservedUntilMs = nowMs + RESERVATION_MS;
+        return [TaskRunner.#createNews(run, epoch, 'reserved', 0)];
+      case 'start': {
+        const permit = this.#guard.tryGetPermit(run.target, nowMs);
+        if (permit === undefined || permit.epoch !== epoch) {
+          this.#dropReserved(nowMs, run);
+          return [TaskRunner.#createNews(run, epoch, 'refused', 0)];
+        }
+        return [this.#sendStart(nowMs, run, ask.start, permit)];
+      }
+      case 'stop':
+        this.#dropReserved(nowMs, run);
+        return [TaskRunner.#createNews(run, epoch, 'absent', 0)];
+      default:
+        return assertNever(ask);
+    }
+  }
+
+  #dropReserved(nowMs: number, run: RunningTask): void {
+    this.#runs.delete(run.runId);
+    this.#pool.release(run.charge);
+    this.#closed.add(run.target.shardId, run.run, nowMs);
+  }
+
+  #tryStart(
+    nowMs: number,
+    { kind, start }: Exclude<TaskAsk, { kind: 'stop' }>,
+  ): TaskEffect | undefined {
     const target = this.#getBestFit(nowMs, start);
     const permit = target && this.#guard.tryGetPermit(target, nowMs);
     if (target === undefined || permit === undefined) return undefined;
     if (permit.epoch !== start.placement.epoch) return undefined;
     const charged = this.#pool.tryCharge(target.targetId, start.teamId, start.demand);
     if (charged.kind !== 'charged') return undefined;
-    const run = { taskId: start.taskId, attempt: start.placement.attempt };
-    const runId = getRunId(run);
-    this.#runs.set(runId, {
+    const taskRun = { taskId: start.taskId, attempt: start.placement.attempt };
+    const runId = getRunId(taskRun);
+    const run: RunningTask = {
       runId,
-      run,
+      run: taskRun,
       jobId: start.jobId,
       target,
       serviceName: start.serviceName,
       charge: charged.charge,
-      state: 'starting',
-      certainAfterMs: nowMs + TARGET_TIMEOUT_MS + LATE_START_MS,
+      state: 'reserved',
+      reservedUntilMs: nowMs + RESERVATION_MS,
+      certainAfterMs: Number.POSITIVE_INFINITY,
       end: undefined,
       nextTellMs: nowMs,
-    });
+    };
+    this.#runs.set(runId, run);
+    if (kind === 'reserve') return TaskRunner.#createNews(run, permit.epoch, 'reserved', 0);
+    return this.#sendStart(nowMs, run, start, permit);
+  }
+
+  #sendStart(nowMs: number, run: RunningTask, start: TaskStart, permit: StartPermit): TaskEffect {
+    const { runId, target } = run;
+    run.state = 'starting';
+    run.certainAfterMs = nowMs + TARGET_TIMEOUT_MS + LATE_START_MS;
     this.#contacts.recordExtension(target.targetId, permit.epoch, nowMs);
     const untilMs = Math.min(permit.untilMs, nowMs + LEASE_CALL_LEAVES_MS);
     return TaskRunner.#createStartCall(start, runId, target, { epoch: permit.epoch, untilMs });
@@ -357,14 +405,15 @@
     const isClosed = this.#closed.has(target.shardId, annotation);
     const known = this.#runs.get(report.taskId);
     if (known === undefined && isClosed) {
-      // The stop that acknowledged the end was lost.
-      return [TaskRunner.#createStopCall(target, permit, report.taskId, 'taskAcknowledge')];
+      // The acknowledgement was lost, or it outlived its lease.
+      const kind = report.state === 'running' ? 'taskStop' : 'taskAcknowledge';
+      return [TaskRunner.#createStopCall(target, permit, report.taskId, kind)];
     }
     const run = known ?? this.#adopt(nowMs, target, report, annotation);
     if (run.state === 'ended') {
       // It outlived its lease, or the report is from before its end.
       if (report.state !== 'running') return [];
-      return [TaskRunner.#createStopCall(target, permit, report.taskId, 'taskAcknowledge')];
+      return [TaskRunner.#createStopCall(target, permit, report.taskId, 'taskStop')];
     }
     if (report.state !== 'running') {
       return this.#end(nowMs, run, report.state, report.checkpointFraction);
@@ -389,6 +438,7 @@
       serviceName: annotation.serviceName,
       charge: this.#pool.forceCharge(target, report.teamId, report.demand),
       state: 'starting',
+      reservedUntilMs: nowMs,
       certainAfterMs: nowMs,
       end: undefined,
       nextTellMs: nowMs,
@@ -449,7 +499,7 @@
       origin: { kind, runId },
       address: target.address,
       call: {
-        kind: 'stop',
+        kind: kind === 'taskStop' ? 'stop' : 'acknowledge',
         token: { shardId: target.shardId, epoch: permit.epoch },
         taskId: runId,
       },
--- a/src/jobs/types.ts
+++ b/src/jobs/types.ts
@@ -89,6 +89,8 @@
       readonly submitNumber: number;
     }
   | { readonly kind: 'phase'; readonly jobId: JobId; readonly phase: JobPhase }
+  /** Precedes a round of reservations, or ends it by starting the gang. */
+  | { readonly kind: 'gang'; readonly jobId: JobId; readonly isCommitted: boolean }
   | {
       readonly kind: 'task';
       readonly jobId: JobId;
@@ -135,7 +137,7 @@
    * `refused` and `absent` say that the placement does not run and never will: refused by the owner
    * it was meant for, absent by that owner or a later one that has heard all targets of the shard.
    */
-  readonly state: 'running' | 'finished' | 'failed' | 'stopped' | 'refused' | 'absent';
+  readonly state: 'reserved' | 'running' | 'finished' | 'failed' | 'stopped' | 'refused' | 'absent';
   readonly checkpointFraction: number;
 }
 
@@ -143,6 +145,8 @@
 export type TaskAsk =
   /** Start it, unless it was started or refused before; answered with what became of it. */
   | { readonly kind: 'start'; readonly start: TaskStart }
+  /** Hold room for it for a short time; each repetition extends the time. */
+  | { readonly kind: 'reserve'; readonly start: TaskStart }
   /** Stop it; answered once it certainly does not run. */
   | {
       readonly kind: 'stop';
--- a/src/scheduler/jobDuty.ts
+++ b/src/scheduler/jobDuty.ts
@@ -381,7 +381,7 @@
     const local: TaskEffect[] = [];
     const byAddress = new Map<string, TaskAsk[]>();
     asks.forEach((ask) => {
-      const { shardId } = (ask.kind === 'start' ? ask.start : ask).placement;
+      const { shardId } = (ask.kind === 'stop' ? ask : ask.start).placement;
       if (this.tryGetEpoch(shardId, nowMs) !== undefined) {
         local.push(...this.#runner.ask(nowMs, ask));
         return;
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -54,7 +54,10 @@
       readonly taskId: TaskId;
       readonly cpuFraction: number;
     }
+  /** Ends a task; it is reported until it is acknowledged, so that its last state is not lost. */
   | { readonly kind: 'stop'; readonly token: FencingToken; readonly taskId: TaskId }
+  /** Lets the target forget a task that has ended. */
+  | { readonly kind: 'acknowledge'; readonly token: FencingToken; readonly taskId: TaskId }
   | {
       readonly kind: 'request';
       readonly token: FencingToken;
--- a/standins/targetModel.ts
+++ b/standins/targetModel.ts
@@ -41,6 +41,7 @@
   readonly runMs: number;
   startedMs: number;
   leaseEndsMs: number;
+  endedMs: number;
   resumeFraction: number;
   state: TaskReport['state'];
 }
@@ -55,7 +56,8 @@
 
 function getFraction(task: RunningTask, nowMs: number): number {
   if (task.runMs <= 0) return 0;
-  return Math.min(1, task.resumeFraction + (nowMs - task.startedMs) / task.runMs);
+  const ranMs = Math.min(nowMs, task.endedMs) - task.startedMs;
+  return Math.min(1, task.resumeFraction + ranMs / task.runMs);
 }
 
 /** Runs calls against one target's state. */
@@ -156,6 +158,11 @@
       case 'stop': {
         const task = this.#tasks.get(call.taskId);
         if (task === undefined) return this.#refuse('unknown task');
+        TargetModel.#end(task, 'stopped', nowMs);
+        return { kind: 'accepted' };
+      }
+      case 'acknowledge': {
+        if (this.#tasks.get(call.taskId)?.state === 'running') return this.#refuse('still runs');
         this.#tasks.delete(call.taskId);
         return { kind: 'accepted' };
       }
@@ -205,6 +212,7 @@
       runMs: call.runMs,
       startedMs: nowMs,
       leaseEndsMs: nowMs + call.leaseMs,
+      endedMs: this.#faults.isFailingEverything ? nowMs : Number.POSITIVE_INFINITY,
       resumeFraction: call.resumeFraction,
       state: this.#faults.isFailingEverything ? 'failed' : 'running',
     });
@@ -215,11 +223,18 @@
   #advance(nowMs: number): void {
     this.#tasks.forEach((task) => {
       if (task.state !== 'running') return;
-      if (task.runMs > 0 && getFraction(task, nowMs) >= 1) task.state = 'finished';
-      else if (nowMs > task.leaseEndsMs) task.state = 'stopped';
+      if (task.runMs > 0 && getFraction(task, Math.min(nowMs, task.leaseEndsMs)) >= 1) {
+        TargetModel.#end(task, 'finished', nowMs);
+      } else if (nowMs > task.leaseEndsMs) TargetModel.#end(task, 'stopped', task.leaseEndsMs);
     });
   }
 
+  static #end(task: RunningTask, state: TaskReport['state'], endedMs: number): void {
+    if (task.state !== 'running') return;
+    task.state = state;
+    task.endedMs = endedMs;
+  }
+
   /** Ended tasks are reported until the owner acknowledges them with a stop. */
   #createReport(nowMs: number): TargetReport {
     const tasks = [...this.#tasks.values()].map((task) => ({
--- a/tests/jobs.test.ts
+++ b/tests/jobs.test.ts
@@ -92,6 +92,80 @@
     expect(jobs.getRunning()).toEqual([]);
   });
 
+  test('a task on a target that does not answer is not started elsewhere while its lease lasts', () => {
+    const jobs = new JobWorld(3);
+    jobs.submit(createSpec('long', { kind: 'batch', taskCount: 6 }, { expectedRunMs: 40_000 }));
+    jobs.world.runFor(4_000);
+    jobs.world.targets.forEach((target, address) => {
+      if (address.includes('rotterdam')) target.setFaults({ isBlackHole: true });
+    });
+    jobs.world.kill(0);
+    jobs.world.runFor(12_000);
+    jobs.world.targets.forEach((target) => target.setFaults({ isBlackHole: false }));
+    jobs.world.runFor(90_000);
+    expect(jobs.violations).toEqual([]);
+    expect(jobs.query('long')).toMatchObject({ phase: 'finished', finishedCount: 6 });
+  });
+
+  test('an end that was told in an outage is not lost with its home', () => {
+    [1, 2, 3].forEach((seed) => {
+      const jobs = new JobWorld(seed);
+      jobs.submit(createSpec('short', { kind: 'batch', taskCount: 6 }));
+      jobs.world.runFor(1_600);
+      expect(jobs.getRunning()).toHaveLength(6);
+      const home = jobs.getHomeIndex('short') ?? 0;
+      jobs.world.store.setFaults({ isDown: true });
+      jobs.world.runFor(4_000);
+      jobs.world.kill(home);
+      jobs.world.store.setFaults({ isDown: false });
+      jobs.world.schedule(500, () => jobs.world.restart(home));
+      jobs.world.runFor(40_000);
+      expect(jobs.violations).toEqual([]);
+      expect(jobs.query('short')).toMatchObject({ phase: 'finished', finishedCount: 6 });
+    });
+  });
+
+  test('two gangs that want the same room run one after the other, each whole', () => {
+    const jobs = new JobWorld(5);
+    ['g1', 'g2', 'g3'].forEach((jobId) =>
+      jobs.submit(createSpec(jobId, { kind: 'gang', taskCount: 40 })),
+    );
+    jobs.world.runFor(40_000);
+    ['g1', 'g2', 'g3'].forEach((jobId) => {
+      expect(jobs.query(jobId)).toMatchObject({ phase: 'finished', finishedCount: 40 });
+      expect(jobs.peaks.get(jobId)).toBe(40);
+    });
+    expect(jobs.violations).toEqual([]);
+  });
+
+  test('a job that no target could ever run is named so within a second and blocks nobody', () => {
+    const jobs = new JobWorld(6);
+    const demand = { cpuMillis: 1, memoryMb: 1, accelerators: 9, slots: 1, connections: 0 };
+    jobs.submit(createSpec('never', { kind: 'batch', taskCount: 1 }, { demand }));
+    jobs.submit(createSpec('wide', { kind: 'gang', taskCount: 65 }));
+    jobs.submit(createSpec('plan', { kind: 'batch', taskCount: 4 }));
+    jobs.world.runFor(1_000);
+    expect(jobs.query('never')).toMatchObject({ phase: 'unplaceable' });
+    expect(jobs.query('wide')).toMatchObject({ phase: 'unplaceable' });
+    jobs.world.runFor(5_000);
+    expect(jobs.query('plan')).toMatchObject({ phase: 'finished' });
+  });
+
+  test('a cancelled job stops what it runs and starts nothing more', () => {
+    const jobs = new JobWorld(8);
+    jobs.submit(createSpec('svc', { kind: 'service', serviceName: 'svc', replicas: 6 }));
+    jobs.world.runFor(4_000);
+    expect(jobs.getRunning()).toHaveLength(6);
+    let isDone = false;
+    jobs.cancel('svc', () => {
+      isDone = true;
+    });
+    jobs.world.runFor(4_000);
+    expect(isDone).toBe(true);
+    expect(jobs.getRunning()).toEqual([]);
+    expect(jobs.query('svc')).toMatchObject({ phase: 'cancelled' });
+  });
+
   test('under any faults no task runs twice at once and every acknowledged job ends', () => {
     fc.assert(
       fc.property(fc.integer({ min: 1, max: 1_000_000 }), timedFaults, (seed, faults) => {
@@ -102,6 +176,8 @@
         batches.forEach((spec, index) =>
           jobs.world.schedule(index * 3_000, () => jobs.submit(spec)),
         );
+        const gang = createSpec('gang', { kind: 'gang', taskCount: 30 }, { expectedRunMs: 3_000 });
+        jobs.world.schedule(1_000, () => jobs.submit(gang));
         jobs.submit(createSpec('svc', { kind: 'service', serviceName: 'svc', replicas: 3 }));
         (faults as readonly TimedFault[]).forEach((timed) =>
           jobs.world.schedule(timed.atMs, () => inject(jobs, timed.fault)),
@@ -111,10 +187,11 @@
         batches.forEach(({ jobId }) => {
           expect(jobs.query(jobId)).toMatchObject({ phase: 'finished', finishedCount: 5 });
         });
+        expect(jobs.query('gang')).toMatchObject({ phase: 'finished', finishedCount: 30 });
         const replicas = jobs.getRunning().filter((runId) => runId.startsWith('svc/'));
         expect(replicas).toHaveLength(3);
       }),
-      { seed: 7, numRuns: 12 },
+      { seed: 7, numRuns: 12, endOnFailure: true },
     );
   });
 });
--- a/tests/support/jobWorld.ts
+++ b/tests/support/jobWorld.ts
@@ -67,7 +67,8 @@
     const change = { kind: 'applySheet', basedOnVersion: toConfigVersion(0), sheet } as const;
     const call = { kind: 'changeConfig', change, operationId: toId('op-1') } as const;
     this.world.call(0, call as never, () => undefined);
-    this.world.runFor(8_000);
+    // Shards move to their preferred members about 10 s after the start.
+    this.world.runFor(13_000);
     this.#watch();
   }
 
