--- /dev/null
+++ b/bench/durability.ts
@@ -0,0 +1,179 @@
+/** `durability`: what the journal costs the platform, against one row per change. */
+
+import { Journal } from '../src/journal/journal';
+import { Snapshots } from '../src/journal/snapshots';
+import type { FenceSource, JournalCall, JournalContent } from '../src/journal/types';
+import { createTaskEntry, createJob, encodeEntry } from '../src/jobs/job';
+import { getHomeShard, HOME_SHARD_COUNT } from '../src/lease/shards';
+import type { JobSpec } from '../src/jobs/types';
+import type { RowCheck } from '../src/platform/types';
+import { toEpoch, toId } from '../src/types/ids';
+import type { ShardId } from '../src/types/ids';
+import { Random } from '../src/types/random';
+import { PlatformStore } from '../standins/platformStore';
+import type { Bench, Figure } from './types';
+
+const WRITER_COUNT = 9;
+const DURATION_S = 300; // long enough for snapshots and trimming
+const TICK_MS = 100;
+const LATENCY_MS = 5;
+const RATES_PER_S = [60, 200, 590] as const;
+const TASKS_PER_JOB = 40;
+const SEED = 1;
+/** A placement and an end of each start are durable. */
+const ENTRIES_PER_START = 2;
+
+interface Traffic {
+  readonly store: PlatformStore;
+  bytes: number;
+  ackMs: number[];
+}
+
+const DEMAND = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0, slots: 1, connections: 0 };
+
+function createEmpty(shardId: ShardId): JournalContent {
+  return {
+    shardId,
+    snapshot: null,
+    entries: [],
+    lastSequence: 0,
+    headSequence: 0,
+    headVersion: 0,
+    keptSequences: [],
+  };
+}
+
+/** One scheduler's journal with the platform answering after a fixed latency. */
+class BenchWriter implements FenceSource {
+  readonly shardIds: readonly ShardId[];
+
+  readonly #journal: Journal<number>;
+
+  readonly #snapshots: Snapshots;
+
+  readonly #traffic: Traffic;
+
+  #calls: JournalCall[] = [];
+
+  constructor(index: number, traffic: Traffic) {
+    this.#traffic = traffic;
+    this.shardIds = Array.from({ length: HOME_SHARD_COUNT }, (_, shard) => shard)
+      .filter((shard) => shard % WRITER_COUNT === index)
+      .map((shard) => toId<ShardId>(`home.${shard}`));
+    this.#journal = new Journal(`w${index}`, this);
+    this.#snapshots = new Snapshots(`w${index}`, this, { createSnapshot: () => '[]' });
+    this.shardIds.forEach((shardId) => {
+      this.#journal.open(shardId, 0);
+      this.#snapshots.open(createEmpty(shardId));
+    });
+  }
+
+  // The benchmark has no lease rows; a row that does not exist stands for an unchanged one.
+  // eslint-disable-next-line class-methods-use-this
+  tryGetFence(shardId: ShardId): RowCheck {
+    return { key: `shard/${shardId}`, version: 0 };
+  }
+
+  append(nowMs: number, shardId: ShardId, entry: Parameters<Journal<number>['append']>[2]): void {
+    this.#journal.append(nowMs, shardId, entry, [nowMs], true);
+  }
+
+  tick(nowMs: number): void {
+    const calls = this.#calls;
+    this.#calls = [];
+    calls.forEach((call) => this.#perform(nowMs, call));
+    this.#calls.push(
+      ...this.#journal.tryFlush(nowMs, WRITER_COUNT),
+      ...this.#snapshots.tick(nowMs),
+    );
+  }
+
+  #perform(nowMs: number, { origin, call }: JournalCall): void {
+    const { store } = this.#traffic;
+    this.#traffic.bytes += JSON.stringify(call).length;
+    const result = store.perform(call, nowMs);
+    if (origin.kind !== 'journalWrite') {
+      this.#calls.push(...this.#snapshots.applyResult(nowMs, origin as never, result));
+      return;
+    }
+    const outcome = this.#journal.applyResult(origin.operationId, result);
+    outcome.committed.forEach((row) => this.#snapshots.addRow(row.shardId, row.sequence));
+    // The answer came LATENCY_MS after the call left, in the tick before.
+    const durableMs = nowMs - TICK_MS + LATENCY_MS;
+    outcome.released.forEach((sinceMs) => {
+      this.#traffic.ackMs.push(durableMs - sinceMs);
+    });
+  }
+}
+
+function getQuantile(values: readonly number[], fraction: number): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length * fraction)] ?? 0;
+}
+
+function measure(ratePerS: number): readonly Figure[] {
+  const traffic: Traffic = { store: new PlatformStore(), bytes: 0, ackMs: [] };
+  const random = new Random(SEED);
+  const writers = Array.from(
+    { length: WRITER_COUNT },
+    (_, index) => new BenchWriter(index, traffic),
+  );
+  const writerByShard = new Map(
+    writers.flatMap((writer) => writer.shardIds.map((shardId) => [shardId, writer] as const)),
+  );
+  let changeCount = 0;
+  let due = 0;
+  for (let nowMs = 0; nowMs < DURATION_S * 1_000; nowMs += TICK_MS) {
+    due += (ratePerS * ENTRIES_PER_START * TICK_MS) / 1_000;
+    for (; due >= 1; due -= 1) {
+      const jobId = `job-${random.nextInt(ratePerS * 10)}`;
+      const shardId = getHomeShard(jobId);
+      const spec = {
+        jobId,
+        queueId: 'queue',
+        policy: { kind: 'batch', taskCount: TASKS_PER_JOB },
+        demand: DEMAND,
+        expectedRunMs: 1,
+      } as unknown as JobSpec;
+      const job = createJob(spec, toId('team'), 1);
+      const task = job.tasks[random.nextInt(TASKS_PER_JOB)];
+      if (task === undefined) continue;
+      const placement = {
+        attempt: 1,
+        shardId: toId<ShardId>('targets.rotterdam.1'),
+        epoch: toEpoch(3),
+      };
+      task.state = { kind: 'assigned', placement };
+      const entry = encodeEntry(createTaskEntry(spec.jobId, task));
+      writerByShard.get(shardId)?.append(nowMs, shardId, entry);
+      changeCount += 1;
+    }
+    writers.forEach((writer) => writer.tick(nowMs));
+  }
+  const { counts } = traffic.store;
+  const name = (text: string) => `${ratePerS} starts/s: ${text}`;
+  return [
+    { name: name('rows written'), value: counts.writtenRowCount / DURATION_S, unit: 'rows/s' },
+    { name: name('write calls'), value: counts.writeCount / DURATION_S, unit: 'calls/s' },
+    { name: name('reads'), value: counts.readCount / DURATION_S, unit: 'reads/s' },
+    {
+      name: name('bytes to the platform'),
+      value: traffic.bytes / DURATION_S / 1_000,
+      unit: 'kB/s',
+    },
+    { name: name('durable after, median'), value: getQuantile(traffic.ackMs, 0.5), unit: 'ms' },
+    {
+      name: name('durable after, 99th percentile'),
+      value: getQuantile(traffic.ackMs, 0.99),
+      unit: 'ms',
+    },
+    { name: name('baseline, a row per change'), value: changeCount / DURATION_S, unit: 'rows/s' },
+  ];
+}
+
+/** Write traffic of nine schedulers at the rates of the design size. */
+export const durability: Bench = {
+  name: 'durability',
+  describe: 'rows and bytes that the journal writes at 60, 200 and 590 starts/s',
+  run: async () => RATES_PER_S.flatMap(measure),
+};
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,10 +3,12 @@
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
 import { capacity } from './capacity';
+import { durability } from './durability';
 import { footprint } from './footprint';
+import { recovery } from './recovery';
 import type { Bench, Figure } from './types';
 
-const BENCHES: readonly Bench[] = [capacity, footprint];
+const BENCHES: readonly Bench[] = [capacity, durability, footprint, recovery];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
   if (isJson) {
--- /dev/null
+++ b/bench/recovery.ts
@@ -0,0 +1,106 @@
+/** `recovery`: schedulers that start with nothing rebuild their jobs and tasks. */
+
+import { getHomeShard } from '../src/lease/shards';
+import { toConfigVersion, toId } from '../src/types/ids';
+import type { JobId } from '../src/types/ids';
+import { createSheet } from '../tests/support/sheets';
+import { World } from '../tests/support/world';
+import type { Bench, Figure } from './types';
+
+const TASK_COUNTS = [100, 1_000, 4_300] as const;
+const TASKS_PER_JOB = 50;
+const MEMBER_COUNT = 3;
+const STEP_MS = 100;
+const LIMIT_MS = 120_000;
+const DATA_CENTRES = ['rotterdam', 'delft'];
+const CAPACITY = {
+  cpuMillis: 10_000_000,
+  memoryMb: 10_000_000,
+  accelerators: 0,
+  slots: 400,
+  connections: 400,
+};
+const DEMAND = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0, slots: 1, connections: 0 };
+
+function createWorld(): World {
+  const world = new World({
+    seed: 1,
+    memberCount: MEMBER_COUNT,
+    dataCentreIds: DATA_CENTRES,
+    targetsPerDataCentre: 12,
+    capacity: CAPACITY,
+  });
+  world.runFor(2_000);
+  const sheet = createSheet(['team'], DATA_CENTRES, { limitSlots: 100_000 });
+  const change = { kind: 'applySheet', basedOnVersion: toConfigVersion(0), sheet } as const;
+  const call = { kind: 'changeConfig', change, operationId: toId('op-1') } as const;
+  world.call(0, call as never, () => undefined);
+  world.runFor(13_000);
+  return world;
+}
+
+function submit(world: World, jobCount: number): void {
+  for (let index = 0; index < jobCount; index += 1) {
+    const jobId = toId<JobId>(`job-${index}`);
+    const home = world.processes.findIndex((process) =>
+      process.core
+        .dump(world.nowMs)
+        .ownedShards.some((owned) => owned.shardId === getHomeShard(jobId)),
+    );
+    const spec = {
+      jobId,
+      queueId: toId('team'),
+      policy: { kind: 'batch', taskCount: TASKS_PER_JOB },
+      demand: DEMAND,
+      expectedRunMs: 3_600_000,
+    };
+    world.call(home, { kind: 'submitJob', spec, teamId: toId('team') } as never, () => undefined);
+  }
+}
+
+/** Tasks that owners run, and tasks that homes know to run. */
+function count(world: World): { readonly owned: number; readonly known: number } {
+  const dumps = world.processes.map((process) => process.core.dump(world.nowMs));
+  return {
+    owned: dumps.reduce((sum, dump) => sum + dump.tasks, 0),
+    known: dumps.reduce((sum, dump) => sum + dump.runningTasks, 0),
+  };
+}
+
+function runUntil(world: World, isDone: () => boolean): number {
+  const startMs = world.nowMs;
+  while (!isDone() && world.nowMs - startMs < LIMIT_MS) world.runFor(STEP_MS);
+  return world.nowMs - startMs;
+}
+
+function measure(taskCount: number): readonly Figure[] {
+  const world = createWorld();
+  submit(world, taskCount / TASKS_PER_JOB);
+  runUntil(world, () => count(world).known === taskCount);
+  const rowsBefore = world.store.counts.readCount;
+  world.processes.forEach((process) => world.kill(process.index));
+  world.runFor(STEP_MS);
+  world.processes.forEach((process) => world.restart(process.index));
+  const startedAt = performance.now();
+  const ownedMs = runUntil(world, () => count(world).owned === taskCount);
+  const knownMs = ownedMs + runUntil(world, () => count(world).known === taskCount);
+  const busyMs = performance.now() - startedAt;
+  const name = (text: string) => `${taskCount} tasks: ${text}`;
+  return [
+    { name: name('owners know what runs after'), value: ownedMs, unit: 'ms' },
+    { name: name('homes know what runs after'), value: knownMs, unit: 'ms' },
+    {
+      name: name('platform reads meanwhile'),
+      value: world.store.counts.readCount - rowsBefore,
+      unit: 'calls',
+    },
+    { name: name('processor time of all, harness included'), value: busyMs, unit: 'ms' },
+  ];
+}
+
+/** Time to rebuild against the number of tasks, in virtual time. */
+export const recovery: Bench = {
+  name: 'recovery',
+  describe: 'time for schedulers started with nothing to rebuild 100, 1,000 and 4,300 tasks',
+  run: async () => TASK_COUNTS.flatMap(measure),
+};
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -66,6 +66,14 @@
     return this.#jobs.size;
   }
 
+  /** Tasks that an owner said are running. */
+  get runningCount(): number {
+    return [...this.#activeIds].reduce((sum, jobId) => {
+      const tasks = this.#jobs.get(jobId)?.tasks ?? [];
+      return sum + tasks.filter((task) => task.state.kind === 'running').length;
+    }, 0);
+  }
+
   /** Shards whose jobs are still being read back. */
   get loadingCount(): number {
     return this.#loadingShards.size;
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -407,6 +407,7 @@
       requestMemory: this.#requests.memoryUse,
       tasks: this.#jobs.runner.taskCount,
       jobs: this.#jobs.jobCount,
+      runningTasks: this.#jobs.runningCount,
     };
   }
 }
--- a/src/scheduler/jobDuty.ts
+++ b/src/scheduler/jobDuty.ts
@@ -83,6 +83,11 @@
     return this.#table.jobCount;
   }
 
+  /** Tasks of the jobs kept that an owner said are running. */
+  get runningCount(): number {
+    return this.#table.runningCount;
+  }
+
   /** True when every change of a job is durable. */
   get isIdle(): boolean {
     return this.#table.isIdle;
