Jobs: the owner's side tested on its own; calls about runs in a module of their own

Change: tests/taskRunner.test.ts drives the runner against the target stand-in; the gang test has six gangs over all homes and checks that each starts whole within 1 s.

--- a/src/jobs/taskRunner.ts
+++ b/src/jobs/taskRunner.ts
@@ -1,47 +1,33 @@
 /** Runs tasks on the targets that this scheduler owns, and tells their homes what became of them. */
 
 import { BestFit } from '../placement/bestFit';
-import type { Charge, Target } from '../placement/types';
+import type { Target } from '../placement/types';
 import type { TargetPool } from '../placement/targetPool';
 import type { StartGuard, StartPermit } from '../requests/types';
-import type { TargetCall, TargetReport, TargetResult, TaskReport } from '../target/types';
+import type { TargetReport, TargetResult, TaskReport } from '../target/types';
 import { assertNever } from '../types/debug';
-import { toId } from '../types/ids';
-import type { Epoch, JobId, ShardId, TargetId, TaskId, TeamId } from '../types/ids';
+import type { Epoch, ShardId, TargetId, TaskId, TeamId } from '../types/ids';
 import { ClosedAttempts } from './closedAttempts';
 import { pickSurplus } from './surplus';
-import { LEASE_CALL_LEAVES_MS, TASK_LEASE_MS } from './targetContacts';
+import { LEASE_CALL_LEAVES_MS } from './targetContacts';
 import type { TargetContacts } from './targetContacts';
+import {
+  createNews,
+  createStartCall,
+  createStopCall,
+  getRunId,
+  parseAnnotation,
+  TARGET_TIMEOUT_MS,
+} from './taskCalls';
+import type { RunningTask, StopKind, TaskEffect, TaskOrigin } from './taskCalls';
 import type { TaskAnnotation, TaskAsk, TaskNews, TaskRun, TaskStart } from './types';
 
-const TARGET_TIMEOUT_MS = 2_000;
 /** No start arrives at a target later than this after its call was given up. */
 const LATE_START_MS = 500;
 const TELL_INTERVAL_MS = 1_000;
 /** A reservation that its home does not extend is given up after this. */
 const RESERVATION_MS = 4_000;
 
-/** Which call a target's result belongs to. */
-export type TaskOrigin =
-  | { readonly kind: 'taskStart'; readonly runId: TaskId }
-  | { readonly kind: 'taskStop'; readonly runId: TaskId }
-  | { readonly kind: 'taskAcknowledge'; readonly runId: TaskId }
-  /** A checkpoint that is followed by a stop, for a run above its team's limit. */
-  | { readonly kind: 'taskCheckpoint'; readonly runId: TaskId }
-  | { readonly kind: 'taskSurplusStop'; readonly runId: TaskId };
-
-/** What the task runner wants done. */
-export type TaskEffect =
-  | {
-      readonly kind: 'callTarget';
-      readonly origin: TaskOrigin;
-      readonly address: string;
-      readonly call: TargetCall;
-      readonly timeoutMs: number;
-      readonly notAfterMs: number;
-    }
-  | { readonly kind: 'tellHome'; readonly news: TaskNews };
-
 /** Says under which epoch this scheduler owns a shard. */
 export interface ShardAuthority {
   /**
@@ -59,37 +45,6 @@
   readonly slots: number;
 }
 
-type StopKind = 'taskStop' | 'taskSurplusStop' | 'taskAcknowledge';
-
-interface RunningTask {
-  /** Names this run to the target. */
-  readonly runId: TaskId;
-  readonly run: TaskRun;
-  readonly jobId: JobId;
-  readonly target: Target;
-  readonly serviceName: string;
-  readonly charge: Charge;
-  state: 'reserved' | 'starting' | 'running' | 'ended';
-  reservedUntilMs: number;
-  /** A report that was asked for after this time and doesn't list the run proves that it ended. */
-  certainAfterMs: number;
-  /** Told until the home has made it durable. */
-  end: TaskNews | undefined;
-  nextTellMs: number;
-  /** It is checkpointed and stopped for its team's limit. */
-  isSurplus: boolean;
-  /** As last reported; a stop resumes from here. */
-  checkpointFraction: number;
-}
-
-function getRunId({ taskId, attempt }: TaskRun): TaskId {
-  return toId<TaskId>(`${taskId}~${attempt}`);
-}
-
-function parseAnnotation(text: string): TaskAnnotation {
-  return JSON.parse(text) as TaskAnnotation;
-}
-
 /** The owner's side of every task on its targets. */
 export class TaskRunner {
   #pool: TargetPool;
@@ -327,7 +282,7 @@
     if (run.end !== undefined) return [{ kind: 'tellHome', news: { ...run.end, epoch } }];
     if (run.state === 'starting') return [];
     if (run.state === 'reserved') return this.#askReserved(nowMs, run, epoch, ask);
-    if (ask.kind !== 'stop') return [TaskRunner.#createNews(run, epoch, 'running', 0)];
+    if (ask.kind !== 'stop') return [createNews(run, epoch, 'running', 0)];
     return this.#createStop(nowMs, run, 'taskStop');
   }
 
@@ -335,18 +290,18 @@
     switch (ask.kind) {
       case 'reserve':
         run.reservedUntilMs = nowMs + RESERVATION_MS;
-        return [TaskRunner.#createNews(run, epoch, 'reserved', 0)];
+        return [createNews(run, epoch, 'reserved', 0)];
       case 'start': {
         const permit = this.#guard.tryGetPermit(run.target, nowMs);
         if (permit === undefined || permit.epoch !== epoch) {
           this.#dropReserved(nowMs, run);
-          return [TaskRunner.#createNews(run, epoch, 'refused', 0)];
+          return [createNews(run, epoch, 'refused', 0)];
         }
         return [this.#sendStart(nowMs, run, ask.start, permit)];
       }
       case 'stop':
         this.#dropReserved(nowMs, run);
-        return [TaskRunner.#createNews(run, epoch, 'absent', 0)];
+        return [createNews(run, epoch, 'absent', 0)];
       default:
         return assertNever(ask);
     }
@@ -386,7 +341,7 @@
       checkpointFraction: start.resumeFraction,
     };
     this.#runs.set(runId, run);
-    if (kind === 'reserve') return TaskRunner.#createNews(run, permit.epoch, 'reserved', 0);
+    if (kind === 'reserve') return createNews(run, permit.epoch, 'reserved', 0);
     return this.#sendStart(nowMs, run, start, permit);
   }
 
@@ -396,41 +351,7 @@
     run.certainAfterMs = nowMs + TARGET_TIMEOUT_MS + LATE_START_MS;
     this.#contacts.recordExtension(target.targetId, permit.epoch, nowMs);
     const untilMs = Math.min(permit.untilMs, nowMs + LEASE_CALL_LEAVES_MS);
-    return TaskRunner.#createStartCall(start, runId, target, { epoch: permit.epoch, untilMs });
-  }
-
-  static #createStartCall(
-    start: TaskStart,
-    runId: TaskId,
-    target: Target,
-    permit: StartPermit,
-  ): TaskEffect {
-    const annotation: TaskAnnotation = {
-      taskId: start.taskId,
-      attempt: start.placement.attempt,
-      jobId: start.jobId,
-      queueId: start.queueId,
-      serviceName: start.serviceName,
-      dataCentreId: target.dataCentreId,
-    };
-    return {
-      kind: 'callTarget',
-      origin: { kind: 'taskStart', runId },
-      address: target.address,
-      call: {
-        kind: 'startTask',
-        token: { shardId: target.shardId, epoch: permit.epoch },
-        taskId: runId,
-        teamId: start.teamId,
-        demand: start.demand,
-        leaseMs: TASK_LEASE_MS,
-        runMs: start.runMs,
-        resumeFraction: start.resumeFraction,
-        annotation: JSON.stringify(annotation),
-      },
-      timeoutMs: TARGET_TIMEOUT_MS,
-      notAfterMs: permit.untilMs,
-    };
+    return createStartCall(start, runId, target, { epoch: permit.epoch, untilMs });
   }
 
   #applyStart(nowMs: number, run: RunningTask, result: TargetResult): readonly TaskEffect[] {
@@ -438,7 +359,7 @@
     if (result.kind === 'accepted') {
       run.state = 'running';
       run.certainAfterMs = nowMs;
-      return epoch === undefined ? [] : [TaskRunner.#createNews(run, epoch, 'running', 0)];
+      return epoch === undefined ? [] : [createNews(run, epoch, 'running', 0)];
     }
     // A lost start is settled by a report that was asked for after it can no longer arrive.
     if (result.kind !== 'refused' && result.kind !== 'notSent') return [];
@@ -457,13 +378,13 @@
     if (known === undefined && isClosed) {
       // The acknowledgement was lost, or it outlived its lease.
       const kind = report.state === 'running' ? 'taskStop' : 'taskAcknowledge';
-      return [TaskRunner.#createStopCall(target, permit, report.taskId, kind)];
+      return [createStopCall(target, permit, report.taskId, kind)];
     }
     const run = known ?? this.#adopt(nowMs, target, report, annotation);
     if (run.state === 'ended') {
       // It outlived its lease, or the report is from before its end.
       if (report.state !== 'running') return [];
-      return [TaskRunner.#createStopCall(target, permit, report.taskId, 'taskStop')];
+      return [createStopCall(target, permit, report.taskId, 'taskStop')];
     }
     if (report.state !== 'running') {
       return this.#end(nowMs, run, report.state, report.checkpointFraction);
@@ -472,7 +393,7 @@
     if (run.state === 'running') return [];
     run.state = 'running';
     run.certainAfterMs = nowMs;
-    return [TaskRunner.#createNews(run, permit.epoch, 'running', report.checkpointFraction)];
+    return [createNews(run, permit.epoch, 'running', report.checkpointFraction)];
   }
 
   #adopt(
@@ -510,25 +431,12 @@
     run.state = 'ended';
     this.#pool.release(run.charge);
     const epoch = this.#authority.tryGetEpoch(run.target.shardId, nowMs) ?? (0 as Epoch);
-    const news = TaskRunner.#createNews(run, epoch, state, checkpointFraction);
+    const news = createNews(run, epoch, state, checkpointFraction);
     run.end = news.news;
     run.nextTellMs = nowMs + TELL_INTERVAL_MS;
     return [news];
   }
 
-  static #createNews(
-    { run, jobId, target }: RunningTask,
-    epoch: Epoch,
-    state: TaskNews['state'],
-    checkpointFraction: number,
-  ): Extract<TaskEffect, { kind: 'tellHome' }> {
-    const { targetId } = target;
-    return {
-      kind: 'tellHome',
-      news: { ...run, jobId, epoch, targetId, state, checkpointFraction },
-    };
-  }
-
   #createCheckpoint(nowMs: number, { target, runId }: RunningTask): readonly TaskEffect[] {
     const epoch = this.#authority.tryGetEpoch(target.shardId, nowMs);
     if (epoch === undefined) return [];
@@ -550,27 +458,7 @@
     const epoch = this.#authority.tryGetEpoch(target.shardId, nowMs);
     if (epoch === undefined) return [];
     const permit = { epoch, untilMs: nowMs + TARGET_TIMEOUT_MS };
-    return [TaskRunner.#createStopCall(target, permit, run.runId, kind)];
-  }
-
-  static #createStopCall(
-    target: Target,
-    permit: StartPermit,
-    runId: TaskId,
-    kind: StopKind,
-  ): TaskEffect {
-    return {
-      kind: 'callTarget',
-      origin: { kind, runId },
-      address: target.address,
-      call: {
-        kind: kind === 'taskAcknowledge' ? 'acknowledge' : 'stop',
-        token: { shardId: target.shardId, epoch: permit.epoch },
-        taskId: runId,
-      },
-      timeoutMs: TARGET_TIMEOUT_MS,
-      notAfterMs: permit.untilMs,
-    };
+    return [createStopCall(target, permit, run.runId, kind)];
   }
 
   #getBestFit(nowMs: number, start: TaskStart): Target | undefined {
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -2,7 +2,7 @@
 
 import type { EscrowOrigin } from '../escrow/types';
 import type { JournalOrigin } from '../journal/types';
-import type { TaskOrigin } from '../jobs/taskRunner';
+import type { TaskOrigin } from '../jobs/taskCalls';
 import type { LeaseOrigin } from '../lease/types';
 import type { PlatformCall, PlatformResult } from '../platform/types';
 import type { RequestOrigin } from '../requests/types';
--- a/tests/jobs.test.ts
+++ b/tests/jobs.test.ts
@@ -125,15 +125,16 @@
     });
   });
 
-  test('two gangs that want the same room run one after the other, each whole', () => {
+  test('gangs that want the same room run one after the other, each whole', () => {
     const jobs = new JobWorld(5);
-    ['g1', 'g2', 'g3'].forEach((jobId) =>
-      jobs.submit(createSpec(jobId, { kind: 'gang', taskCount: 40 })),
-    );
-    jobs.world.runFor(40_000);
-    ['g1', 'g2', 'g3'].forEach((jobId) => {
+    const gangs = ['g1', 'g2', 'g3', 'g4', 'g5', 'g6'];
+    gangs.forEach((jobId) => jobs.submit(createSpec(jobId, { kind: 'gang', taskCount: 40 })));
+    jobs.world.runFor(60_000);
+    gangs.forEach((jobId) => {
       expect(jobs.query(jobId)).toMatchObject({ phase: 'finished', finishedCount: 40 });
       expect(jobs.peaks.get(jobId)).toBe(40);
+      const { firstMs, wholeMs } = jobs.spreads.get(jobId) ?? { firstMs: 0, wholeMs: 0 };
+      expect(wholeMs - firstMs).toBeLessThan(1_000);
     });
     expect(jobs.violations).toEqual([]);
   });
--- a/tests/support/jobWorld.ts
+++ b/tests/support/jobWorld.ts
@@ -49,6 +49,9 @@
   /** Attempts of each task that were seen running. */
   readonly attempts = new Map<string, Set<string>>();
 
+  /** When the first task of each job was seen, and when the most were seen at once. */
+  readonly spreads = new Map<string, { firstMs: number; wholeMs: number }>();
+
   /** Most tasks of each job seen running at once. */
   readonly peaks = new Map<string, number>();
 
@@ -160,6 +163,9 @@
       if (count > 1) this.violations.push(`${taskId} runs ${count} times at ${this.world.nowMs}`);
     });
     countByJob.forEach((count, jobId) => {
+      const spread = this.spreads.get(jobId) ?? { firstMs: this.world.nowMs, wholeMs: 0 };
+      if (count > (this.peaks.get(jobId) ?? 0)) spread.wholeMs = this.world.nowMs;
+      this.spreads.set(jobId, spread);
       this.peaks.set(jobId, Math.max(count, this.peaks.get(jobId) ?? 0));
     });
     this.world.schedule(WATCH_INTERVAL_MS, () => this.#watch());
--- /dev/null
+++ b/tests/taskRunner.test.ts
@@ -0,0 +1,118 @@
+/** The owner's side of placements: what it may start, what it may say, and when an end is known. */
+
+import { TargetPool } from '../src/placement/targetPool';
+import type { Target } from '../src/placement/types';
+import { TargetContacts } from '../src/jobs/targetContacts';
+import type { TaskEffect } from '../src/jobs/taskCalls';
+import { TaskRunner } from '../src/jobs/taskRunner';
+import type { TaskAsk } from '../src/jobs/types';
+import type { StartGuard } from '../src/requests/types';
+import type { TargetReport } from '../src/target/types';
+import { toEpoch, toId } from '../src/types/ids';
+import type { ShardId } from '../src/types/ids';
+import { TargetModel } from '../standins/targetModel';
+
+const SHARD = toId<ShardId>('targets.delft.0');
+const EPOCH = toEpoch(5);
+const CAPACITY = { cpuMillis: 2_000, memoryMb: 2_000, accelerators: 0, slots: 2, connections: 2 };
+const TARGET: Target = {
+  targetId: toId('t1'),
+  shardId: SHARD,
+  address: 't1',
+  dataCentreId: toId('delft'),
+  rack: 'r1',
+  capacity: CAPACITY,
+  isLeaving: false,
+};
+const PERMIT = { epoch: EPOCH, untilMs: Number.MAX_SAFE_INTEGER };
+
+function createAsk(kind: 'start' | 'reserve', taskId: string, epoch = EPOCH, attempt = 1): TaskAsk {
+  const start = {
+    taskId,
+    jobId: 'job',
+    placement: { attempt, shardId: SHARD, epoch },
+    teamId: 'team',
+    queueId: 'queue',
+    serviceName: '',
+    demand: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0, slots: 1, connections: 0 },
+    runMs: 1_000,
+    resumeFraction: 0,
+  };
+  return { kind, start } as unknown as TaskAsk;
+}
+
+/** A runner with one target of two slots, which answers at once. */
+function createOwner() {
+  const pool = new TargetPool({ getAllottedSlots: () => 100 } as never);
+  pool.updateTargets([TARGET]);
+  const guard: StartGuard = {
+    tryGetPermit: () => PERMIT,
+    tryGetOwnerPermit: () => PERMIT,
+    getCandidates: () => [TARGET],
+    getReplicas: () => [],
+  };
+  const runner = new TaskRunner(pool, guard, { tryGetEpoch: () => EPOCH }, new TargetContacts());
+  const model = new TargetModel(CAPACITY);
+  const perform = (nowMs: number, effects: readonly TaskEffect[]): readonly TaskEffect[] =>
+    effects.flatMap((effect) => {
+      if (effect.kind !== 'callTarget') return [effect];
+      const result = model.perform(effect.call as never, nowMs);
+      return perform(nowMs, runner.applyTargetResult(nowMs, effect.origin, result));
+    });
+  const ask = (nowMs: number, asked: TaskAsk) =>
+    perform(nowMs, runner.ask(nowMs, asked)).map((effect) =>
+      effect.kind === 'tellHome' ? effect.news.state : 'call',
+    );
+  const report = (nowMs: number) => {
+    const token = { shardId: SHARD, epoch: EPOCH };
+    const result = model.perform({ kind: 'report', token }, nowMs);
+    const content = (result as unknown as { readonly report: TargetReport }).report;
+    const effects = runner.applyReport(nowMs, TARGET, PERMIT, content, nowMs);
+    return perform(nowMs, effects).map((effect) =>
+      effect.kind === 'tellHome' ? effect.news.state : 'call',
+    );
+  };
+  return { runner, model, ask, report };
+}
+
+describe('TaskRunner', () => {
+  test('a refused placement never starts, also when room has come since', () => {
+    const { ask, report, model } = createOwner();
+    expect(ask(0, createAsk('start', 'a'))).toEqual(['running']);
+    expect(ask(0, createAsk('start', 'b'))).toEqual(['running']);
+    expect(ask(0, createAsk('start', 'c'))).toEqual(['refused']);
+    expect(report(2_000)).toEqual(['finished', 'finished']);
+    expect(ask(2_100, createAsk('start', 'c'))).toEqual(['absent']);
+    expect(ask(2_200, createAsk('start', 'c', EPOCH, 2))).toEqual(['running']);
+    expect(model.startedCount).toBe(3);
+  });
+
+  test('a placement of another epoch is never started', () => {
+    const { ask, model } = createOwner();
+    expect(ask(0, createAsk('start', 'a', toEpoch(4)))).toEqual([]);
+    expect(ask(0, createAsk('start', 'a', toEpoch(6)))).toEqual([]);
+    expect(model.startedCount).toBe(0);
+  });
+
+  test('a stop that reaches a finished task does not lose its end', () => {
+    const { ask, report } = createOwner();
+    ask(0, createAsk('start', 'a'));
+    const placement = { attempt: 1, shardId: SHARD, epoch: EPOCH };
+    const stop = { kind: 'stop', taskId: 'a', jobId: 'job', placement } as unknown as TaskAsk;
+    expect(ask(1_500, stop)).toEqual([]);
+    expect(report(1_600)).toEqual(['finished']);
+  });
+
+  test('a reservation holds room, starts nothing, and ends by itself', () => {
+    const { ask, runner, model } = createOwner();
+    expect(ask(0, createAsk('reserve', 'a'))).toEqual(['reserved']);
+    expect(ask(0, createAsk('reserve', 'b'))).toEqual(['reserved']);
+    expect(ask(0, createAsk('start', 'c'))).toEqual(['refused']);
+    expect(model.startedCount).toBe(0);
+    runner.tick(3_000);
+    expect(ask(3_000, createAsk('start', 'a'))).toEqual(['running']);
+    runner.tick(10_000);
+    expect(ask(10_000, createAsk('start', 'b'))).toEqual(['absent']);
+    expect(ask(10_000, createAsk('start', 'c', EPOCH, 2))).toEqual(['running']);
+  });
+});
