--- a/demo/main.ts
+++ b/demo/main.ts
@@ -82,13 +82,13 @@
 /** Kills one scheduler and waits until the others own all targets again. */
 async function measureFailover(deployment: Deployment, operator: Operator): Promise<number> {
   await sleep(KILL_AFTER_MS);
-  const wholeSlots = (await operator.getFreeSlots()) * 0.9;
+  const shardCount = await operator.getActiveShardCount();
   deployment.signal(KILLED, 'SIGKILL');
   const startMs = performance.now();
   for (;;) {
     await sleep(FAILOVER_POLL_MS);
     const elapsedMs = performance.now() - startMs;
-    if (elapsedMs > FAILOVER_LIMIT_MS || (await operator.getFreeSlots()) >= wholeSlots) {
+    if (elapsedMs > FAILOVER_LIMIT_MS || (await operator.getActiveShardCount()) >= shardCount) {
       return elapsedMs;
     }
   }
--- a/demo/operator.ts
+++ b/demo/operator.ts
@@ -20,7 +20,7 @@
 
 /** The parts of a scheduler's dump that the demo reads. */
 interface SchedulerDump {
-  readonly status: { readonly freeSlots: number; readonly memberId: string };
+  readonly status: { readonly freeSlots: number; readonly activeShards: readonly string[] };
 }
 
 /**
@@ -129,9 +129,21 @@
 
   /** @returns slots on which some scheduler may start work now */
   async getFreeSlots(): Promise<number> {
+    const schedulers = await this.#dumpSchedulers();
+    return schedulers.reduce((sum, scheduler) => sum + scheduler.status.freeSlots, 0);
+  }
+
+  /** @returns shards of targets on which some scheduler may start work now */
+  async getActiveShardCount(): Promise<number> {
+    const schedulers = await this.#dumpSchedulers();
+    const shardIds = schedulers.flatMap((scheduler) => scheduler.status.activeShards);
+    return new Set(shardIds.filter((shardId) => shardId.startsWith('targets.'))).size;
+  }
+
+  async #dumpSchedulers(): Promise<readonly SchedulerDump[]> {
     const state = await this.call('GET', '/v1/operator/state', OPERATOR_TOKEN);
     const { schedulers = [] } = state.value as { schedulers?: readonly SchedulerDump[] };
-    return schedulers.reduce((sum, scheduler) => sum + scheduler.status.freeSlots, 0);
+    return schedulers;
   }
 
   /**
