--- a/src/jobs/targetContacts.ts
+++ b/src/jobs/targetContacts.ts
@@ -11,6 +11,8 @@
 /** Travel of such a call and difference of clock rates over one lease. */
 const LAPSE_MARGIN_MS = 2_000;
 const LAPSE_MS = TASK_LEASE_MS + LEASE_CALL_LEAVES_MS + LAPSE_MARGIN_MS;
+/** Interval between renewals on one target; three may be lost before a lease ends. */
+const RENEWAL_INTERVAL_MS = 4_000;
 /** Leases on a target that was not heard for this long are left to lapse. */
 const SILENT_TARGET_MS = 5_000;
 
@@ -23,7 +25,10 @@
   epoch: Epoch;
   /** When the newest report that came was asked for. */
   reportedMs: number;
+  /** When a start or a renewal last left. */
   extendedMs: number;
+  /** When a renewal, which extends every lease on the target, last left. */
+  renewedMs: number;
 }
 
 /** Contacts with the targets of the shards that this scheduler owns. */
@@ -80,6 +85,29 @@
     this.#get(targetId, epoch).extendedMs = nowMs;
   }
 
+  /**
+   * Records that a renewal of every lease on a target is about to leave.
+   * @param targetId - which target
+   * @param epoch - under which it leaves
+   * @param nowMs - this process's clock
+   */
+  recordRenewal(targetId: TargetId, epoch: Epoch, nowMs: number): void {
+    this.recordExtension(targetId, epoch, nowMs);
+    this.#get(targetId, epoch).renewedMs = nowMs;
+  }
+
+  /**
+   * Asks whether it is time to renew the leases on a target.
+   * @param target - which target
+   * @param epoch - of its shard
+   * @param nowMs - this process's clock
+   * @returns true when they may be extended and were not renewed lately under this epoch
+   */
+  isRenewalDue(target: Target, epoch: Epoch, nowMs: number): boolean {
+    if (!this.mayExtend(target, epoch, nowMs)) return false;
+    return nowMs - this.#get(target.targetId, epoch).renewedMs >= RENEWAL_INTERVAL_MS;
+  }
+
   /**
    * Asks whether leases on a target may be extended. One that doesn't report is not, so that its
    * tasks certainly end.
@@ -140,6 +168,7 @@
       epoch,
       reportedMs: Number.NEGATIVE_INFINITY,
       extendedMs: Number.NEGATIVE_INFINITY,
+      renewedMs: Number.NEGATIVE_INFINITY,
     };
     this.#targets.set(targetId, state);
     return state;
--- a/src/scheduler/jobDuty.ts
+++ b/src/scheduler/jobDuty.ts
@@ -332,8 +332,8 @@
       call: { kind: 'report', token },
       ...common,
     };
-    if (!this.#contacts.mayExtend(target, epoch, nowMs)) return [report];
-    this.#contacts.recordExtension(targetId, epoch, nowMs);
+    if (!this.#contacts.isRenewalDue(target, epoch, nowMs)) return [report];
+    this.#contacts.recordRenewal(targetId, epoch, nowMs);
     const call = { kind: 'renew', token, leaseMs: TASK_LEASE_MS } as const;
     return [{ origin: { kind: 'renew', targetId }, call, ...common }, report];
   }
