--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -36,7 +36,16 @@
   writtenRows: number;
   peerCalls: number;
   targetCalls: number;
-  sentBytes: number;
+  platformBytes: number;
+  peerBytes: number;
+  targetBytes: number;
+  replyBytes: number;
+  platformAnswerBytes: number;
+  targetAnswerBytes: number;
+}
+
+function getSize(value: unknown): number {
+  return JSON.stringify(value ?? null).length;
 }
 
 function createWorld(size: Size): World {
@@ -59,33 +68,40 @@
 }
 
 function countTraffic(world: World): Traffic {
-  const traffic = {
+  const traffic: Traffic = {
     platformCalls: 0,
     writtenRows: 0,
     peerCalls: 0,
     targetCalls: 0,
-    sentBytes: 0,
+    platformBytes: 0,
+    peerBytes: 0,
+    targetBytes: 0,
+    replyBytes: 0,
+    platformAnswerBytes: 0,
+    targetAnswerBytes: 0,
   };
-  world.onEvent = (_process, _event, effects) => {
+  world.onEvent = (_process, event, effects) => {
+    if (event.kind === 'platformReplied') traffic.platformAnswerBytes += getSize(event.result);
+    if (event.kind === 'targetReplied') traffic.targetAnswerBytes += getSize(event.result);
     effects.forEach((effect) => {
       switch (effect.kind) {
         case 'callPlatform':
           traffic.platformCalls += 1;
+          traffic.platformBytes += getSize(effect.call);
           if (effect.call.kind === 'transact') {
             traffic.writtenRows += effect.call.transaction.writes.length;
           }
-          traffic.sentBytes += JSON.stringify(effect.call).length;
           break;
         case 'callPeer':
           traffic.peerCalls += 1;
-          traffic.sentBytes += JSON.stringify(effect.call).length;
+          traffic.peerBytes += getSize(effect.call);
           break;
         case 'callTarget':
           traffic.targetCalls += 1;
-          traffic.sentBytes += JSON.stringify(effect.call).length;
+          traffic.targetBytes += getSize(effect.call);
           break;
         case 'replyCall':
-          traffic.sentBytes += JSON.stringify(effect.value ?? null).length;
+          traffic.replyBytes += getSize(effect.value);
           break;
         default:
       }
@@ -115,7 +131,12 @@
     figure('written rows, all', traffic.writtenRows / seconds, '/s'),
     figure('peer calls', perMemberSecond(traffic.peerCalls), '/s by scheduler'),
     figure('target calls', perMemberSecond(traffic.targetCalls), '/s by scheduler'),
-    figure('JSON sent', perMemberSecond(traffic.sentBytes) / KB, 'KB/s by scheduler'),
+    figure('JSON to the platform', perMemberSecond(traffic.platformBytes) / KB, 'KB/s'),
+    figure('JSON from the platform', perMemberSecond(traffic.platformAnswerBytes) / KB, 'KB/s'),
+    figure('JSON from targets', perMemberSecond(traffic.targetAnswerBytes) / KB, 'KB/s'),
+    figure('JSON to peers', perMemberSecond(traffic.peerBytes) / KB, 'KB/s'),
+    figure('JSON answered to peers', perMemberSecond(traffic.replyBytes) / KB, 'KB/s'),
+    figure('JSON to targets', perMemberSecond(traffic.targetBytes) / KB, 'KB/s'),
     figure('events', perMemberSecond(world.eventCount - eventsBefore), '/s by scheduler'),
     figure('reducer and harness', (cpuMs / (MEASURE_MS * size.memberCount)) * 100, '% of a core'),
   ];
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -80,7 +80,8 @@
 
 /** What a heartbeat is answered with. */
 export interface HeartbeatReply {
-  readonly from: MemberStatus;
+  /** Incarnation that answers; its status comes with its own heartbeats. */
+  readonly answeredById: MemberId;
   /** The answerer will not take over the caller's shards for this long; 0 when it may. */
   readonly promiseMs: number;
   /** Rows of members that the answerer will never protect again. */
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -271,7 +271,7 @@
     switch (call.kind) {
       case 'heartbeat':
         return [
-          reply(this.#memberDuty.answer(nowMs, call, this.#getStatus(nowMs))),
+          reply(this.#memberDuty.answer(nowMs, call)),
           ...this.#fromConfig(nowMs, this.#configDuty.applyHeartbeat(nowMs, call.config)),
         ];
       case 'getRoutes':
--- a/src/scheduler/memberDuty.ts
+++ b/src/scheduler/memberDuty.ts
@@ -63,13 +63,12 @@
    * Answers a heartbeat.
    * @param nowMs - this process's clock
    * @param heartbeat - what the sender says
-   * @param status - this process's status
    * @returns the answer, with a promise if one can be given
    */
-  answer(nowMs: number, { from, config }: Heartbeat, status: MemberStatus): HeartbeatReply {
+  answer(nowMs: number, { from, config }: Heartbeat): HeartbeatReply {
     this.#peers.update(from, nowMs);
     return {
-      from: status,
+      answeredById: this.#lease.memberId,
       promiseMs: this.#lease.getPromiseMs(from.memberId, nowMs),
       endedPromises: this.#lease.endedPromises,
       config: this.#config.getGossip(nowMs),
@@ -90,17 +89,16 @@
       this.#peers.forget(origin.memberId);
     }
     if (result.kind !== 'ok') return;
-    const { from, promiseMs, endedPromises } = result.value;
+    const { answeredById, promiseMs, endedPromises } = result.value;
     this.#lease.applyHeartbeatReply(nowMs, {
       sentToId: origin.memberId,
       sentById: origin.sentById,
       sentMs: origin.sentMs,
-      answeredById: from.memberId,
+      answeredById,
       promiseMs,
       endedPromises,
     });
-    if (from.memberId !== origin.memberId) this.#peers.forget(origin.memberId);
-    this.#peers.update(from, nowMs);
+    if (answeredById !== origin.memberId) this.#peers.forget(origin.memberId);
   }
 
   /** Members of the lease table, and further processes that only the configuration counts. */
