The list of VMs is read less often the larger the fleet

Ruled out: a filter by data centre, since the platform's list is not known to have one. A leaving target says so itself in its next report; a lease on a Vm that is gone waits for its own rule.

--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -32,6 +32,8 @@
 import type { PeerOrigin, SchedulerEffect, SchedulerEvent, TargetOrigin } from './types';
 
 const VM_LIST_INTERVAL_MS = 2_000;
+/** Spreads the list of a large fleet, so that reading it costs the same by second at any size. */
+const VM_LIST_INTERVAL_BY_VM_MS = 30;
 
 /** When each periodic duty is next due. */
 interface Schedule {
@@ -163,7 +165,8 @@
 
   #listVms(nowMs: number): readonly SchedulerEffect[] {
     if (nowMs < this.#due.vmListMs) return [];
-    this.#due.vmListMs = nowMs + VM_LIST_INTERVAL_MS;
+    const spreadMs = this.#pool.targets.length * VM_LIST_INTERVAL_BY_VM_MS;
+    this.#due.vmListMs = nowMs + Math.max(VM_LIST_INTERVAL_MS, spreadMs);
     return [
       {
         kind: 'callPlatform',
@@ -185,6 +188,7 @@
         return this.#fromConfig(nowMs, this.#configDuty.applyPlatform(nowMs, origin, result));
       case 'vmList':
         if (result.kind === 'vms') this.#applyVms(nowMs, result.vms, origin.sentMs);
+        else this.#due.vmListMs = Math.min(this.#due.vmListMs, nowMs + VM_LIST_INTERVAL_MS);
         return [];
       case 'escrowRead':
       case 'escrowWrite':
@@ -350,6 +354,8 @@
 
   #onAcquired(nowMs: number, shardId: ShardId, epoch: number): readonly SchedulerEffect[] {
     this.#ownership.markAcquired(shardId, nowMs);
+    // What runs on a shard is certain only with a list that is newer than its acquisition.
+    this.#due.vmListMs = nowMs;
     this.#escrow.addShard(shardId);
     this.#jobs.hastenReports();
     if (isHomeShard(shardId)) this.#requests.markTakenOver(shardId);
