--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { decision } from './decision';
 import { durability } from './durability';
 import { footprint } from './footprint';
+import { plot } from './plot';
 import { recovery } from './recovery';
 import type { Bench, Figure } from './types';
 
@@ -18,6 +19,7 @@
   decision,
   durability,
   footprint,
+  plot,
   recovery,
 ];
 
--- /dev/null
+++ b/bench/plot.ts
@@ -0,0 +1,93 @@
+/** `npm run bench -- plot`: draws the main measures as SVG under docs/plots. */
+
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { parse, View } from 'vega';
+import { compile } from 'vega-lite';
+import type { TopLevelSpec } from 'vega-lite';
+import { capacity } from './capacity';
+import { decision } from './decision';
+import type { Bench, Figure } from './types';
+
+const FOLDER = 'docs/plots';
+const WIDTH_PX = 480;
+const HEIGHT_PX = 280;
+
+/** One bar of a plot. */
+interface Bar {
+  readonly label: string;
+  readonly series: string;
+  readonly value: number;
+}
+
+/** What to draw. */
+interface Plot {
+  readonly file: string;
+  readonly title: string;
+  readonly unit: string;
+  readonly bars: readonly Bar[];
+}
+
+function createSpec({ title, unit, bars }: Plot): TopLevelSpec {
+  return {
+    width: WIDTH_PX,
+    height: HEIGHT_PX,
+    title,
+    data: { values: [...bars] },
+    mark: 'bar',
+    encoding: {
+      x: { field: 'label', type: 'nominal', sort: null, title: null, axis: { labelAngle: -30 } },
+      xOffset: { field: 'series', sort: null },
+      y: { field: 'value', type: 'quantitative', title: unit },
+      color: { field: 'series', type: 'nominal', sort: null, title: null },
+    },
+  };
+}
+
+async function draw(plot: Plot): Promise<void> {
+  const view = new View(parse(compile(createSpec(plot)).spec), { renderer: 'none' });
+  writeFileSync(join(FOLDER, plot.file), `${await view.toSVG()}\n`);
+}
+
+/** Turns `task, 30 targets, p99` into a bar of the series `task`. */
+function toDecisionBar({ name, value }: Figure): Bar {
+  const [series = '', label = ''] = name.split(', ');
+  return { label, series, value };
+}
+
+function splitName({ name, value }: Figure): Bar {
+  const parts = name.split(', ');
+  const series = parts.at(-1) ?? '';
+  return { label: parts.slice(0, -1).join(', '), series, value };
+}
+
+async function createPlots(): Promise<readonly Plot[]> {
+  const traffic = await capacity.run();
+  const decisions = await decision.run();
+  return [
+    {
+      file: 'control-bytes.svg',
+      title: 'JSON of an idle scheduler by size',
+      unit: 'KB/s',
+      bars: traffic.filter((figure) => figure.name.includes('JSON')).map(splitName),
+    },
+    {
+      file: 'decision.svg',
+      title: 'Time of one decision, p99',
+      unit: 'us',
+      bars: decisions.filter((figure) => figure.name.endsWith('p99')).map(toDecisionBar),
+    },
+  ];
+}
+
+/** The `plot` command. */
+export const plot: Bench = {
+  name: 'plot',
+  describe: 'draws the main measures as SVG under docs/plots',
+  async run() {
+    mkdirSync(FOLDER, { recursive: true });
+    const plots = await createPlots();
+    await Promise.all(plots.map(draw));
+    return plots.map(({ file, bars }) => ({ name: file, value: bars.length, unit: 'bars' }));
+  },
+};
