A start that waited too long for its connection is never written

Cause: the shell read the clock before undici connected; a connection may take 700 ms and a frozen process any time, SETTLE_MS is 500. Change: HttpCaller asks again in the handler that undici calls right before it writes (node_modules/undici client-h1 writes nothing once the request is aborted there). Ruled out: a larger SETTLE_MS, which a freeze outlasts. Seen to fail: the mutation that never voids makes tests/httpCaller.test.ts fail.

--- a/src/rpc/httpCaller.ts
+++ b/src/rpc/httpCaller.ts
@@ -28,8 +28,11 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer | string;
   readonly timeoutMs: number;
+  /** Asked again right before the first byte is written; true voids the call. */
+  readonly isTooLate?: () => boolean;
 }
 
+const TOO_LATE_CODE = 'HEMLOCKWAY_TOO_LATE';
 const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 
 function getCode(error: unknown): string {
@@ -42,14 +45,37 @@
  * Asks whether a failure proves that no byte of a request left. The codes of a failed connection can
  * also come from one that was established, so the failed system call decides.
  * @param error - what the request failed with
- * @returns true when no connection came about
+ * @returns true when no connection came about, or when the call was voided before it was written
  */
 export function isConnectFailure(error: unknown): boolean {
   if (typeof error !== 'object' || error === null) return false;
-  if (getCode(error) === CONNECT_TIMEOUT_CODE) return true;
+  if (getCode(error) === CONNECT_TIMEOUT_CODE || getCode(error) === TOO_LATE_CODE) return true;
   return 'syscall' in error && error.syscall === 'connect';
 }
 
+/**
+ * Wraps a dispatcher so that a call that waited too long for its connection is never written.
+ * @param agent - keeps the connections
+ * @param isTooLate - asked when a connection is about to take the call
+ * @returns what to dispatch with
+ */
+function createGuard(agent: Agent, isTooLate: () => boolean): Pick<Agent, 'dispatch'> {
+  return {
+    dispatch(options, handler) {
+      const onConnect = handler.onConnect?.bind(handler);
+      // Undici calls this right before it writes, with a function that gives the call up.
+      handler.onConnect = (abort) => {
+        if (isTooLate()) {
+          abort(Object.assign(new Error('too late to be sent'), { code: TOO_LATE_CODE }));
+          return;
+        }
+        onConnect?.(abort);
+      };
+      return agent.dispatch(options, handler);
+    },
+  };
+}
+
 /** Keeps connections to peers open between calls. */
 export class HttpCaller {
   #agent = new Agent({
@@ -76,7 +102,9 @@
   async perform(call: HttpCall): Promise<HttpResult> {
     this.#sentBytes += call.body.length;
     try {
-      const response = await callRequest.call(this.#agent, {
+      const { isTooLate } = call;
+      const dispatcher = isTooLate ? createGuard(this.#agent, isTooLate) : this.#agent;
+      const response = await callRequest.call(dispatcher, {
         origin: `http://${call.address}`,
         path: call.path,
         method: call.method,
@@ -101,9 +129,16 @@
    * @param path - the path
    * @param value - what to send
    * @param timeoutMs - how long to wait for the whole answer
+   * @param isTooLate - voids the call when true right before it is written
    * @returns as {@link HttpCaller.perform}
    */
-  postJson(address: string, path: string, value: unknown, timeoutMs: number): Promise<HttpResult> {
+  postJson(
+    address: string,
+    path: string,
+    value: unknown,
+    timeoutMs: number,
+    isTooLate?: () => boolean,
+  ): Promise<HttpResult> {
     return this.perform({
       method: 'POST',
       address,
@@ -111,6 +146,7 @@
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(value),
       timeoutMs,
+      ...(isTooLate ? { isTooLate } : {}),
     });
   }
 
--- a/src/rpc/undiciParts.d.ts
+++ b/src/rpc/undiciParts.d.ts
@@ -11,7 +11,7 @@
 
   /** As `request` of undici, with the dispatcher as `this`. */
   export default function callRequest(
-    this: Dispatcher,
+    this: Pick<Dispatcher, 'dispatch'>,
     options: Dispatcher.RequestOptions,
   ): Promise<Dispatcher.ResponseData>;
 }
--- a/src/scheduler/shell.ts
+++ b/src/scheduler/shell.ts
@@ -127,13 +127,13 @@
   /** The clock is read again right before the call leaves, so that a pause voids what was queued. */
   #callTarget({ origin, address, call, timeoutMs, notAfterMs }: CallTarget): void {
     const { targets, clock, metrics } = this.#ports;
-    const isTooLate = clock.nowMs() >= notAfterMs;
-    if (isTooLate) metrics.count('target_calls_voided');
-    const performed = isTooLate
+    const isTooLate = () => clock.nowMs() >= notAfterMs;
+    const performed = isTooLate()
       ? Promise.resolve({ kind: 'notSent', detail: 'the authority to start has ended' } as const)
-      : targets.perform(address, call, timeoutMs);
+      : targets.perform(address, call, timeoutMs, isTooLate);
     performed
       .then((result) => {
+        if (result.kind === 'notSent' && isTooLate()) metrics.count('target_calls_voided');
         this.#dispatch({ kind: 'targetReplied', nowMs: clock.nowMs(), origin, result });
       })
       .catch((error: unknown) => this.#stop(error));
--- a/src/target/httpTarget.ts
+++ b/src/target/httpTarget.ts
@@ -55,8 +55,14 @@
   }
 
   /** {@inheritDoc TargetClient.perform} */
-  async perform(address: string, call: TargetCall, timeoutMs: number): Promise<TargetResult> {
-    const result = await this.#caller.postJson(address, `/${call.kind}`, call, timeoutMs);
+  async perform(
+    address: string,
+    call: TargetCall,
+    timeoutMs: number,
+    isTooLate: () => boolean,
+  ): Promise<TargetResult> {
+    const path = `/${call.kind}`;
+    const result = await this.#caller.postJson(address, path, call, timeoutMs, isTooLate);
     if (result.kind === 'notSent') return { kind: 'notSent', detail: result.detail };
     if (result.kind === 'lost') return { kind: 'lost', detail: result.detail };
     if (result.status !== HTTP_OK) return { kind: 'lost', detail: `status ${result.status}` };
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -89,7 +89,13 @@
    * @param address - `ip:port` of the target
    * @param call - what to do
    * @param timeoutMs - after this the call counts as lost
+   * @param isTooLate - asked again right before the first byte leaves; true voids the call
    * @returns the result; never rejects
    */
-  perform(address: string, call: TargetCall, timeoutMs: number): Promise<TargetResult>;
+  perform(
+    address: string,
+    call: TargetCall,
+    timeoutMs: number,
+    isTooLate: () => boolean,
+  ): Promise<TargetResult>;
 }
--- a/tests/httpCaller.test.ts
+++ b/tests/httpCaller.test.ts
@@ -22,6 +22,34 @@
     expect(result).toMatchObject({ kind: 'response', status: 200 });
   });
 
+  test('writes nothing when it became too late while the call waited for its connection', async () => {
+    let handledCount = 0;
+    const listener = new HttpListener(
+      {
+        handle: async () => {
+          handledCount += 1;
+          return { status: 200, contentType: 'text/plain', body: 'ok' };
+        },
+        refuse: () => ({ status: 400, contentType: 'text/plain', body: '' }),
+      },
+      LIMITS,
+    );
+    const address = `127.0.0.1:${await listener.listen('127.0.0.1', 0)}`;
+    const caller = new HttpCaller();
+    let isLate = false;
+    const isTooLate = () => isLate;
+    const inTime = await caller.postJson(address, '/', {}, 1_000, isTooLate);
+    const other = new HttpCaller();
+    const pending = other.postJson(address, '/', {}, 1_000, isTooLate);
+    isLate = true;
+    const late = await pending;
+    await Promise.all([caller.close(), other.close()]);
+    listener.closeAll();
+    expect(inTime).toMatchObject({ kind: 'response' });
+    expect(late).toMatchObject({ kind: 'notSent', isRefused: false });
+    expect(handledCount).toBe(1);
+  });
+
   test('says that nothing was sent when the connection is refused', async () => {
     const caller = new HttpCaller();
     const result = await caller.postJson('127.0.0.1:1', '/', {}, 1_000);
