--- a/tests/support/jobWorld.ts
+++ b/tests/support/jobWorld.ts
@@ -49,6 +49,9 @@
   /** Attempts of each task that were seen running. */
   readonly attempts = new Map<string, Set<string>>();
 
+  /** When the first task of each job was seen, and when the most were seen at once. */
+  readonly spreads = new Map<string, { firstMs: number; wholeMs: number }>();
+
   /** Most tasks of each job seen running at once. */
   readonly peaks = new Map<string, number>();
 
@@ -67,7 +70,8 @@
     const change = { kind: 'applySheet', basedOnVersion: toConfigVersion(0), sheet } as const;
     const call = { kind: 'changeConfig', change, operationId: toId('op-1') } as const;
     this.world.call(0, call as never, () => undefined);
-    this.world.runFor(8_000);
+    // Shards move to their preferred members about 10 s after the start.
+    this.world.runFor(13_000);
     this.#watch();
   }
 
@@ -159,6 +163,9 @@
       if (count > 1) this.violations.push(`${taskId} runs ${count} times at ${this.world.nowMs}`);
     });
     countByJob.forEach((count, jobId) => {
+      const spread = this.spreads.get(jobId) ?? { firstMs: this.world.nowMs, wholeMs: 0 };
+      if (count > (this.peaks.get(jobId) ?? 0)) spread.wholeMs = this.world.nowMs;
+      this.spreads.set(jobId, spread);
       this.peaks.set(jobId, Math.max(count, this.peaks.get(jobId) ?? 0));
     });
     this.world.schedule(WATCH_INTERVAL_MS, () => this.#watch());
