--- a/src/lease/leaseKeeper.ts
+++ b/src/lease/leaseKeeper.ts
@@ -1,23 +1,17 @@
 /** Keeps this member's session and the leases of the shards that it owns. */
 
 import type { MemberRow, MemberView } from '../membership/types';
-import { MEMBER_PREFIX, MemberTable } from '../membership/memberTable';
+import { MemberTable } from '../membership/memberTable';
 import type { PlatformResult, Row, RowCheck, Vm } from '../platform/types';
 import { assertNever } from '../types/debug';
 import { toEpoch, toId } from '../types/ids';
 import type { Epoch, MemberId, OperationId, ShardId } from '../types/ids';
-import { getPreferredOwner, getStandbys } from './assignment';
-import { RENEW_INTERVAL_MS, SCAN_INTERVAL_MS, STABLE_MS } from './constants';
+import { getStandbys } from './assignment';
+import { RENEW_INTERVAL_MS, SCAN_INTERVAL_MS } from './constants';
 import { EvictionJudge } from './evictionJudge';
 import { Session } from './session';
-import {
-  createEviction,
-  createShardChange,
-  getShardKey,
-  isShardRow,
-  SHARD_PREFIX,
-} from './transactions';
-import type { ShardView } from './transactions';
+import { ShardTable } from './shardTable';
+import { createEviction, createMemberScan, createShardScan, SCAN_LIMIT } from './transactions';
 import type {
   EndedPromise,
   HeartbeatNews,
@@ -25,13 +19,9 @@
   LeaseEffect,
   LeaseIdentity,
   LeaseOrigin,
-  ShardPlacement,
   ShardRow,
 } from './types';
 
-/** A scan that brings this many rows may be cut short, and says nothing of rows that are missing. */
-const SCAN_LIMIT = 2_000;
-
 type ScannedMembers = Extract<LeaseOrigin, { kind: 'leaseScanMembers' }>;
 
 /** The lease reducer of one scheduler. */
@@ -44,7 +34,7 @@
 
   #judge: EvictionJudge;
 
-  #shards = new Map<ShardId, ShardView>();
+  #shards: ShardTable;
 
   #owned = new Map<ShardId, Epoch>();
 
@@ -75,6 +65,7 @@
     this.#session = new Session(memberId);
     this.#identity = identity;
     this.#judge = new EvictionJudge(this.#members, identity.address, identity.vmId);
+    this.#shards = new ShardTable(this.#members, this.#judge);
   }
 
   /** This run of this scheduler. */
@@ -102,7 +93,7 @@
    * @returns the rows of shards with an owner
    */
   getOwners(): readonly ShardRow[] {
-    return [...this.#shards.values()].map((view) => view.row);
+    return this.#shards.rows;
   }
 
   /**
@@ -129,11 +120,11 @@
    * @returns the shard's row at this member's acquisition, or undefined until it was scanned
    */
   tryGetFence(shardId: ShardId): RowCheck | undefined {
-    const view = this.#shards.get(shardId);
     const epoch = this.#owned.get(shardId);
-    if (view === undefined || view.row.ownerId !== this.memberId) return undefined;
-    if (view.row.epoch !== epoch) return undefined;
-    return { key: getShardKey(shardId), version: view.rowVersion };
+    if (epoch === undefined || !this.#shards.isHeldBy(shardId, this.memberId, epoch)) {
+      return undefined;
+    }
+    return this.#shards.getCheck(shardId);
   }
 
   /**
@@ -290,7 +281,7 @@
     return {
       kind: 'callPlatform',
       origin: { kind: 'leaseScanShards', sentMs: nowMs },
-      call: { kind: 'range', prefix: SHARD_PREFIX, after: '', limit: SCAN_LIMIT },
+      call: createShardScan(),
     };
   }
 
@@ -306,7 +297,7 @@
       {
         kind: 'callPlatform',
         origin: { kind: 'leaseScanMembers', sentMs: nowMs, scanStartedMs, shardRows },
-        call: { kind: 'range', prefix: MEMBER_PREFIX, after: '', limit: SCAN_LIMIT },
+        call: createMemberScan(),
       },
     ];
   }
@@ -327,15 +318,10 @@
   }
 
   #applyShardRows(rows: readonly Row[]): readonly LeaseEffect[] {
-    this.#shards.clear();
-    rows.forEach(({ value, version }) => {
-      if (!isShardRow(value)) return;
-      this.#shards.set(value.shardId, { row: value, rowVersion: version });
-    });
-    const lost = [...this.#owned].filter(([shardId, epoch]) => {
-      const row = this.#shards.get(shardId)?.row;
-      return row?.ownerId !== this.memberId || row.epoch !== epoch;
-    });
+    this.#shards.updateFromScan(rows);
+    const lost = [...this.#owned].filter(
+      ([shardId, epoch]) => !this.#shards.isHeldBy(shardId, this.memberId, epoch),
+    );
     lost.forEach(([shardId]) => this.#owned.delete(shardId));
     return lost.map(([shardId]) => ({ kind: 'shardLost', shardId, reason: 'row changed' }));
   }
@@ -356,9 +342,10 @@
     // Nothing but a handover can become possible between two scans.
     if (this.#decidedScanMs === this.#scannedMs && !context.isHandingOver) return [];
     this.#decidedScanMs = this.#scannedMs;
-    const released = this.#getReleasable(nowMs, context);
+    const holder = { memberId: this.memberId, owned: this.#owned };
+    const released = this.#shards.getReleasable(holder, nowMs, context);
     if (released.length > 0) return this.#release(released);
-    const wanted = context.isLeaving ? [] : this.#getAcquirable(context.shards);
+    const wanted = context.isLeaving ? [] : this.#shards.getAcquirable(holder, context.shards);
     return wanted.length > 0 ? [this.#acquire(wanted)] : [];
   }
 
@@ -371,81 +358,29 @@
     };
   }
 
-  #isFree(shardId: ShardId): boolean {
-    const ownerId = this.#shards.get(shardId)?.row.ownerId ?? null;
-    if (ownerId === null) return true;
-    // The answer to an acquisition was lost; taking the shard again makes its epoch certain.
-    return ownerId === this.memberId || this.#members.get(ownerId) === undefined;
-  }
-
-  #getPreferred(placement: ShardPlacement): MemberView | undefined {
-    const live = this.#members.views.filter(
-      (view) =>
-        view.row.memberId === this.memberId || !(view.row.isLeaving || this.#judge.isDead(view)),
-    );
-    return getPreferredOwner(placement, live);
-  }
-
-  #getAcquirable(shards: readonly ShardPlacement[]): readonly ShardId[] {
-    return shards
-      .filter((placement) => !this.#owned.has(placement.shardId))
-      .filter((placement) => this.#isFree(placement.shardId))
-      .filter((placement) => this.#getPreferred(placement)?.row.memberId === this.memberId)
-      .map((placement) => placement.shardId);
-  }
-
-  #acquire(shardIds: readonly ShardId[]): LeaseEffect {
+  #acquire(rows: readonly ShardRow[]): LeaseEffect {
     this.#isChanging = true;
-    const { memberId } = this;
-    const rows = shardIds.map((shardId): ShardRow => {
-      const epoch = toEpoch((this.#shards.get(shardId)?.row.epoch ?? 0) + 1);
-      return { shardId, ownerId: memberId, epoch };
-    });
     return {
       kind: 'callPlatform',
-      origin: { kind: 'leaseAcquire', memberId, rows },
-      call: this.#createChange(rows),
+      origin: { kind: 'leaseAcquire', memberId: this.memberId, rows },
+      call: this.#shards.createChange(rows, this.#createOperationId()),
     };
   }
 
-  /** Shards to hand over, with those whose row names this member after a lost answer. */
-  #getReleasable(nowMs: number, context: LeaseContext): readonly ShardRow[] {
-    return this.getOwners()
-      .filter((row) => row.ownerId === this.memberId)
-      .filter(({ shardId }) => !context.busyShardIds.has(shardId))
-      .filter(({ shardId }) => {
-        if (context.isHandingOver) return true;
-        const placement = context.shards.find((known) => known.shardId === shardId);
-        if (placement === undefined) return true;
-        const preferred = this.#getPreferred(placement);
-        if (preferred === undefined || preferred.row.memberId === this.memberId) return false;
-        return !this.#owned.has(shardId) || nowMs - preferred.firstSeenMs >= STABLE_MS;
-      });
-  }
-
   /** The shards are given up before the call leaves, whatever comes of it. */
-  #release(current: readonly ShardRow[]): readonly LeaseEffect[] {
+  #release(rows: readonly ShardRow[]): readonly LeaseEffect[] {
     this.#isChanging = true;
-    const rows = current.map((row): ShardRow => ({ ...row, ownerId: null }));
     const lost = rows.filter((row) => this.#owned.delete(row.shardId));
     return [
       ...lost.map(({ shardId }) => ({ kind: 'shardLost', shardId, reason: 'released' }) as const),
       {
         kind: 'callPlatform',
         origin: { kind: 'leaseRelease', rows },
-        call: this.#createChange(rows),
+        call: this.#shards.createChange(rows, this.#createOperationId()),
       },
     ];
   }
 
-  #createChange(rows: readonly ShardRow[]) {
-    const changes = rows.map((row) => ({
-      row,
-      rowVersion: this.#shards.get(row.shardId)?.rowVersion ?? 0,
-    }));
-    return createShardChange(changes, this.#createOperationId());
-  }
-
   /**
    * Gets the state as plain data, for an operator.
    * @returns times on this process's clock
@@ -456,7 +391,7 @@
       judge: this.#judge.dump(),
       members: this.#members.views,
       membersScannedMs: this.#members.scannedMs,
-      shards: [...this.#shards.values()],
+      shards: this.#shards.dump(),
       owned: [...this.#owned],
       nextRenewMs: this.#nextRenewMs,
       nextScanMs: this.#nextScanMs,
--- a/src/lease/transactions.ts
+++ b/src/lease/transactions.ts
@@ -1,6 +1,6 @@
-/** Builds the transactions that change members and shard leases. */
+/** Builds the calls that scan and change members and shard leases. */
 
-import { getMemberKey } from '../membership/memberTable';
+import { getMemberKey, MEMBER_PREFIX } from '../membership/memberTable';
 import type { PlatformCall } from '../platform/types';
 import type { MemberId, OperationId, ShardId } from '../types/ids';
 import type { ShardRow } from './types';
@@ -8,6 +8,9 @@
 /** Prefix of the rows of all shards. */
 export const SHARD_PREFIX = 'shard/';
 
+/** A scan that brings this many rows may be cut short, and says nothing of rows that are missing. */
+export const SCAN_LIMIT = 2_000;
+
 /** A shard's row as scanned. */
 export interface ShardView {
   readonly row: ShardRow;
@@ -80,3 +83,19 @@
     },
   };
 }
+
+/**
+ * Builds the scan of all shards.
+ * @returns the call
+ */
+export function createShardScan(): PlatformCall {
+  return { kind: 'range', prefix: SHARD_PREFIX, after: '', limit: SCAN_LIMIT };
+}
+
+/**
+ * Builds the scan of all members.
+ * @returns the call
+ */
+export function createMemberScan(): PlatformCall {
+  return { kind: 'range', prefix: MEMBER_PREFIX, after: '', limit: SCAN_LIMIT };
+}
