--- a/tests/lease.test.ts
+++ b/tests/lease.test.ts
@@ -208,15 +208,21 @@
   });
 
   test('goes on through 10 minutes without the platform, also when one process is killed', () => {
+    // Peers keep the configuration fresh, so nothing is stubbed here.
+    jest.restoreAllMocks();
     const world = createWorld(3, MEMBER_COUNT);
     world.runFor(10_000);
     const watch = new OwnershipWatch(world);
+    const getFreeSlots = (index: number) =>
+      world.processes[index]?.core.dump(world.nowMs).status.freeSlots;
+    const freeSlots = world.processes.map(({ index }) => getFreeSlots(index));
     const shares = world.processes.map((process) => process.core.dump(world.nowMs).ownedShards);
     world.store.setFaults({ isDown: true });
     const expectHeld = (indexes: readonly number[]) => {
       indexes.forEach((index) => {
         const held = shares[index]?.filter(({ shardId }) => watch.hasOwner(shardId, index));
         expect(held).toHaveLength(shares[index]?.length ?? -1);
+        expect(getFreeSlots(index)).toBe(freeSlots[index]);
       });
     };
     for (let check = 0; check < 100; check += 1) {
