A successor charges the requests that its targets still run for the former owner

Change: the first report under an ownership charges what exceeds this owner's own requests; two reports that agree give it back, counting this owner's own, so that a busy target does not keep the charges for ever.

--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -33,3 +33,6 @@
 
 /** Requests that wait in one scheduler at most. */
 export const MAX_WAITING_REQUESTS = 2_000;
+
+/** A call to a target that was sent this long before a report was asked for has arrived. */
+export const CALL_FLIGHT_MS = 5;
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -1,11 +1,11 @@
 /** Admits, queues, starts, retries and answers the requests of one scheduler. */
 
 import type { TargetPool } from '../placement/targetPool';
-import type { TargetReport, TargetResult } from '../target/types';
+import type { TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import type { DataCentreId, TargetId } from '../types/ids';
+import type { DataCentreId, TargetId, TeamId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
-import { MAX_ATTEMPTS, MAX_WAITING_REQUESTS } from './constants';
+import { CALL_FLIGHT_MS, MAX_ATTEMPTS, MAX_WAITING_REQUESTS } from './constants';
 import { LingeringCharges } from './lingeringCharges';
 import { createTargetCall, getNotRunReason, OpenRequest } from './openRequest';
 import type { OutcomeMemory } from './outcomeMemory';
@@ -18,6 +18,7 @@
   AdmissionCheck,
   ArrivedRequest,
   HomeGuard,
+  OwnedReport,
   RequestEffect,
   RequestOrigin,
   StartGuard,
@@ -156,18 +157,17 @@
   /**
    * Takes in what a target reports to be running, so that lost requests that ended are given back.
    * @param nowMs - this process's clock
-   * @param sentMs - when the report was asked for
-   * @param targetId - which target
-   * @param report - what it reports
+   * @param owned - what it reports
    * @returns what to do
    */
-  applyReport(
-    nowMs: number,
-    sentMs: number,
-    targetId: TargetId,
-    report: TargetReport,
-  ): readonly RequestEffect[] {
-    return this.#lingering.settle(sentMs, targetId, report) ? this.startWaiting(nowMs) : [];
+  applyReport(nowMs: number, owned: OwnedReport): readonly RequestEffect[] {
+    const { target, sentMs, isTakeover } = owned;
+    const countOwn = (teamId: TeamId) => this.#countRunning(target.targetId, teamId, sentMs);
+    if (isTakeover) {
+      this.#lingering.adopt(owned, countOwn);
+      return [];
+    }
+    return this.#lingering.settle(owned, countOwn) ? this.startWaiting(nowMs) : [];
   }
 
   /**
@@ -192,6 +192,16 @@
     return this.#waiting.serviceNames.flatMap((name) => this.#startWaitingOf(nowMs, name));
   }
 
+  /** Counts requests that a target certainly had when it was asked for its report. */
+  #countRunning(targetId: TargetId, teamId: TeamId, sentMs: number): number {
+    return [...this.#open.values()].filter(
+      ({ running, startedMs }) =>
+        running?.charge.targetId === targetId &&
+        running.charge.teamId === teamId &&
+        startedMs < sentMs - CALL_FLIGHT_MS,
+    ).length;
+  }
+
   #startWaitingOf(nowMs: number, serviceName: string): readonly RequestEffect[] {
     const effects: RequestEffect[] = [];
     for (;;) {
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -3,7 +3,7 @@
 import type { Queue } from '../config/types';
 import type { Target } from '../placement/types';
 import type { RequestStart } from '../rpc/types';
-import type { TargetCall } from '../target/types';
+import type { TargetCall, TargetReport } from '../target/types';
 import type { Epoch, KeyId, QueueId, RequestId, TeamId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 
@@ -86,6 +86,16 @@
   getPriority(teamId: TeamId): number;
 }
 
+/** What a target reported to its owner. */
+export interface OwnedReport {
+  readonly target: Target;
+  readonly report: TargetReport;
+  /** When it was asked for, on this process's clock. */
+  readonly sentMs: number;
+  /** Nothing has been started on the target under this ownership yet. */
+  readonly isTakeover: boolean;
+}
+
 /** A request as it arrived, with what the configuration says of its queue. */
 export interface ArrivedRequest {
   readonly callId: number;
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -231,11 +231,17 @@
     const permit = target && this.#ownership.tryGetOwnerPermit(target, nowMs);
     if (target === undefined || permit === undefined || permit.epoch !== origin.epoch) return [];
     const effects = this.#jobs.applyReport(nowMs, target, permit, origin, result.report);
+    const isTakeover = !this.#ownership.isSettled(target.targetId, origin.epoch);
     this.#ownership.markReported(target, origin.epoch, origin.sentMs);
     this.#ownership.markLeaving(target.targetId, result.report.leaving, origin.sentMs);
     return [
       ...effects,
-      ...this.#requests.applyReport(nowMs, origin.sentMs, target.targetId, result.report),
+      ...this.#requests.applyReport(nowMs, {
+        target,
+        report: result.report,
+        sentMs: origin.sentMs,
+        isTakeover,
+      }),
     ];
   }
 
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -82,6 +82,16 @@
     this.#settledEpochs.set(target.targetId, epoch);
   }
 
+  /**
+   * Asks whether a target has reported all that it ran before this ownership.
+   * @param targetId - which target
+   * @param epoch - of the ownership
+   * @returns true from the first such report on
+   */
+  isSettled(targetId: TargetId, epoch: Epoch): boolean {
+    return this.#settledEpochs.get(targetId) === epoch;
+  }
+
   /**
    * Lists the targets of shards whose settling time ended within a span of time.
    * @param afterMs - start of the span, on this process's clock, not included
--- a/src/scheduler/requestDuty.ts
+++ b/src/scheduler/requestDuty.ts
@@ -6,11 +6,17 @@
 import type { TargetPool } from '../placement/targetPool';
 import { OutcomeMemory } from '../requests/outcomeMemory';
 import { RequestTable } from '../requests/requestTable';
-import type { HomeGuard, RequestEffect, RequestOrigin, StartGuard } from '../requests/types';
+import type {
+  HomeGuard,
+  OwnedReport,
+  RequestEffect,
+  RequestOrigin,
+  StartGuard,
+} from '../requests/types';
 import type { RequestStart } from '../rpc/types';
-import type { TargetReport, TargetResult } from '../target/types';
+import type { TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import type { DataCentreId, RequestId, ShardId, TargetId } from '../types/ids';
+import type { DataCentreId, RequestId, ShardId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import type { SchedulerEffect } from './types';
 
@@ -181,13 +187,8 @@
    * @param report - what it runs
    * @returns what to do
    */
-  applyReport(
-    nowMs: number,
-    sentMs: number,
-    targetId: TargetId,
-    report: TargetReport,
-  ): readonly SchedulerEffect[] {
-    return toSchedulerEffects(this.#table.applyReport(nowMs, sentMs, targetId, report));
+  applyReport(nowMs: number, owned: OwnedReport): readonly SchedulerEffect[] {
+    return toSchedulerEffects(this.#table.applyReport(nowMs, owned));
   }
 
   /**
--- a/tests/capacityWorld.test.ts
+++ b/tests/capacityWorld.test.ts
@@ -31,7 +31,7 @@
   world.call(index, { kind: 'changeConfig', change, operationId }, () => undefined);
 }
 
-function createWorld(seed: number): World {
+function createWorld(seed: number, limitSlots = LIMIT_SLOTS): World {
   const world = new World({
     seed,
     memberCount: 3,
@@ -40,12 +40,12 @@
     capacity: CAPACITY,
   });
   world.runFor(2_000);
-  applyLimit(world, 0, LIMIT_SLOTS);
+  applyLimit(world, 0, limitSlots);
   world.runFor(8_000);
   return world;
 }
 
-function createRequest(requestId: string): RequestStart {
+function createRequest(requestId: string, serviceMs = SERVICE_MS): RequestStart {
   return {
     kind: 'startRequest',
     requestId: toId(requestId),
@@ -57,7 +57,7 @@
     isIdempotent: true,
     windowRemainingMs: 2_000,
     contentType: 'text/plain',
-    bodyBase64: Buffer.from(String(SERVICE_MS)).toString('base64'),
+    bodyBase64: Buffer.from(String(serviceMs)).toString('base64'),
   };
 }
 
@@ -105,6 +105,30 @@
     expect(getPeak(world, 0)).toBe(LIMIT_SLOTS);
   });
 
+  test('a successor counts the requests that its targets still run for the former owner', () => {
+    const world = createWorld(9, 100);
+    const send = (name: string, count: number, serviceMs: number) => {
+      world.processes
+        .filter((process) => !process.isDown)
+        .forEach(({ index }) => {
+          for (let round = 0; round < count; round += 1) {
+            const request = createRequest(`${name}-${index}-${round}`, serviceMs);
+            world.call(index, { ...request, windowRemainingMs: 60_000 }, () => undefined);
+          }
+        });
+    };
+    // Every slot of the fleet is taken for longer than the takeover lasts.
+    send('long', 40, 20_000);
+    world.runFor(500);
+    world.kill(1);
+    world.runFor(5_000);
+    send('short', 100, 100);
+    world.runFor(30_000);
+    const runCount = world.requestRuns.filter(({ requestId }) => requestId.startsWith('short'));
+    expect(runCount.length).toBeGreaterThan(150);
+    world.targets.forEach((target) => expect(target.violations).toEqual([]));
+  });
+
   test('a lowered limit stops the surplus within seconds and starts nothing instead', () => {
     const world = createWorld(6);
     world.targets.forEach((target) => target.setFaults({ isFencing: false }));
