--- /dev/null
+++ b/bench/charge.ts
@@ -0,0 +1,120 @@
+/** Charging all limits of a start together against charging them one by one. */
+
+import { TargetPool } from '../src/placement/targetPool';
+import type { Charge, Target } from '../src/placement/types';
+import { toId } from '../src/types/ids';
+import { Random } from '../src/types/random';
+import { addResources, NO_RESOURCES, RESOURCE_KINDS } from '../src/types/resources';
+import type { ResourceKind, ResourceVector } from '../src/types/resources';
+import type { Bench, Figure } from './types';
+
+const TARGET_COUNT = 30;
+const TRY_COUNT = 20_000;
+const TEAM_LIMIT_SLOTS = 150;
+const SEED = 5;
+const NS_PER_US = 1_000;
+const CAPACITY: ResourceVector = {
+  cpuMillis: 64_000,
+  memoryMb: 131_072,
+  accelerators: 2,
+  slots: 8,
+  connections: 64,
+};
+
+interface Charger {
+  /** @returns gives the charge back, or undefined when the start was refused */
+  tryCharge(targetIndex: number, demand: ResourceVector): (() => void) | undefined;
+}
+
+function createDemand(random: Random): ResourceVector {
+  return {
+    cpuMillis: 1_000 + random.nextInt(24_000),
+    memoryMb: 1_024 + random.nextInt(48_000),
+    accelerators: random.nextInt(2),
+    slots: 1,
+    connections: 1,
+  };
+}
+
+function createTogether(): Charger {
+  const pool = new TargetPool({
+    getAllottedSlots: () => TEAM_LIMIT_SLOTS,
+    noteShortage: () => undefined,
+  });
+  const targets = Array.from({ length: TARGET_COUNT }, (_, index): Target => ({
+    targetId: toId(`t${index}`),
+    shardId: toId('s'),
+    address: '',
+    dataCentreId: toId('d'),
+    rack: 'r',
+    capacity: CAPACITY,
+    isLeaving: false,
+  }));
+  pool.updateTargets(targets);
+  return {
+    tryCharge(targetIndex, demand) {
+      const result = pool.tryCharge(toId(`t${targetIndex}`), toId('team'), demand);
+      if (result.kind !== 'charged') return undefined;
+      const { charge }: { charge: Charge } = result;
+      return () => pool.release(charge);
+    },
+  };
+}
+
+/** Each limit is charged before the next is asked, and a refusal gives nothing back. */
+function createOneByOne(): Charger {
+  const free = Array.from({ length: TARGET_COUNT }, () => ({ ...CAPACITY }) as ResourceVector);
+  let teamSlots = 0;
+  const take = (index: number, kind: ResourceKind, demand: ResourceVector): boolean => {
+    const known = free[index] ?? NO_RESOURCES;
+    if (known[kind] < demand[kind]) return false;
+    free[index] = { ...known, [kind]: known[kind] - demand[kind] };
+    return true;
+  };
+  return {
+    tryCharge(targetIndex, demand) {
+      if (teamSlots + demand.slots > TEAM_LIMIT_SLOTS) return undefined;
+      teamSlots += demand.slots;
+      if (!RESOURCE_KINDS.every((kind) => take(targetIndex, kind, demand))) return undefined;
+      return () => {
+        teamSlots -= demand.slots;
+        free[targetIndex] = addResources(free[targetIndex] ?? NO_RESOURCES, demand);
+      };
+    },
+  };
+}
+
+function measure(name: string, charger: Charger): readonly Figure[] {
+  const random = new Random(SEED);
+  const running: (() => void)[] = [];
+  let startedCount = 0;
+  let lateCount = 0;
+  const startedNs = process.hrtime.bigint();
+  for (let tries = 0; tries < TRY_COUNT; tries += 1) {
+    const release = charger.tryCharge(random.nextInt(TARGET_COUNT), createDemand(random));
+    if (release !== undefined) {
+      startedCount += 1;
+      if (tries >= TRY_COUNT / 2) lateCount += 1;
+      running.push(release);
+    }
+    if (random.nextInt(3) === 0) running.shift()?.();
+  }
+  const tookNs = Number(process.hrtime.bigint() - startedNs);
+  return [
+    { name: `${name}, started of ${TRY_COUNT}`, value: startedCount, unit: 'starts' },
+    { name: `${name}, started in the second half`, value: lateCount, unit: 'starts' },
+    { name: `${name}, time of a try`, value: tookNs / TRY_COUNT / NS_PER_US, unit: 'us' },
+  ];
+}
+
+/** The `charge` benchmark. */
+export const charge: Bench = {
+  name: 'charge',
+  describe: 'all limits of a start charged together, against one by one',
+  async run() {
+    return [
+      ...measure('together', createTogether()),
+      ...measure('baseline one by one', createOneByOne()),
+    ];
+  },
+};
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,11 +3,12 @@
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
 import { capacity } from './capacity';
+import { charge } from './charge';
 import { decision } from './decision';
 import { footprint } from './footprint';
 import type { Bench, Figure } from './types';
 
-const BENCHES: readonly Bench[] = [capacity, decision, footprint];
+const BENCHES: readonly Bench[] = [capacity, charge, decision, footprint];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
   if (isJson) {
--- a/src/placement/bestFit.ts
+++ b/src/placement/bestFit.ts
@@ -12,10 +12,10 @@
 const MAX_PER_BUCKET = 8;
 
 /** Targets that fit and are compared before the search ends. */
-const MAX_COMPARED = 16;
+const MAX_COMPARED = 8;
 
 /** Targets looked at, fitting or not, in each of the two passes. */
-const MAX_LOOKED_AT = 48;
+const MAX_LOOKED_AT = 32;
 
 const TIGHT_FIRST: readonly number[] = Array.from(
   { length: TOP_ROOM_LEVEL },
