Fair share: weighted dominant-resource order of waiting requests

Change: FairShare orders teams by dominant share per weight (DRF), from this scheduler's own use now and the others' reports, two characters a team in each heartbeat; FairQueue asks for the order at each start instead of at the arrival. Admission expects a wait by turns of the waiting teams.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { datacentre } from './datacentre';
 import { decision } from './decision';
 import { footprint } from './footprint';
+import { share } from './share';
 import type { Bench, Figure } from './types';
 
 const BENCHES: readonly Bench[] = [
@@ -17,6 +18,7 @@
   datacentre,
   decision,
   footprint,
+  share,
 ];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
--- a/src/placement/targetPool.ts
+++ b/src/placement/targetPool.ts
@@ -22,6 +22,10 @@
 
   #byShard = new Map<ShardId, Target[]>();
 
+  #useByTeam = new Map<TeamId, ResourceVector>();
+
+  #capacity = NO_RESOURCES;
+
   #slotsByTeam = new Map<ShardId, Map<TeamId, number>>();
 
   #taskRoom = new RoomIndex(getTaskRoom);
@@ -46,6 +50,11 @@
     return this.#targets;
   }
 
+  /** What all listed targets offer together. */
+  get capacity(): ResourceVector {
+    return this.#capacity;
+  }
+
   /** Targets by the room for tasks that is left on them. Leaving targets are not in it. */
   get taskRoom(): RoomIndex {
     return this.#taskRoom;
@@ -172,6 +181,15 @@
     return this.#slotsByTeam.get(shardId)?.get(teamId) ?? 0;
   }
 
+  /**
+   * Gets what a team has running on this scheduler's targets.
+   * @param teamId - which team
+   * @returns its use on every budget
+   */
+  getTeamUse(teamId: TeamId): ResourceVector {
+    return this.#useByTeam.get(teamId) ?? NO_RESOURCES;
+  }
+
   /**
    * Gets the teams with something running on a shard.
    * @param shardId - which shard
@@ -201,6 +219,8 @@
       state.free = addResources(state.free, charge.demand, -factor);
       this.#updateRoom(state);
     }
+    const use = this.#useByTeam.get(charge.teamId) ?? NO_RESOURCES;
+    this.#useByTeam.set(charge.teamId, addResources(use, charge.demand, factor));
     const byTeam = this.#slotsByTeam.get(charge.shardId) ?? new Map<TeamId, number>();
     byTeam.set(charge.teamId, (byTeam.get(charge.teamId) ?? 0) + factor * charge.demand.slots);
     this.#slotsByTeam.set(charge.shardId, byTeam);
@@ -216,6 +236,10 @@
   #rebuildIndexes(): void {
     this.#targets = [...this.#states.values()].map((state) => state.target);
     this.#union = undefined;
+    this.#capacity = this.#targets.reduce(
+      (sum, { capacity }) => addResources(sum, capacity),
+      NO_RESOURCES,
+    );
     this.#byShard.clear();
     this.#taskRoom.clear();
     this.#acceleratorRoom.clear();
--- a/src/requests/waitingRoom.ts
+++ b/src/requests/waitingRoom.ts
@@ -1,7 +1,7 @@
 /** The bounded queues of a scheduler by service, and the wait that a request must expect there. */
 
 import type { OpenRequest } from './openRequest';
-import { RequestQueue } from './requestQueue';
+import { FairQueue } from './fairQueue';
 import { ServiceTimes } from './serviceTimes';
 import type { TeamOrder } from './types';
 
@@ -9,7 +9,7 @@
 export class WaitingRoom {
   #teamOrder: TeamOrder;
 
-  #queues = new Map<string, RequestQueue>();
+  #queues = new Map<string, FairQueue>();
 
   #deadlinesMs = new Map<number, number>();
 
@@ -54,12 +54,13 @@
    */
   push(request: OpenRequest): void {
     const { callId, call, queue } = request.arrived;
-    const known = this.#queues.get(call.serviceName) ?? new RequestQueue();
+    const known = this.#queues.get(call.serviceName) ?? new FairQueue(this.#teamOrder);
     this.#queues.set(call.serviceName, known);
     this.#deadlinesMs.set(callId, request.deadlineMs);
-    known.push(callId, {
+    known.push({
+      callId,
+      teamId: call.teamId,
       urgency: queue.urgency,
-      teamPriority: this.#teamOrder.getPriority(call.teamId),
       deadlineMs: request.deadlineMs,
     });
   }
@@ -124,7 +125,8 @@
   isHopeful(nowMs: number, request: OpenRequest): boolean {
     const { call, queue } = request.arrived;
     const meanMs = this.#times.getMeanMs(call.serviceName);
-    const aheadCount = this.#queues.get(call.serviceName)?.countAhead(queue.urgency) ?? 0;
+    const aheadCount =
+      this.#queues.get(call.serviceName)?.countAhead(queue.urgency, call.teamId) ?? 0;
     const runningCount = Math.max(1, this.#getRunningCount(call.serviceName));
     const expectedWaitMs = ((aheadCount + 1) * meanMs) / runningCount;
     return nowMs + expectedWaitMs + meanMs <= request.deadlineMs;
--- a/src/rpc/types.ts
+++ b/src/rpc/types.ts
@@ -32,6 +32,8 @@
   readonly services: readonly string[];
   /** Room on each of the member's shards of targets. */
   readonly shardRooms?: readonly ShardRoom[];
+  /** Each team's dominant share on the member's targets, as `encodeShares` packs it. */
+  readonly teamShares?: string;
 }
 
 /** A request on its way from a gate to a scheduler. */
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -8,6 +8,8 @@
 import { LeaseKeeper } from '../lease/leaseKeeper';
 import { getShardPlacements, isHomeShard } from '../lease/shards';
 import type { LeaseEffect } from '../lease/types';
+import { FairShare } from '../placement/fairShare';
+import type { SharesReport } from '../placement/fairShare';
 import { TargetPool } from '../placement/targetPool';
 import type { Vm } from '../platform/types';
 import type {
@@ -57,6 +59,8 @@
 
   #pool = new TargetPool(this.#ledger);
 
+  #fairShare = new FairShare(this.#pool);
+
   #escrow: EscrowDuty;
 
   #ownership: Ownership;
@@ -87,13 +91,10 @@
     this.#memberDuty = new MemberDuty(this.#lease, this.#peers, this.#configDuty);
     this.#escrow = new EscrowDuty(this.#ledger, this.#lease, this.#pool);
     this.#ownership = new Ownership(this.#lease, this.#config, this.#pool);
-    this.#requests = new RequestDuty(
-      this.#lease,
-      this.#config,
-      this.#pool,
-      this.#ownership,
-      dataCentreId,
-    );
+    this.#requests = new RequestDuty(this.#lease, this.#config, this.#pool, this.#ownership, {
+      nearDataCentreId: dataCentreId,
+      teamOrder: this.#fairShare,
+    });
     this.#jobs = new JobDuty({
       lease: this.#lease,
       config: this.#config,
@@ -150,6 +151,7 @@
       isLeaving: this.#isDraining,
       isHandingOver: this.#isDraining && this.#requests.openCount === 0 && this.#jobs.isIdle,
     };
+    this.#fairShare.updateReports(this.#getShareReports(nowMs));
     return [
       ...this.#fromLease(nowMs, this.#lease.tick(nowMs, context)),
       ...this.#fromEscrow(nowMs, this.#escrow.tick(nowMs)),
@@ -319,6 +321,7 @@
     this.#ownership.updateDataCentres(sheet.dataCentres, nowMs);
     const shardIds = getShardPlacements(sheet).map((placement) => placement.shardId);
     this.#escrow.updateConfig(sheet.teams, shardIds);
+    this.#fairShare.updateConfig(sheet.teams, version);
     this.#due.vmListMs = 0;
     return [{ kind: 'log', message: 'configuration in force', fields: { version } }];
   }
@@ -362,6 +365,12 @@
     return [{ kind: 'log', message: 'shard acquired', fields: { shardId, epoch } }];
   }
 
+  #getShareReports(nowMs: number): readonly SharesReport[] {
+    return this.#peers
+      .getHeard(nowMs)
+      .map(({ configVersion, teamShares }) => ({ configVersion, teamShares: teamShares ?? '' }));
+  }
+
   #fromEscrow(nowMs: number, effects: readonly EscrowEffect[]): readonly SchedulerEffect[] {
     return effects.flatMap((effect): readonly SchedulerEffect[] => {
       switch (effect.kind) {
@@ -391,6 +400,7 @@
       activeShards: this.#ownership.getActiveShards(nowMs),
       services: this.#jobs.runner.services,
       shardRooms: this.#jobs.getShardRooms(nowMs),
+      teamShares: this.#fairShare.createReport(),
     };
   }
 
--- a/src/scheduler/requestDuty.ts
+++ b/src/scheduler/requestDuty.ts
@@ -12,6 +12,7 @@
   RequestEffect,
   RequestOrigin,
   StartGuard,
+  TeamOrder,
 } from '../requests/types';
 import type { RequestStart } from '../rpc/types';
 import type { TargetResult } from '../target/types';
@@ -43,6 +44,12 @@
   });
 }
 
+/** Which targets and which requests go first. */
+export interface RequestChoice {
+  readonly nearDataCentreId: DataCentreId;
+  readonly teamOrder: TeamOrder;
+}
+
 /** Requests of one scheduler. */
 export class RequestDuty implements HomeGuard {
   #lease: LeaseKeeper;
@@ -58,14 +65,14 @@
    * @param config - what may be admitted
    * @param pool - budgets of the targets
    * @param guard - the check at the moment of each start
-   * @param nearDataCentreId - where the callers are
+   * @param choice - which targets and which requests go first
    */
   constructor(
     lease: LeaseKeeper,
     config: ConfigHolder,
     pool: TargetPool,
     guard: StartGuard,
-    nearDataCentreId: DataCentreId,
+    choice: RequestChoice,
   ) {
     this.#lease = lease;
     this.#config = config;
@@ -75,7 +82,7 @@
       admission: config,
       homes: this,
       memory: this.#memory,
-      nearDataCentreId,
+      ...choice,
     });
   }
 
