--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,21 +3,25 @@
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
 import { capacity } from './capacity';
-import { charge } from './charge';
 import { configuration } from './configuration';
 import { datacentre } from './datacentre';
 import { decision } from './decision';
+import { durability } from './durability';
 import { footprint } from './footprint';
+import { recovery } from './recovery';
+import { charge } from './charge';
 import { share } from './share';
 import type { Bench, Figure } from './types';
 
 const BENCHES: readonly Bench[] = [
   capacity,
-  charge,
   configuration,
   datacentre,
   decision,
+  durability,
   footprint,
+  recovery,
+  charge,
   share,
 ];
 
--- a/src/scheduler/jobDuty.ts
+++ b/src/scheduler/jobDuty.ts
@@ -6,7 +6,8 @@
 import type { PlaceableRoom, PlacementView } from '../jobs/placer';
 import { LEASE_CALL_LEAVES_MS, TargetContacts, TASK_LEASE_MS } from '../jobs/targetContacts';
 import { TaskRunner } from '../jobs/taskRunner';
-import type { TaskEffect, TaskOrigin, TeamSurplus } from '../jobs/taskRunner';
+import type { TaskEffect, TaskOrigin } from '../jobs/taskCalls';
+import type { TeamSurplus } from '../jobs/taskRunner';
 import type { ShardRoom, TaskAsk, TaskNews, TaskRun } from '../jobs/types';
 import type { JournalOrigin } from '../journal/types';
 import type { LeaseKeeper } from '../lease/leaseKeeper';
@@ -83,6 +84,11 @@
     return this.#table.jobCount;
   }
 
+  /** Tasks of the jobs kept that an owner said are running. */
+  get runningCount(): number {
+    return this.#table.runningCount;
+  }
+
   /** True when every change of a job is durable. */
   get isIdle(): boolean {
     return this.#table.isIdle;
@@ -326,8 +332,8 @@
       call: { kind: 'report', token },
       ...common,
     };
-    if (!this.#contacts.mayExtend(target, epoch, nowMs)) return [report];
-    this.#contacts.recordExtension(targetId, epoch, nowMs);
+    if (!this.#contacts.isRenewalDue(target, epoch, nowMs)) return [report];
+    this.#contacts.recordRenewal(targetId, epoch, nowMs);
     const call = { kind: 'renew', token, leaseMs: TASK_LEASE_MS } as const;
     return [{ origin: { kind: 'renew', targetId }, call, ...common }, report];
   }
@@ -391,7 +397,7 @@
     const local: TaskEffect[] = [];
     const byAddress = new Map<string, TaskAsk[]>();
     asks.forEach((ask) => {
-      const { shardId } = (ask.kind === 'start' ? ask.start : ask).placement;
+      const { shardId } = (ask.kind === 'stop' ? ask : ask.start).placement;
       if (this.tryGetEpoch(shardId, nowMs) !== undefined) {
         local.push(...this.#runner.ask(nowMs, ask));
         return;
