--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { decision } from './decision';
 import { durability } from './durability';
 import { footprint } from './footprint';
+import { packing } from './packing';
 import { recovery } from './recovery';
 import { charge } from './charge';
 import { share } from './share';
@@ -20,6 +21,7 @@
   decision,
   durability,
   footprint,
+  packing,
   recovery,
   charge,
   share,
