--- a/src/scheduler/requestDuty.ts
+++ b/src/scheduler/requestDuty.ts
@@ -6,11 +6,18 @@
 import type { TargetPool } from '../placement/targetPool';
 import { OutcomeMemory } from '../requests/outcomeMemory';
 import { RequestTable } from '../requests/requestTable';
-import type { HomeGuard, RequestEffect, RequestOrigin, StartGuard } from '../requests/types';
+import type {
+  HomeGuard,
+  OwnedReport,
+  RequestEffect,
+  RequestOrigin,
+  StartGuard,
+  TeamOrder,
+} from '../requests/types';
 import type { RequestStart } from '../rpc/types';
-import type { TargetReport, TargetResult } from '../target/types';
+import type { TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import type { DataCentreId, RequestId, ShardId, TargetId } from '../types/ids';
+import type { DataCentreId, RequestId, ShardId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import type { SchedulerEffect } from './types';
 
@@ -37,6 +44,12 @@
   });
 }
 
+/** Which targets and which requests go first. */
+export interface RequestChoice {
+  readonly nearDataCentreId: DataCentreId;
+  readonly teamOrder: TeamOrder;
+}
+
 /** Requests of one scheduler. */
 export class RequestDuty implements HomeGuard {
   #lease: LeaseKeeper;
@@ -52,14 +65,14 @@
    * @param config - what may be admitted
    * @param pool - budgets of the targets
    * @param guard - the check at the moment of each start
-   * @param nearDataCentreId - where the callers are
+   * @param choice - which targets and which requests go first
    */
   constructor(
     lease: LeaseKeeper,
     config: ConfigHolder,
     pool: TargetPool,
     guard: StartGuard,
-    nearDataCentreId: DataCentreId,
+    choice: RequestChoice,
   ) {
     this.#lease = lease;
     this.#config = config;
@@ -69,7 +82,7 @@
       admission: config,
       homes: this,
       memory: this.#memory,
-      nearDataCentreId,
+      ...choice,
     });
   }
 
@@ -181,13 +194,8 @@
    * @param report - what it runs
    * @returns what to do
    */
-  applyReport(
-    nowMs: number,
-    sentMs: number,
-    targetId: TargetId,
-    report: TargetReport,
-  ): readonly SchedulerEffect[] {
-    return toSchedulerEffects(this.#table.applyReport(nowMs, sentMs, targetId, report));
+  applyReport(nowMs: number, owned: OwnedReport): readonly SchedulerEffect[] {
+    return toSchedulerEffects(this.#table.applyReport(nowMs, owned));
   }
 
   /**
