Jobs: work leaves a data centre that is taken out and resumes from its checkpoint

Cause: tasks ran on in a data centre out of service. Left: a replica is stopped before its successor runs; gangs run to their end in place.

--- a/src/jobs/placer.ts
+++ b/src/jobs/placer.ts
@@ -1,5 +1,6 @@
 /** Decides where pending tasks go, and which owners must be asked about placed ones. */
 
+import { getMovedTasks } from './evacuation';
 import { tryGetAskKind } from './gang';
 import type { AskKind } from './gang';
 import { getPlacement, isEnded, createStart } from './job';
@@ -37,6 +38,11 @@
    * @returns how urgent its work is
    */
   getUrgency(queueId: QueueId): Urgency;
+  /**
+   * @param shardId - a shard of targets
+   * @returns true when its data centre was taken out of service
+   */
+  isOutOfService(shardId: ShardId): boolean;
   /**
    * @param shardId - a shard of targets
    * @returns its newest known epoch, or undefined
@@ -110,7 +116,8 @@
 
 function createAsk(kind: AskKind, job: KeptJob, task: KeptTask, placement: TaskPlacement): TaskAsk {
   if (kind !== 'stop') return { kind, start: createStart(job, task, placement) };
-  return { kind, taskId: task.taskId, jobId: job.spec.jobId, placement };
+  const isResumed = !isEnded(job.phase);
+  return { kind, taskId: task.taskId, jobId: job.spec.jobId, placement, isResumed };
 }
 
 function isAskNeeded(
@@ -118,7 +125,9 @@
   task: KeptTask,
   placement: TaskPlacement,
   view: PlacementView,
+  moved: ReadonlySet<KeptTask>,
 ): boolean {
+  if (moved.has(task)) return true;
   if (isEnded(job.phase) || task.state.kind === 'assigned') return true;
   if (job.gangStep === 'releasing') return true;
   // A new owner is asked whether it found the task; until then it counts as running.
@@ -133,13 +142,17 @@
   durability: DurabilitySource,
 ): readonly TaskAsk[] {
   const asks: TaskAsk[] = [];
+  const moved = getMovedTasks(jobs, view);
   jobs.forEach((job) => {
     job.tasks.forEach((task) => {
       const placement = getPlacement(task);
       if (placement === undefined || nowMs < task.nextAskMs) return;
-      if (asks.length >= MAX_ASKS_PER_TICK || !isAskNeeded(job, task, placement, view)) return;
+      if (asks.length >= MAX_ASKS_PER_TICK || !isAskNeeded(job, task, placement, view, moved))
+        return;
       if (!durability.isTaskDurable(job, task)) return;
-      const kind = tryGetAskKind(job, task, durability.isGangDurable(job));
+      const kind = moved.has(task)
+        ? 'stop'
+        : tryGetAskKind(job, task, durability.isGangDurable(job));
       if (kind === undefined) return;
       task.nextAskMs = nowMs + ASK_INTERVAL_MS;
       asks.push(createAsk(kind, job, task, placement));
--- a/src/jobs/taskRunner.ts
+++ b/src/jobs/taskRunner.ts
@@ -283,7 +283,10 @@
     if (run.state === 'starting') return [];
     if (run.state === 'reserved') return this.#askReserved(nowMs, run, epoch, ask);
     if (ask.kind !== 'stop') return [createNews(run, epoch, 'running', 0)];
-    return this.#createStop(nowMs, run, 'taskStop');
+    if (!ask.isResumed) return this.#createStop(nowMs, run, 'taskStop');
+    if (run.isSurplus) return [];
+    run.isSurplus = true;
+    return this.#createCheckpoint(nowMs, run);
   }
 
   #askReserved(nowMs: number, run: RunningTask, epoch: Epoch, ask: TaskAsk): readonly TaskEffect[] {
--- a/src/jobs/types.ts
+++ b/src/jobs/types.ts
@@ -150,6 +150,8 @@
   /** Stop it; answered once it certainly does not run. */
   | {
       readonly kind: 'stop';
+      /** It will be resumed, so that it is checkpointed first. */
+      readonly isResumed: boolean;
       readonly taskId: TaskId;
       readonly jobId: JobId;
       readonly placement: TaskPlacement;
--- a/src/scheduler/jobDuty.ts
+++ b/src/scheduler/jobDuty.ts
@@ -280,6 +280,12 @@
       rooms: this.#isDraining ? [] : this.#getRooms(nowMs),
       writerCount: this.#getWriterCount(),
       getUrgency: (queueId) => urgencies.get(queueId) ?? 'normal',
+      isOutOfService: (shardId) => {
+        const dataCentreId = this.#capacities.getDataCentre(shardId);
+        return config.config.sheet.dataCentres.some(
+          (known) => known.dataCentreId === dataCentreId && !known.inService,
+        );
+      },
       getEpoch: (shardId) => epochs.get(shardId),
       isLargeEnough: (shardId, demand) => this.#capacities.isLargeEnough(shardId, demand),
       isPlaceable: (demand, taskCount) => this.#capacities.isPlaceable(demand, taskCount),
--- a/tests/jobs.test.ts
+++ b/tests/jobs.test.ts
@@ -152,6 +152,19 @@
     expect(jobs.query('plan')).toMatchObject({ phase: 'finished' });
   });
 
+  test('a batch job that fails everywhere is failed, and others finish', () => {
+    const jobs = new JobWorld(11);
+    jobs.world.targets.forEach((target) => target.setFaults({ isFailingEverything: true }));
+    jobs.submit(createSpec('bad', { kind: 'batch', taskCount: 2 }));
+    jobs.world.runFor(25_000);
+    expect(jobs.query('bad')).toMatchObject({ phase: 'failed' });
+    jobs.world.targets.forEach((target) => target.setFaults({ isFailingEverything: false }));
+    jobs.submit(createSpec('good', { kind: 'batch', taskCount: 2 }));
+    jobs.world.runFor(6_000);
+    expect(jobs.query('good')).toMatchObject({ phase: 'finished' });
+    expect(jobs.getRunning()).toEqual([]);
+  });
+
   test('a cancelled job stops what it runs and starts nothing more', () => {
     const jobs = new JobWorld(8);
     jobs.submit(createSpec('svc', { kind: 'service', serviceName: 'svc', replicas: 6 }));
@@ -167,6 +180,49 @@
     expect(jobs.query('svc')).toMatchObject({ phase: 'cancelled' });
   });
 
+  test('a planned stop of each scheduler in turn starts no task twice', () => {
+    const jobs = new JobWorld(9);
+    jobs.submit(createSpec('long', { kind: 'batch', taskCount: 12 }, { expectedRunMs: 50_000 }));
+    jobs.world.runFor(3_000);
+    [0, 1].forEach((index) => {
+      jobs.world.call(index, { kind: 'drain' }, () => undefined);
+      jobs.world.runFor(8_000);
+      expect(jobs.world.processes[index]?.core.isDrained).toBe(true);
+      jobs.world.kill(index);
+      jobs.world.runFor(2_000);
+      jobs.world.restart(index);
+      jobs.world.runFor(4_000);
+    });
+    jobs.world.runFor(40_000);
+    expect(jobs.query('long')).toMatchObject({ phase: 'finished', finishedCount: 12 });
+    expect([...jobs.attempts.values()].every((attempts) => attempts.size === 1)).toBe(true);
+  });
+
+  test('work leaves a data centre that is taken out, and resumes from its checkpoint', () => {
+    const jobs = new JobWorld(10);
+    jobs.submit(createSpec('long', { kind: 'batch', taskCount: 12 }, { expectedRunMs: 20_000 }));
+    jobs.submit(createSpec('svc', { kind: 'service', serviceName: 'svc', replicas: 4 }));
+    jobs.world.runFor(10_000);
+    const countIn = (dataCentreId: string) =>
+      [...jobs.world.targets]
+        .filter(([address]) => address.includes(dataCentreId))
+        .reduce(
+          (sum, [, target]) => sum + target.getTaskIds('running', jobs.world.nowMs).length,
+          0,
+        );
+    expect(countIn('delft')).toBeGreaterThan(0);
+    const change = { kind: 'setDataCentre', dataCentreId: 'delft', inService: false };
+    const call = { kind: 'changeConfig', change, operationId: 'op-2' };
+    jobs.world.call(1, call as never, () => undefined);
+    jobs.world.runFor(9_000);
+    expect(countIn('delft')).toBe(0);
+    expect(jobs.getRunning().filter((runId) => runId.startsWith('svc/'))).toHaveLength(4);
+    // Started anew instead of resumed, the moved tasks would need 20 s from here.
+    jobs.world.runFor(9_000);
+    expect(jobs.query('long')).toMatchObject({ phase: 'finished', finishedCount: 12 });
+    expect(jobs.violations).toEqual([]);
+  });
+
   test('under any faults no task runs twice at once and every acknowledged job ends', () => {
     fc.assert(
       fc.property(fc.integer({ min: 1, max: 1_000_000 }), timedFaults, (seed, faults) => {
--- a/tests/taskRunner.test.ts
+++ b/tests/taskRunner.test.ts
@@ -98,7 +98,13 @@
     const { ask, report } = createOwner();
     ask(0, createAsk('start', 'a'));
     const placement = { attempt: 1, shardId: SHARD, epoch: EPOCH };
-    const stop = { kind: 'stop', taskId: 'a', jobId: 'job', placement } as unknown as TaskAsk;
+    const stop = {
+      kind: 'stop',
+      taskId: 'a',
+      jobId: 'job',
+      placement,
+      isResumed: false,
+    } as unknown as TaskAsk;
     expect(ask(1_500, stop)).toEqual([]);
     expect(report(1_600)).toEqual(['finished']);
   });
