--- a/bench/durability.ts
+++ b/bench/durability.ts
@@ -39,6 +39,7 @@
     lastSequence: 0,
     headSequence: 0,
     headVersion: 0,
+    headSnapshotName: '',
     keptSequences: [],
   };
 }
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -239,6 +239,7 @@
       case 'journalPutSnapshot':
       case 'journalSetHead':
       case 'journalTrim':
+      case 'journalDropSnapshot':
         return this.#snapshots.applyResult(nowMs, origin, result);
       case 'journalReadHead':
       case 'journalReadSnapshot':
--- a/src/journal/journalReader.ts
+++ b/src/journal/journalReader.ts
@@ -53,6 +53,7 @@
     entries: newer.flatMap((row): readonly JsonValue[] => row.entries),
     lastSequence: newer[newer.length - 1]?.sequence ?? headSequence,
     headSequence,
+    headSnapshotName: reading.head?.snapshotName ?? '',
     headVersion: reading.headVersion,
     keptSequences: reading.rows.map((row) => row.sequence),
   };
--- a/src/journal/snapshots.ts
+++ b/src/journal/snapshots.ts
@@ -28,20 +28,24 @@
   | { readonly kind: 'idle' }
   | { readonly kind: 'put'; readonly sequence: number; readonly body: string }
   | { readonly kind: 'setHead'; readonly sequence: number }
-  | { readonly kind: 'trim' };
+  | { readonly kind: 'trim' }
+  | { readonly kind: 'drop' };
 
 interface ShardSnapshots {
   readonly generation: number;
   kept: number[];
   headSequence: number;
   headVersion: number;
+  /** Object that the head names, and the one that it named before. */
+  headName: string;
+  formerName: string;
   step: SnapshotStep;
   nextMs: number;
 }
 
 type StepOrigin = Extract<
   JournalOrigin,
-  { kind: 'journalPutSnapshot' | 'journalSetHead' | 'journalTrim' }
+  { kind: 'journalPutSnapshot' | 'journalSetHead' | 'journalTrim' | 'journalDropSnapshot' }
 >;
 
 /** Snapshot and trimming of every shard that this process owns. */
@@ -78,6 +82,8 @@
       kept: [...content.keptSequences],
       headSequence: content.headSequence,
       headVersion: content.headVersion,
+      headName: content.headSnapshotName,
+      formerName: '',
       step: { kind: 'idle' },
       nextMs: Number.NEGATIVE_INFINITY,
     });
@@ -131,7 +137,7 @@
       return [];
     }
     shard.nextMs = Number.NEGATIVE_INFINITY;
-    Snapshots.#advance(shard, result);
+    this.#advance(shardId, shard, result);
     return this.#send(shardId, shard);
   }
 
@@ -145,18 +151,25 @@
     shard.step = { kind: 'put', sequence, body: this.#source.createSnapshot(shardId) };
   }
 
-  static #advance(shard: ShardSnapshots, result: PlatformResult): void {
+  #advance(shardId: ShardId, shard: ShardSnapshots, result: PlatformResult): void {
     const { step } = shard;
     if (step.kind === 'put') shard.step = { kind: 'setHead', sequence: step.sequence };
     if (step.kind === 'setHead') {
       shard.headSequence = step.sequence;
       shard.headVersion = Snapshots.#getHeadVersion(result) ?? shard.headVersion + 1;
+      shard.formerName = shard.headName;
+      shard.headName = getSnapshotName(shardId, step.sequence, this.#writerId);
       shard.step = { kind: 'trim' };
     }
+    if (step.kind === 'drop') {
+      shard.formerName = '';
+      shard.step = { kind: 'idle' };
+    }
     if (step.kind !== 'trim') return;
     const trimmed = new Set(Snapshots.#getTrimmable(shard));
     shard.kept = shard.kept.filter((sequence) => !trimmed.has(sequence));
-    if (Snapshots.#getTrimmable(shard).length === 0) shard.step = { kind: 'idle' };
+    if (Snapshots.#getTrimmable(shard).length > 0) return;
+    shard.step = { kind: shard.formerName === '' ? 'idle' : 'drop' };
   }
 
   static #getTrimmable(shard: ShardSnapshots): readonly number[] {
@@ -191,6 +204,11 @@
       }
       case 'setHead':
         return [this.#createSetHead(shardId, shard, step.sequence, fence)];
+      case 'drop': {
+        const call = { kind: 'deleteObject', name: shard.formerName } as const;
+        const origin = { kind: 'journalDropSnapshot', ...common } as const;
+        return [{ kind: 'callPlatform', origin, call }];
+      }
       default:
         return [this.#createTrim(shardId, shard, fence)];
     }
--- a/src/journal/types.ts
+++ b/src/journal/types.ts
@@ -9,6 +9,7 @@
   | { readonly kind: 'journalTrim'; readonly shardId: ShardId; readonly generation: number }
   | { readonly kind: 'journalPutSnapshot'; readonly shardId: ShardId; readonly generation: number }
   | { readonly kind: 'journalSetHead'; readonly shardId: ShardId; readonly generation: number }
+  | { readonly kind: 'journalDropSnapshot'; readonly shardId: ShardId; readonly generation: number }
   | { readonly kind: 'journalReadHead'; readonly shardId: ShardId; readonly generation: number }
   | { readonly kind: 'journalReadSnapshot'; readonly shardId: ShardId; readonly generation: number }
   | { readonly kind: 'journalReadRows'; readonly shardId: ShardId; readonly generation: number };
@@ -53,6 +54,8 @@
   readonly lastSequence: number;
   /** Rows at or below this sequence may be deleted. */
   readonly headSequence: number;
+  /** Object that the head row names; empty for none. */
+  readonly headSnapshotName: string;
   /** Version of the head row, for the next change of it. */
   readonly headVersion: number;
   /** Sequences of rows that are kept in the table. */
--- a/src/scheduler/capacities.ts
+++ b/src/scheduler/capacities.ts
@@ -20,6 +20,9 @@
 
   #byShard = new Map<ShardId, Target[]>();
 
+  /** How many tasks of a demand the empty cluster holds, by the demand as text. */
+  #roomByDemand = new Map<string, number>();
+
   /** @param pool - the targets as the platform lists them */
   constructor(pool: TargetPool) {
     this.#pool = pool;
@@ -28,6 +31,7 @@
   /** Takes in a new list. */
   update(): void {
     this.#byShard.clear();
+    this.#roomByDemand.clear();
     this.#pool.targets.forEach((target) => {
       const known = this.#byShard.get(target.shardId);
       if (known === undefined) this.#byShard.set(target.shardId, [target]);
@@ -63,12 +67,19 @@
    */
   isPlaceable(demand: ResourceVector, taskCount: number): boolean {
     if (this.#byShard.size === 0) return true;
+    const key = JSON.stringify(demand);
+    const room = this.#roomByDemand.get(key) ?? this.#countRoom(demand);
+    this.#roomByDemand.set(key, room);
+    return room >= taskCount;
+  }
+
+  #countRoom(demand: ResourceVector): number {
     let room = 0;
     this.#byShard.forEach((targets) => {
       targets.forEach((target) => {
         room += countFitting(demand, target.capacity);
       });
     });
-    return room >= taskCount;
+    return room;
   }
 }
--- a/src/scheduler/core.ts
+++ b/src/scheduler/core.ts
@@ -191,6 +191,7 @@
         return this.#fromEscrow(nowMs, this.#escrow.applyResult(nowMs, origin, result));
       case 'journalWrite':
       case 'journalTrim':
+      case 'journalDropSnapshot':
       case 'journalPutSnapshot':
       case 'journalSetHead':
       case 'journalReadHead':
--- a/standins/platformStore.ts
+++ b/standins/platformStore.ts
@@ -56,6 +56,11 @@
     return this.#faults;
   }
 
+  /** Names of the objects kept. */
+  get objectNames(): readonly string[] {
+    return [...this.#objects.keys()];
+  }
+
   /** Calls so far. */
   get counts(): PlatformCounts {
     return {
--- a/tests/journal.test.ts
+++ b/tests/journal.test.ts
@@ -178,13 +178,15 @@
   test('stays short behind snapshots and reads back whole after a crash at each step', () => {
     const store = new PlatformStore();
     const writer = new Writer('w0', store);
-    for (let entry = 1; entry <= SNAPSHOT_ROWS + 100; entry += 1) {
+    for (let entry = 1; entry <= 2 * SNAPSHOT_ROWS + 100; entry += 1) {
       writer.append(entry);
       writer.settle(entry % 7 !== 0);
       const content = Writer.readBack(store);
       const state = [...(JSON.parse(content.snapshot ?? '[]') as number[]), ...content.entries];
       expect(new Set(state).size).toBeGreaterThanOrEqual(writer.released.length);
     }
-    expect(Writer.readBack(store).keptSequences.length).toBeLessThan(SNAPSHOT_ROWS);
+    const { keptSequences, headSnapshotName } = Writer.readBack(store);
+    expect(keptSequences.length).toBeLessThan(SNAPSHOT_ROWS);
+    expect(store.objectNames).toEqual([headSnapshotName]);
   });
 });
