--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,10 +6,20 @@
 import { configuration } from './configuration';
 import { datacentre } from './datacentre';
 import { decision } from './decision';
+import { durability } from './durability';
 import { footprint } from './footprint';
+import { recovery } from './recovery';
 import type { Bench, Figure } from './types';
 
-const BENCHES: readonly Bench[] = [capacity, configuration, datacentre, decision, footprint];
+const BENCHES: readonly Bench[] = [
+  capacity,
+  configuration,
+  datacentre,
+  decision,
+  durability,
+  footprint,
+  recovery,
+];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
   if (isJson) {
