--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -60,10 +60,16 @@
   return createOutput(result.value, render(result.value));
 }
 
-/** Repeats a call whose outcome is unknown; its operation id keeps the effect single. */
+/** A gate passes each try on to another scheduler, so one that has died is worth a repeat. */
+function isWorthRepeating(result: CliResult): boolean {
+  if (result.kind === 'unknown') return true;
+  return result.kind === 'refused' && result.code === Diagnostics.noOwner.code;
+}
+
+/** Repeats a call that may succeed elsewhere; its operation id keeps the effect single. */
 async function callOnce(gate: GateApi, call: CliCall): Promise<CliResult> {
   let result = await gate.call(call);
-  for (let attempt = 1; attempt < MAX_ATTEMPTS && result.kind === 'unknown'; attempt += 1) {
+  for (let attempt = 1; attempt < MAX_ATTEMPTS && isWorthRepeating(result); attempt += 1) {
     result = await gate.call(call);
   }
   return result;
