--- a/tests/config.property.test.ts
+++ b/tests/config.property.test.ts
@@ -1,4 +1,4 @@
-/** Promises 3, 4, 6 and 12 over interleavings of operators' changes and faults. */
+/** Promises 3, 4, 6, 10 and 12 over interleavings of operators' changes and faults. */
 
 import * as fc from 'fast-check';
 import type { ConfigChange } from '../src/config/types';
@@ -20,6 +20,7 @@
   | { readonly kind: 'pause'; readonly index: number; readonly durationMs: number }
   | { readonly kind: 'link'; readonly index: number; readonly isCut: boolean }
   | { readonly kind: 'platform'; readonly isDown: boolean; readonly delayMs: number }
+  | { readonly kind: 'leave'; readonly address: string }
   | {
       readonly kind: 'gateLink';
       readonly gate: number;
@@ -81,6 +82,13 @@
       delayMs: fc.constantFrom(0, 0, 300, 1_200),
     }),
   },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('leave'),
+      address: fc.constantFrom('target-rotterdam-0', 'target-rotterdam-2', 'target-delft-1'),
+    }),
+  },
   {
     weight: 2,
     arbitrary: fc.record({
@@ -148,6 +156,9 @@
     case 'link':
       world.setPeerCut(step.index, (step.index + 1) % MEMBER_COUNT, step.isCut);
       return;
+    case 'leave':
+      config.leave(step.address);
+      return;
     case 'gateLink': {
       const link = `${step.gate}/${step.index}`;
       if (step.isCut) config.gates.cuts.add(link);
