--- a/src/gate/main.ts
+++ b/src/gate/main.ts
@@ -17,6 +17,8 @@
 const TICK_MS = 100;
 const INSTANCE_BYTES = 6;
 const EXIT_BAD_SETTINGS = 2;
+/** Callers' bodies together; further requests are refused until some are answered. */
+const MAX_BUFFERED_BYTES = 16_777_216;
 /** The balancer sees the failing health page before new connections are refused. */
 const BALANCER_NOTICE_MS = 2_000;
 
@@ -31,7 +33,9 @@
     logger,
     metrics: new Metrics(),
   });
-  const listener = new HttpListener(shell, settings);
+  const { maxBodyBytes, bodyTimeoutMs } = settings;
+  const limits = { maxBodyBytes, bodyTimeoutMs, maxBufferedBytes: MAX_BUFFERED_BYTES };
+  const listener = new HttpListener(shell, limits);
   await listener.listen(settings.listen.host, settings.listen.port);
   logger.info({ instance }, 'started');
   let drainStartMs = Number.POSITIVE_INFINITY;
--- /dev/null
+++ b/src/rpc/bodyBuffer.ts
@@ -0,0 +1,88 @@
+/** Reads whole bodies within a size each, a time each, and a size of all together. */
+
+import type { IncomingMessage } from 'node:http';
+import { createDiagnostic } from '../types/diagnostics';
+import type { Diagnostic } from '../types/diagnostics';
+import { fail, ok } from '../types/outcomes';
+import type { Result } from '../types/outcomes';
+import type { ListenerLimits } from './httpListener';
+
+/** Bodies of the requests that are not answered yet. */
+export class BodyBuffer {
+  #limits: ListenerLimits;
+
+  #sizesBytes = new Map<IncomingMessage, number>();
+
+  #totalBytes = 0;
+
+  /**
+   * @param limits - of each body and of all together
+   */
+  constructor(limits: ListenerLimits) {
+    this.#limits = limits;
+  }
+
+  /** Bytes of all bodies. */
+  get totalBytes(): number {
+    return this.#totalBytes;
+  }
+
+  /**
+   * Reads a body.
+   * @param message - the request
+   * @returns the whole body, or why it was given up
+   */
+  read(message: IncomingMessage): Promise<Result<Buffer>> {
+    return new Promise((resolve) => {
+      let chunks: Buffer[] = [];
+      let timer: NodeJS.Timeout | undefined;
+      const finish = (result: Result<Buffer>) => {
+        clearTimeout(timer);
+        message.removeAllListeners('data');
+        if (result.kind === 'error') {
+          chunks = [];
+          this.release(message);
+          message.pause();
+        }
+        resolve(result);
+      };
+      timer = setTimeout(
+        () => finish(fail(createDiagnostic('bodyTimeout'))),
+        this.#limits.bodyTimeoutMs,
+      );
+      const early = this.#getRefusal(Number(message.headers['content-length'] ?? 0));
+      if (early !== undefined) {
+        finish(fail(early));
+        return;
+      }
+      message.on('data', (chunk: Buffer) => {
+        const sizeBytes = (this.#sizesBytes.get(message) ?? 0) + chunk.length;
+        this.#sizesBytes.set(message, sizeBytes);
+        this.#totalBytes += chunk.length;
+        const refusal = this.#getRefusal(sizeBytes);
+        if (refusal !== undefined) finish(fail(refusal));
+        else chunks.push(chunk);
+      });
+      message.on('end', () => finish(ok(Buffer.concat(chunks))));
+      message.on('error', () => finish(fail(createDiagnostic('bodyTimeout'))));
+      message.on('close', () => finish(fail(createDiagnostic('bodyTimeout'))));
+    });
+  }
+
+  /**
+   * Forgets the body of a request that is answered.
+   * @param message - the request
+   */
+  release(message: IncomingMessage): void {
+    this.#totalBytes -= this.#sizesBytes.get(message) ?? 0;
+    this.#sizesBytes.delete(message);
+  }
+
+  #getRefusal(sizeBytes: number): Diagnostic | undefined {
+    const { maxBodyBytes, maxBufferedBytes = Number.POSITIVE_INFINITY } = this.#limits;
+    if (sizeBytes > maxBodyBytes) {
+      return createDiagnostic('bodyTooLarge', `${maxBodyBytes} bytes`);
+    }
+    return this.#totalBytes > maxBufferedBytes ? createDiagnostic('overloaded') : undefined;
+  }
+}
--- a/src/rpc/httpListener.ts
+++ b/src/rpc/httpListener.ts
@@ -5,8 +5,7 @@
 import type { AddressInfo } from 'node:net';
 import { createDiagnostic } from '../types/diagnostics';
 import type { Diagnostic } from '../types/diagnostics';
-import { fail, ok } from '../types/outcomes';
-import type { Result } from '../types/outcomes';
+import { BodyBuffer } from './bodyBuffer';
 
 const MAX_HEADER_BYTES = 16_384;
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -35,6 +34,8 @@
 export interface ListenerLimits {
   readonly maxBodyBytes: number;
   readonly bodyTimeoutMs: number;
+  /** Bodies of all requests that are not answered yet, without a limit when left out. */
+  readonly maxBufferedBytes?: number;
 }
 
 /** Answers requests, also those whose body never became whole. */
@@ -43,31 +44,6 @@
   refuse(diagnostic: Diagnostic): HttpResponse;
 }
 
-function readBody(message: IncomingMessage, limits: ListenerLimits): Promise<Result<Buffer>> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    const timer = setTimeout(() => {
-      resolve(fail(createDiagnostic('bodyTimeout')));
-    }, limits.bodyTimeoutMs);
-    const finish = (result: Result<Buffer>) => {
-      clearTimeout(timer);
-      resolve(result);
-    };
-    message.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > limits.maxBodyBytes) {
-        finish(fail(createDiagnostic('bodyTooLarge', `${limits.maxBodyBytes} bytes`)));
-        return;
-      }
-      chunks.push(chunk);
-    });
-    message.on('end', () => finish(ok(Buffer.concat(chunks))));
-    message.on('error', () => finish(fail(createDiagnostic('bodyTimeout'))));
-    message.on('close', () => finish(fail(createDiagnostic('bodyTimeout'))));
-  });
-}
-
 function send(response: ServerResponse, answer: HttpResponse, isClosing: boolean): void {
   if (response.destroyed || response.writableEnded) return;
   const body = typeof answer.body === 'string' ? Buffer.from(answer.body) : answer.body;
@@ -84,7 +60,7 @@
 export class HttpListener {
   #handler: HttpHandler;
 
-  #limits: ListenerLimits;
+  #bodies: BodyBuffer;
 
   #server: Server;
 
@@ -98,7 +74,7 @@
    */
   constructor(handler: HttpHandler, limits: ListenerLimits) {
     this.#handler = handler;
-    this.#limits = limits;
+    this.#bodies = new BodyBuffer(limits);
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
@@ -120,6 +96,11 @@
     return this.#openCount;
   }
 
+  /** Bytes of the bodies of requests that are not answered yet. */
+  get bufferedBytes(): number {
+    return this.#bodies.totalBytes;
+  }
+
   /**
    * Starts to listen.
    * @param host - IP number
@@ -151,15 +132,17 @@
   async #serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#openCount += 1;
     try {
-      send(response, await this.#getAnswer(message, response), this.#isClosing);
-      if (!message.complete) message.destroy();
+      const isWhole = message.complete;
+      send(response, await this.#getAnswer(message, response), this.#isClosing || !isWhole);
+      if (!message.complete) response.once('finish', () => message.destroy());
     } finally {
+      this.#bodies.release(message);
       this.#openCount -= 1;
     }
   }
 
   async #getAnswer(message: IncomingMessage, response: ServerResponse): Promise<HttpResponse> {
-    const body = await readBody(message, this.#limits);
+    const body = await this.#bodies.read(message);
     if (body.kind === 'error') return this.#handler.refuse(body.diagnostic);
     const gone = new AbortController();
     response.on('close', () => {
--- a/src/scheduler/main.ts
+++ b/src/scheduler/main.ts
@@ -23,6 +23,7 @@
 const EXIT_BAD_SETTINGS = 2;
 const MAX_BODY_BYTES = 4_194_304;
 const BODY_TIMEOUT_MS = 10_000;
+const MAX_BUFFERED_BYTES = 33_554_432;
 
 async function run(settings: SchedulerSettings): Promise<void> {
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
@@ -47,6 +48,7 @@
   const listener = new HttpListener(handler, {
     maxBodyBytes: MAX_BODY_BYTES,
     bodyTimeoutMs: BODY_TIMEOUT_MS,
+    maxBufferedBytes: MAX_BUFFERED_BYTES,
   });
   await listener.listen(settings.listen.host, settings.listen.port);
   logger.info({ memberId, address: settings.advertisedAddress }, 'started');
