--- a/src/lease/leaseKeeper.ts
+++ b/src/lease/leaseKeeper.ts
@@ -2,7 +2,7 @@
 
 import type { MemberRow, MemberView } from '../membership/types';
 import { MEMBER_PREFIX, MemberTable } from '../membership/memberTable';
-import type { PlatformResult, Row, Vm } from '../platform/types';
+import type { PlatformResult, Row, RowCheck, Vm } from '../platform/types';
 import { assertNever } from '../types/debug';
 import { toEpoch, toId } from '../types/ids';
 import type { Epoch, MemberId, OperationId, ShardId } from '../types/ids';
@@ -10,7 +10,13 @@
 import { RENEW_INTERVAL_MS, SCAN_INTERVAL_MS, STABLE_MS } from './constants';
 import { EvictionJudge } from './evictionJudge';
 import { Session } from './session';
-import { createEviction, createShardChange, isShardRow, SHARD_PREFIX } from './transactions';
+import {
+  createEviction,
+  createShardChange,
+  getShardKey,
+  isShardRow,
+  SHARD_PREFIX,
+} from './transactions';
 import type { ShardView } from './transactions';
 import type {
   EndedPromise,
@@ -56,6 +62,9 @@
 
   #scannedMs = Number.NEGATIVE_INFINITY;
 
+  /** The scan on which shards were last looked through for changes. */
+  #decidedScanMs = Number.NEGATIVE_INFINITY;
+
   #operationCount = 0;
 
   /**
@@ -102,7 +111,7 @@
    * @returns the end of its authority on this process's clock; negative infinity when not owned
    */
   getAuthorityUntilMs(shardId: ShardId): number {
-    return this.#owned.has(shardId) ? this.#session.getUntilMs() : Number.NEGATIVE_INFINITY;
+    return this.#owned.has(shardId) ? this.#session.untilMs : Number.NEGATIVE_INFINITY;
   }
 
   /**
@@ -114,6 +123,19 @@
     return this.#owned.get(shardId) ?? toEpoch(0);
   }
 
+  /**
+   * Gets the check that makes a write of a shard's owner fail once the shard has another owner.
+   * @param shardId - which shard
+   * @returns the shard's row at this member's acquisition, or undefined until it was scanned
+   */
+  tryGetFence(shardId: ShardId): RowCheck | undefined {
+    const view = this.#shards.get(shardId);
+    const epoch = this.#owned.get(shardId);
+    if (view === undefined || view.row.ownerId !== this.memberId) return undefined;
+    if (view.row.epoch !== epoch) return undefined;
+    return { key: getShardKey(shardId), version: view.rowVersion };
+  }
+
   /**
    * Promises another member not to evict it, if that can still be kept.
    * @param memberId - who asks with its heartbeat
@@ -331,6 +353,9 @@
         view.row.memberId !== this.memberId && this.#judge.canEvict(view, this.memberId, nowMs),
     );
     if (evictable !== undefined) return [this.#evict(evictable)];
+    // Nothing but a handover can become possible between two scans.
+    if (this.#decidedScanMs === this.#scannedMs && !context.isHandingOver) return [];
+    this.#decidedScanMs = this.#scannedMs;
     const released = this.#getReleasable(nowMs, context);
     if (released.length > 0) return this.#release(released);
     const wanted = context.isLeaving ? [] : this.#getAcquirable(context.shards);
@@ -420,4 +445,27 @@
     }));
     return createShardChange(changes, this.#createOperationId());
   }
+
+  /**
+   * Gets the state as plain data, for an operator.
+   * @returns times on this process's clock
+   */
+  dump() {
+    return {
+      session: this.#session.dump(),
+      judge: this.#judge.dump(),
+      members: this.#members.views,
+      membersScannedMs: this.#members.scannedMs,
+      shards: [...this.#shards.values()],
+      owned: [...this.#owned],
+      nextRenewMs: this.#nextRenewMs,
+      nextScanMs: this.#nextScanMs,
+      isRenewing: this.#isRenewing,
+      isScanning: this.#isScanning,
+      isChanging: this.#isChanging,
+      changedMs: this.#changedMs,
+      scannedMs: this.#scannedMs,
+      decidedScanMs: this.#decidedScanMs,
+    };
+  }
 }
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -3,7 +3,7 @@
 import type { TargetPool } from '../placement/targetPool';
 import type { TargetReport, TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import type { TargetId } from '../types/ids';
+import type { DataCentreId, TargetId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import { MAX_ATTEMPTS, MAX_WAITING_REQUESTS } from './constants';
 import { LingeringCharges } from './lingeringCharges';
@@ -15,6 +15,7 @@
 import { TargetChooser } from './targetChoice';
 import type { ChosenTarget } from './targetChoice';
 import type {
+  AdmissionCheck,
   ArrivedRequest,
   HomeGuard,
   RequestEffect,
@@ -30,8 +31,12 @@
 export interface RequestPorts {
   readonly pool: TargetPool;
   readonly guard: StartGuard;
+  /** The check of key and queue, again at the moment of each start. */
+  readonly admission: AdmissionCheck;
   readonly homes: HomeGuard;
   readonly memory: OutcomeMemory;
+  /** Where the callers are. */
+  readonly nearDataCentreId: DataCentreId;
   readonly teamOrder?: TeamOrder;
 }
 
@@ -57,6 +62,8 @@
 
   #budget = new RetryBudget();
 
+  #admission: AdmissionCheck;
+
   #open = new Map<number, OpenRequest>();
 
   #callIds = new Map<RequestKey, number>();
@@ -70,9 +77,10 @@
     this.#pool = ports.pool;
     this.#homes = ports.homes;
     this.#memory = ports.memory;
-    this.#chooser = new TargetChooser(ports.pool, ports.guard);
+    this.#chooser = new TargetChooser(ports);
     this.#waiting = new WaitingRoom(ports.teamOrder ?? EQUAL_TEAMS);
     this.#lingering = new LingeringCharges(ports.pool);
+    this.#admission = ports.admission;
   }
 
   /** Requests that wait for a target. */
@@ -281,6 +289,8 @@
   #tryStart(nowMs: number, request: OpenRequest): StartAttempt {
     const { call } = request.arrived;
     if (nowMs >= request.deadlineMs) return { kind: 'refused', reason: 'windowExpired' };
+    const admitted = this.#admission.checkAdmission(call.teamId, call.keyId, call.queueId);
+    if (typeof admitted === 'string') return { kind: 'refused', reason: admitted };
     const homeUntilMs = call.isIdempotent
       ? Number.POSITIVE_INFINITY
       : this.#homes.getHomeUntilMs(call.requestId);
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -4,8 +4,8 @@
 import type { Target } from '../placement/types';
 import type { RequestStart } from '../rpc/types';
 import type { TargetCall } from '../target/types';
-import type { Epoch, RequestId, TeamId } from '../types/ids';
-import type { RequestOutcome } from '../types/outcomes';
+import type { Epoch, KeyId, QueueId, RequestId, TeamId } from '../types/ids';
+import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 
 /** Which call a target's result belongs to. */
 export interface RequestOrigin {
@@ -42,6 +42,12 @@
    * @returns the permit, or undefined when nothing may start there now
    */
   tryGetPermit(target: Target, nowMs: number): StartPermit | undefined;
+  /**
+   * @param target - where work runs
+   * @param nowMs - this process's clock
+   * @returns the permit to speak to the target as its owner, or undefined without authority
+   */
+  tryGetOwnerPermit(target: Target, nowMs: number): StartPermit | undefined;
   /** @returns targets on which this scheduler may at all start work, best guess */
   getCandidates(): readonly Target[];
   /**
@@ -51,6 +57,17 @@
   getReplicas(serviceName: string): readonly Target[];
 }
 
+/** Checks key and queue of work against the configuration in force. */
+export interface AdmissionCheck {
+  /**
+   * @param teamId - whose work
+   * @param keyId - the key that came with it
+   * @param queueId - the queue it is for
+   * @returns the queue, or why the work may not start
+   */
+  checkAdmission(teamId: TeamId, keyId: KeyId, queueId: QueueId): Queue | NotRunReason;
+}
+
 /** Says for which non-idempotent ids this scheduler is the home. */
 export interface HomeGuard {
   /**
--- a/src/scheduler/types.ts
+++ b/src/scheduler/types.ts
@@ -1,27 +1,25 @@
 /** Events and effects of the scheduler's reducer. */
 
-import type { JobOrigin } from '../jobs/jobTable';
+import type { EscrowOrigin } from '../escrow/types';
+import type { JournalOrigin } from '../journal/types';
 import type { TaskOrigin } from '../jobs/taskRunner';
 import type { LeaseOrigin } from '../lease/types';
 import type { PlatformCall, PlatformResult } from '../platform/types';
 import type { RequestOrigin } from '../requests/types';
-import type { HeartbeatReply, RpcResult, SchedulerCall } from '../rpc/types';
+import type { HeartbeatReply, RpcResult, SchedulerCall, TaskAcknowledgement } from '../rpc/types';
 import type { TargetCall, TargetResult } from '../target/types';
+import type { ConfigPeerOrigin } from '../config/effects';
+import type { ConfigOrigin } from '../config/rows';
 import type { AcceptedConfig } from '../config/types';
 import type { Epoch, MemberId, ShardId, TargetId } from '../types/ids';
 
 /** Which platform call a result belongs to. */
 export type PlatformOrigin =
   | LeaseOrigin
-  | JobOrigin
-  | { readonly kind: 'configRead'; readonly sentMs: number }
-  | {
-      readonly kind: 'configWrite';
-      readonly sentMs: number;
-      readonly callId: number;
-      readonly config: AcceptedConfig;
-    }
-  | { readonly kind: 'vmList' };
+  | EscrowOrigin
+  | JournalOrigin
+  | ConfigOrigin
+  | { readonly kind: 'vmList'; readonly sentMs: number };
 
 /** Which target call a result belongs to. */
 export type TargetOrigin =
@@ -44,9 +42,11 @@
       readonly memberId: MemberId;
       /** Incarnation that sends it. */
       readonly sentById: MemberId;
+      readonly address: string;
       readonly sentMs: number;
     }
-  | { readonly kind: 'configFetch' }
+  | ConfigPeerOrigin
+  | { readonly kind: 'tellTasks' }
   | { readonly kind: 'oneWay' };
 
 /** Everything that can happen to a scheduler. Times are on the process's own clock. */
@@ -68,7 +68,7 @@
       readonly kind: 'peerReplied';
       readonly nowMs: number;
       readonly origin: PeerOrigin;
-      readonly result: RpcResult<HeartbeatReply | AcceptedConfig>;
+      readonly result: RpcResult<HeartbeatReply | AcceptedConfig | TaskAcknowledgement>;
     }
   | {
       readonly kind: 'called';
--- a/tests/requestGolden.test.ts
+++ b/tests/requestGolden.test.ts
@@ -163,8 +163,13 @@
 }
 
 function runTable(): readonly unknown[] {
-  const pool = new TargetPool({ getAllottedSlots: () => 10 });
+  const pool = new TargetPool({ getAllottedSlots: () => 10, noteShortage: () => undefined });
   pool.updateTargets([createTarget(0), createTarget(1)]);
+  const getQueue = (urgency: 'urgent' | 'normal') => ({
+    queueId: toId<never>('team-a'),
+    access: { kind: 'open' } as const,
+    urgency,
+  });
   let homeUntilMs = 1_000;
   const memory = new OutcomeMemory();
   memory.markTakenOver(getHomeShard(BOOKING_ID));
@@ -172,8 +177,11 @@
   const table = new RequestTable({
     pool,
     memory,
+    nearDataCentreId: toId('delft'),
+    admission: { checkAdmission: () => getQueue('normal') },
     homes: { getHomeUntilMs: () => homeUntilMs },
     guard: {
+      tryGetOwnerPermit: () => ({ epoch: toEpoch(3), untilMs: 5_000 }),
       tryGetPermit: () => ({ epoch: toEpoch(3), untilMs: 5_000 }),
       getCandidates: () => pool.targets,
       getReplicas: () => [],
@@ -181,11 +189,6 @@
   });
   const session: unknown[] = [];
   const record = (step: string, effects: readonly unknown[]) => session.push({ step, effects });
-  const getQueue = (urgency: 'urgent' | 'normal') => ({
-    queueId: toId<never>('team-a'),
-    access: { kind: 'open' } as const,
-    urgency,
-  });
   const start = (
     nowMs: number,
     callId: number,
