--- /dev/null
+++ b/tests/plannedStop.test.ts
@@ -0,0 +1,75 @@
+/** Real processes under load: SIGTERM to a gate and to a scheduler cuts and doubles nothing. */
+
+import { execFileSync } from 'node:child_process';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Deployment } from '../demo/deployment';
+import { Load } from '../demo/load';
+import { createDemoSheet, Operator, OPERATOR_TOKEN } from '../demo/operator';
+import { Metrics } from '../src/observe/metrics';
+
+const TEAMS = ['team-a', 'team-b'];
+const DATA_CENTRES = ['rotterdam', 'delft'];
+const TARGETS_PER_DATA_CENTRE = 6;
+const SLOTS = 8;
+
+test('a planned stop cuts no request and doubles none', async () => {
+  execFileSync(process.execPath, ['tools/build.mjs', '--quiet']);
+  const deployment = new Deployment({
+    basePort: 25_000,
+    memberCount: 3,
+    groups: DATA_CENTRES.map((dataCentreId) => ({
+      dataCentreId,
+      count: TARGETS_PER_DATA_CENTRE,
+      targetsPerRack: 6,
+    })),
+    capacity: {
+      cpuMillis: 64_000,
+      memoryMb: 131_072,
+      accelerators: 0,
+      slots: SLOTS,
+      connections: 64,
+    },
+    operatorToken: OPERATOR_TOKEN,
+  });
+  try {
+    await deployment.start();
+    const operator = new Operator(deployment);
+    await operator.applySheet(createDemoSheet(TEAMS, DATA_CENTRES));
+    await operator.waitForSlots(DATA_CENTRES.length * TARGETS_PER_DATA_CENTRE * SLOTS);
+    const [first = '', stopping = '', third = ''] = deployment.gateAddresses;
+    const metrics = new Metrics();
+    const plan = { teamIds: TEAMS, requestsPerSecond: 40, windowMs: 4_000, serviceMs: 300 };
+    const steady = new Load(
+      deployment.caller,
+      { ...plan, gateAddresses: [first, third], durationMs: 4_000 },
+      metrics,
+    ).run();
+    // The balancer stops sending within the time that the gate gives it.
+    const balanced = new Load(
+      deployment.caller,
+      { ...plan, gateAddresses: [stopping], durationMs: 2_000 },
+      metrics,
+    ).run();
+    await sleep(1_000);
+    deployment.signal('gate-1', 'SIGTERM');
+    deployment.signal('scheduler-2', 'SIGTERM');
+    const reports = await Promise.all([steady, balanced]);
+    const runs = (await deployment.post(
+      deployment.targetAddresses[0] ?? '',
+      '/control/runs',
+      null,
+    )) as readonly [string, number][];
+    const runCounts = new Map(runs);
+    const nonIdempotentIds = reports.flatMap((report) => report.nonIdempotentIds);
+    const notRunIds = reports.flatMap((report) => report.notRunIds);
+    const answeredIds = reports.flatMap((report) => report.answeredIds);
+    expect(reports.flatMap((report) => report.faults)).toEqual([]);
+    expect(nonIdempotentIds.filter((id) => (runCounts.get(id) ?? 0) > 1)).toEqual([]);
+    expect(notRunIds.filter((id) => runCounts.has(id))).toEqual([]);
+    // Whatever ran was answered.
+    expect(runs.filter(([id]) => !answeredIds.includes(id))).toEqual([]);
+    expect(answeredIds.length).toBeGreaterThan(100);
+  } finally {
+    await deployment.stop();
+  }
+}, 60_000);
--- a/tools/mutants.mjs
+++ b/tools/mutants.mjs
@@ -17,6 +17,7 @@
   'src',
   'standins',
   'tests',
+  'tools',
   'demo',
   'samples',
   'jest.config.json',
