Overload: an attempt that is given up keeps its slot until its answer comes

Cause: the overload benchmark showed that lost charges were held until a report asked half a second later, and at first for ever under load, as counts by team cannot tell which requests ended. Change: targets report the ids that run; a charge is given back when its id is gone; the answer to an attempt that was given up is awaited for 5 s more, for its slot alone.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,9 +7,17 @@
 import { datacentre } from './datacentre';
 import { decision } from './decision';
 import { footprint } from './footprint';
+import { overload } from './overload';
 import type { Bench, Figure } from './types';
 
-const BENCHES: readonly Bench[] = [capacity, configuration, datacentre, decision, footprint];
+const BENCHES: readonly Bench[] = [
+  capacity,
+  configuration,
+  datacentre,
+  decision,
+  footprint,
+  overload,
+];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
   if (isJson) {
--- a/src/requests/constants.ts
+++ b/src/requests/constants.ts
@@ -31,5 +31,8 @@
 /** Attempts at targets for one request. */
 export const MAX_ATTEMPTS = 3;
 
+/** How long the answer to an attempt that was given up is still awaited, for its slot alone. */
+export const LATE_ANSWER_MS = 5_000;
+
 /** Requests that wait in one scheduler at most. */
 export const MAX_WAITING_REQUESTS = 2_000;
--- a/src/requests/openRequest.ts
+++ b/src/requests/openRequest.ts
@@ -1,6 +1,7 @@
 /** A request that is not answered yet, and the call to a target that it becomes. */
 
 import { assertNever } from '../types/debug';
+import { LATE_ANSWER_MS } from './constants';
 import type { TargetId } from '../types/ids';
 import type { NotRunReason } from '../types/outcomes';
 import type { ChosenTarget, TargetChoice } from './targetChoice';
@@ -15,6 +16,9 @@
   /** Where the current attempt runs, undefined between attempts. */
   running: ChosenTarget | undefined;
 
+  /** When the current attempt is given up. */
+  attemptEndMs = Number.POSITIVE_INFINITY;
+
   /** An attempt was lost, so that "not run" can no longer be said. */
   mayHaveRun = false;
 
@@ -85,6 +89,7 @@
 ): RequestEffect {
   const { call, callId } = request.arrived;
   const timeoutMs = Math.max(1, Math.min(request.deadlineMs - nowMs, limits.attemptMs));
+  request.attemptEndMs = nowMs + timeoutMs;
   return {
     kind: 'callTarget',
     origin: { kind: 'request', callId, attempt: request.attempt },
@@ -98,7 +103,7 @@
       contentType: call.contentType,
       bodyBase64: call.bodyBase64,
     },
-    timeoutMs,
+    timeoutMs: timeoutMs + LATE_ANSWER_MS,
     notAfterMs: Math.min(permit.untilMs, request.deadlineMs, limits.homeUntilMs),
   };
 }
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -1,9 +1,10 @@
 /** Admits, queues, starts, retries and answers the requests of one scheduler. */
 
 import type { TargetPool } from '../placement/targetPool';
+import type { Charge } from '../placement/types';
 import type { TargetReport, TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import type { DataCentreId, TargetId } from '../types/ids';
+import type { DataCentreId, RequestId, TargetId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
 import { MAX_ATTEMPTS, MAX_WAITING_REQUESTS } from './constants';
 import { LingeringCharges } from './lingeringCharges';
@@ -46,6 +47,15 @@
   | { readonly kind: 'full' }
   | { readonly kind: 'refused'; readonly reason: NotRunReason };
 
+interface AbandonedAttempt {
+  readonly requestId: RequestId;
+  readonly charge: Charge;
+}
+
+function getAttemptKey(callId: number, attempt: number): string {
+  return `${callId}/${attempt}`;
+}
+
 /** The request reducer of one scheduler. */
 export class RequestTable {
   #homes: HomeGuard;
@@ -66,6 +76,9 @@
 
   #open = new Map<number, OpenRequest>();
 
+  /** Attempts that were given up and still hold their slot, by call and attempt. */
+  #abandoned = new Map<string, AbandonedAttempt>();
+
   #callIds = new Map<RequestKey, number>();
 
   #callIdsByCancelId = new Map<string, number>();
@@ -142,17 +155,52 @@
     result: TargetResult,
   ): readonly RequestEffect[] {
     const request = this.#open.get(origin.callId);
-    if (request === undefined || request.attempt !== origin.attempt) {
-      return [{ kind: 'count', name: 'late_target_answers' }];
+    const running = request?.attempt === origin.attempt ? request.running : undefined;
+    if (request === undefined || running === undefined) {
+      return this.#applyLateResult(nowMs, origin, result);
     }
-    const { running } = request;
-    if (running !== undefined) this.#endAttempt(nowMs, request, running, result);
+    this.#endAttempt(nowMs, request, running, result);
     return [
-      ...this.#settle(nowMs, request, running?.target.targetId, result),
+      ...this.#settle(nowMs, request, running.target.targetId, result),
       ...this.startWaiting(nowMs),
     ];
   }
 
+  /** The answer to an attempt that was given up frees its slot and goes to nobody. */
+  #applyLateResult(
+    nowMs: number,
+    { callId, attempt }: RequestOrigin,
+    result: TargetResult,
+  ): readonly RequestEffect[] {
+    const key = getAttemptKey(callId, attempt);
+    const abandoned = this.#abandoned.get(key);
+    this.#abandoned.delete(key);
+    if (abandoned !== undefined) this.#freeCharge(nowMs, abandoned, result);
+    return [{ kind: 'count', name: 'late_target_answers' }, ...this.startWaiting(nowMs)];
+  }
+
+  /** What was lost may still run and take its slot. */
+  #freeCharge(nowMs: number, { requestId, charge }: AbandonedAttempt, result: TargetResult): void {
+    if (result.kind === 'lost') this.#lingering.add(nowMs, requestId, charge);
+    else this.#pool.release(charge);
+  }
+
+  #giveUpAttempts(nowMs: number): readonly RequestEffect[] {
+    const overdue = [...this.#open.values()].filter((request) => nowMs >= request.attemptEndMs);
+    return overdue.flatMap((request) => {
+      const { running, attempt } = request;
+      request.attemptEndMs = Number.POSITIVE_INFINITY;
+      if (running === undefined) return [];
+      const { callId, call } = request.arrived;
+      const { requestId, serviceName } = call;
+      this.#abandoned.set(getAttemptKey(callId, attempt), { requestId, charge: running.charge });
+      request.running = undefined;
+      this.#waiting.recordEnd(serviceName);
+      const lost = { kind: 'lost', detail: 'timeout' } as const;
+      return this.#settle(nowMs, request, running.target.targetId, lost);
+    });
+  }
+
   /**
    * Takes in what a target reports to be running, so that lost requests that ended are given back.
    * @param nowMs - this process's clock
@@ -180,7 +228,7 @@
       const request = this.#open.get(callId);
       return request === undefined ? [] : [this.#finishRefused(nowMs, request, 'windowExpired')];
     });
-    return [...expired, ...this.startWaiting(nowMs)];
+    return [...expired, ...this.#giveUpAttempts(nowMs), ...this.startWaiting(nowMs)];
   }
 
   /**
@@ -239,14 +287,13 @@
     running: ChosenTarget,
     result: TargetResult,
   ): void {
-    const { serviceName } = request.arrived.call;
+    const { serviceName, requestId } = request.arrived.call;
     request.running = undefined;
+    request.attemptEndMs = Number.POSITIVE_INFINITY;
     this.#waiting.recordEnd(serviceName);
     if (result.kind === 'answer')
       this.#waiting.times.record(serviceName, nowMs - request.startedMs);
-    // What was lost may still run and take its slot.
-    if (result.kind === 'lost') this.#lingering.add(nowMs, running.charge);
-    else this.#pool.release(running.charge);
+    this.#freeCharge(nowMs, { requestId, charge: running.charge }, result);
   }
 
   #settle(
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -27,6 +27,8 @@
   readonly highestEpoch: Epoch;
   readonly leaving: boolean;
   readonly requestsRunning: number;
+  /** Requests running, so that an owner knows which of its lost ones have ended. */
+  readonly requestIds: readonly RequestId[];
   /** Requests running by team, for a successor's accounts. */
   readonly requestsByTeam: readonly { readonly teamId: TeamId; readonly requestCount: number }[];
   readonly tasks: readonly TaskReport[];
--- a/standins/targetMain.ts
+++ b/standins/targetMain.ts
@@ -29,11 +29,11 @@
 }
 
 async function serveRequest(target: TargetModel, call: RequestCall): Promise<TargetResult> {
-  const refusal = target.tryBeginRequest(call.token, call.teamId, Date.now());
+  const refusal = target.tryBeginRequest(call.token, call.teamId, Date.now(), call.requestId);
   if (refusal !== undefined) return refusal;
   runCountsById.set(call.requestId, (runCountsById.get(call.requestId) ?? 0) + 1);
   await sleep(parseBody(call.bodyBase64).serviceMs ?? DEFAULT_SERVICE_MS);
-  target.endRequest(call.teamId);
+  target.endRequest(call.teamId, call.requestId);
   const isFailing = target.faults.isFailingEverything;
   return {
     kind: 'answer',
--- a/standins/targetModel.ts
+++ b/standins/targetModel.ts
@@ -9,7 +9,7 @@
 } from '../src/target/types';
 import { assertNever } from '../src/types/debug';
 import { toEpoch } from '../src/types/ids';
-import type { Epoch, TaskId, TeamId } from '../src/types/ids';
+import type { Epoch, RequestId, TaskId, TeamId } from '../src/types/ids';
 import { addResources, isFitting, NO_RESOURCES } from '../src/types/resources';
 import type { ResourceVector } from '../src/types/resources';
 
@@ -72,6 +72,8 @@
 
   #requestCount = 0;
 
+  #requestIds: RequestId[] = [];
+
   #violations: TargetViolation[] = [];
 
   #startedCount = 0;
@@ -169,12 +171,19 @@
    * @param token - proof of ownership
    * @param teamId - whose request it is
    * @param nowMs - the target's clock
+   * @param requestId - which request
    * @returns undefined when it may run, else the refusal
    */
-  tryBeginRequest(token: FencingToken, teamId: TeamId, nowMs: number): TargetResult | undefined {
+  tryBeginRequest(
+    token: FencingToken,
+    teamId: TeamId,
+    nowMs: number,
+    requestId: RequestId,
+  ): TargetResult | undefined {
     if (this.isStale(token)) return this.#refuse('stale epoch');
     this.#advance(nowMs);
     this.#requestCount += 1;
+    this.#requestIds.push(requestId);
     this.#startedCount += 1;
     this.#requestsByTeam.set(teamId, (this.#requestsByTeam.get(teamId) ?? 0) + 1);
     this.#checkCapacity(nowMs);
@@ -184,8 +193,10 @@
   /**
    * Gives back a request's slot and connection.
    * @param teamId - whose request it was
+   * @param requestId - which
    */
-  endRequest(teamId: TeamId): void {
+  endRequest(teamId: TeamId, requestId: RequestId): void {
+    this.#requestIds.splice(this.#requestIds.indexOf(requestId), 1);
     this.#requestCount -= 1;
     this.#requestsByTeam.set(teamId, (this.#requestsByTeam.get(teamId) ?? 1) - 1);
   }
@@ -235,6 +246,7 @@
       highestEpoch: this.#highestEpoch,
       leaving: this.#faults.isLeaving,
       requestsRunning: this.#requestCount,
+      requestIds: [...this.#requestIds],
       requestsByTeam: [...this.#requestsByTeam].map(([teamId, requestCount]) => ({
         teamId,
         requestCount,
