--- a/src/requests/serviceTimes.ts
+++ b/src/requests/serviceTimes.ts
@@ -2,6 +2,7 @@
 
 const GAIN = 1 / 8;
 const DEVIATION_GAIN = 1 / 4;
+const LIKELY_FACTOR = 4;
 const MIN_SAMPLES = 16;
 const DEVIATION_FACTOR = 8;
 const MIN_ATTEMPT_MS = 100;
@@ -43,6 +44,16 @@
     return this.#estimates.get(name)?.meanMs ?? 0;
   }
 
+  /**
+   * Gets the time within which nearly every request ends.
+   * @param name - the service
+   * @returns the time, 0 while nothing is known
+   */
+  getLikelyMs(name: string): number {
+    const known = this.#estimates.get(name);
+    return known === undefined ? 0 : known.meanMs + LIKELY_FACTOR * known.deviationMs;
+  }
+
   /**
    * Gets after how long an attempt that could be repeated should be given up.
    * @param name - the service
--- a/src/requests/waitingRoom.ts
+++ b/src/requests/waitingRoom.ts
@@ -127,7 +127,8 @@
     const aheadCount = this.#queues.get(call.serviceName)?.countAhead(queue.urgency) ?? 0;
     const runningCount = Math.max(1, this.#getRunningCount(call.serviceName));
     const expectedWaitMs = ((aheadCount + 1) * meanMs) / runningCount;
-    return nowMs + expectedWaitMs + meanMs <= request.deadlineMs;
+    const likelyMs = this.#times.getLikelyMs(call.serviceName);
+    return nowMs + expectedWaitMs + likelyMs <= request.deadlineMs;
   }
 
   /**
@@ -137,7 +138,7 @@
    * @returns true when it should be refused, not run
    */
   isPastHope(nowMs: number, request: OpenRequest): boolean {
-    return nowMs + this.#times.getMeanMs(request.arrived.call.serviceName) > request.deadlineMs;
+    return nowMs + this.#times.getLikelyMs(request.arrived.call.serviceName) > request.deadlineMs;
   }
 
   #getRunningCount(serviceName: string): number {
