--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,8 +6,11 @@
 import { configuration } from './configuration';
 import { datacentre } from './datacentre';
 import { decision } from './decision';
+import { durability } from './durability';
 import { footprint } from './footprint';
 import { overload } from './overload';
+import { plot } from './plot';
+import { recovery } from './recovery';
 import type { Bench, Figure } from './types';
 
 const BENCHES: readonly Bench[] = [
@@ -15,8 +18,11 @@
   configuration,
   datacentre,
   decision,
+  durability,
   footprint,
   overload,
+  plot,
+  recovery,
 ];
 
 function print(figures: readonly Figure[], isJson: boolean): void {
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -56,7 +56,10 @@
       readonly taskId: TaskId;
       readonly cpuFraction: number;
     }
+  /** Ends a task; it is reported until it is acknowledged, so that its last state is not lost. */
   | { readonly kind: 'stop'; readonly token: FencingToken; readonly taskId: TaskId }
+  /** Lets the target forget a task that has ended. */
+  | { readonly kind: 'acknowledge'; readonly token: FencingToken; readonly taskId: TaskId }
   | {
       readonly kind: 'request';
       readonly token: FencingToken;
@@ -91,7 +94,13 @@
    * @param address - `ip:port` of the target
    * @param call - what to do
    * @param timeoutMs - after this the call counts as lost
+   * @param isTooLate - asked again right before the first byte leaves; true voids the call
    * @returns the result; never rejects
    */
-  perform(address: string, call: TargetCall, timeoutMs: number): Promise<TargetResult>;
+  perform(
+    address: string,
+    call: TargetCall,
+    timeoutMs: number,
+    isTooLate: () => boolean,
+  ): Promise<TargetResult>;
 }
--- a/tests/answers.test.ts
+++ b/tests/answers.test.ts
@@ -101,7 +101,7 @@
     await withServer(2, cross, async (address, caller) => {
       const target = new HttpTarget(caller);
       const results = await Promise.all(
-        ['r1', 'r2'].map((id) => target.perform(address, createTargetCall(id), 2_000)),
+        ['r1', 'r2'].map((id) => target.perform(address, createTargetCall(id), 2_000, () => false)),
       );
       expect(results.map((result) => result.kind)).toEqual(['lost', 'lost']);
       expect(target.crossedAnswerCount).toBe(2);
@@ -131,7 +131,7 @@
     await withServer(bodies.length + 1, answerAll, async (address, caller) => {
       const target = new HttpTarget(caller);
       const calls = Array.from({ length: bodies.length + 1 }, () =>
-        target.perform(address, createTargetCall('r'), 2_000),
+        target.perform(address, createTargetCall('r'), 2_000, () => false),
       );
       const results = await Promise.all(calls);
       expect(results.map((result) => result.kind)).toEqual(calls.map(() => 'lost'));
@@ -158,7 +158,12 @@
   test('that never come leave a request sent once and lost', async () => {
     const hangUp = (exchanges: readonly Exchange[]) => exchanges[0]?.response.destroy();
     await withServer(1, hangUp, async (address, caller, server) => {
-      const result = await new HttpTarget(caller).perform(address, createTargetCall('r'), 2_000);
+      const result = await new HttpTarget(caller).perform(
+        address,
+        createTargetCall('r'),
+        2_000,
+        () => false,
+      );
       expect(result.kind).toBe('lost');
       expect(server.exchanges.length).toBe(1);
     });
