--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,7 @@
 import { decision } from './decision';
 import { durability } from './durability';
 import { footprint } from './footprint';
+import { overload } from './overload';
 import { packing } from './packing';
 import { plot } from './plot';
 import { recovery } from './recovery';
@@ -23,6 +24,7 @@
   decision,
   durability,
   footprint,
+  overload,
   packing,
   plot,
   recovery,
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -1,11 +1,12 @@
 /** Admits, queues, starts, retries and answers the requests of one scheduler. */
 
 import type { TargetPool } from '../placement/targetPool';
+import type { Charge } from '../placement/types';
 import type { TargetResult } from '../target/types';
 import { assertNever } from '../types/debug';
-import type { DataCentreId, TargetId, TeamId } from '../types/ids';
+import type { DataCentreId, TargetId } from '../types/ids';
 import type { NotRunReason, RequestOutcome } from '../types/outcomes';
-import { CALL_FLIGHT_MS, MAX_ATTEMPTS, MAX_WAITING_REQUESTS } from './constants';
+import { MAX_ATTEMPTS, MAX_WAITING_REQUESTS } from './constants';
 import { LingeringCharges } from './lingeringCharges';
 import { createTargetCall, getNotRunReason, OpenRequest } from './openRequest';
 import type { OutcomeMemory } from './outcomeMemory';
@@ -47,6 +48,15 @@
   | { readonly kind: 'full' }
   | { readonly kind: 'refused'; readonly reason: NotRunReason };
 
+interface AbandonedAttempt {
+  readonly key: RequestKey;
+  readonly charge: Charge;
+}
+
+function getAttemptKey(callId: number, attempt: number): string {
+  return `${callId}/${attempt}`;
+}
+
 /** The request reducer of one scheduler. */
 export class RequestTable {
   #homes: HomeGuard;
@@ -67,6 +77,9 @@
 
   #open = new Map<number, OpenRequest>();
 
+  /** Attempts that were given up and still hold their slot, by call and attempt. */
+  #abandoned = new Map<string, AbandonedAttempt>();
+
   #callIds = new Map<RequestKey, number>();
 
   #callIdsByCancelId = new Map<string, number>();
@@ -143,17 +156,52 @@
     result: TargetResult,
   ): readonly RequestEffect[] {
     const request = this.#open.get(origin.callId);
-    if (request === undefined || request.attempt !== origin.attempt) {
-      return [{ kind: 'count', name: 'late_target_answers' }];
+    const running = request?.attempt === origin.attempt ? request.running : undefined;
+    if (request === undefined || running === undefined) {
+      return this.#applyLateResult(nowMs, origin, result);
     }
-    const { running } = request;
-    if (running !== undefined) this.#endAttempt(nowMs, request, running, result);
+    this.#endAttempt(nowMs, request, running, result);
     return [
-      ...this.#settle(nowMs, request, running?.target.targetId, result),
+      ...this.#settle(nowMs, request, running.target.targetId, result),
       ...this.startWaiting(nowMs),
     ];
   }
 
+  /** The answer to an attempt that was given up frees its slot and goes to nobody. */
+  #applyLateResult(
+    nowMs: number,
+    { callId, attempt }: RequestOrigin,
+    result: TargetResult,
+  ): readonly RequestEffect[] {
+    const key = getAttemptKey(callId, attempt);
+    const abandoned = this.#abandoned.get(key);
+    this.#abandoned.delete(key);
+    if (abandoned !== undefined) this.#freeCharge(nowMs, abandoned, result);
+    return [{ kind: 'count', name: 'late_target_answers' }, ...this.startWaiting(nowMs)];
+  }
+
+  /** What was lost may still run and take its slot. */
+  #freeCharge(nowMs: number, { key, charge }: AbandonedAttempt, result: TargetResult): void {
+    if (result.kind === 'lost') this.#lingering.add(nowMs, key, charge);
+    else this.#pool.release(charge);
+  }
+
+  #giveUpAttempts(nowMs: number): readonly RequestEffect[] {
+    const overdue = [...this.#open.values()].filter((request) => nowMs >= request.attemptEndMs);
+    return overdue.flatMap((request) => {
+      const { running, attempt } = request;
+      request.attemptEndMs = Number.POSITIVE_INFINITY;
+      if (running === undefined) return [];
+      const { callId, call } = request.arrived;
+      const key = getRequestKey(call.teamId, call.requestId);
+      this.#abandoned.set(getAttemptKey(callId, attempt), { key, charge: running.charge });
+      request.running = undefined;
+      this.#waiting.recordEnd(call.serviceName);
+      const lost = { kind: 'lost', detail: 'timeout' } as const;
+      return this.#settle(nowMs, request, running.target.targetId, lost);
+    });
+  }
+
   /**
    * Takes in what a target reports to be running, so that lost requests that ended are given back.
    * @param nowMs - this process's clock
@@ -161,13 +209,11 @@
    * @returns what to do
    */
   applyReport(nowMs: number, owned: OwnedReport): readonly RequestEffect[] {
-    const { target, sentMs, isTakeover } = owned;
-    const countOwn = (teamId: TeamId) => this.#countRunning(target.targetId, teamId, sentMs);
-    if (isTakeover) {
-      this.#lingering.adopt(owned, countOwn);
+    if (owned.isTakeover) {
+      this.#lingering.adopt(owned, this.#getKeysOn(owned.target.targetId));
       return [];
     }
-    return this.#lingering.settle(owned, countOwn) ? this.startWaiting(nowMs) : [];
+    return this.#lingering.settle(owned) ? this.startWaiting(nowMs) : [];
   }
 
   /**
@@ -180,7 +226,7 @@
       const request = this.#open.get(callId);
       return request === undefined ? [] : [this.#finishRefused(nowMs, request, 'windowExpired')];
     });
-    return [...expired, ...this.startWaiting(nowMs)];
+    return [...expired, ...this.#giveUpAttempts(nowMs), ...this.startWaiting(nowMs)];
   }
 
   /**
@@ -192,14 +238,15 @@
     return this.#waiting.serviceNames.flatMap((name) => this.#startWaitingOf(nowMs, name));
   }
 
-  /** Counts requests that a target certainly had when it was asked for its report. */
-  #countRunning(targetId: TargetId, teamId: TeamId, sentMs: number): number {
-    return [...this.#open.values()].filter(
-      ({ running, startedMs }) =>
-        running?.charge.targetId === targetId &&
-        running.charge.teamId === teamId &&
-        startedMs < sentMs - CALL_FLIGHT_MS,
-    ).length;
+  /** Gets the requests that this owner has charged on a target, given up or not. */
+  #getKeysOn(targetId: TargetId): ReadonlySet<RequestKey> {
+    const abandoned = [...this.#abandoned.values()]
+      .filter(({ charge }) => charge.targetId === targetId)
+      .map(({ key }) => key);
+    const running = [...this.#open.values()]
+      .filter((request) => request.running?.charge.targetId === targetId)
+      .map(({ arrived: { call } }) => getRequestKey(call.teamId, call.requestId));
+    return new Set([...abandoned, ...running]);
   }
 
   #startWaitingOf(nowMs: number, serviceName: string): readonly RequestEffect[] {
@@ -249,14 +296,14 @@
     running: ChosenTarget,
     result: TargetResult,
   ): void {
-    const { serviceName } = request.arrived.call;
+    const { teamId, serviceName, requestId } = request.arrived.call;
     request.running = undefined;
+    request.attemptEndMs = Number.POSITIVE_INFINITY;
     this.#waiting.recordEnd(serviceName);
     if (result.kind === 'answer')
       this.#waiting.times.record(serviceName, nowMs - request.startedMs);
-    // What was lost may still run and take its slot.
-    if (result.kind === 'lost') this.#lingering.add(nowMs, running.charge);
-    else this.#pool.release(running.charge);
+    const key = getRequestKey(teamId, requestId);
+    this.#freeCharge(nowMs, { key, charge: running.charge }, result);
   }
 
   #settle(
--- a/src/target/types.ts
+++ b/src/target/types.ts
@@ -22,13 +22,18 @@
   readonly annotation: string;
 }
 
+/** A request that a target runs. */
+export interface RunningRequest {
+  readonly requestId: RequestId;
+  readonly teamId: TeamId;
+}
+
 /** What runs on a target, as the target says. */
 export interface TargetReport {
   readonly highestEpoch: Epoch;
   readonly leaving: boolean;
-  readonly requestsRunning: number;
-  /** Requests running by team, for a successor's accounts. */
-  readonly requestsByTeam: readonly { readonly teamId: TeamId; readonly requestCount: number }[];
+  /** Requests running, so that an owner knows which lost or foreign ones have ended. */
+  readonly requests: readonly RunningRequest[];
   readonly tasks: readonly TaskReport[];
 }
 
