--- a/bench/footprint.ts
+++ b/bench/footprint.ts
@@ -6,6 +6,7 @@
 import { Load } from '../demo/load';
 import { createDemoSheet, Operator, OPERATOR_TOKEN } from '../demo/operator';
 import { Metrics } from '../src/observe/metrics';
+import { readUse } from './processUse';
 import type { Bench, Figure } from './types';
 
 const MEMBER_COUNTS = [3, 6, 9];
@@ -17,31 +18,9 @@
 const MEASURE_MS = 15_000;
 const LOAD_REQUESTS_PER_SECOND = 200;
 const BASE_PORT = 22_000;
-const TICKS_PER_SECOND = 100;
 const KB = 1_024;
 const PROGRAMS = ['scheduler', 'gate'] as const;
 
-interface ProcessUse {
-  readonly residentMb: number;
-  /** Resident, with pages shared between processes divided among them. */
-  readonly proportionalMb: number;
-  readonly cpuMs: number;
-}
-
-function readUse(pid: number): ProcessUse {
-  const memory = readFileSync(`/proc/${pid}/smaps_rollup`, 'utf8');
-  const getMb = (field: string) =>
-    Number(new RegExp(`^${field}:\\s+(\\d+)`, 'm').exec(memory)?.[1] ?? 0) / KB;
-  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
-  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-  const ticks = Number(fields[11]) + Number(fields[12]);
-  return {
-    residentMb: getMb('Rss'),
-    proportionalMb: getMb('Pss'),
-    cpuMs: (ticks * 1_000) / TICKS_PER_SECOND,
-  };
-}
-
 /** Bytes over loopback so far, headers and acknowledgements included. */
 function readLoopbackBytes(): number {
   const line = readFileSync('/proc/net/dev', 'utf8').match(/^\s*lo:\s*(\d+)/m);
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,6 +13,7 @@
 import { packing } from './packing';
 import { plot } from './plot';
 import { recovery } from './recovery';
+import { request } from './request';
 import { share } from './share';
 import type { Bench, Figure } from './types';
 
@@ -28,6 +29,7 @@
   packing,
   plot,
   recovery,
+  request,
   share,
 ];
 
