Connections between processes stay open again

Ruled out: undici's agent by path (50 calls over 2 connections against a plain server). Change: the question is asked after the body was read; a test over one connection.

--- a/src/rpc/httpListener.ts
+++ b/src/rpc/httpListener.ts
@@ -132,9 +132,11 @@
   async #serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#openCount += 1;
     try {
+      const answer = await this.#getAnswer(message, response);
+      // Whether the body became whole is known only once it was read.
       const isWhole = message.complete;
-      send(response, await this.#getAnswer(message, response), this.#isClosing || !isWhole);
-      if (!message.complete) response.once('finish', () => message.destroy());
+      send(response, answer, this.#isClosing || !isWhole);
+      if (!isWhole) response.once('finish', () => message.destroy());
     } finally {
       this.#bodies.release(message);
       this.#openCount -= 1;
--- a/tests/httpCaller.test.ts
+++ b/tests/httpCaller.test.ts
@@ -1,5 +1,7 @@
 /** The HTTP caller's word on whether a call can have left. */
 
+import { Agent, request } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { HttpCaller } from '../src/rpc/httpCaller';
 import { HttpListener } from '../src/rpc/httpListener';
 
@@ -56,4 +58,25 @@
     await caller.close();
     expect(result).toMatchObject({ kind: 'notSent', isRefused: true });
   });
+
+  test('finds its connection kept open by a listener that read a whole body', async () => {
+    const listener = new HttpListener(
+      {
+        handle: async () => ({ status: 200, contentType: 'text/plain', body: 'ok' }),
+        refuse: () => ({ status: 400, contentType: 'text/plain', body: '' }),
+      },
+      LIMITS,
+    );
+    const port = await listener.listen('127.0.0.1', 0);
+    const agent = new Agent({ keepAlive: true });
+    const response = await new Promise<IncomingMessage>((resolve, reject) => {
+      const sent = request({ host: '127.0.0.1', port, method: 'POST', agent }, resolve);
+      sent.on('error', reject);
+      sent.end('a body');
+    });
+    response.resume();
+    expect(response.headers.connection).toBe('keep-alive');
+    agent.destroy();
+    listener.closeAll();
+  });
 });
