--- /dev/null
+++ b/tests/schemas.test.ts
@@ -0,0 +1,72 @@
+/** Every schema takes any JSON without throwing, and names what is wrong with it. */
+
+import * as fc from 'fast-check';
+import { tryParseGateSettings, tryParseSchedulerSettings } from '../src/config/settings';
+import { tryParseChange, tryParseSheet } from '../src/config/sheetSchema';
+import { tryParseJobSpec } from '../src/jobs/jobSchema';
+import { createSheet } from './support/sheets';
+
+const PARSERS = [
+  tryParseSheet,
+  tryParseChange,
+  tryParseJobSpec,
+  tryParseGateSettings,
+  tryParseSchedulerSettings,
+] as const;
+
+const JOB = {
+  jobId: 'plan',
+  queueId: 'team-a',
+  policy: { kind: 'batch', taskCount: 2 },
+  demand: { cpuMillis: 1, memoryMb: 1, accelerators: 0, slots: 1, connections: 0 },
+  expectedRunMs: 1,
+};
+
+/** Replaces one field, at any depth, by any value. */
+function damage(value: object, path: readonly number[], replacement: unknown): unknown {
+  const [step, ...rest] = path;
+  const keys = Object.keys(value);
+  const key = step === undefined ? undefined : keys[step % Math.max(1, keys.length)];
+  if (key === undefined) return replacement;
+  const field: unknown = Reflect.get(value, key);
+  const isObject = typeof field === 'object' && field !== null;
+  const next = isObject ? damage(field, rest, replacement) : replacement;
+  if (Array.isArray(value)) return Object.assign([...value], { [key]: next });
+  return { ...value, [key]: next };
+}
+
+function checkNamed(result: ReturnType<(typeof PARSERS)[number]>): void {
+  if (result.kind === 'ok') return;
+  expect(result.diagnostic.detail?.length).toBeGreaterThan(0);
+}
+
+describe('schemas', () => {
+  test('refuse any other JSON with a named mistake', () => {
+    fc.assert(
+      fc.property(fc.jsonValue(), (value) => {
+        PARSERS.forEach((tryParse) => {
+          const result = tryParse(value);
+          expect(result.kind).toBe('error');
+          checkNamed(result);
+        });
+      }),
+      { seed: 31, numRuns: 400 },
+    );
+  });
+
+  test('take a sheet and a job with one damaged field without throwing', () => {
+    const path = fc.array(fc.nat(20), { minLength: 1, maxLength: 5 });
+    fc.assert(
+      fc.property(path, fc.jsonValue(), (steps, replacement) => {
+        checkNamed(tryParseSheet(damage(createSheet(['team-a'], ['delft']), steps, replacement)));
+        checkNamed(tryParseJobSpec(damage(JOB, steps, replacement)));
+      }),
+      { seed: 32, numRuns: 600 },
+    );
+  });
+
+  test('refuse a field that they do not know', () => {
+    expect(tryParseJobSpec({ ...JOB, colour: 'red' })).toMatchObject({ kind: 'error' });
+    expect(tryParseJobSpec(JOB)).toMatchObject({ kind: 'ok' });
+  });
+});
