One JSON parse and one test capacity in place of copies

Cause: the read of the whole change: tryParseJson stood three times, the targets' capacity of the tests five times. Change: src/types/json.ts, TARGET_CAPACITY in tests/support/sheets.ts. Behaviour and assertions stay.

--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -1,5 +1,6 @@
 /** The command line's HTTP client for one gate. */
 
+import { tryParseJson } from '../types/json';
 import { HttpCaller } from '../rpc/httpCaller';
 import type { HttpResult } from '../rpc/httpCaller';
 import type { CliCall, CliResult, GateApi } from './types';
@@ -18,14 +19,6 @@
   return typeof value === 'object' && value !== null && 'code' in value && 'message' in value;
 }
 
-function tryParseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /**
  * Reads a gate's answer.
  * @param result - what came of the HTTP exchange
--- a/src/rpc/rpcClient.ts
+++ b/src/rpc/rpcClient.ts
@@ -1,6 +1,7 @@
 /** Calls another hemlockway process by JSON-RPC 2.0. */
 
 import { createJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0';
+import { tryParseJson } from '../types/json';
 import type { HttpCaller } from './httpCaller';
 import type { RpcResult, SchedulerCall } from './types';
 
@@ -9,14 +10,6 @@
 
 const MALFORMED_ANSWER_CODE = -32_700;
 
-function tryParseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /** Sends calls over a shared HTTP caller. */
 export class RpcClient {
   #caller: HttpCaller;
--- a/src/rpc/rpcServer.ts
+++ b/src/rpc/rpcServer.ts
@@ -2,6 +2,7 @@
 
 import { createJSONRPCErrorResponse, isJSONRPCRequest, JSONRPCServer } from 'json-rpc-2.0';
 import { Diagnostics } from '../types/diagnostics';
+import { tryParseJson } from '../types/json';
 import type { HttpHandler, HttpRequest, HttpResponse } from './httpListener';
 import { RPC_PATH } from './rpcClient';
 import type { SchedulerCall } from './types';
@@ -39,14 +40,6 @@
   return createJsonResponse(200, createJSONRPCErrorResponse(null, code, message));
 }
 
-function tryParseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /**
  * Builds the handler for a scheduler's listener.
  * @param answer - answers each typed call
--- a/tests/capacityWorld.test.ts
+++ b/tests/capacityWorld.test.ts
@@ -2,7 +2,7 @@
 
 import type { RequestStart } from '../src/rpc/types';
 import { toConfigVersion, toEpoch, toId } from '../src/types/ids';
-import { createSheet } from './support/sheets';
+import { createSheet, TARGET_CAPACITY } from './support/sheets';
 import { World } from './support/world';
 
 const DATA_CENTRES = ['rotterdam', 'delft'];
@@ -11,14 +11,6 @@
 /** From the acceptance of a lowered limit until nothing runs above it. */
 const LIMIT_IN_FORCE_MS = 9_000;
 
-const CAPACITY = {
-  cpuMillis: 64_000,
-  memoryMb: 131_072,
-  accelerators: 0,
-  slots: 8,
-  connections: 64,
-};
-
 function applyLimit(world: World, basedOn: number, limitSlots: number): void {
   const sheet = createSheet(['team-a'], DATA_CENTRES, { limitSlots });
   const change = {
@@ -37,7 +29,7 @@
     memberCount: 3,
     dataCentreIds: DATA_CENTRES,
     targetsPerDataCentre: 4,
-    capacity: CAPACITY,
+    capacity: TARGET_CAPACITY,
   });
   world.runFor(2_000);
   applyLimit(world, 0, limitSlots);
--- a/tests/lease.test.ts
+++ b/tests/lease.test.ts
@@ -5,16 +5,9 @@
 import type { RequestStart } from '../src/rpc/types';
 import { toConfigVersion, toId } from '../src/types/ids';
 import { drawFaults, scheduleFaults } from './support/faults';
-import { createSheet } from './support/sheets';
+import { createSheet, TARGET_CAPACITY } from './support/sheets';
 import { World } from './support/world';
 
-const CAPACITY = {
-  cpuMillis: 64_000,
-  memoryMb: 131_072,
-  accelerators: 0,
-  slots: 8,
-  connections: 64,
-};
 const DATA_CENTRES = ['rotterdam', 'delft'];
 const MEMBER_COUNT = 3;
 const TARGET_COUNT = 4;
@@ -107,7 +100,7 @@
     memberCount,
     dataCentreIds: DATA_CENTRES,
     targetsPerDataCentre: TARGET_COUNT / DATA_CENTRES.length,
-    capacity: CAPACITY,
+    capacity: TARGET_CAPACITY,
   });
   world.runFor(1_000);
   const sheet = createSheet(['team-a'], DATA_CENTRES);
@@ -194,7 +187,7 @@
           expect(watch.violations).toEqual([]);
           world.runFor(25_000);
           expect(watch.violations).toEqual([]);
-          expect(countFreeSlots(world)).toBe(TARGET_COUNT * CAPACITY.slots);
+          expect(countFreeSlots(world)).toBe(TARGET_COUNT * TARGET_CAPACITY.slots);
         },
       ),
       { seed: 11, numRuns: 6, endOnFailure: true },
@@ -238,7 +231,7 @@
     }
     world.store.setFaults({ isDown: false });
     world.runFor(5_000);
-    expect(countFreeSlots(world)).toBe(TARGET_COUNT * CAPACITY.slots);
+    expect(countFreeSlots(world)).toBe(TARGET_COUNT * TARGET_CAPACITY.slots);
     expect(watch.violations).toEqual([]);
   });
 
@@ -253,7 +246,7 @@
     expect(countFreeSlots(world)).toBe(0);
     world.store.setFaults({ isDown: false });
     world.runFor(10_000);
-    expect(countFreeSlots(world)).toBe(TARGET_COUNT * CAPACITY.slots);
+    expect(countFreeSlots(world)).toBe(TARGET_COUNT * TARGET_CAPACITY.slots);
     expect(watch.violations).toEqual([]);
   });
 
@@ -291,7 +284,7 @@
     world.runFor(5_000);
     expect(outcomes).toEqual(['answered']);
     expect(world.processes[0]?.core.isDrained).toBe(true);
-    expect(countFreeSlots(world)).toBe(TARGET_COUNT * CAPACITY.slots);
+    expect(countFreeSlots(world)).toBe(TARGET_COUNT * TARGET_CAPACITY.slots);
     expect(watch.violations).toEqual([]);
   });
 });
--- a/tests/scheduler.test.ts
+++ b/tests/scheduler.test.ts
@@ -3,16 +3,9 @@
 import type { RequestStart } from '../src/rpc/types';
 import { toConfigVersion, toId } from '../src/types/ids';
 import type { RequestOutcome } from '../src/types/outcomes';
-import { createSheet } from './support/sheets';
+import { createSheet, TARGET_CAPACITY } from './support/sheets';
 import { World } from './support/world';
 
-const CAPACITY = {
-  cpuMillis: 64_000,
-  memoryMb: 131_072,
-  accelerators: 0,
-  slots: 8,
-  connections: 64,
-};
 const DATA_CENTRES = ['rotterdam', 'delft'];
 
 function createWorld(seed: number): World {
@@ -21,7 +14,7 @@
     memberCount: 3,
     dataCentreIds: DATA_CENTRES,
     targetsPerDataCentre: 4,
-    capacity: CAPACITY,
+    capacity: TARGET_CAPACITY,
   });
   world.runFor(2_000);
   const sheet = createSheet(['team-a'], DATA_CENTRES);
--- a/tests/support/configWorld.ts
+++ b/tests/support/configWorld.ts
@@ -7,7 +7,7 @@
 import type { ConfigVersion } from '../../src/types/ids';
 import type { RequestOutcome, Result } from '../../src/types/outcomes';
 import { GATE_COUNT, GateLoop } from './gateLoop';
-import { createSheet } from './sheets';
+import { createSheet, TARGET_CAPACITY } from './sheets';
 import { World } from './world';
 
 export const TEAMS = ['team-a', 'team-b'];
@@ -15,13 +15,6 @@
 /** The pages' bound on a withdrawal and on a data centre taken out. */
 export const IN_FORCE_MS = 9_000;
 
-const CAPACITY = {
-  cpuMillis: 64_000,
-  memoryMb: 131_072,
-  accelerators: 0,
-  slots: 8,
-  connections: 64,
-};
 const PROBE_INTERVAL_MS = 400;
 const PROBES = TEAMS.flatMap((teamId) =>
   [...TEAMS, 'open'].map((queueId) => ({ teamId, keyId: `key-${teamId}`, queueId })),
@@ -69,7 +62,7 @@
       memberCount,
       dataCentreIds: DATA_CENTRES,
       targetsPerDataCentre: 3,
-      capacity: CAPACITY,
+      capacity: TARGET_CAPACITY,
     });
     this.world.onEvent = (process, event, effects) => {
       const dump = process.core.dump(this.world.nowMs);
--- a/tests/support/jobWorld.ts
+++ b/tests/support/jobWorld.ts
@@ -5,19 +5,12 @@
 import { toConfigVersion, toId } from '../../src/types/ids';
 import type { JobId } from '../../src/types/ids';
 import type { Result } from '../../src/types/outcomes';
-import { createSheet } from './sheets';
+import { createSheet, TARGET_CAPACITY } from './sheets';
 import { World } from './world';
 
 export const TEAM = 'team-a';
 const WATCH_INTERVAL_MS = 50;
 const RETRY_MS = 700;
-const CAPACITY = {
-  cpuMillis: 64_000,
-  memoryMb: 131_072,
-  accelerators: 0,
-  slots: 8,
-  connections: 64,
-};
 const DATA_CENTRES = ['rotterdam', 'delft'];
 
 /** Builds a job of one slot per task. */
@@ -63,7 +56,7 @@
       memberCount,
       dataCentreIds: DATA_CENTRES,
       targetsPerDataCentre: 4,
-      capacity: CAPACITY,
+      capacity: TARGET_CAPACITY,
     });
     this.world.runFor(2_000);
     const sheet = createSheet([TEAM], DATA_CENTRES, { limitSlots: 1_000 });
--- a/tests/support/sheets.ts
+++ b/tests/support/sheets.ts
@@ -4,6 +4,15 @@
 import { getDigest } from '../../src/config/keys';
 import { toId } from '../../src/types/ids';
 
+/** What one target of the tests offers. */
+export const TARGET_CAPACITY = {
+  cpuMillis: 64_000,
+  memoryMb: 131_072,
+  accelerators: 0,
+  slots: 8,
+  connections: 64,
+};
+
 /** Builds a sheet with one key, `key-TEAM:secret-TEAM`, and one queue per team. */
 export function createSheet(
   teamIds: readonly string[],
