--- /dev/null
+++ b/src/node/gate.ts
@@ -0,0 +1,204 @@
+/** Answers callers: routes and keys, acceptance, states, cancellation. */
+
+import * as E from 'fp-ts/Either';
+import type { Logger } from '../observe/logger';
+import type { Metrics } from '../observe/metrics';
+import type { SubmissionView } from '../owner/types';
+import type { RowStore } from '../store/types';
+import type { Clock } from '../types/clock';
+import { createDiagnostic } from '../types/diagnostics';
+import type { DiagnosticName } from '../types/diagnostics';
+import type { QueueId, SubmissionId } from '../types/ids';
+import { assertNever } from '../types/debug';
+import { encodeSubmission } from '../work/submissionSchema';
+import type { Submission } from '../work/types';
+import type { Acceptance, AcceptOutcome } from './acceptance';
+import type { CallerAnswer, CallerCall } from './callerTypes';
+import { tryParseSubmissionId } from './router';
+import type { RoutedCall, Router } from './router';
+import { ACCEPTED_PART, CANCELS_TABLE, SUBMISSIONS_TABLE } from './tables';
+
+/** When a caller that was turned away for a passing reason should come back. */
+const RETRY_AFTER_MS = 1_000;
+
+/** Time limit of the check for a submission that the owner does not know. */
+const CHECK_TIMEOUT_MS = 800;
+
+/** The owner, wherever it is. */
+export interface OwnerAccess {
+  /** @returns the view, or undefined when no owner answered */
+  getView(submissionId: SubmissionId): Promise<SubmissionView | undefined>;
+  /** @returns the count, or undefined when no owner answered */
+  getWaitingCount(queueId: QueueId): Promise<number | undefined>;
+  /** Tells of a stored submission; the owner also finds it by itself, only later. */
+  tellSubmitted(text: string): void;
+  /** Tells of a stored cancellation; the owner also finds it by itself, only later. */
+  tellCancelled(submissionId: SubmissionId): void;
+}
+
+/** What a gate works with. */
+export interface GatePorts {
+  readonly store: Pick<RowStore, 'readRange'>;
+  readonly acceptance: Acceptance;
+  readonly owner: OwnerAccess;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+function refuse(name: DiagnosticName, retryAfterMs?: number, detail?: string): CallerAnswer {
+  return { kind: 'refused', diagnostic: createDiagnostic(name, detail), retryAfterMs };
+}
+
+/** Answers the calls that reach one node. */
+export class Gate {
+  #ports: GatePorts;
+
+  #router: Router | undefined;
+
+  /**
+   * @param ports - store, owner, clock and log
+   */
+  constructor(ports: GatePorts) {
+    this.#ports = ports;
+  }
+
+  /**
+   * Takes the configuration in force.
+   * @param router - its lookup tables
+   */
+  setRouter(router: Router): void {
+    this.#router = router;
+  }
+
+  /**
+   * Answers one call.
+   * @param call - what is asked
+   * @returns the answer; never rejects but for a broken invariant
+   */
+  async answer(call: CallerCall): Promise<CallerAnswer> {
+    const startedAtMs = this.#ports.clock.nowMs();
+    const answer = await this.#answer(call);
+    const durationMs = this.#ports.clock.nowMs() - startedAtMs;
+    this.#ports.metrics.count(`calls_${call.verb}_${answer.kind}`);
+    this.#ports.metrics.record(`call_${call.verb}`, durationMs);
+    if (call.verb !== 'read' || answer.kind === 'refused') this.#log(call, answer, durationMs);
+    return answer;
+  }
+
+  #log(call: CallerCall, answer: CallerAnswer, durationMs: number): void {
+    this.#ports.logger.info(
+      {
+        path: call.path,
+        verb: call.verb,
+        configVersion: this.#router?.config.version,
+        outcome: answer.kind,
+        ...('diagnostic' in answer
+          ? { reason: answer.diagnostic.name, detail: answer.diagnostic.detail }
+          : {}),
+        durationMs: Math.round(durationMs),
+      },
+      'call answered',
+    );
+  }
+
+  async #answer(call: CallerCall): Promise<CallerAnswer> {
+    if (this.#router === undefined) return refuse('configStale', RETRY_AFTER_MS);
+    const routed = this.#router.route(call.host, call.path, call.key);
+    if (E.isLeft(routed)) return refuse(routed.left.name);
+    if (call.verb === 'read' && routed.right.rest === '') return this.#readQueue(routed.right);
+    const submissionId = tryParseSubmissionId(routed.right.rest);
+    if (submissionId === undefined) return refuse('unknownQueue');
+    switch (call.verb) {
+      case 'submit':
+        return this.#submit(call, routed.right, submissionId);
+      case 'read':
+        return this.#readState(routed.right, submissionId);
+      case 'cancel':
+        return this.#cancel(routed.right, submissionId);
+      default:
+        return assertNever(call.verb);
+    }
+  }
+
+  async #submit(
+    call: CallerCall,
+    { queue, teamId }: RoutedCall,
+    id: SubmissionId,
+  ): Promise<CallerAnswer> {
+    const spec = call.decodeSpec();
+    if (E.isLeft(spec)) return refuse('badBody', undefined, spec.left);
+    const acceptedAtMs = this.#ports.clock.wallMs();
+    const submission: Submission = { id, queue, teamId, acceptedAtMs, spec: spec.right };
+    const text = encodeSubmission(submission);
+    const outcome = await this.#ports.acceptance.write(SUBMISSIONS_TABLE, id, text);
+    if (outcome.kind === 'stored') this.#ports.owner.tellSubmitted(text);
+    return Gate.#toAnswer(outcome, { kind: 'accepted' });
+  }
+
+  async #readState(routed: RoutedCall, submissionId: SubmissionId): Promise<CallerAnswer> {
+    const view = await this.#ports.owner.getView(submissionId);
+    if (view === undefined) return refuse('noOwner', RETRY_AFTER_MS);
+    if (view.kind === 'known') {
+      if (!Gate.#isVisible(routed, view.submission)) return { kind: 'noSubmission' };
+      return { kind: 'state', state: view.state };
+    }
+    const isStored = await this.#isStored(submissionId);
+    if (isStored === undefined) return refuse('noOwner', RETRY_AFTER_MS);
+    return isStored ? { kind: 'state', state: 'pending' } : { kind: 'noSubmission' };
+  }
+
+  async #cancel(routed: RoutedCall, submissionId: SubmissionId): Promise<CallerAnswer> {
+    const view = await this.#ports.owner.getView(submissionId);
+    if (view?.kind === 'known' && !Gate.#isVisible(routed, view.submission)) {
+      return { kind: 'noSubmission' };
+    }
+    if (view?.kind !== 'known') {
+      const isStored = await this.#isStored(submissionId);
+      if (isStored === undefined) return refuse('noOwner', RETRY_AFTER_MS);
+      if (!isStored) return { kind: 'noSubmission' };
+    }
+    const outcome = await this.#ports.acceptance.write(CANCELS_TABLE, submissionId, '');
+    if (outcome.kind === 'stored') this.#ports.owner.tellCancelled(submissionId);
+    return Gate.#toAnswer(outcome, { kind: 'cancelled' });
+  }
+
+  async #readQueue({ queue }: RoutedCall): Promise<CallerAnswer> {
+    const count = await this.#ports.owner.getWaitingCount(queue.id);
+    return count === undefined ? refuse('noOwner', RETRY_AFTER_MS) : { kind: 'waiting', count };
+  }
+
+  /** A team sees its own submissions only, except in queues open to all. */
+  static #isVisible({ queue, teamId }: RoutedCall, submission: Submission): boolean {
+    return queue.isPublic || submission.teamId === teamId;
+  }
+
+  static #toAnswer(outcome: AcceptOutcome, stored: CallerAnswer): CallerAnswer {
+    switch (outcome.kind) {
+      case 'stored':
+        return stored;
+      case 'notStored':
+        return refuse('notDurable', RETRY_AFTER_MS, outcome.detail);
+      case 'unknown':
+        return {
+          kind: 'uncertain',
+          diagnostic: createDiagnostic('outcomeUnknown', outcome.detail),
+        };
+      default:
+        return assertNever(outcome);
+    }
+  }
+
+  /** @returns undefined when the store did not answer */
+  async #isStored(submissionId: SubmissionId): Promise<boolean | undefined> {
+    const query = {
+      table: SUBMISSIONS_TABLE,
+      part: ACCEPTED_PART,
+      fromKey: submissionId,
+      limit: 1,
+    };
+    const page = await this.#ports.store.readRange(query, CHECK_TIMEOUT_MS);
+    if (E.isLeft(page)) return undefined;
+    return page.right.rows.some(({ key }) => key === submissionId);
+  }
+}
--- /dev/null
+++ b/src/node/node.ts
@@ -0,0 +1,435 @@
+/** One node: its gate, its part in ownership, and the owner's reducer while it owns the fleet. */
+
+import * as E from 'fp-ts/Either';
+import type { Advice, AdviceFailure, SubmissionView } from '../owner/types';
+import type { PeerHandlers, PeerLinkHandle, PeerCalls, PeerReplies } from '../peer/types';
+import { PeerServer } from '../peer/peerServer';
+import type { Committed, RowTransaction, StoreOutcome } from '../store/types';
+import { WatchedStore } from '../store/watchedStore';
+import type { Epoch, NodeId, QueueId, StepKey, SubmissionId, TargetId } from '../types/ids';
+import { Acceptance } from './acceptance';
+import type { CallerAnswer, CallerCall } from './callerTypes';
+import { Gate } from './gate';
+import { MemberList } from './memberList';
+import type { Member } from './memberList';
+import { OperatorFollower } from './operatorFollower';
+import type { OperatorSnapshot } from './operatorSnapshot';
+import { OwnerHost } from './ownerHost';
+import { OwnershipShell } from './ownershipShell';
+import type { NodePorts } from './ports';
+import { RelayedStore } from './relayedStore';
+import { Router } from './router';
+
+/** How often ownership is checked. */
+const TICK_MS = 50;
+
+/** How often the owner is sent a heartbeat: three within the time after which it is suspected. */
+const HEARTBEAT_PERIOD_MS = 200;
+
+/** A node that has not sent a heartbeat for this long is no lane and no supporter. */
+const NODE_SILENCE_MS = 900;
+
+/** Wait for the owner's answer to a gate. */
+const OWNER_TIMEOUT_MS = 500;
+
+/** How long a call waits for an owner while there is none. */
+const OWNER_WAIT_MS = 600;
+
+/** Pause between looks for an owner. */
+const OWNER_POLL_MS = 50;
+
+/** Added to the time limit of an advice call that another node performs. */
+const RELAY_SLACK_MS = 200;
+
+/** A node that is connected to this one while it owns the fleet. */
+interface Follower {
+  readonly link: PeerLinkHandle;
+  heardAtMs: number;
+}
+
+/** Where a node listens for other nodes. */
+export interface PeerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
+/** Runs one node. */
+export class ClusterNode {
+  #ports: NodePorts;
+
+  #self: Member;
+
+  #address: PeerAddress;
+
+  #store: WatchedStore;
+
+  #operator: OperatorFollower;
+
+  #members: MemberList;
+
+  #ownership: OwnershipShell;
+
+  #server: PeerServer;
+
+  #gate: Gate;
+
+  #host: OwnerHost | undefined;
+
+  #followers = new Map<NodeId, Follower>();
+
+  #timers: NodeJS.Timeout[] = [];
+
+  #isStopping = false;
+
+  #isFetchingOperator = false;
+
+  /**
+   * @param nodeId - name of this node
+   * @param address - where it listens for other nodes
+   * @param ports - the outside
+   */
+  constructor(nodeId: NodeId, address: PeerAddress, ports: NodePorts) {
+    this.#address = address;
+    this.#self = { nodeId, address: `${address.host}:${address.port}` };
+    this.#store = new WatchedStore(ports.store, ports.clock, ports.metrics, (isReachable, detail) =>
+      ports.logger.warn({ detail }, isReachable ? 'store regained' : 'store lost'),
+    );
+    this.#ports = { ...ports, store: this.#store };
+    this.#operator = new OperatorFollower(this.#ports, (snapshot) => this.#onOperator(snapshot));
+    this.#members = new MemberList(this.#store, this.#self, (members) =>
+      this.#ownership.dispatch({
+        kind: 'membersKnown',
+        nodeIds: members.map((member) => member.nodeId),
+      }),
+    );
+    const handlers = this.#createHandlers();
+    this.#ownership = new OwnershipShell(this.#ports, this.#self, this.#members, handlers, {
+      onBegin: (epoch, rowVersion) => this.#beginOwning(epoch, rowVersion),
+      onEnd: (reason) => this.#endOwning(reason),
+      onOperatorVersion: (version, link) => this.#onOperatorVersion(version, link),
+      getOperatorVersion: () => this.#operator.snapshot.changeVersion,
+      isStoreReachable: () => this.#store.isReachable,
+    });
+    this.#server = new PeerServer(handlers, (link) => this.#onFollowerClosed(link));
+    const acceptance = new Acceptance(
+      new RelayedStore(
+        this.#store,
+        (transaction, timeoutMs) => this.#relay(transaction, timeoutMs),
+        () => this.#store.isReachable,
+      ),
+    );
+    this.#gate = new Gate({
+      ...this.#ports,
+      acceptance,
+      owner: {
+        getView: (submissionId) => this.#getView(submissionId),
+        getWaitingCount: (queueId) => this.#getWaitingCount(queueId),
+        tellSubmitted: (text) => this.#tell('submitted', { text }),
+        tellCancelled: (submissionId) => this.#tell('cancelled', { submissionId }),
+      },
+    });
+  }
+
+  /** True when the balancer may send new connections here. */
+  get isReady(): boolean {
+    const canServe = this.#store.isReachable || this.#ownership.link !== undefined;
+    return !this.#isStopping && this.#operator.snapshot.operator.config !== undefined && canServe;
+  }
+
+  /** Starts everything. */
+  async start(): Promise<void> {
+    await this.#server.listen(this.#address.host, this.#address.port);
+    this.#operator.start();
+    this.#members.start();
+    this.#timers.push(setInterval(() => this.#tick(), TICK_MS));
+    this.#timers.push(setInterval(() => this.#ownership.beat(), HEARTBEAT_PERIOD_MS));
+    this.#ownership.dispatch({ kind: 'tick' });
+  }
+
+  /**
+   * Answers a caller.
+   * @param call - what is asked
+   * @returns the answer
+   */
+  answer(call: CallerCall): Promise<CallerAnswer> {
+    return this.#gate.answer(call);
+  }
+
+  /** Begins a planned stop: not ready any more, and another node takes the fleet over. */
+  beginStop(): void {
+    this.#isStopping = true;
+    this.#ownership.dispatch({ kind: 'stopRequested' });
+    const { mode } = this.#ownership.core;
+    if (mode.kind !== 'owning') return;
+    const { epoch } = mode;
+    const links = [...this.#followers.values()].map(({ link }) => link);
+    this.#ownership.dispatch({ kind: 'superseded', epoch, reason: 'this node stops' });
+    links.forEach((link) => {
+      link.call('resign', { epoch }, OWNER_TIMEOUT_MS).catch((error: unknown) => {
+        this.#ports.logger.info({ reason: String(error) }, 'node did not hear of the resignation');
+      });
+    });
+  }
+
+  /** Ends everything. */
+  stop(): void {
+    this.#timers.forEach((timer) => clearInterval(timer));
+    this.#operator.stop();
+    this.#members.stop();
+    this.#host?.stop();
+    this.#ownership.close();
+    this.#server.close();
+  }
+
+  /** @returns the state for operators */
+  dump(): unknown {
+    return {
+      nodeId: this.#self.nodeId,
+      ownership: this.#ownership.core.mode,
+      isReady: this.isReady,
+      isStoreReachable: this.#store.isReachable,
+      configVersion: this.#operator.snapshot.operator.config?.version,
+      closedDataCentreIds: this.#operator.snapshot.operator.closedDataCentreIds,
+      members: this.#members.members,
+      followerIds: [...this.#followers.keys()],
+      owner: this.#host?.core?.dump(),
+    };
+  }
+
+  #tick(): void {
+    this.#ownership.dispatch({ kind: 'tick' });
+    if (this.#host === undefined) return;
+    const nowMs = this.#ports.clock.nowMs();
+    this.#followers.forEach((follower, nodeId) => {
+      if (nowMs < follower.heardAtMs + NODE_SILENCE_MS) return;
+      this.#ports.logger.info({ nodeId }, 'node silent');
+      follower.link.close();
+      this.#followers.delete(nodeId);
+      this.#updateLanes();
+    });
+    const isMajority = (this.#followers.size + 1) * 2 > this.#members.members.length;
+    if (!isMajority) return;
+    const { epoch } = this.#ownership.core;
+    this.#ownership.dispatch({ kind: 'majorityHeard', epoch, sinceMs: nowMs - NODE_SILENCE_MS });
+  }
+
+  #beginOwning(epoch: Epoch, rowVersion: number): void {
+    this.#followers.clear();
+    this.#host = new OwnerHost(
+      this.#ports,
+      {
+        isAuthorized: () => this.#ownership.core.isAuthorized(this.#ports.clock.nowMs()),
+        advise: (nodeId, stepKey, targetIds, timeoutMs) =>
+          this.#advise(nodeId, stepKey, targetIds, timeoutMs),
+        onSuperseded: (reason) => this.#ownership.dispatch({ kind: 'superseded', epoch, reason }),
+      },
+      epoch,
+      rowVersion,
+      this.#operator.snapshot,
+    );
+    this.#updateLanes();
+    this.#host.start().catch((error: unknown) => {
+      throw error;
+    });
+  }
+
+  #endOwning(reason: string): void {
+    this.#ports.logger.info({ reason }, 'owner part stopped');
+    this.#host?.stop();
+    this.#host = undefined;
+  }
+
+  #updateLanes(): void {
+    this.#host?.setLanes([this.#self.nodeId, ...this.#followers.keys()]);
+  }
+
+  #onOperator(snapshot: OperatorSnapshot): void {
+    const { config } = snapshot.operator;
+    if (config !== undefined) this.#gate.setRouter(new Router(config));
+    this.#host?.setOperator(snapshot);
+  }
+
+  #onOperatorVersion(version: number, link: PeerLinkHandle): void {
+    if (version <= this.#operator.snapshot.changeVersion || this.#isFetchingOperator) return;
+    this.#isFetchingOperator = true;
+    link
+      .call('getOperator', {}, OWNER_TIMEOUT_MS)
+      .then(({ snapshot }) => {
+        if (snapshot !== null) this.#operator.adopt(snapshot);
+      })
+      .catch((error: unknown) => {
+        this.#ports.logger.info({ reason: String(error) }, 'operator state not fetched');
+      })
+      .finally(() => {
+        this.#isFetchingOperator = false;
+      });
+  }
+
+  #createHandlers(): PeerHandlers {
+    return {
+      heartbeat: (params, link) => this.#onHeartbeat(params, link),
+      submitted: ({ text }) => {
+        this.#host?.submit(text);
+        return {};
+      },
+      cancelled: ({ submissionId }) => {
+        this.#host?.cancel(submissionId);
+        return {};
+      },
+      getView: ({ submissionId }) => this.#requireCore().getView(submissionId),
+      getWaiting: ({ queueId }) => ({ count: this.#requireCore().getWaitingCount(queueId) }),
+      getOperator: () => ({ snapshot: this.#operator.snapshot }),
+      transact: ({ transaction }) => this.#transactFor(transaction),
+      advise: async ({ stepKey, targetIds, timeoutMs }) => {
+        const result = await this.#ports.advice.advise(stepKey, targetIds, timeoutMs);
+        return E.isRight(result)
+          ? { kind: 'advice', advice: result.right }
+          : { kind: 'failed', failure: result.left };
+      },
+      isOwnerHeard: ({ epoch }) => ({
+        isHeard: this.#ownership.core.isOwnerHeard(epoch, this.#ports.clock.nowMs()),
+      }),
+      announce: ({ epoch, nodeId, address }) => {
+        this.#ownership.dispatch({ kind: 'announced', epoch, nodeId, address });
+        return {};
+      },
+      resign: ({ epoch }) => {
+        this.#ownership.dispatch({ kind: 'resigned', epoch });
+        return {};
+      },
+    };
+  }
+
+  #requireCore() {
+    const core = this.#host?.core;
+    if (core === undefined) throw new Error('this node does not own the fleet');
+    return core;
+  }
+
+  #onHeartbeat(params: PeerCalls['heartbeat'], link: PeerLinkHandle): PeerReplies['heartbeat'] {
+    const { ownedEpoch } = this.#ownership.core;
+    if (this.#host !== undefined && ownedEpoch === params.epoch) this.#noteFollower(params, link);
+    this.#onOperatorVersion(params.operatorVersion, link);
+    return {
+      ownedEpoch,
+      operatorVersion: this.#operator.snapshot.changeVersion,
+      storeLostForMs: this.#store.lostForMs,
+    };
+  }
+
+  #noteFollower({ nodeId }: PeerCalls['heartbeat'], link: PeerLinkHandle): void {
+    const heardAtMs = this.#ports.clock.nowMs();
+    const known = this.#followers.get(nodeId);
+    if (known?.link === link) {
+      known.heardAtMs = heardAtMs;
+      return;
+    }
+    this.#followers.set(nodeId, { link, heardAtMs });
+    this.#ports.logger.info({ nodeId }, 'node connected');
+    if (!this.#members.members.some((member) => member.nodeId === nodeId)) this.#members.refresh();
+    this.#updateLanes();
+  }
+
+  #onFollowerClosed(link: PeerLinkHandle): void {
+    this.#followers.forEach((follower, nodeId) => {
+      if (follower.link !== link) return;
+      this.#followers.delete(nodeId);
+      this.#ports.logger.info({ nodeId }, 'node disconnected');
+      this.#updateLanes();
+    });
+  }
+
+  async #transactFor(transaction: RowTransaction): Promise<PeerReplies['transact']> {
+    const outcome = await this.#store.transact(transaction, OWNER_TIMEOUT_MS);
+    if (E.isLeft(outcome)) return { kind: 'failed', failure: outcome.left };
+    return { kind: 'committed', version: outcome.right.version };
+  }
+
+  #relay(
+    transaction: RowTransaction,
+    timeoutMs: number,
+  ): Promise<StoreOutcome<Committed>> | undefined {
+    return this.#ownership.link
+      ?.call('transact', { transaction }, timeoutMs)
+      .then((reply): StoreOutcome<Committed> =>
+        reply.kind === 'committed' ? E.right({ version: reply.version }) : E.left(reply.failure),
+      )
+      .catch((error: unknown) => E.left({ kind: 'unknown', detail: String(error) }));
+  }
+
+  async #advise(
+    nodeId: NodeId,
+    stepKey: StepKey,
+    targetIds: readonly TargetId[],
+    timeoutMs: number,
+  ): Promise<E.Either<AdviceFailure, Advice>> {
+    if (nodeId === this.#self.nodeId) {
+      return this.#ports.advice.advise(stepKey, targetIds, timeoutMs);
+    }
+    const link = this.#followers.get(nodeId)?.link;
+    if (link === undefined) return E.left({ kind: 'failed', detail: 'node not connected' });
+    try {
+      const params = { stepKey, targetIds, timeoutMs };
+      const reply = await link.call('advise', params, timeoutMs + RELAY_SLACK_MS);
+      return reply.kind === 'advice' ? E.right(reply.advice) : E.left(reply.failure);
+    } catch (error) {
+      return E.left({ kind: 'failed', detail: String(error) });
+    }
+  }
+
+  #getView(submissionId: SubmissionId): Promise<SubmissionView | undefined> {
+    return this.#askOwner(
+      () => this.#host?.core?.getView(submissionId),
+      (link) => link.call('getView', { submissionId }, OWNER_TIMEOUT_MS),
+    );
+  }
+
+  async #getWaitingCount(queueId: QueueId): Promise<number | undefined> {
+    const answer = await this.#askOwner(
+      () => {
+        const core = this.#host?.core;
+        return core === undefined ? undefined : { count: core.getWaitingCount(queueId) };
+      },
+      (link) => link.call('getWaiting', { queueId }, OWNER_TIMEOUT_MS),
+    );
+    return answer?.count;
+  }
+
+  /** Asks the owner, here or elsewhere; waits a little while there is none. */
+  async #askOwner<T>(
+    askHere: () => T | undefined,
+    askThere: (link: PeerLinkHandle) => Promise<T>,
+    waitedMs = 0,
+  ): Promise<T | undefined> {
+    const here = askHere();
+    if (here !== undefined) return here;
+    const { link } = this.#ownership;
+    if (link !== undefined) {
+      const reply = await askThere(link).catch((error: unknown) => {
+        this.#ports.logger.debug({ reason: String(error) }, 'owner did not answer');
+        return undefined;
+      });
+      if (reply !== undefined) return reply;
+    }
+    if (waitedMs >= OWNER_WAIT_MS) return undefined;
+    await sleep(OWNER_POLL_MS);
+    return this.#askOwner(askHere, askThere, waitedMs + OWNER_POLL_MS);
+  }
+
+  #tell<M extends 'submitted' | 'cancelled'>(method: M, params: PeerCalls[M]): void {
+    if (this.#host !== undefined) {
+      if ('text' in params) this.#host.submit(params.text);
+      else this.#host.cancel(params.submissionId);
+      return;
+    }
+    this.#ownership.link?.call(method, params, OWNER_TIMEOUT_MS).catch((error: unknown) => {
+      this.#ports.logger.info({ method, reason: String(error) }, 'owner not told');
+    });
+  }
+}
--- /dev/null
+++ b/src/node/operatorFollower.ts
@@ -0,0 +1,129 @@
+/** Keeps the operator's decisions as new as the store, or another node, has them. */
+
+import * as E from 'fp-ts/Either';
+import { TableFollower } from '../store/tableFollower';
+import type { FollowerEvent } from '../store/tableFollower';
+import type { StoredRow } from '../store/types';
+import type { ClusterConfig, OperatorState } from '../work/types';
+import type { OperatorSnapshot } from './operatorSnapshot';
+import type { NodePorts, OperatorRow } from './ports';
+
+/** Pause between calls; changes have to be in force within 2 s. */
+const PAUSE_MS = 50;
+
+/** Follows the operator's rows. */
+export class OperatorFollower {
+  #ports: NodePorts;
+
+  #follower: TableFollower;
+
+  #onChanged: (snapshot: OperatorSnapshot) => void;
+
+  #rows = new Map<string, OperatorRow>();
+
+  #config: ClusterConfig | undefined;
+
+  #snapshot: OperatorSnapshot = {
+    changeVersion: 0,
+    operator: { config: undefined, closedDataCentreIds: [] },
+  };
+
+  /**
+   * @param ports - store, decoder and log
+   * @param onChanged - told of each change
+   */
+  constructor(ports: NodePorts, onChanged: (snapshot: OperatorSnapshot) => void) {
+    this.#ports = ports;
+    this.#onChanged = onChanged;
+    const { table, part } = ports.operatorRows;
+    this.#follower = new TableFollower(ports.store, { table, part, pauseMs: PAUSE_MS }, (event) =>
+      this.#onEvent(event),
+    );
+  }
+
+  /** What operators have decided, as far as this node knows. */
+  get snapshot(): OperatorSnapshot {
+    return this.#snapshot;
+  }
+
+  /** Starts to follow. */
+  start(): void {
+    this.#follower.start();
+  }
+
+  /** Ends it. */
+  stop(): void {
+    this.#follower.stop();
+  }
+
+  /**
+   * Takes what another node knows, if it is newer.
+   * @param snapshot - as the other node has it
+   */
+  adopt(snapshot: OperatorSnapshot): void {
+    if (snapshot.changeVersion <= this.#snapshot.changeVersion) return;
+    this.#config = this.#getNewer(snapshot.operator.config);
+    this.#publish(snapshot.changeVersion, snapshot.operator.closedDataCentreIds, 'node');
+  }
+
+  #onEvent(event: FollowerEvent): void {
+    if (event.kind === 'snapshot') {
+      this.#rows.clear();
+      event.rows.forEach((row) => this.#takeRow(row));
+      const versions = event.rows.map(({ version }) => version);
+      this.#publishRows(Math.max(0, ...versions));
+      return;
+    }
+    event.changes.forEach((change) => {
+      if (change.kind === 'put') this.#takeRow(change.row);
+      else this.#rows.delete(change.address.key);
+    });
+    this.#publishRows(event.version);
+  }
+
+  #takeRow(row: StoredRow): void {
+    const decoded = this.#ports.operatorRows.decode(row);
+    if (E.isLeft(decoded)) {
+      this.#ports.logger.warn({ key: row.key, reason: decoded.left }, 'operator row not usable');
+      return;
+    }
+    this.#rows.set(row.key, decoded.right);
+    if (decoded.right.kind === 'config') this.#config = this.#getNewer(decoded.right.config);
+  }
+
+  /** A configuration never goes back to an older version within a process. */
+  #getNewer(config: ClusterConfig | undefined): ClusterConfig | undefined {
+    if (config === undefined) return this.#config;
+    return this.#config !== undefined && config.version < this.#config.version
+      ? this.#config
+      : config;
+  }
+
+  #publishRows(changeVersion: number): void {
+    const closed = [...this.#rows.values()].flatMap((row) =>
+      row.kind === 'closedDataCentre' ? [row.dataCentreId] : [],
+    );
+    this.#publish(Math.max(changeVersion, this.#snapshot.changeVersion), closed, 'store');
+  }
+
+  #publish(
+    changeVersion: number,
+    closedDataCentreIds: OperatorState['closedDataCentreIds'],
+    source: 'store' | 'node',
+  ): void {
+    const formerVersion = this.#snapshot.operator.config?.version;
+    this.#snapshot = { changeVersion, operator: { config: this.#config, closedDataCentreIds } };
+    this.#ports.metrics.count('operator_changes');
+    this.#ports.logger.info(
+      {
+        changeVersion,
+        configVersion: this.#config?.version,
+        formerVersion,
+        closedDataCentreIds,
+        source,
+      },
+      'operator state adopted',
+    );
+    this.#onChanged(this.#snapshot);
+  }
+}
--- /dev/null
+++ b/src/node/ownerHost.ts
@@ -0,0 +1,481 @@
+/** Runs the owner's reducer on the node that owns the fleet: loads it, performs its effects. */
+
+import * as E from 'fp-ts/Either';
+import { OwnerCore } from '../owner/core';
+import type {
+  AdviceFailure,
+  Advice,
+  LoadedSubmission,
+  OwnerEffect,
+  OwnerEvent,
+  TargetEntry,
+  WriteFailure,
+} from '../owner/types';
+import { readWholePart, TableFollower } from '../store/tableFollower';
+import type { FollowerEvent, WholePart } from '../store/tableFollower';
+import type { StoreFailure, StoredRow } from '../store/types';
+import { assertNever } from '../types/debug';
+import type { Epoch, NodeId, StepKey, SubmissionId, TargetId } from '../types/ids';
+import { decodeProgress } from '../work/storedProgress';
+import { decodeSubmission } from '../work/submissionSchema';
+import type { Submission } from '../work/types';
+import type { OperatorSnapshot } from './operatorSnapshot';
+import type { NodePorts } from './ports';
+import {
+  ACCEPTED_PART,
+  CANCELS_TABLE,
+  OWNER_KEY,
+  OWNER_PART,
+  OWNERSHIP_TABLE,
+  PROGRESS_TABLE,
+  SUBMISSIONS_TABLE,
+} from './tables';
+
+/** How often time alone is applied: fine enough for lease and retry times of 100 ms and more. */
+const TICK_MS = 20;
+
+/** Time limit of one page of a takeover's reads. */
+const LOAD_TIMEOUT_MS = 2_000;
+
+/** Pause before a failed load is repeated. */
+const LOAD_RETRY_MS = 100;
+
+/** Time limit of a write of progress. */
+const WRITE_TIMEOUT_MS = 1_500;
+
+/** Pause between reads of the registry; draining targets have to be left within 2 s. */
+const REGISTRY_PAUSE_MS = 300;
+
+/** Pause between reads of submissions that no gate has told of. */
+const SUBMISSIONS_PAUSE_MS = 500;
+
+/** What the host needs of its node. */
+export interface OwnerHostLinks {
+  /** True while this node may act as the owner. */
+  isAuthorized(): boolean;
+  /** Asks the advice service through a node. */
+  advise(
+    nodeId: NodeId,
+    stepKey: StepKey,
+    targetIds: readonly TargetId[],
+    timeoutMs: number,
+  ): Promise<E.Either<AdviceFailure, Advice>>;
+  /** Another owner has been named. */
+  onSuperseded(reason: string): void;
+}
+
+/** What a takeover reads. */
+interface LoadedRows {
+  readonly submissions: WholePart;
+  readonly cancels: WholePart;
+  readonly progress: WholePart;
+  readonly registry: WholePart;
+}
+
+type EventBody = OwnerEvent extends infer Event
+  ? Event extends OwnerEvent
+    ? Omit<Event, 'nowMs' | 'wallMs'>
+    : never
+  : never;
+
+/** One ownership from its beginning to its end. */
+export class OwnerHost {
+  #ports: NodePorts;
+
+  #links: OwnerHostLinks;
+
+  #epoch: Epoch;
+
+  #rowVersion: number;
+
+  #core: OwnerCore | undefined;
+
+  #followers: TableFollower[] = [];
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #isStopped = false;
+
+  #operator: OperatorSnapshot;
+
+  #laneIds: readonly NodeId[] = [];
+
+  #early: EventBody[] = [];
+
+  /**
+   * @param ports - store, targets, registry, clock and log
+   * @param links - the node
+   * @param epoch - the fence of every call
+   * @param rowVersion - version of the owner row, a condition of every write
+   * @param operator - what operators have decided
+   */
+  constructor(
+    ports: NodePorts,
+    links: OwnerHostLinks,
+    epoch: Epoch,
+    rowVersion: number,
+    operator: OperatorSnapshot,
+  ) {
+    this.#ports = ports;
+    this.#links = links;
+    this.#epoch = epoch;
+    this.#rowVersion = rowVersion;
+    this.#operator = operator;
+  }
+
+  /** The reducer, once everything is loaded. */
+  get core(): OwnerCore | undefined {
+    return this.#core;
+  }
+
+  /** Loads what is stored and begins to decide. */
+  async start(): Promise<void> {
+    const startedAtMs = this.#ports.clock.nowMs();
+    const loaded = await this.#load();
+    if (this.#isStopped) return;
+    if (loaded === undefined) {
+      setTimeout(() => this.#restart(), LOAD_RETRY_MS);
+      return;
+    }
+    const submissions = this.#decodeLoaded(loaded);
+    this.#core = new OwnerCore(this.#epoch, submissions, this.#getMoment());
+    this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
+    this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
+    this.#dispatch({ kind: 'targetsListed', entries: this.#decodeEntries(loaded.registry.rows) });
+    this.#early.forEach((event) => this.#dispatch(event));
+    this.#early = [];
+    this.#follow(loaded);
+    this.#timer = setInterval(() => this.#dispatch({ kind: 'tick' }), TICK_MS);
+    const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
+    this.#ports.logger.info(
+      { epoch: this.#epoch, submissionCount: submissions.length, durationMs },
+      'takeover loaded',
+    );
+    this.#ports.metrics.record('takeover_load', durationMs);
+  }
+
+  /** Ends it: nothing more is decided and no call leaves. */
+  stop(): void {
+    this.#isStopped = true;
+    clearInterval(this.#timer);
+    this.#followers.forEach((follower) => follower.stop());
+  }
+
+  /**
+   * Takes what operators have decided.
+   * @param operator - the newest state
+   */
+  setOperator(operator: OperatorSnapshot): void {
+    this.#operator = operator;
+    if (this.#core !== undefined) {
+      this.#dispatch({ kind: 'operatorChanged', operator: operator.operator });
+    }
+  }
+
+  /**
+   * Takes the nodes that can ask the advice service.
+   * @param nodeIds - this node and all that are connected
+   */
+  setLanes(nodeIds: readonly NodeId[]): void {
+    this.#laneIds = nodeIds;
+    if (this.#core !== undefined) this.#dispatch({ kind: 'lanesChanged', nodeIds });
+  }
+
+  /**
+   * Takes a stored submission.
+   * @param text - in its stored form
+   */
+  submit(text: string): void {
+    const decoded = decodeSubmission(text);
+    if (E.isLeft(decoded)) {
+      this.#ports.logger.warn({ reason: decoded.left }, 'stored submission not usable');
+      return;
+    }
+    this.#dispatchOrKeep({ kind: 'submitted', submission: decoded.right });
+  }
+
+  /**
+   * Takes a stored cancellation.
+   * @param submissionId - what is cancelled
+   */
+  cancel(submissionId: SubmissionId): void {
+    this.#dispatchOrKeep({ kind: 'cancelled', submissionId });
+  }
+
+  #restart(): void {
+    if (this.#isStopped) return;
+    this.start().catch((error: unknown) => {
+      throw error;
+    });
+  }
+
+  async #load(): Promise<LoadedRows | undefined> {
+    const { store, registry } = this.#ports;
+    const read = (table: string, part: string) =>
+      readWholePart(store, table, part, LOAD_TIMEOUT_MS);
+    const [submissions, cancels, progress, targets] = await Promise.all([
+      read(SUBMISSIONS_TABLE, ACCEPTED_PART),
+      read(CANCELS_TABLE, ACCEPTED_PART),
+      read(PROGRESS_TABLE, OWNER_PART),
+      read(registry.table, registry.part),
+    ]);
+    const isWhole =
+      E.isRight(submissions) && E.isRight(cancels) && E.isRight(progress) && E.isRight(targets);
+    if (!isWhole) return undefined;
+    return {
+      submissions: submissions.right,
+      cancels: cancels.right,
+      progress: progress.right,
+      registry: targets.right,
+    };
+  }
+
+  #decodeLoaded({ submissions, cancels, progress }: LoadedRows): LoadedSubmission[] {
+    const cancelled = new Set(cancels.rows.map(({ key }) => key));
+    const progressRows = new Map(progress.rows.map((row) => [row.key, row]));
+    return this.#decodeSubmissions(submissions.rows).map((submission) => {
+      const row = progressRows.get(submission.id);
+      const stored = row === undefined ? undefined : decodeProgress(row.value);
+      if (stored !== undefined && E.isLeft(stored)) {
+        this.#ports.logger.error({ key: row?.key, reason: stored.left }, 'progress not usable');
+      }
+      return {
+        submission,
+        isCancelled: cancelled.has(submission.id),
+        progress: stored !== undefined && E.isRight(stored) ? stored.right : undefined,
+        progressVersion: row?.version ?? 0,
+      };
+    });
+  }
+
+  #decodeSubmissions(rows: readonly StoredRow[]): Submission[] {
+    return rows.flatMap((row) => {
+      const decoded = decodeSubmission(row.value);
+      if (E.isRight(decoded)) return [decoded.right];
+      this.#ports.logger.error({ key: row.key, reason: decoded.left }, 'submission not usable');
+      return [];
+    });
+  }
+
+  #decodeEntries(rows: readonly StoredRow[]): TargetEntry[] {
+    return rows.flatMap((row) => {
+      const decoded = this.#ports.registry.decode(row);
+      if (E.isRight(decoded)) return [decoded.right];
+      this.#ports.metrics.count('registry_malformed');
+      this.#ports.logger.warn({ key: row.key, reason: decoded.left }, 'registry entry not usable');
+      return [];
+    });
+  }
+
+  #follow(loaded: LoadedRows): void {
+    const { store, registry } = this.#ports;
+    const follow = (
+      followed: { table: string; part: string; pauseMs: number },
+      version: number,
+      onEvent: (event: FollowerEvent) => void,
+    ) => {
+      const follower = new TableFollower(store, followed, onEvent);
+      this.#followers.push(follower);
+      follower.start(version);
+    };
+    const { table, part } = registry;
+    follow({ table, part, pauseMs: REGISTRY_PAUSE_MS }, loaded.registry.version, (event) =>
+      this.#onRegistry(event),
+    );
+    const accepted = { part: ACCEPTED_PART, pauseMs: SUBMISSIONS_PAUSE_MS };
+    follow({ ...accepted, table: SUBMISSIONS_TABLE }, loaded.submissions.version, (event) => {
+      OwnerHost.#getRows(event).forEach((row) => this.submit(row.value));
+    });
+    follow({ ...accepted, table: CANCELS_TABLE }, loaded.cancels.version, (event) => {
+      OwnerHost.#getRows(event).forEach((row) => this.cancel(row.key as SubmissionId));
+    });
+  }
+
+  static #getRows(event: FollowerEvent): readonly StoredRow[] {
+    if (event.kind === 'snapshot') return event.rows;
+    return event.changes.flatMap((change) => (change.kind === 'put' ? [change.row] : []));
+  }
+
+  #onRegistry(event: FollowerEvent): void {
+    if (event.kind === 'snapshot') {
+      this.#dispatch({ kind: 'targetsListed', entries: this.#decodeEntries(event.rows) });
+      return;
+    }
+    event.changes.forEach((change) => {
+      if (change.kind === 'removed') {
+        this.#dispatch({ kind: 'targetRemoved', targetId: change.address.key as TargetId });
+        return;
+      }
+      this.#decodeEntries([change.row]).forEach((entry) =>
+        this.#dispatch({ kind: 'targetChanged', entry }),
+      );
+    });
+  }
+
+  #getMoment() {
+    const { clock } = this.#ports;
+    return { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
+  }
+
+  #dispatchOrKeep(event: EventBody): void {
+    if (this.#core === undefined) this.#early.push(event);
+    else this.#dispatch(event);
+  }
+
+  #dispatch(event: EventBody): void {
+    if (this.#isStopped || this.#core === undefined) return;
+    const effects = this.#core.reduce({ ...event, ...this.#getMoment() } as OwnerEvent);
+    effects.forEach((effect) => this.#perform(effect));
+  }
+
+  #perform(effect: OwnerEffect): void {
+    const isTooLate = () => this.#isStopped || !this.#links.isAuthorized();
+    const { targets, metrics, logger, clock } = this.#ports;
+    const sentAtMs = clock.nowMs();
+    switch (effect.kind) {
+      case 'look': {
+        const { targetId, bornAtMs } = effect;
+        this.#run(targets.look(effect, isTooLate), (result) => ({
+          ...{ kind: 'looked' as const, targetId, bornAtMs, sentAtMs, result },
+        }));
+        return;
+      }
+      case 'startRun': {
+        const { targetId, taskKey, run } = effect;
+        this.#run(targets.start(effect, isTooLate), (result) => ({
+          ...{ kind: 'startAnswered' as const, targetId, taskKey, run, sentAtMs, result },
+        }));
+        return;
+      }
+      case 'stopRun': {
+        const { targetId, taskKey, run } = effect;
+        this.#run(targets.stop(effect, isTooLate), (result) => ({
+          ...{ kind: 'stopAnswered' as const, targetId, taskKey, run, sentAtMs, result },
+        }));
+        return;
+      }
+      case 'setPace':
+        this.#run(targets.setPace(effect, isTooLate), () => undefined);
+        return;
+      case 'askAdvice': {
+        const { laneId, stepKey, targetIds, timeoutMs } = effect;
+        this.#run(this.#links.advise(laneId, stepKey, targetIds, timeoutMs), (result) => ({
+          ...{ kind: 'advised' as const, laneId, stepKey, targetIds, sentAtMs, result },
+        }));
+        return;
+      }
+      case 'writeProgress':
+        this.#run(this.#write(effect), (result) => ({
+          ...{ kind: 'progressWritten' as const, batch: effect.batch, result },
+        }));
+        return;
+      case 'deleteSubmissions':
+        this.#run(this.#delete(effect.submissionIds), (isDone) =>
+          isDone ? { kind: 'submissionsDeleted', submissionIds: effect.submissionIds } : undefined,
+        );
+        return;
+      case 'stepDown':
+        this.#links.onSuperseded(effect.reason);
+        return;
+      case 'count':
+        metrics.count(effect.name, effect.step);
+        return;
+      case 'record':
+        metrics.record(effect.name, effect.durationMs);
+        return;
+      case 'log':
+        logger[effect.level](effect.fields, effect.message);
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  #run<T>(call: Promise<T>, toEvent: (result: T) => EventBody | undefined): void {
+    call.then(
+      (result) => {
+        const event = toEvent(result);
+        if (event !== undefined) this.#dispatch(event);
+      },
+      (error: unknown) => {
+        throw error;
+      },
+    );
+  }
+
+  async #write(
+    effect: Extract<OwnerEffect, { kind: 'writeProgress' }>,
+  ): Promise<E.Either<WriteFailure, number>> {
+    const toAddress = (key: string) => ({ table: PROGRESS_TABLE, part: OWNER_PART, key });
+    const outcome = await this.#ports.store.transact(
+      {
+        conditions: [
+          this.#ownerCondition,
+          ...effect.rows.map((row) => ({
+            ...toAddress(row.submissionId),
+            version: row.expectedVersion,
+          })),
+        ],
+        puts: effect.rows.map((row) => ({
+          ...toAddress(row.submissionId),
+          value: JSON.stringify(row.value),
+        })),
+        removals: [],
+      },
+      WRITE_TIMEOUT_MS,
+    );
+    if (E.isRight(outcome)) return E.right(outcome.right.version);
+    return E.left(this.#toWriteFailure(outcome.left));
+  }
+
+  get #ownerCondition() {
+    return {
+      table: OWNERSHIP_TABLE,
+      part: OWNER_PART,
+      key: OWNER_KEY,
+      version: this.#rowVersion,
+    };
+  }
+
+  #toWriteFailure(failure: StoreFailure): WriteFailure {
+    if (failure.kind !== 'conflict') {
+      return { kind: 'unavailable', detail: 'detail' in failure ? failure.detail : failure.kind };
+    }
+    const owner = failure.rows.find(({ table }) => table === OWNERSHIP_TABLE);
+    if (owner !== undefined && owner.version !== this.#rowVersion) return { kind: 'superseded' };
+    return {
+      kind: 'conflict',
+      versions: failure.rows
+        .filter(({ table }) => table === PROGRESS_TABLE)
+        .map(({ key, version }) => ({ submissionId: key as SubmissionId, version })),
+    };
+  }
+
+  /** Submissions are removed last, so that what is left of a broken removal can be removed again. */
+  async #delete(submissionIds: readonly SubmissionId[]): Promise<boolean> {
+    const { store } = this.#ports;
+    const remove = (table: string, part: string) =>
+      submissionIds.map((key) => ({ table, part, key }));
+    const progress = await store.transact(
+      {
+        conditions: [this.#ownerCondition],
+        puts: [],
+        removals: remove(PROGRESS_TABLE, OWNER_PART),
+      },
+      WRITE_TIMEOUT_MS,
+    );
+    if (E.isLeft(progress)) return false;
+    const accepted = await store.transact(
+      {
+        conditions: [],
+        puts: [],
+        removals: [
+          ...remove(CANCELS_TABLE, ACCEPTED_PART),
+          ...remove(SUBMISSIONS_TABLE, ACCEPTED_PART),
+        ],
+      },
+      WRITE_TIMEOUT_MS,
+    );
+    return E.isRight(accepted);
+  }
+}
--- /dev/null
+++ b/src/node/ownerRows.ts
@@ -0,0 +1,95 @@
+/** Reads and writes the rows that name the owner. */
+
+import * as E from 'fp-ts/Either';
+import * as z from 'zod';
+import type { RowStore, StoreFailure } from '../store/types';
+import type { Epoch, NodeId } from '../types/ids';
+import { tryParseJson } from '../types/json';
+import type { OwnerRow, OwnerRowFailure } from './ownershipTypes';
+import { ALIVE_KEY, OWNER_KEY, OWNER_PART, OWNERSHIP_TABLE } from './tables';
+
+/** Time limit of each call: under the time after which an owner without a store is replaced. */
+const TIMEOUT_MS = 800;
+
+/** The two rows of the table and nothing more. */
+const ROW_LIMIT = 10;
+
+const ownerSchema = z.object({ nodeId: z.string(), address: z.string(), epoch: z.int() });
+
+function toFailure(failure: StoreFailure): OwnerRowFailure {
+  if (failure.kind === 'conflict') return { kind: 'conflict' };
+  return { kind: 'unavailable', detail: 'detail' in failure ? failure.detail : failure.kind };
+}
+
+function toAddress(key: string) {
+  return { table: OWNERSHIP_TABLE, part: OWNER_PART, key };
+}
+
+/**
+ * Reads who owns the fleet.
+ * @param store - the store
+ * @returns the owner, undefined when there has never been one, or why it is not known
+ */
+export async function readOwnerRow(
+  store: RowStore,
+): Promise<E.Either<OwnerRowFailure, OwnerRow | undefined>> {
+  const query = { table: OWNERSHIP_TABLE, part: OWNER_PART, fromKey: '', limit: ROW_LIMIT };
+  const page = await store.readRange(query, TIMEOUT_MS);
+  if (E.isLeft(page)) return E.left(toFailure(page.left));
+  const row = page.right.rows.find(({ key }) => key === OWNER_KEY);
+  if (row === undefined) return E.right(undefined);
+  const parsed = ownerSchema.safeParse(tryParseJson(row.value));
+  if (!parsed.success) return E.left({ kind: 'unavailable', detail: 'malformed owner row' });
+  const alive = page.right.rows.find(({ key }) => key === ALIVE_KEY);
+  return E.right({
+    nodeId: parsed.data.nodeId as NodeId,
+    address: parsed.data.address,
+    epoch: parsed.data.epoch as Epoch,
+    version: row.version,
+    aliveVersion: alive?.version ?? 0,
+  });
+}
+
+/**
+ * Names a new owner.
+ * @param store - the store
+ * @param owner - its name, address and epoch
+ * @param expectedVersion - version of the row that is replaced
+ * @returns the row's new version, or why it was not written
+ */
+export async function claimOwnerRow(
+  store: RowStore,
+  owner: Pick<OwnerRow, 'nodeId' | 'address' | 'epoch'>,
+  expectedVersion: number,
+): Promise<E.Either<OwnerRowFailure, number>> {
+  const outcome = await store.transact(
+    {
+      conditions: [{ ...toAddress(OWNER_KEY), version: expectedVersion }],
+      puts: [{ ...toAddress(OWNER_KEY), value: JSON.stringify(owner) }],
+      removals: [],
+    },
+    TIMEOUT_MS,
+  );
+  return E.isRight(outcome) ? E.right(outcome.right.version) : E.left(toFailure(outcome.left));
+}
+
+/**
+ * Shows that the owner lives, and finds out whether it still owns the fleet.
+ * @param store - the store
+ * @param rowVersion - version of the owner row
+ * @returns the new version, or why it was not written
+ */
+export async function renewAliveRow(
+  store: RowStore,
+  rowVersion: number,
+): Promise<E.Either<OwnerRowFailure, number>> {
+  const outcome = await store.transact(
+    {
+      conditions: [{ ...toAddress(OWNER_KEY), version: rowVersion }],
+      puts: [{ ...toAddress(ALIVE_KEY), value: '' }],
+      removals: [],
+    },
+    TIMEOUT_MS,
+  );
+  return E.isRight(outcome) ? E.right(outcome.right.version) : E.left(toFailure(outcome.left));
+}
--- /dev/null
+++ b/src/node/router.ts
@@ -0,0 +1,68 @@
+/** Finds the queue and the team of a call in the configuration. */
+
+import * as E from 'fp-ts/Either';
+import { createDiagnostic } from '../types/diagnostics';
+import type { Diagnostic } from '../types/diagnostics';
+import type { SubmissionId, TeamId } from '../types/ids';
+import type { ClusterConfig, Queue } from '../work/types';
+
+/** Where a call goes. */
+export interface RoutedCall {
+  readonly queue: Queue;
+  /** Empty for a public queue's caller without a known key. */
+  readonly teamId: TeamId;
+  /** What follows the queue's prefix. */
+  readonly rest: string;
+}
+
+const NO_TEAM = '' as TeamId;
+
+const SUBMISSION_ID = /^[0-9a-f]{16}$/;
+
+/** Lookup tables of one configuration. */
+export class Router {
+  #queuesByHost = new Map<string, Queue[]>();
+
+  #teamsByKey = new Map<string, TeamId>();
+
+  /**
+   * @param config - the configuration in force
+   */
+  constructor(readonly config: ClusterConfig) {
+    config.queues.forEach((queue) => {
+      const queues = this.#queuesByHost.get(queue.host) ?? [];
+      queues.push(queue);
+      this.#queuesByHost.set(queue.host, queues);
+    });
+    this.#queuesByHost.forEach((queues) =>
+      queues.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length),
+    );
+    config.teams.forEach((team) => team.keys.forEach((key) => this.#teamsByKey.set(key, team.id)));
+  }
+
+  /**
+   * Routes a call: the host and the longest prefix name the queue, the key names the team.
+   * @param host - host name without port
+   * @param path - path without query
+   * @param key - the key that came with the call
+   * @returns queue and team, or why the call goes nowhere
+   */
+  route(host: string, path: string, key: string | undefined): E.Either<Diagnostic, RoutedCall> {
+    const queue = this.#queuesByHost
+      .get(host)
+      ?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    if (queue === undefined) return E.left(createDiagnostic('unknownQueue'));
+    const teamId = key === undefined ? undefined : this.#teamsByKey.get(key);
+    if (teamId === undefined && !queue.isPublic) return E.left(createDiagnostic('unauthorized'));
+    return E.right({ queue, teamId: teamId ?? NO_TEAM, rest: path.slice(queue.pathPrefix.length) });
+  }
+}
+
+/**
+ * Reads a submission's id.
+ * @param text - what follows the queue's prefix
+ * @returns the id, or undefined when it is none
+ */
+export function tryParseSubmissionId(text: string): SubmissionId | undefined {
+  return SUBMISSION_ID.test(text) ? (text as SubmissionId) : undefined;
+}
--- a/src/observe/logger.ts
+++ b/src/observe/logger.ts
@@ -1,5 +1,6 @@
 /** Structured log lines on standard output, for changes of state only. */
 
+import type { Writable } from 'node:stream';
 import bunyan from 'bunyan';
 
 /** Writes log lines. */
@@ -10,12 +11,16 @@
  * @param program - name of the program
  * @param processId - id of this scheduler or gate
  * @param level - lowest level that is written
+ * @param stream - where lines go; standard output, waited for, when left out
  * @returns the logger
  */
 export function createLogger(
   program: string,
   processId: string,
   level: 'debug' | 'info' | 'warn' | 'error',
+  stream?: Writable,
 ): Logger {
-  return bunyan.createLogger({ name: program, processId, level });
+  if (stream === undefined) return bunyan.createLogger({ name: program, processId, level });
+  const streams = [{ level, stream }];
+  return bunyan.createLogger({ name: program, processId, streams });
 }
--- /dev/null
+++ b/src/owner/adviceDesk.ts
@@ -0,0 +1,201 @@
+/**
+ * Decides which node asks the advice service about which step, and when. The service answers one call
+ * at a time for each calling node, so every node is a lane; some lanes take short calls only, so that
+ * a long call never stands in front of an urgent one.
+ */
+
+import * as E from 'fp-ts/Either';
+import type { NodeId, TargetId } from '../types/ids';
+import type { AdviceCosts } from '../work/types';
+import {
+  ADVICE_CHEAP_MS,
+  ADVICE_DEAR_TARGETS,
+  ADVICE_MAX_TARGETS,
+  ADVICE_RETRY_MS,
+  ADVICE_SLACK_MS,
+  PREFETCH_TICKET_FRACTION,
+  SHORT_ADVICE_MS,
+  SHORT_LANE_FRACTION,
+} from './constants';
+import type { OwnerState } from './ownerState';
+import { isTargetEligible } from './placement';
+import { compareSteps } from './stepOrder';
+import type { StepState } from './stepState';
+import type { OwnerEvent } from './types';
+
+type Advised = Extract<OwnerEvent, { kind: 'advised' }>;
+
+/** One node's channel to the advice service. */
+interface Lane {
+  readonly nodeId: NodeId;
+  readonly isShortOnly: boolean;
+  isBusy: boolean;
+  notBeforeMs: number;
+}
+
+/** A step that needs advice. */
+interface Wish {
+  readonly step: StepState;
+  readonly costs: AdviceCosts;
+  readonly targetIds: readonly TargetId[];
+}
+
+function getCallMs(costs: AdviceCosts, targetCount: number): number {
+  return costs.callMs + costs.perTargetMs * targetCount;
+}
+
+/** Assigns calls for advice to lanes. */
+export class AdviceDesk {
+  #state: OwnerState;
+
+  #lanes: Lane[] = [];
+
+  #pending = new Map<string, StepState>();
+
+  /**
+   * @param state - the owner's tables
+   */
+  constructor(state: OwnerState) {
+    this.#state = state;
+  }
+
+  /**
+   * Takes the nodes that can be asked to call.
+   * @param nodeIds - all nodes connected now
+   */
+  setLanes(nodeIds: readonly NodeId[]): void {
+    const shortCount = nodeIds.length > 1 ? Math.ceil(nodeIds.length * SHORT_LANE_FRACTION) : 0;
+    const former = new Map(this.#lanes.map((lane) => [lane.nodeId, lane]));
+    this.#lanes = [...nodeIds].sort().map((nodeId, index) => ({
+      nodeId,
+      isShortOnly: index < shortCount,
+      isBusy: former.get(nodeId)?.isBusy ?? false,
+      notBeforeMs: former.get(nodeId)?.notBeforeMs ?? 0,
+    }));
+  }
+
+  /**
+   * Takes an answer.
+   * @param event - the answer of one call
+   */
+  onAdvised(event: Advised): void {
+    const { nowMs, targets } = this.#state;
+    const lane = this.#lanes.find(({ nodeId }) => nodeId === event.laneId);
+    if (lane !== undefined) lane.isBusy = false;
+    const step = this.#pending.get(event.stepKey);
+    this.#pending.delete(event.stepKey);
+    if (step === undefined) return;
+    step.advice.isAsked = false;
+    if (E.isLeft(event.result)) {
+      if (lane !== undefined) lane.notBeforeMs = nowMs + ADVICE_RETRY_MS;
+      this.#state.count(`advice_${event.result.left.kind}`);
+      this.#state.log('no advice', {
+        step: step.key,
+        lane: event.laneId,
+        failure: event.result.left,
+      });
+      return;
+    }
+    const { grants, validMs } = event.result.right;
+    step.advice.addAnswer(
+      event.targetIds,
+      grants,
+      nowMs + validMs,
+      (targetId) => targets.get(targetId)?.entry.bornAtMs ?? 0,
+    );
+    this.#state.emit({ kind: 'record', name: 'advice', durationMs: nowMs - event.sentAtMs });
+    this.#state.isPlanDue = true;
+  }
+
+  /** Gives waiting steps to free lanes, the most urgent first. */
+  assign(): void {
+    const { nowMs } = this.#state;
+    const free = this.#lanes.filter((lane) => !lane.isBusy && lane.notBeforeMs <= nowMs);
+    if (free.length === 0) return;
+    const wishes = this.#getWishes();
+    wishes.forEach((wish) => {
+      const isShort = getCallMs(wish.costs, wish.targetIds.length) <= SHORT_ADVICE_MS;
+      const position = free.findIndex((lane) => isShort === lane.isShortOnly);
+      const fallback = isShort ? 0 : -1;
+      const chosen = position >= 0 ? position : fallback;
+      const lane = free[chosen] ?? undefined;
+      if (lane === undefined || chosen < 0) return;
+      free.splice(chosen, 1);
+      this.#ask(lane, wish);
+    });
+  }
+
+  #ask(lane: Lane, { step, costs, targetIds }: Wish): void {
+    lane.isBusy = true;
+    step.advice.isAsked = true;
+    this.#pending.set(step.key, step);
+    this.#state.emit({
+      kind: 'askAdvice',
+      laneId: lane.nodeId,
+      stepKey: step.key,
+      targetIds,
+      timeoutMs: getCallMs(costs, targetIds.length) + ADVICE_SLACK_MS,
+    });
+    this.#state.count('advice_asked');
+  }
+
+  #getWishes(): Wish[] {
+    const wishes: Wish[] = [];
+    this.#state.ready.forEach((step) => this.#addWish(wishes, step));
+    this.#state.open.forEach((record) => {
+      if (record.queue.advice === undefined) return;
+      [...record.steps].forEach((step) => {
+        if (step.readyAtMs !== undefined || step.spec.after.length === 0) return;
+        if (this.#isSoonReady(step, record.queue.advice)) this.#addWish(wishes, step);
+      });
+    });
+    return wishes.sort((left, right) => compareSteps(this.#state, left.step, right.step));
+  }
+
+  #addWish(wishes: Wish[], step: StepState): void {
+    const costs = step.record.queue.advice;
+    const { advice } = step;
+    if (costs === undefined || advice.isAsked || step.mayRunUnseen) return;
+    if (step.waiting.size === 0 || advice.notBeforeMs > this.#state.nowMs) return;
+    if (advice.getUsableIds(this.#state.nowMs).length > 0) return;
+    const targetIds = this.#chooseTargets(step, costs);
+    if (targetIds.length > 0) wishes.push({ step, costs, targetIds });
+  }
+
+  /** Names the targets that suit the step best; those already refused are never named again. */
+  #chooseTargets(step: StepState, costs: AdviceCosts): TargetId[] {
+    const limit = costs.perTargetMs < ADVICE_CHEAP_MS ? ADVICE_MAX_TARGETS : ADVICE_DEAR_TARGETS;
+    const candidates = [...this.#state.targets.values()].filter(
+      (target) => !step.advice.isRefused(target.id) && isTargetEligible(this.#state, step, target),
+    );
+    const known = candidates.filter((target) => step.advice.isGood(target.id));
+    const named = known.length > 0 ? known : candidates;
+    return named
+      .sort((left, right) => right.free.cpuMillis - left.free.cpuMillis)
+      .slice(0, limit)
+      .map((target) => target.id);
+  }
+
+  /** Asks whether all earlier steps end before a ticket asked for now would. */
+  #isSoonReady(step: StepState, costs: AdviceCosts | undefined): boolean {
+    if (costs === undefined) return false;
+    const leadMs =
+      getCallMs(costs, ADVICE_DEAR_TARGETS) + costs.ticketValidMs * PREFETCH_TICKET_FRACTION;
+    return step.spec.after.every((before) => {
+      const earlier = step.record.getStep(step.occurrence, before);
+      if (earlier === undefined) return false;
+      return earlier.isDone || this.#getRemainingMs(earlier) < leadMs;
+    });
+  }
+
+  #getRemainingMs(step: StepState): number {
+    if (step.waiting.size > 0) return Number.POSITIVE_INFINITY;
+    const { nowMs } = this.#state;
+    const remaining = step.getRuns().map((run) => {
+      const ranMs = run.percentAtMs - run.sentAtMs;
+      const totalMs = run.percent > 0 ? (ranMs * 100) / run.percent : step.spec.estimateMs;
+      return run.sentAtMs + totalMs - nowMs;
+    });
+    return Math.max(0, ...remaining);
+  }
+}
--- /dev/null
+++ b/src/owner/constants.ts
@@ -0,0 +1,103 @@
+/** Times, limits and thresholds of the owner. */
+
+/**
+ * Lease of everything that runs on a target, renewed by each look. Long enough for a takeover after a
+ * power loss of all nodes (about 3 s), short enough that a lost target's work starts again soon.
+ */
+export const LEASE_MS = 5_000;
+
+/** How long a look may wait at the target for an end; a third of the lease, so that two may fail. */
+export const LOOK_WAIT_MS = 1_000;
+
+/** Wait of a look at a target with a run that is being stopped; a stop takes up to 200 ms there. */
+export const STOP_LOOK_WAIT_MS = 250;
+
+/** Added to the wait of a look before it counts as lost. */
+export const LOOK_SLACK_MS = 500;
+
+/** Pause before a target that did not answer is looked at again. */
+export const LOOK_RETRY_MS = 150;
+
+/** Pause between looks while ends cannot be acknowledged, as such a look returns at once. */
+export const LOOK_UNACKNOWLEDGED_MS = 300;
+
+/** Delay of a look whose only purpose is to acknowledge ends on an idle target. */
+export const IDLE_ACKNOWLEDGE_MS = 800;
+
+/** A start that arrives later than this is refused by the target. */
+export const START_LIMIT_MS = 1_500;
+
+/** Wait for the answer to a start; several round trips beyond a target's usual 1 ms. */
+export const START_TIMEOUT_MS = 700;
+
+/** Wait for the answer to a stop or a change of pace. */
+export const STOP_TIMEOUT_MS = 700;
+
+/** Pause before a stop is repeated while the target still lists the run. */
+export const STOP_RETRY_MS = 400;
+
+/** A target's steady clock may be this much slower than ours. */
+export const CLOCK_SLOWNESS = 0.02;
+
+/** Added to a computed moment at which a lease has lapsed, for reading and timer delays. */
+export const LAPSE_MARGIN_MS = 150;
+
+/** A former owner stops by itself after this time without a confirmation. */
+export const AUTHORITY_MS = 2_000;
+
+/** Ends wait this long for others, so that one transaction carries several. */
+export const WRITE_DELAY_MS = 20;
+
+/** Rows in one transaction: each takes a condition and a put of the store's 100 entries. */
+export const WRITE_ROWS = 45;
+
+/** Pause before a failed write is repeated. */
+export const WRITE_RETRY_MS = 200;
+
+/** Run numbers of one epoch start at the epoch times this. */
+export const RUNS_PER_EPOCH = 1_000;
+
+/** A ticket is not used within this time of its end, as the start has to travel. */
+export const TICKET_MARGIN_MS = 150;
+
+/** Most targets that one call for advice names; the service takes 100. */
+export const ADVICE_MAX_TARGETS = 100;
+
+/** Targets named where each one named costs more than {@link ADVICE_CHEAP_MS}. */
+export const ADVICE_DEAR_TARGETS = 30;
+
+/** Below this cost of a named target all targets are named. */
+export const ADVICE_CHEAP_MS = 1;
+
+/** Part of the nodes whose channel to the advice service is kept for short calls. */
+export const SHORT_LANE_FRACTION = 0.25;
+
+/** A call for advice up to this length is short. */
+export const SHORT_ADVICE_MS = 150;
+
+/** Added to the expected length of a call for advice before it counts as lost. */
+export const ADVICE_SLACK_MS = 1_000;
+
+/** Pause of a lane after a failed call. */
+export const ADVICE_RETRY_MS = 300;
+
+/** Advice for a later step is asked for when this part of a ticket's life covers the rest of the wait. */
+export const PREFETCH_TICKET_FRACTION = 0.5;
+
+/** A target whose last ends all failed, for tasks of this many submissions, gets no work. */
+export const QUARANTINE_FAILURES = 2;
+
+/** First quarantine of a target; doubled each time. */
+export const QUARANTINE_MS = 2_000;
+
+/** Longest quarantine. */
+export const MAX_QUARANTINE_MS = 20_000;
+
+/** Pause of a target after it refused a start for a reason of its own. */
+export const REFUSAL_PAUSE_MS = 1_000;
+
+/** A task whose percentage has stood still this long, and twice its usual step, is taken as stuck. */
+export const STUCK_MS = 2_500;
+
+/** Kept for this long after its outcome, so that callers can ask for its state. */
+export const RETENTION_MS = 150_000;
--- /dev/null
+++ b/src/owner/core.ts
@@ -0,0 +1,385 @@
+/** The owner's reducer: decides and starts everything on all targets, under one epoch. */
+
+import type { Epoch, QueueId, SubmissionId, TargetId } from '../types/ids';
+import { assertNever } from '../types/debug';
+import type { Queue, Submission } from '../work/types';
+import { AdviceDesk } from './adviceDesk';
+import { AUTHORITY_MS, CLOCK_SLOWNESS, LEASE_MS, RETENTION_MS, STOP_RETRY_MS } from './constants';
+import { InventoryReader } from './inventoryReader';
+import { LookPlanner } from './lookPlanner';
+import { OwnerState } from './ownerState';
+import { Planner } from './planner';
+import { RunKeeper } from './runKeeper';
+import { SubmissionRecord } from './submissionRecord';
+import { TargetState } from './targetState';
+import type {
+  LoadedSubmission,
+  Moment,
+  OwnerEffect,
+  OwnerEvent,
+  SubmissionView,
+  TargetEntry,
+} from './types';
+
+/** Submissions deleted in one go once callers no longer ask for them. */
+const DELETE_BATCH = 25;
+
+/** How often finished submissions are looked through. */
+const CLEANUP_PERIOD_MS = 5_000;
+
+/** How often steps that no event has touched are planned again. */
+const REPLAN_PERIOD_MS = 200;
+
+/** Decides for the whole fleet. */
+export class OwnerCore {
+  #state: OwnerState;
+
+  #keeper: RunKeeper;
+
+  #reader: InventoryReader;
+
+  #planner: Planner;
+
+  #looks: LookPlanner;
+
+  #desk: AdviceDesk;
+
+  #nextCleanupAtMs = 0;
+
+  #nextReplanAtMs = 0;
+
+  /**
+   * @param epoch - the fence of every call
+   * @param loaded - every stored submission
+   * @param moment - when ownership was taken
+   */
+  constructor(epoch: Epoch, loaded: readonly LoadedSubmission[], moment: Moment) {
+    this.#state = new OwnerState(epoch);
+    this.#state.setMoment(moment);
+    this.#state.unresolvedUntilMs =
+      moment.nowMs + AUTHORITY_MS + LEASE_MS * (1 + CLOCK_SLOWNESS) + STOP_RETRY_MS;
+    this.#keeper = new RunKeeper(this.#state);
+    this.#reader = new InventoryReader(this.#state, this.#keeper);
+    this.#planner = new Planner(this.#state, this.#keeper);
+    this.#looks = new LookPlanner(this.#state);
+    this.#desk = new AdviceDesk(this.#state);
+    loaded.forEach((submission) => this.#addRecord(new SubmissionRecord(submission, true)));
+  }
+
+  /** The fence of every call. */
+  get epoch(): Epoch {
+    return this.#state.epoch;
+  }
+
+  /**
+   * Applies one event.
+   * @param event - what happened
+   * @returns what to do about it
+   */
+  reduce(event: OwnerEvent): readonly OwnerEffect[] {
+    this.#state.setMoment(event);
+    this.#apply(event);
+    this.#settle();
+    return this.#state.takeEffects();
+  }
+
+  /**
+   * Answers a caller.
+   * @param submissionId - what it asks for
+   * @returns what it may be told
+   */
+  getView(submissionId: SubmissionId): SubmissionView {
+    const record = this.#state.records.get(submissionId);
+    if (record === undefined) return { kind: 'unknown' };
+    return { kind: 'known', state: record.state, submission: record.submission };
+  }
+
+  /**
+   * Counts the submissions of a queue that have not begun.
+   * @param queueId - the queue
+   * @returns how many are accepted and have started nothing
+   */
+  getWaitingCount(queueId: QueueId): number {
+    let count = 0;
+    this.#state.open.forEach((record) => {
+      const isWaiting = !record.hasBegun && !record.isCancelled;
+      if (isWaiting && record.submission.queue.id === queueId) count += 1;
+    });
+    return count;
+  }
+
+  /** @returns the state for operators: what waits, what runs, which targets are in doubt */
+  dump(): unknown {
+    const { targets, records, open, ready, unresolved, writer, epoch } = this.#state;
+    return {
+      epoch,
+      submissionCount: records.size,
+      openCount: open.size,
+      unwrittenCount: writer.dirtyCount,
+      unresolvedTargetIds: [...unresolved],
+      waitingSteps: [...ready].map((step) => ({
+        step: step.key,
+        priority: step.record.queue.priority,
+        waitingCount: step.waiting.size,
+        demand: step.charge,
+        ticketTargetIds: step.advice.getUsableIds(this.#state.nowMs),
+        mayRunUnseen: step.mayRunUnseen,
+      })),
+      targets: [...targets.values()].map((target) => ({
+        id: target.id,
+        free: target.free,
+        runCount: target.runs.size,
+        isContacted: target.isContacted,
+        isResponding: target.isResponding,
+        isListed: target.isListed,
+        isDraining: target.entry.isDraining,
+        isSuspect: target.isSuspect,
+        pausedForMs: Math.max(0, target.pausedUntilMs - this.#state.nowMs),
+      })),
+    };
+  }
+
+  #apply(event: OwnerEvent): void {
+    switch (event.kind) {
+      case 'tick':
+        this.#onTick();
+        return;
+      case 'operatorChanged':
+        this.#onOperatorChanged(event.operator);
+        return;
+      case 'targetsListed':
+        this.#onTargetsListed(event.entries);
+        return;
+      case 'targetChanged':
+        this.#onTargetChanged(event.entry);
+        return;
+      case 'targetRemoved':
+        this.#onTargetRemoved(event.targetId);
+        return;
+      case 'submitted':
+        this.#onSubmitted(event.submission);
+        return;
+      case 'cancelled':
+        this.#onCancelled(event.submissionId);
+        return;
+      case 'lanesChanged':
+        this.#desk.setLanes(event.nodeIds);
+        return;
+      case 'looked':
+        this.#reader.onLooked(event);
+        return;
+      case 'startAnswered':
+        this.#keeper.onStartAnswered(event);
+        return;
+      case 'stopAnswered':
+        this.#keeper.onStopAnswered(event);
+        return;
+      case 'advised':
+        this.#desk.onAdvised(event);
+        return;
+      case 'progressWritten':
+        this.#onProgressWritten(event);
+        return;
+      case 'submissionsDeleted':
+        event.submissionIds.forEach((id) => this.#state.records.delete(id));
+        return;
+      default:
+        assertNever(event);
+    }
+  }
+
+  /** What follows from any event. */
+  #settle(): void {
+    const { nowMs, writer } = this.#state;
+    if (nowMs >= this.#nextReplanAtMs) {
+      this.#nextReplanAtMs = nowMs + REPLAN_PERIOD_MS;
+      this.#state.isPlanDue = true;
+    }
+    if (this.#state.isPlanDue) {
+      this.#state.isPlanDue = false;
+      this.#planner.plan();
+      this.#desk.assign();
+    }
+    this.#looks.sendDueLooks();
+    const write = writer.tryCutBatch(nowMs);
+    if (write !== undefined) this.#state.emit(write);
+  }
+
+  #onTick(): void {
+    this.#openOccurrences();
+    this.#checkTargets();
+    this.#checkUnresolved();
+    this.#cleanUp();
+  }
+
+  #openOccurrences(): void {
+    this.#state.open.forEach((record) => {
+      if (record.nextDueAtMs === undefined || record.nextDueAtMs > this.#state.wallMs) return;
+      this.#openDue(record);
+    });
+  }
+
+  #openDue(record: SubmissionRecord): void {
+    const steps = record.openDueOccurrences(this.#state.wallMs);
+    steps.forEach((step) => this.#keeper.refreshReady(step));
+    if (record.isComplete) this.#keeper.close(record, 'succeeded');
+  }
+
+  #checkTargets(): void {
+    const { nowMs } = this.#state;
+    [...this.#state.targets.values()].forEach((target) => {
+      target.runs.forEach((run) => {
+        const isRepeatDue =
+          run.phase === 'stopping' &&
+          run.stopConfirmedAtMs === undefined &&
+          nowMs > run.stopSentAtMs + STOP_RETRY_MS;
+        if (isRepeatDue) this.#keeper.stop(run, 'repeated');
+      });
+      if (!target.isResponding && target.isLapsed(nowMs) && target.runs.size > 0) {
+        this.#keeper.releaseAll(target, 'its lease has lapsed');
+      }
+      if (!target.isListed && this.#isOver(target)) {
+        this.#keeper.endLife(target, 'it has left the registry');
+      }
+    });
+  }
+
+  /** A target that has left the registry is kept while it may still run something. */
+  #isOver(target: TargetState): boolean {
+    if (target.runs.size > 0) return false;
+    if (!target.isContacted) return this.#state.nowMs > this.#state.unresolvedUntilMs;
+    return !target.isResponding || target.listedEndCount === 0;
+  }
+
+  #checkUnresolved(): void {
+    const { unresolved, nowMs, unresolvedUntilMs } = this.#state;
+    if (unresolved.size > 0 && nowMs < unresolvedUntilMs) return;
+    if (unresolved.size > 0) {
+      this.#state.log('targets given up', { targetIds: [...unresolved] }, 'warn');
+      unresolved.clear();
+    }
+    this.#clearUnseen();
+  }
+
+  /** Every target has listed its runs, so a task that no target lists is not running. */
+  #clearUnseen(): void {
+    if (this.#state.targets.size === 0 && this.#state.nowMs < this.#state.unresolvedUntilMs) return;
+    let clearedCount = 0;
+    this.#state.open.forEach((record) => {
+      [...record.steps].forEach((step) => {
+        if (!step.mayRunUnseen) return;
+        step.mayRunUnseen = false;
+        clearedCount += 1;
+      });
+    });
+    if (clearedCount === 0) return;
+    this.#state.isPlanDue = true;
+    this.#state.log('work of former owners is known', { stepCount: clearedCount });
+  }
+
+  #cleanUp(): void {
+    const { nowMs, wallMs, records } = this.#state;
+    if (nowMs < this.#nextCleanupAtMs) return;
+    this.#nextCleanupAtMs = nowMs + CLEANUP_PERIOD_MS;
+    const expired = [...records.values()].filter(
+      (record) => record.durableOutcome !== undefined && wallMs > record.outcomeAtMs + RETENTION_MS,
+    );
+    if (expired.length === 0) return;
+    const submissionIds = expired.slice(0, DELETE_BATCH).map(({ submission }) => submission.id);
+    this.#state.emit({ kind: 'deleteSubmissions', submissionIds });
+  }
+
+  #onOperatorChanged(operator: OwnerState['operator']): void {
+    this.#state.operator = operator;
+    this.#state.isPlanDue = true;
+    const { config } = operator;
+    if (config === undefined) return;
+    this.#state.teamUse.setTeams(config.teams);
+    const queues = new Map<QueueId, Queue>(config.queues.map((queue) => [queue.id, queue]));
+    this.#state.open.forEach((record) => {
+      record.queue = queues.get(record.submission.queue.id) ?? record.queue;
+    });
+    this.#state.log('configuration adopted', {
+      version: config.version,
+      closedDataCentreIds: operator.closedDataCentreIds,
+    });
+  }
+
+  #onTargetsListed(entries: readonly TargetEntry[]): void {
+    const listed = new Set(entries.map(({ id }) => id));
+    entries.forEach((entry) => this.#onTargetChanged(entry));
+    [...this.#state.targets.keys()].forEach((targetId) => {
+      if (!listed.has(targetId)) this.#onTargetRemoved(targetId);
+    });
+  }
+
+  #onTargetChanged(entry: TargetEntry): void {
+    const known = this.#state.targets.get(entry.id);
+    if (known !== undefined && known.entry.bornAtMs === entry.bornAtMs) {
+      if (known.entry.isDraining !== entry.isDraining) {
+        this.#state.log('target drains', { targetId: entry.id, isDraining: entry.isDraining });
+      }
+      known.setEntry(entry);
+      this.#state.isPlanDue = true;
+      return;
+    }
+    if (known !== undefined) this.#keeper.endLife(known, 'it has started again');
+    const isFormerLife = this.#state.nowMs < this.#state.unresolvedUntilMs;
+    this.#state.targets.set(entry.id, new TargetState(entry));
+    if (isFormerLife && known === undefined) this.#state.unresolved.add(entry.id);
+    this.#state.log('target registered', {
+      targetId: entry.id,
+      address: entry.address,
+      bornAtMs: entry.bornAtMs,
+      isDraining: entry.isDraining,
+    });
+  }
+
+  /** The registry forgets targets that it does not hear; one that still answers keeps its runs. */
+  #onTargetRemoved(targetId: TargetId): void {
+    const target = this.#state.targets.get(targetId);
+    if (target === undefined) return;
+    target.isListed = false;
+    this.#state.log('target left the registry', { targetId, runCount: target.runs.size });
+  }
+
+  #onSubmitted(submission: Submission): void {
+    if (this.#state.records.has(submission.id)) return;
+    this.#addRecord(
+      new SubmissionRecord(
+        { submission, isCancelled: false, progress: undefined, progressVersion: 0 },
+        false,
+      ),
+    );
+    this.#state.log('submission taken', {
+      submissionId: submission.id,
+      queue: submission.queue.id,
+      teamId: submission.teamId,
+      stepCount: submission.spec.steps.length,
+      ageMs: Math.round(this.#state.wallMs - submission.acceptedAtMs),
+    });
+  }
+
+  #addRecord(record: SubmissionRecord): void {
+    const { submission } = record;
+    this.#state.records.set(submission.id, record);
+    const queues = this.#state.operator.config?.queues ?? [];
+    record.queue = queues.find(({ id }) => id === submission.queue.id) ?? record.queue;
+    if (record.outcome !== undefined) return;
+    this.#state.open.add(record);
+    this.#openDue(record);
+  }
+
+  #onCancelled(submissionId: SubmissionId): void {
+    const record = this.#state.records.get(submissionId);
+    if (record === undefined || record.outcome !== undefined) return;
+    record.isCancelled = true;
+    this.#keeper.close(record, 'cancelled');
+  }
+
+  #onProgressWritten(event: Extract<OwnerEvent, { kind: 'progressWritten' }>): void {
+    const outcome = this.#state.writer.onWritten(event.batch, event.result, this.#state.nowMs);
+    if (outcome.kind !== 'superseded') return;
+    this.#state.emit({ kind: 'stepDown', reason: 'the owner row names another owner' });
+  }
+}
--- /dev/null
+++ b/src/owner/inventoryReader.ts
@@ -0,0 +1,230 @@
+/** Compares what a target lists with what the owner believes, and settles every difference. */
+
+import * as E from 'fp-ts/Either';
+import { tryParseTaskKey } from '../work/taskNames';
+import { LOOK_RETRY_MS, STOP_RETRY_MS } from './constants';
+import type { OwnerState } from './ownerState';
+import { toRunKey } from './run';
+import type { Run, RunKey } from './run';
+import type { RunKeeper } from './runKeeper';
+import type { StepState } from './stepState';
+import type { TargetState } from './targetState';
+import type { EndedRow, Inventory, OwnerEvent, RunningRow } from './types';
+
+type Looked = Extract<OwnerEvent, { kind: 'looked' }>;
+
+/** A task that a target names. */
+interface NamedTask {
+  readonly step: StepState;
+  readonly index: number;
+}
+
+/** Applies the answers to looks. */
+export class InventoryReader {
+  #state: OwnerState;
+
+  #keeper: RunKeeper;
+
+  /**
+   * @param state - the owner's tables
+   * @param keeper - applies starts and ends
+   */
+  constructor(state: OwnerState, keeper: RunKeeper) {
+    this.#state = state;
+    this.#keeper = keeper;
+  }
+
+  /**
+   * Takes the answer to a look.
+   * @param event - the answer, or why there is none
+   */
+  onLooked(event: Looked): void {
+    const target = this.#state.targets.get(event.targetId);
+    if (target === undefined || target.entry.bornAtMs !== event.bornAtMs) return;
+    target.lookSentAtMs = undefined;
+    if (E.isLeft(event.result)) {
+      this.#onLookFailed(target, event.result.left);
+      return;
+    }
+    const inventory = event.result.right;
+    if (inventory.bornAtMs !== undefined && inventory.bornAtMs !== target.entry.bornAtMs) {
+      this.#keeper.endLife(target, 'it has started again');
+      return;
+    }
+    this.#read(target, inventory, event.sentAtMs);
+  }
+
+  #onLookFailed(target: TargetState, failure: { readonly kind: string }): void {
+    const { nowMs } = this.#state;
+    if (failure.kind === 'fenced') {
+      this.#state.emit({ kind: 'stepDown', reason: `target ${target.id} knows a later owner` });
+      return;
+    }
+    if (failure.kind === 'otherLife') {
+      this.#keeper.endLife(target, 'another life answers at its address');
+      return;
+    }
+    if (target.isResponding) {
+      this.#state.log('target does not answer', { targetId: target.id, failure }, 'warn');
+      this.#state.count('targets_lost');
+    }
+    target.isResponding = false;
+    target.nextLookAtMs = nowMs + LOOK_RETRY_MS;
+  }
+
+  #read(target: TargetState, inventory: Inventory, sentAtMs: number): void {
+    const { nowMs } = this.#state;
+    if (!target.isResponding) this.#state.log('target answers again', { targetId: target.id });
+    if (!target.isContacted) {
+      this.#state.log('target listed its runs', {
+        targetId: target.id,
+        runningCount: inventory.running.length,
+        endedCount: inventory.ended.length,
+      });
+    }
+    target.clock.addSample(inventory.clockMs, sentAtMs, nowMs);
+    target.isResponding = true;
+    inventory.ended.forEach((row) => this.#readEnd(target, row));
+    const listed = new Set<RunKey>();
+    const strays: RunKey[] = [];
+    inventory.running.forEach((row) => {
+      listed.add(toRunKey(row.taskKey, row.run));
+      if (!this.#readRunning(target, row)) strays.push(toRunKey(row.taskKey, row.run));
+    });
+    target.setStrays(strays);
+    [...target.runs.values()].forEach((run) => {
+      if (!listed.has(run.key)) this.#onUnlisted(target, run, sentAtMs);
+    });
+    target.isContacted = true;
+    this.#state.unresolved.delete(target.id);
+    target.nextLookAtMs = nowMs;
+    this.#state.isPlanDue = true;
+  }
+
+  #findTask(taskKey: string): NamedTask | undefined {
+    const name = tryParseTaskKey(taskKey);
+    if (name === undefined) return undefined;
+    const record = this.#state.records.get(name.submissionId);
+    const step = record?.getStep(name.occurrence, name.step);
+    if (step === undefined || name.index >= step.spec.taskCount) return undefined;
+    return { step, index: name.index };
+  }
+
+  #readEnd(target: TargetState, row: EndedRow): void {
+    if (target.isEndKnown(row.sequence)) return;
+    const run = target.runs.get(toRunKey(row.taskKey, row.run));
+    const task = run ?? this.#findTask(row.taskKey);
+    if (run !== undefined) this.#keeper.release(run);
+    if (task !== undefined) this.#applyEnd(target, task, row, run);
+    target.addEnd(row.sequence, task?.step.record);
+  }
+
+  #applyEnd(target: TargetState, task: NamedTask, row: EndedRow, run: Run | undefined): void {
+    const { step, index } = task;
+    const { record } = step;
+    this.#state.count(`ends_${row.how}`);
+    this.#state.log('run ended', {
+      submissionId: record.submission.id,
+      task: row.taskKey,
+      run: row.run,
+      targetId: target.id,
+      how: row.how,
+      ranMs: run === undefined ? undefined : Math.round(this.#state.nowMs - run.sentAtMs),
+    });
+    step.hasBegun = true;
+    record.hasBegun = true;
+    if (row.how === 'done') target.addSuccess();
+    if (row.how === 'failed') {
+      const pauseMs = target.addFailure(record.submission.id, this.#state.nowMs);
+      if (pauseMs > 0) {
+        this.#state.log('target quarantined', { targetId: target.id, pauseMs }, 'warn');
+        this.#state.count('targets_quarantined');
+      }
+    }
+    if (record.outcome !== undefined) return;
+    this.#keeper.applyEnd(step, index, row.run, row.how, row.checkpoint);
+    if (row.how !== 'done') this.#keeper.restartGang(step, row.run, `a member ended ${row.how}`);
+  }
+
+  /** @returns false when the run belongs to no task and has to be stopped */
+  #readRunning(target: TargetState, row: RunningRow): boolean {
+    const { nowMs } = this.#state;
+    const known = target.runs.get(toRunKey(row.taskKey, row.run));
+    if (known !== undefined) {
+      this.#updateRun(known, row);
+      return true;
+    }
+    const task = this.#findTask(row.taskKey);
+    if (task !== undefined && InventoryReader.#isWanted(task)) {
+      this.#keeper.adopt(task.step, task.index, target, row);
+      return true;
+    }
+    this.#state.log('unexpected run stopped', {
+      task: row.taskKey,
+      run: row.run,
+      targetId: target.id,
+      isKnownTask: task !== undefined,
+    });
+    this.#state.count('runs_unexpected');
+    this.#keeper.sendStop(target, row.taskKey, row.run);
+    target.nextLookAtMs = nowMs + STOP_RETRY_MS;
+    return false;
+  }
+
+  static #isWanted({ step, index }: NamedTask): boolean {
+    const { record, progress } = step;
+    if (record.outcome !== undefined || record.isCancelled || progress.isTaskDone(index)) {
+      return false;
+    }
+    const { policy } = step.spec;
+    if (policy.kind === 'batch' && policy.isSpeculative) return true;
+    return (step.runs.get(index) ?? []).length === 0;
+  }
+
+  #updateRun(run: Run, row: RunningRow): void {
+    const { nowMs } = this.#state;
+    if (run.phase === 'starting' || run.phase === 'unconfirmed') {
+      run.phase = 'running';
+      run.confirmedAtMs = nowMs;
+    }
+    if (row.percent !== run.percent) {
+      run.percent = row.percent;
+      run.percentChangedAtMs = nowMs;
+    }
+    run.percentAtMs = nowMs;
+    run.recentFigure = row.recentFigure;
+    run.checkpoint = row.checkpoint;
+  }
+
+  /** A run that is not listed has ended, or has not begun, depending on what was known before. */
+  #onUnlisted(target: TargetState, run: Run, sentAtMs: number): void {
+    switch (run.phase) {
+      case 'starting':
+        return;
+      case 'unconfirmed':
+        if (sentAtMs > run.sentAtMs) this.#keeper.stop(run, 'its start was not answered');
+        return;
+      case 'running':
+        if (run.confirmedAtMs !== undefined && sentAtMs > run.confirmedAtMs) {
+          this.#onVanished(target, run);
+        }
+        return;
+      default:
+        if (run.stopConfirmedAtMs !== undefined && sentAtMs > run.stopConfirmedAtMs) {
+          this.#keeper.release(run);
+          this.#keeper.restartGang(run.step, run.run, 'a member was stopped');
+        }
+    }
+  }
+
+  #onVanished(target: TargetState, run: Run): void {
+    this.#state.log(
+      'run vanished',
+      { task: run.taskKey, run: run.run, targetId: target.id },
+      'warn',
+    );
+    this.#state.count('runs_vanished');
+    this.#keeper.release(run);
+    this.#keeper.restartGang(run.step, run.run, 'a member vanished');
+  }
+}
--- /dev/null
+++ b/src/owner/runKeeper.ts
@@ -0,0 +1,452 @@
+/** Keeps the table of runs true: starts, stops, ends, and what follows for tasks and submissions. */
+
+import * as E from 'fp-ts/Either';
+import type { Checkpoint, Ticket } from '../types/ids';
+import { assertNever } from '../types/debug';
+import { toTaskKey } from '../work/taskNames';
+import type { EndKind } from '../work/types';
+import {
+  REFUSAL_PAUSE_MS,
+  RUNS_PER_EPOCH,
+  START_LIMIT_MS,
+  START_TIMEOUT_MS,
+  STOP_TIMEOUT_MS,
+} from './constants';
+import type { OwnerState } from './ownerState';
+import { toRunKey } from './run';
+import type { Run } from './run';
+import type { StepState } from './stepState';
+import type { SubmissionOutcome, SubmissionRecord } from './submissionRecord';
+import type { TargetState } from './targetState';
+import type { OwnerEvent, RunningRow, TargetFailure } from './types';
+
+type StartAnswered = Extract<OwnerEvent, { kind: 'startAnswered' }>;
+type StopAnswered = Extract<OwnerEvent, { kind: 'stopAnswered' }>;
+
+/** Starts, stops and ends of runs. */
+export class RunKeeper {
+  #state: OwnerState;
+
+  /**
+   * @param state - the owner's tables
+   */
+  constructor(state: OwnerState) {
+    this.#state = state;
+  }
+
+  /**
+   * Gets the number for the next run of a task, or of all members of a gang.
+   * @param step - the step
+   * @returns a number higher than that of any earlier run, also of a former owner
+   */
+  takeRunNumber(step: StepState): number {
+    return step.takeRunNumber(this.#state.epoch * RUNS_PER_EPOCH + 1);
+  }
+
+  /**
+   * Starts a run: charges it and sends the start.
+   * @param step - the step
+   * @param index - the task
+   * @param target - where
+   * @param run - its number
+   * @param ticket - permission of the advice service, where the queue needs one
+   */
+  start(
+    step: StepState,
+    index: number,
+    target: TargetState,
+    run: number,
+    ticket: Ticket | undefined,
+  ): void {
+    const { nowMs, epoch } = this.#state;
+    const taskKey = toTaskKey(step.key, index);
+    const started = RunKeeper.#createRun(step, index, target, run, nowMs);
+    this.#charge(started, target);
+    step.lastStartAtMs = nowMs;
+    const notAfterMs = Math.ceil((target.clock.getUpperMs(nowMs) ?? 0) + START_LIMIT_MS);
+    target.extendLease(notAfterMs);
+    const checkpoint = step.getCheckpoint(index);
+    this.#state.emit({
+      kind: 'startRun',
+      targetId: target.id,
+      address: target.entry.address,
+      taskKey,
+      run,
+      payload: step.record.submission.spec.payload,
+      fence: epoch,
+      notAfterMs,
+      checkpoint,
+      ticket,
+      timeoutMs: START_TIMEOUT_MS,
+    });
+    const waitedMs = step.readyAtMs === undefined ? 0 : nowMs - step.readyAtMs;
+    this.#state.emit({
+      kind: 'record',
+      name: `start_wait_priority_${step.record.queue.priority}`,
+      durationMs: waitedMs,
+    });
+    this.#state.log('run started', {
+      submissionId: step.record.submission.id,
+      task: taskKey,
+      run,
+      targetId: target.id,
+      waitedMs: Math.round(waitedMs),
+      freeCpuMillis: target.free.cpuMillis,
+    });
+  }
+
+  /**
+   * Takes the answer to a start.
+   * @param event - the answer
+   */
+  onStartAnswered(event: StartAnswered): void {
+    const target = this.#state.targets.get(event.targetId);
+    const run = target?.runs.get(toRunKey(event.taskKey, event.run));
+    if (target === undefined || run === undefined) return;
+    if (E.isRight(event.result)) {
+      target.clock.addSample(event.result.right.clockMs, event.sentAtMs, this.#state.nowMs);
+      target.isResponding = true;
+      if (run.phase !== 'starting') return;
+      run.phase = 'running';
+      run.confirmedAtMs = this.#state.nowMs;
+      return;
+    }
+    this.#onStartFailed(run, target, event.result.left);
+  }
+
+  /**
+   * Sends a stop. The run stays charged until its target lists the end.
+   * @param run - the run
+   * @param reason - for the log
+   */
+  stop(run: Run, reason: string): void {
+    const target = this.#state.targets.get(run.targetId);
+    if (target === undefined) return;
+    if (run.phase !== 'stopping') {
+      this.#state.log('run stopped', {
+        submissionId: run.step.record.submission.id,
+        task: run.taskKey,
+        run: run.run,
+        targetId: run.targetId,
+        reason,
+      });
+      this.#state.count('runs_stopped');
+    }
+    run.phase = 'stopping';
+    this.sendStop(target, run.taskKey, run.run);
+    run.stopSentAtMs = this.#state.nowMs;
+  }
+
+  /**
+   * Sends a stop for a run that need not be charged.
+   * @param target - where
+   * @param taskKey - the task
+   * @param run - the run's number
+   */
+  sendStop(target: TargetState, taskKey: Run['taskKey'], run: number): void {
+    this.#state.emit({
+      kind: 'stopRun',
+      targetId: target.id,
+      address: target.entry.address,
+      taskKey,
+      run,
+      fence: this.#state.epoch,
+      timeoutMs: STOP_TIMEOUT_MS,
+    });
+  }
+
+  /**
+   * Takes the answer to a stop.
+   * @param event - the answer
+   */
+  onStopAnswered(event: StopAnswered): void {
+    const target = this.#state.targets.get(event.targetId);
+    const run = target?.runs.get(toRunKey(event.taskKey, event.run));
+    if (target === undefined) return;
+    target.nextLookAtMs = Math.min(target.nextLookAtMs, this.#state.nowMs);
+    if (E.isRight(event.result)) {
+      if (run !== undefined) run.stopConfirmedAtMs = this.#state.nowMs;
+      return;
+    }
+    if (event.result.left.kind === 'fenced') this.#stepDown(target);
+    if (event.result.left.kind === 'staleRun' && run !== undefined) {
+      run.stopConfirmedAtMs = this.#state.nowMs;
+    }
+  }
+
+  /**
+   * Adds a run that a target lists and that was not started by this owner.
+   * @param step - its step
+   * @param index - its task
+   * @param target - where it runs
+   * @param row - as listed
+   * @returns the run
+   */
+  adopt(step: StepState, index: number, target: TargetState, row: RunningRow): Run {
+    const { nowMs } = this.#state;
+    const run = RunKeeper.#createRun(step, index, target, row.run, nowMs);
+    run.phase = 'running';
+    run.confirmedAtMs = nowMs;
+    run.percent = row.percent;
+    run.checkpoint = row.checkpoint;
+    this.#charge(run, target);
+    step.record.hasBegun = true;
+    return run;
+  }
+
+  /**
+   * Applies an end to its task.
+   * @param step - the step
+   * @param index - the task
+   * @param run - the run's number
+   * @param how - how it ended
+   * @param checkpoint - what a later run resumes from
+   */
+  applyEnd(
+    step: StepState,
+    index: number,
+    run: number,
+    how: EndKind,
+    checkpoint: Checkpoint | undefined,
+  ): void {
+    const { progress, record } = step;
+    let isChanged = false;
+    if (how === 'done') isChanged = this.#applyDone(step, index);
+    if (how === 'failed' && !step.isStanding) isChanged = progress.addFailure(index, run);
+    if (checkpoint !== undefined && !step.isStanding && !progress.isTaskDone(index)) {
+      isChanged = progress.setCheckpoint(index, checkpoint) || isChanged;
+    }
+    this.refreshReady(step);
+    if (!isChanged) return;
+    this.#state.writer.markDirty(record, this.#state.nowMs);
+    if (how === 'failed') this.#checkAttempts(step, index);
+    if (how === 'done' && step.isDone) this.#onStepDone(step);
+  }
+
+  /**
+   * Removes a run that no longer exists and frees its room.
+   * @param run - the run
+   */
+  release(run: Run): void {
+    this.#state.targets.get(run.targetId)?.removeRun(run.key);
+    run.step.removeRun(run);
+    this.#state.teamUse.add(run.step.record.submission.teamId, run.charge, -1);
+    this.#state.isPlanDue = true;
+    this.refreshReady(run.step);
+  }
+
+  /**
+   * Releases every run of a target whose life or lease has ended.
+   * @param target - the target
+   * @param reason - for the log
+   */
+  releaseAll(target: TargetState, reason: string): void {
+    const runs = [...target.runs.values()];
+    if (runs.length > 0) {
+      this.#state.log('runs lost with their target', {
+        targetId: target.id,
+        reason,
+        tasks: runs.map(({ taskKey }) => taskKey),
+      });
+      this.#state.count('runs_lost', runs.length);
+    }
+    runs.forEach((run) => this.release(run));
+    runs.forEach((run) => this.restartGang(run.step, run.run, 'a member was lost'));
+  }
+
+  /**
+   * Forgets a target whose life is over, with everything that ran there.
+   * @param target - the target
+   * @param reason - for the log
+   */
+  endLife(target: TargetState, reason: string): void {
+    this.releaseAll(target, reason);
+    if (this.#state.targets.get(target.id) === target) this.#state.targets.delete(target.id);
+    this.#state.unresolved.delete(target.id);
+    this.#state.log('target gone', { targetId: target.id, reason });
+  }
+
+  /**
+   * Stops the other members of a gang's run, which cannot go on without all of them.
+   * @param step - the step
+   * @param run - the run's number
+   * @param reason - for the log
+   */
+  restartGang(step: StepState, run: number, reason: string): void {
+    if (!step.isGang) return;
+    step.getRuns().forEach((member) => {
+      if (member.run === run && member.phase !== 'stopping') this.stop(member, reason);
+    });
+  }
+
+  /**
+   * Puts a step into the table of ready steps, or takes it out.
+   * @param step - the step
+   */
+  refreshReady(step: StepState): void {
+    const { record } = step;
+    const isReady =
+      record.outcome === undefined &&
+      !record.isCancelled &&
+      step.waiting.size > 0 &&
+      record.isStepReady(step);
+    if (!isReady) {
+      this.#state.ready.delete(step);
+      return;
+    }
+    step.readyAtMs ??= this.#state.nowMs;
+    this.#state.ready.add(step);
+    this.#state.isPlanDue = true;
+  }
+
+  /**
+   * Ends a submission: nothing of it runs any more.
+   * @param record - the submission
+   * @param outcome - why
+   */
+  close(record: SubmissionRecord, outcome: SubmissionOutcome): void {
+    if (record.outcome !== undefined) return;
+    record.outcome = outcome;
+    record.outcomeAtMs = this.#state.wallMs;
+    this.#state.open.delete(record);
+    this.#state.writer.markDirty(record, this.#state.nowMs);
+    this.#state.count(`submissions_${outcome}`);
+    this.#state.log('submission ended', {
+      submissionId: record.submission.id,
+      outcome,
+      ageMs: Math.round(this.#state.wallMs - record.submission.acceptedAtMs),
+    });
+    [...record.steps].forEach((step) => {
+      this.#state.ready.delete(step);
+      if (outcome === 'succeeded') return;
+      step.getRuns().forEach((run) => {
+        if (run.phase !== 'stopping') this.stop(run, `submission ${outcome}`);
+      });
+    });
+  }
+
+  static #createRun(
+    step: StepState,
+    index: number,
+    target: TargetState,
+    run: number,
+    nowMs: number,
+  ): Run {
+    const taskKey = toTaskKey(step.key, index);
+    return {
+      key: toRunKey(taskKey, run),
+      taskKey,
+      run,
+      step,
+      index,
+      targetId: target.id,
+      charge: step.charge,
+      phase: 'starting',
+      sentAtMs: nowMs,
+      confirmedAtMs: undefined,
+      stopSentAtMs: 0,
+      stopConfirmedAtMs: undefined,
+      percent: 0,
+      percentAtMs: nowMs,
+      percentChangedAtMs: nowMs,
+      pacePercent: 100,
+      recentFigure: 0,
+      checkpoint: undefined,
+    };
+  }
+
+  #charge(run: Run, target: TargetState): void {
+    const { record } = run.step;
+    target.addRun(run);
+    run.step.addRun(run);
+    this.#state.teamUse.add(record.submission.teamId, run.charge, 1);
+    record.hasBegun = true;
+    this.refreshReady(run.step);
+  }
+
+  #onStartFailed(run: Run, target: TargetState, failure: TargetFailure): void {
+    const { nowMs } = this.#state;
+    this.#state.log('start not confirmed', {
+      submissionId: run.step.record.submission.id,
+      task: run.taskKey,
+      run: run.run,
+      targetId: target.id,
+      failure,
+    });
+    this.#state.count(`starts_${failure.kind}`);
+    switch (failure.kind) {
+      case 'fenced':
+        this.#stepDown(target);
+        return;
+      case 'lost':
+        if (run.phase === 'starting') run.phase = 'unconfirmed';
+        target.nextLookAtMs = Math.min(target.nextLookAtMs, nowMs);
+        return;
+      case 'badTicket':
+        run.step.advice.dropTicket(target.id);
+        break;
+      case 'noRoom':
+      case 'refused':
+        target.pausedUntilMs = Math.max(target.pausedUntilMs, nowMs + REFUSAL_PAUSE_MS);
+        break;
+      case 'notSent':
+        target.isResponding = false;
+        target.nextLookAtMs = Math.min(target.nextLookAtMs, nowMs);
+        break;
+      case 'otherLife':
+        this.endLife(target, 'another life answers at its address');
+        return;
+      case 'late':
+      case 'staleRun':
+        break;
+      default:
+        assertNever(failure);
+    }
+    this.release(run);
+    this.restartGang(run.step, run.run, 'a member was not started');
+  }
+
+  #stepDown(target: TargetState): void {
+    this.#state.emit({ kind: 'stepDown', reason: `target ${target.id} knows a later owner` });
+  }
+
+  #applyDone(step: StepState, index: number): boolean {
+    if (step.isStanding) return false;
+    if (!step.isGang) {
+      const isNew = step.progress.setDone(index);
+      step.dropDoneTasks();
+      this.#stopCopies(step, index);
+      return isNew;
+    }
+    if (step.isDone) return false;
+    step.progress.setAllDone();
+    step.dropDoneTasks();
+    return true;
+  }
+
+  /** The copies of a task that is done are of no use. */
+  #stopCopies(step: StepState, index: number): void {
+    (step.runs.get(index) ?? []).forEach((copy) => {
+      if (copy.phase !== 'stopping') this.stop(copy, 'another copy is done');
+    });
+  }
+
+  #checkAttempts(step: StepState, index: number): void {
+    const { record, progress } = step;
+    const failureCount = step.isGang
+      ? progress.getGangFailureCount()
+      : progress.getFailureCount(index);
+    if (failureCount < record.queue.attemptLimit) return;
+    this.close(record, record.isCancelled ? 'cancelled' : 'failed');
+  }
+
+  #onStepDone(step: StepState): void {
+    const { record } = step;
+    this.#state.ready.delete(step);
+    if (record.isComplete) {
+      this.close(record, 'succeeded');
+      return;
+    }
+    [...record.steps].forEach((later) => this.refreshReady(later));
+  }
+}
--- /dev/null
+++ b/src/owner/targetClock.ts
@@ -0,0 +1,51 @@
+/** Bounds of a target's steady clock from its answers. */
+
+import { CLOCK_SLOWNESS } from './constants';
+
+/** One reading of a target's clock. */
+interface ClockSample {
+  readonly clockMs: number;
+  readonly sentAtMs: number;
+  readonly receivedAtMs: number;
+}
+
+/** Estimates a clock that runs at most 2% slow against ours. */
+export class TargetClock {
+  #sample: ClockSample | undefined;
+
+  /** True once the target has said what its clock shows. */
+  get isKnown(): boolean {
+    return this.#sample !== undefined;
+  }
+
+  /**
+   * Takes a reading.
+   * @param clockMs - what the target's clock showed
+   * @param sentAtMs - when the call left, on our clock
+   * @param receivedAtMs - when the answer came, on our clock
+   */
+  addSample(clockMs: number, sentAtMs: number, receivedAtMs: number): void {
+    const isOlder = this.#sample !== undefined && sentAtMs < this.#sample.sentAtMs;
+    if (isOlder) return;
+    this.#sample = { clockMs, sentAtMs, receivedAtMs };
+  }
+
+  /**
+   * @param nowMs - our clock
+   * @returns the most that the target's clock can show, or undefined when it was never read
+   */
+  getUpperMs(nowMs: number): number | undefined {
+    if (this.#sample === undefined) return undefined;
+    return this.#sample.clockMs + (nowMs - this.#sample.sentAtMs);
+  }
+
+  /**
+   * @param nowMs - our clock
+   * @returns the least that the target's clock can show, or undefined when it was never read
+   */
+  getLowerMs(nowMs: number): number | undefined {
+    if (this.#sample === undefined) return undefined;
+    const elapsedMs = Math.max(0, nowMs - this.#sample.receivedAtMs);
+    return this.#sample.clockMs + elapsedMs * (1 - CLOCK_SLOWNESS);
+  }
+}
--- /dev/null
+++ b/src/peer/peerLink.ts
@@ -0,0 +1,171 @@
+/** One connection between two nodes: JSON-RPC 2.0 in both directions, a message a line. */
+
+import type { Socket } from 'node:net';
+import { connect } from 'node:net';
+import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0';
+import * as E from 'fp-ts/Either';
+import { tryParseJson } from '../types/json';
+import type { PeerCalls, PeerHandlers, PeerLinkHandle, PeerMethod, PeerReplies } from './types';
+
+/** A line longer than this ends the connection; a transaction of 1 MB is the largest message. */
+const MAX_LINE_CHARS = 4_194_304;
+
+/** Bytes waiting for a peer that does not read; beyond this the connection is ended. */
+const MAX_UNSENT_BYTES = 8_388_608;
+
+/** What a node is told of its connections. */
+export interface PeerLinkEvents {
+  /** The connection has ended; no further message comes. */
+  onClosed(): void;
+}
+
+/** One side of a connection. */
+export class PeerLink implements PeerLinkHandle {
+  #socket: Socket;
+
+  #rpc: JSONRPCServerAndClient;
+
+  #pending = '';
+
+  #isClosed = false;
+
+  #events: PeerLinkEvents;
+
+  /**
+   * @param socket - an open connection
+   * @param handlers - answers the other side's calls
+   * @param events - told when the connection ends
+   */
+  constructor(socket: Socket, handlers: PeerHandlers, events: PeerLinkEvents) {
+    this.#socket = socket;
+    this.#events = events;
+    const server = new JSONRPCServer({ errorListener: () => undefined });
+    Object.entries(handlers).forEach(([method, handler]) => {
+      const answer = handler as (params: unknown, link: PeerLinkHandle) => unknown;
+      server.addMethod(method, async (params: unknown) => answer(params, this));
+    });
+    this.#rpc = new JSONRPCServerAndClient(
+      server,
+      new JSONRPCClient((message) => this.#send(message)),
+      { errorListener: () => undefined },
+    );
+    socket.setNoDelay(true);
+    socket.setEncoding('utf8');
+    socket.on('data', (text) => this.#receive(String(text)));
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => this.#onClosed());
+  }
+
+  /** {@inheritDoc PeerLinkHandle.isClosed} */
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
+  /** {@inheritDoc PeerLinkHandle.call} */
+  async call<M extends PeerMethod>(
+    method: M,
+    params: PeerCalls[M],
+    timeoutMs: number,
+  ): Promise<PeerReplies[M]> {
+    const reply: unknown = await this.#rpc.timeout(timeoutMs).request(method, params);
+    return reply as PeerReplies[M];
+  }
+
+  /** {@inheritDoc PeerLinkHandle.close} */
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  #send(message: unknown): Promise<void> {
+    if (this.#isClosed) return Promise.reject(new Error('the connection is closed'));
+    this.#socket.write(`${JSON.stringify(message)}\n`);
+    if (this.#socket.writableLength > MAX_UNSENT_BYTES) this.#socket.destroy();
+    return Promise.resolve();
+  }
+
+  #receive(text: string): void {
+    this.#pending += text;
+    let end = this.#pending.indexOf('\n');
+    while (end >= 0) {
+      this.#handle(this.#pending.slice(0, end));
+      this.#pending = this.#pending.slice(end + 1);
+      end = this.#pending.indexOf('\n');
+    }
+    if (this.#pending.length > MAX_LINE_CHARS) this.#socket.destroy();
+  }
+
+  #handle(line: string): void {
+    const message = tryParseJson(line);
+    if (message === undefined) {
+      this.#socket.destroy();
+      return;
+    }
+    this.#rpc.receiveAndSend(message).catch(() => this.#socket.destroy());
+  }
+
+  #onClosed(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    this.#rpc.rejectAllPendingRequests('the connection is closed');
+    this.#events.onClosed();
+  }
+}
+
+/**
+ * Opens a connection to another node.
+ * @param address - `ip:port`
+ * @param handlers - answers the other side's calls
+ * @param events - told when the connection ends
+ * @param timeoutMs - how long to wait for the connection
+ * @returns the connection, or why there is none
+ */
+export function openPeerLink(
+  address: string,
+  handlers: PeerHandlers,
+  events: PeerLinkEvents,
+  timeoutMs: number,
+): Promise<E.Either<string, PeerLink>> {
+  const [host = '', port = '0'] = address.split(':');
+  return new Promise((resolve) => {
+    const socket = connect({ host, port: Number(port) });
+    const timer = setTimeout(() => {
+      socket.destroy();
+      resolve(E.left('timeout'));
+    }, timeoutMs);
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(E.left(error.code ?? 'error'));
+    });
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      socket.removeAllListeners('error');
+      resolve(E.right(new PeerLink(socket, handlers, events)));
+    });
+  });
+}
+
+/**
+ * Performs one call on a connection of its own.
+ * @param address - `ip:port`
+ * @param method - what to ask
+ * @param params - with what
+ * @param timeoutMs - for connection and answer each
+ * @returns the answer, or why there is none
+ */
+export async function callPeerOnce<M extends PeerMethod>(
+  address: string,
+  method: M,
+  params: PeerCalls[M],
+  timeoutMs: number,
+): Promise<E.Either<string, PeerReplies[M]>> {
+  const link = await openPeerLink(address, {}, { onClosed: () => undefined }, timeoutMs);
+  if (E.isLeft(link)) return link;
+  try {
+    return E.right(await link.right.call(method, params, timeoutMs));
+  } catch (error) {
+    return E.left(String(error));
+  } finally {
+    link.right.close();
+  }
+}
--- a/src/rpc/httpCaller.ts
+++ b/src/rpc/httpCaller.ts
@@ -1,11 +1,12 @@
 /** Sends HTTP requests with undici and says of each failure whether a byte can have left. */
 
-import Agent from 'undici/lib/dispatcher/agent';
+import Pool from 'undici/lib/dispatcher/pool';
 import callRequest from 'undici/lib/api/api-request';
+import { SendGuard, TOO_LATE_CODE } from './sendGuard';
 
 const CONNECT_TIMEOUT_MS = 700;
 const KEEP_ALIVE_MS = 10_000;
-const CONNECTIONS_PER_PEER = 64;
+const DEFAULT_CONNECTIONS_PER_PEER = 64;
 
 /** What came of one HTTP exchange. */
 export type HttpResult =
@@ -32,11 +33,14 @@
   readonly isTooLate?: () => boolean;
 }
 
-const TOO_LATE_CODE = 'HEMLOCKWAY_TOO_LATE';
+/** Name of the error with which a call's time limit ends it. */
+const TIMEOUT_NAME = 'TimeoutError';
+
 const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 
 function getCode(error: unknown): string {
   if (typeof error !== 'object' || error === null) return 'unknown';
+  if ('name' in error && error.name === TIMEOUT_NAME) return TIMEOUT_NAME;
   if ('code' in error && typeof error.code === 'string') return error.code;
   return 'name' in error ? String(error.name) : 'unknown';
 }
@@ -53,42 +57,29 @@
   return 'syscall' in error && error.syscall === 'connect';
 }
 
-/**
- * Wraps a dispatcher so that a call that waited too long for its connection is never written.
- * @param agent - keeps the connections
- * @param isTooLate - asked when a connection is about to take the call
- * @returns what to dispatch with
- */
-function createGuard(agent: Agent, isTooLate: () => boolean): Pick<Agent, 'dispatch'> {
-  return {
-    dispatch(options, handler) {
-      const onConnect = handler.onConnect?.bind(handler);
-      // Undici calls this right before it writes, with a function that gives the call up.
-      handler.onConnect = (abort) => {
-        if (isTooLate()) {
-          abort(Object.assign(new Error('too late to be sent'), { code: TOO_LATE_CODE }));
-          return;
-        }
-        onConnect?.(abort);
-      };
-      return agent.dispatch(options, handler);
-    },
-  };
+/** Settings of a caller. */
+export interface HttpCallerOptions {
+  /** Most connections that are open to one peer at a time. */
+  readonly connectionsPerPeer?: number;
 }
 
 /** Keeps connections to peers open between calls. */
 export class HttpCaller {
-  #agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    connections: CONNECTIONS_PER_PEER,
-    pipelining: 1,
-  });
+  #pools = new Map<string, Pool>();
+
+  #connectionsPerPeer: number;
 
   #sentBytes = 0;
 
   #receivedBytes = 0;
 
+  /**
+   * @param options - limits
+   */
+  constructor(options: HttpCallerOptions = {}) {
+    this.#connectionsPerPeer = options.connectionsPerPeer ?? DEFAULT_CONNECTIONS_PER_PEER;
+  }
+
   /** Body bytes sent and received so far. */
   get traffic() {
     return { sentBytes: this.#sentBytes, receivedBytes: this.#receivedBytes };
@@ -101,10 +92,10 @@
    */
   async perform(call: HttpCall): Promise<HttpResult> {
     this.#sentBytes += call.body.length;
+    const pool = this.#getPool(call.address);
+    const guard = new SendGuard(pool, call.isTooLate ?? (() => false));
     try {
-      const { isTooLate } = call;
-      const dispatcher = isTooLate ? createGuard(this.#agent, isTooLate) : this.#agent;
-      const response = await callRequest.call(dispatcher, {
+      const response = await callRequest.call(guard, {
         origin: `http://${call.address}`,
         path: call.path,
         method: call.method,
@@ -118,11 +109,21 @@
       return { kind: 'response', status: response.statusCode, contentType, body };
     } catch (error) {
       const code = getCode(error);
-      if (!isConnectFailure(error)) return { kind: 'lost', detail: code };
+      if (code === TIMEOUT_NAME) this.#retire(call.address, pool);
+      if (guard.isWritten && !isConnectFailure(error)) return { kind: 'lost', detail: code };
       return { kind: 'notSent', isRefused: code === 'ECONNREFUSED', detail: code };
     }
   }
 
+  /**
+   * Forgets a peer that is gone.
+   * @param address - `ip:port`
+   */
+  forget(address: string): void {
+    const pool = this.#pools.get(address);
+    if (pool !== undefined) this.#retire(address, pool);
+  }
+
   /**
    * Posts JSON.
    * @param address - `ip:port`
@@ -152,6 +153,28 @@
 
   /** Closes every connection at once. */
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    const pools = [...this.#pools.values()];
+    this.#pools.clear();
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+
+  #getPool(address: string): Pool {
+    const known = this.#pools.get(address);
+    if (known !== undefined) return known;
+    const pool = new Pool(`http://${address}`, {
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connections: this.#connectionsPerPeer,
+      pipelining: 1,
+    });
+    this.#pools.set(address, pool);
+    return pool;
+  }
+
+  /** Open connections may have gone silent for good, so the next call takes new ones. */
+  #retire(address: string, pool: Pool): void {
+    if (this.#pools.get(address) !== pool) return;
+    this.#pools.delete(address);
+    pool.close().catch(() => undefined);
   }
 }
--- a/src/rpc/httpListener.ts
+++ b/src/rpc/httpListener.ts
@@ -36,6 +36,8 @@
   readonly bodyTimeoutMs: number;
   /** Bodies of all requests that are not answered yet, without a limit when left out. */
   readonly maxBufferedBytes?: number;
+  /** Idle connections are closed after this; Node's own default when left out. */
+  readonly idleTimeoutMs?: number;
 }
 
 /** Answers requests, also those whose body never became whole. */
@@ -79,6 +81,7 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
       keepAlive: true,
+      ...(limits.idleTimeoutMs === undefined ? {} : { keepAliveTimeout: limits.idleTimeoutMs }),
     });
     this.#server.on('request', (message, response) => {
       this.#serve(message, response).catch((error: unknown) => {
@@ -116,6 +119,11 @@
     });
   }
 
+  /** Closes each connection with its next answer; new ones are still accepted. */
+  beginDrain(): void {
+    this.#isClosing = true;
+  }
+
   /** Stops accepting connections; answers still go out, each closing its connection. */
   stopAccepting(): void {
     this.#isClosing = true;
--- a/src/rpc/undiciParts.d.ts
+++ b/src/rpc/undiciParts.d.ts
@@ -1,9 +1,9 @@
 /** Types of the parts of undici that are loaded by path; the whole package costs 10 MB more. */
 
-declare module 'undici/lib/dispatcher/agent' {
-  import { Agent as PackageAgent } from 'undici';
+declare module 'undici/lib/dispatcher/pool' {
+  import { Pool as PackagePool } from 'undici';
 
-  export default class Agent extends PackageAgent {}
+  export default class Pool extends PackagePool {}
 }
 
 declare module 'undici/lib/api/api-request' {
--- /dev/null
+++ b/src/store/watchedStore.ts
@@ -0,0 +1,99 @@
+/** A store whose reachability is watched, with a line in the log whenever it changes. */
+
+import * as E from 'fp-ts/Either';
+import type { Clock } from '../types/clock';
+import type { Metrics } from '../observe/metrics';
+import type {
+  Committed,
+  RangeQuery,
+  RowChanges,
+  RowPage,
+  RowStore,
+  RowTransaction,
+  StoreOutcome,
+} from './types';
+
+/** Told when the store is lost and regained. */
+export type ReachabilityListener = (isReachable: boolean, detail: string) => void;
+
+/** Failed calls in a row after which the store counts as lost. */
+const LOST_AFTER_FAILURES = 2;
+
+/** Watches each call. */
+export class WatchedStore implements RowStore {
+  #inner: RowStore;
+
+  #clock: Clock;
+
+  #metrics: Metrics;
+
+  #listener: ReachabilityListener;
+
+  #failureCount = 0;
+
+  #lostSinceMs: number | undefined;
+
+  /**
+   * @param inner - the store
+   * @param clock - for the time since it was lost
+   * @param metrics - counts calls and their durations
+   * @param listener - told of each change
+   */
+  constructor(inner: RowStore, clock: Clock, metrics: Metrics, listener: ReachabilityListener) {
+    this.#inner = inner;
+    this.#clock = clock;
+    this.#metrics = metrics;
+    this.#listener = listener;
+  }
+
+  /** True unless the last calls were turned away or not answered. */
+  get isReachable(): boolean {
+    return this.#failureCount < LOST_AFTER_FAILURES;
+  }
+
+  /** For how long it has not answered; 0 while it does. */
+  get lostForMs(): number {
+    if (this.isReachable || this.#lostSinceMs === undefined) return 0;
+    return this.#clock.nowMs() - this.#lostSinceMs;
+  }
+
+  /** {@inheritDoc RowStore.transact} */
+  transact(transaction: RowTransaction, timeoutMs: number): Promise<StoreOutcome<Committed>> {
+    return this.#watch('transact', this.#inner.transact(transaction, timeoutMs));
+  }
+
+  /** {@inheritDoc RowStore.readRange} */
+  readRange(query: RangeQuery, timeoutMs: number): Promise<StoreOutcome<RowPage>> {
+    return this.#watch('read', this.#inner.readRange(query, timeoutMs));
+  }
+
+  /** {@inheritDoc RowStore.follow} */
+  follow(table: string, afterVersion: number, waitMs: number): Promise<StoreOutcome<RowChanges>> {
+    return this.#watch('follow', this.#inner.follow(table, afterVersion, waitMs));
+  }
+
+  async #watch<T>(name: string, call: Promise<StoreOutcome<T>>): Promise<StoreOutcome<T>> {
+    const startedAtMs = this.#clock.nowMs();
+    const outcome = await call;
+    this.#metrics.count(`store_${name}`);
+    this.#metrics.record(`store_${name}`, this.#clock.nowMs() - startedAtMs);
+    this.#note(outcome);
+    return outcome;
+  }
+
+  #note<T>(outcome: StoreOutcome<T>): void {
+    const isAnswered =
+      E.isRight(outcome) || outcome.left.kind === 'conflict' || outcome.left.kind === 'historyLost';
+    if (isAnswered) {
+      if (!this.isReachable) this.#listener(true, `after ${Math.round(this.lostForMs)} ms`);
+      this.#failureCount = 0;
+      this.#lostSinceMs = undefined;
+      return;
+    }
+    this.#metrics.count('store_failures');
+    this.#lostSinceMs ??= this.#clock.nowMs();
+    this.#failureCount += 1;
+    if (this.#failureCount !== LOST_AFTER_FAILURES) return;
+    this.#listener(false, outcome.left.detail);
+  }
+}
--- a/src/types/ids.ts
+++ b/src/types/ids.ts
@@ -72,3 +72,15 @@
 export function getSchedulerId(memberId: MemberId): SchedulerId {
   return memberId.slice(0, memberId.indexOf('#')) as SchedulerId;
 }
+
+export type SubmissionId = Branded<string, 'SubmissionId'>;
+/** One machine of the system by its settings' name. */
+export type NodeId = Branded<string, 'NodeId'>;
+/** One occurrence of a step: `submission.occurrence.step`. */
+export type StepKey = Branded<string, 'StepKey'>;
+/** One task of a step: `submission.occurrence.step.index`. */
+export type TaskKey = Branded<string, 'TaskKey'>;
+/** Text with which a target resumes a task from its last checkpoint. */
+export type Checkpoint = Branded<string, 'Checkpoint'>;
+/** Permission of the advice service to run one step on one target. */
+export type Ticket = Branded<string, 'Ticket'>;
