Owner's reducer among fake targets in virtual time, with random histories

Change: a world of targets that follow the published rules, a store, advice, lost and late calls, crashes, cuts, takeovers; idle targets keep their lease while ends wait for the store. Ruled out: blocking starts that a former life did not answer: an order dies with the life that holds it.

--- a/src/owner/lookPlanner.ts
+++ b/src/owner/lookPlanner.ts
@@ -34,7 +34,7 @@
         this.#look(target, 0);
         return;
       }
-      if (target.runs.size > 0) this.#lookAtBusy(target);
+      if (target.runs.size > 0 || hasPendingEnds(target)) this.#lookAtBusy(target);
       else if (target.listedEndCount > 0) this.#lookAtIdle(target);
       else if (!target.isResponding) this.#look(target, 0);
     });
@@ -52,7 +52,6 @@
   }
 
   #lookAtIdle(target: TargetState): void {
-    if (hasPendingEnds(target)) return;
     const { nowMs } = this.#state;
     if (target.idleSinceMs === undefined) {
       target.idleSinceMs = nowMs;
@@ -73,7 +72,8 @@
     target.idleSinceMs = undefined;
     const upperMs = target.clock.getUpperMs(nowMs);
     // A target that does not answer is not told to go on, so that its lease can be known to lapse.
-    const isRenewed = target.isResponding && upperMs !== undefined && target.runs.size > 0;
+    const isNeeded = target.runs.size > 0 || target.listedEndCount > 0;
+    const isRenewed = target.isResponding && upperMs !== undefined && isNeeded;
     const leaseUntilMs = isRenewed ? Math.ceil(upperMs + LEASE_MS) : undefined;
     if (leaseUntilMs !== undefined) target.extendLease(leaseUntilMs);
     const acknowledgedSequence = target.acknowledgeableSequence;
--- /dev/null
+++ b/tests/support/ownerWorld.ts
@@ -0,0 +1,510 @@
+/**
+ * The owner's reducer among fake targets, a fake store and a fake advice service in virtual time, with
+ * faults. It checks the promises from what the targets see.
+ */
+
+import * as E from 'fp-ts/Either';
+import { OwnerCore } from '../../src/owner/core';
+import type { EndedRow, LoadedSubmission, OwnerEffect, OwnerEvent } from '../../src/owner/types';
+import type { StartCall } from '../../src/node/ports';
+import { Random } from '../../src/types/random';
+import { toConfigVersion, toEpoch } from '../../src/types/ids';
+import type { NodeId, SubmissionId, TargetId, TaskKey, TeamId, Ticket } from '../../src/types/ids';
+import { getHash } from '../../src/types/hash';
+import type { StoredProgress } from '../../src/work/storedProgress';
+import { tryParseTaskKey } from '../../src/work/taskNames';
+import { addDemand, getChargedDemand, isDemandFitting, NO_DEMAND } from '../../src/work/types';
+import type { EndKind, StepSpec, Submission, Team } from '../../src/work/types';
+import { FakeTarget } from './fakeTarget';
+import type { FakeRun, RunPlan } from './fakeTarget';
+import { VirtualTime } from './virtualTime';
+
+const LINK_MS = 1;
+const TICK_MS = 20;
+const STORE_MS = 4;
+
+/** Faults of one world; each is the part of the calls that it strikes. */
+export interface WorldFaults {
+  /** The call is carried out and its answer is lost. */
+  readonly lostAnswers: number;
+  /** The call gets no answer and is carried out 2 to 8 s later. */
+  readonly lateCalls: number;
+  /** Runs that fail by their own fault. */
+  readonly failedRuns: number;
+}
+
+/** No fault at all. */
+export const NO_FAULTS: WorldFaults = { lostAnswers: 0, lateCalls: 0, failedRuns: 0 };
+
+/** Settings of one world. */
+export interface WorldPlan {
+  readonly seed: number;
+  readonly targetCount: number;
+  readonly faults: WorldFaults;
+  readonly teams?: readonly Team[];
+}
+
+interface StoredRow {
+  readonly value: StoredProgress;
+  readonly version: number;
+}
+
+/** An owner in the world; a former one goes on until a target or the store tells it. */
+interface Owner {
+  readonly core: OwnerCore;
+  readonly epoch: number;
+  isStopped: boolean;
+}
+
+/** Everything around one fleet. */
+export class OwnerWorld {
+  readonly time = new VirtualTime();
+
+  readonly targets = new Map<TargetId, FakeTarget>();
+
+  readonly broken: string[] = [];
+
+  /** Runs that were stopped, lapsed or lost. */
+  readonly ends = new Map<EndKind, number>();
+
+  readonly maxRunsByTask = new Map<TaskKey, number>();
+
+  startCount = 0;
+
+  isStoreUp = true;
+
+  isAdviceNeeded = false;
+
+  #random: Random;
+
+  #plan: WorldPlan;
+
+  #owner: Owner | undefined;
+
+  #epoch = 0;
+
+  #storeVersion = 10;
+
+  #submissions = new Map<SubmissionId, Submission>();
+
+  #cancelledAtMs = new Map<SubmissionId, number>();
+
+  #progress = new Map<SubmissionId, StoredRow>();
+
+  #done = new Set<TaskKey>();
+
+  /** Tasks whose end `done` has been taken note of. */
+  #noted = new Set<TaskKey>();
+
+  #doneAtMs = new Map<string, number>();
+
+  #lastStartAtMs = new Map<TaskKey, number>();
+
+  #failures = new Map<TaskKey, Set<number>>();
+
+  #cutTargetIds = new Set<TargetId>();
+
+  constructor(plan: WorldPlan) {
+    this.#plan = plan;
+    this.#random = new Random(plan.seed);
+    for (let index = 0; index < plan.targetCount; index += 1) {
+      const id = `target-${index}` as TargetId;
+      const capacity = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 };
+      const rate = index % 2 === 0 ? 1 : 0.985;
+      const events = {
+        onStart: (target: FakeTarget, call: StartCall) => this.#onStart(target, call),
+        onEnd: (_target: FakeTarget, run: FakeRun, how: EndKind) => this.#onEnd(run, how),
+        onAcknowledged: (_target: FakeTarget, row: EndedRow) => this.#onNoted(row),
+      };
+      this.targets.set(id, new FakeTarget(id, capacity, this.time, events, rate));
+    }
+    this.time.runUntil(1_000);
+  }
+
+  get core(): OwnerCore {
+    if (this.#owner === undefined) throw new Error('the world has no owner');
+    return this.#owner.core;
+  }
+
+  /** A new owner takes over; the former one is dead, or goes on unaware. */
+  takeOver(isFormerAlive = false): void {
+    if (this.#owner !== undefined && !isFormerAlive) this.#owner.isStopped = true;
+    this.#epoch += 1;
+    const loaded: LoadedSubmission[] = [...this.#submissions.values()].map((submission) => ({
+      submission,
+      isCancelled: this.#cancelledAtMs.has(submission.id),
+      progress: this.#progress.get(submission.id)?.value,
+      progressVersion: this.#progress.get(submission.id)?.version ?? 0,
+    }));
+    const moment = { nowMs: this.time.nowMs, wallMs: this.time.nowMs };
+    const core = new OwnerCore(toEpoch(this.#epoch), loaded, moment);
+    const owner = { core, epoch: this.#epoch, isStopped: false };
+    this.#owner = owner;
+    const operator = {
+      closedDataCentreIds: [],
+      config: {
+        version: toConfigVersion(1),
+        queues: [],
+        services: [],
+        teams: this.#plan.teams ?? [],
+        maxBodyBytes: 1,
+      },
+    };
+    this.#dispatch(owner, { kind: 'operatorChanged', operator });
+    this.#dispatch(owner, { kind: 'lanesChanged', nodeIds: ['n-1', 'n-2', 'n-3'] as NodeId[] });
+    const entries = [...this.targets.values()].map((target) => target.entry);
+    this.#dispatch(owner, { kind: 'targetsListed', entries });
+    this.#tick(owner);
+  }
+
+  submit(submission: Submission): void {
+    this.#submissions.set(submission.id, submission);
+    if (this.#owner !== undefined) this.#dispatch(this.#owner, { kind: 'submitted', submission });
+  }
+
+  cancel(submissionId: SubmissionId): void {
+    this.#cancelledAtMs.set(submissionId, this.time.nowMs);
+    if (this.#owner !== undefined) this.#dispatch(this.#owner, { kind: 'cancelled', submissionId });
+  }
+
+  /** A target loses power and comes back as a new life under the same id. */
+  crash(targetId: TargetId, downMs: number): void {
+    const target = this.targets.get(targetId);
+    if (target === undefined) return;
+    target.fail();
+    this.time.after(downMs, () => {
+      target.restart();
+      const owner = this.#owner;
+      if (owner !== undefined)
+        this.#dispatch(owner, { kind: 'targetChanged', entry: target.entry });
+    });
+  }
+
+  /** No call reaches a target for a while, and it runs on. */
+  cut(targetId: TargetId, durationMs: number): void {
+    this.#cutTargetIds.add(targetId);
+    this.time.after(durationMs, () => this.#cutTargetIds.delete(targetId));
+  }
+
+  run(durationMs: number): void {
+    this.time.runUntil(this.time.nowMs + durationMs);
+  }
+
+  getState(submissionId: SubmissionId): string {
+    const view = this.core.getView(submissionId);
+    return view.kind === 'known' ? view.state : 'unknown';
+  }
+
+  #tick(owner: Owner): void {
+    if (owner.isStopped) return;
+    this.#dispatch(owner, { kind: 'tick' });
+    this.time.after(TICK_MS, () => this.#tick(owner));
+  }
+
+  #dispatch(owner: Owner, event: object): void {
+    if (owner.isStopped) return;
+    const { nowMs } = this.time;
+    const effects = owner.core.reduce({ ...event, nowMs, wallMs: nowMs } as OwnerEvent);
+    effects.forEach((effect) => this.#perform(owner, effect));
+  }
+
+  #perform(owner: Owner, effect: OwnerEffect): void {
+    const sentAtMs = this.time.nowMs;
+    const { targetId = undefined } = 'targetId' in effect ? effect : {};
+    const target = targetId === undefined ? undefined : this.targets.get(targetId);
+    switch (effect.kind) {
+      case 'look': {
+        const { bornAtMs } = effect;
+        const reply = { kind: 'looked', targetId, bornAtMs, sentAtMs };
+        this.#call(owner, effect.timeoutMs, reply, target, (to, answer) => to.look(effect, answer));
+        return;
+      }
+      case 'startRun': {
+        const { taskKey, run } = effect;
+        const reply = { kind: 'startAnswered', targetId, taskKey, run, sentAtMs };
+        this.#call(owner, effect.timeoutMs, reply, target, (to, answer) =>
+          answer(to.start(effect)),
+        );
+        return;
+      }
+      case 'stopRun': {
+        const { taskKey, run } = effect;
+        const reply = { kind: 'stopAnswered', targetId, taskKey, run, sentAtMs };
+        this.#call(owner, effect.timeoutMs, reply, target, (to, answer) => answer(to.stop(effect)));
+        return;
+      }
+      case 'askAdvice':
+        this.#advise(owner, effect);
+        return;
+      case 'writeProgress':
+        this.#write(owner, effect);
+        return;
+      case 'stepDown':
+        Object.assign(owner, { isStopped: true });
+        break;
+      default:
+        break;
+    }
+  }
+
+  /** Carries a call to a target and its answer back, or loses one of them. */
+  #call<T>(
+    owner: Owner,
+    timeoutMs: number,
+    reply: object,
+    target: FakeTarget | undefined,
+    perform: (target: FakeTarget, answer: (result: E.Either<unknown, T>) => void) => void,
+  ): void {
+    let isAnswered = false;
+    const answer = (result: E.Either<unknown, T>) => {
+      if (isAnswered) return;
+      isAnswered = true;
+      this.#dispatch(owner, { ...reply, result });
+    };
+    this.time.after(timeoutMs, () => answer(E.left({ kind: 'lost', detail: 'timeout' })));
+    if (target === undefined) return;
+    const { lateCalls, lostAnswers } = this.#plan.faults;
+    const isLate = this.#random.nextFraction() < lateCalls;
+    const isLost = isLate || this.#random.nextFraction() < lostAnswers;
+    // An order that a target holds dies with the target's life.
+    const { bornAtMs } = target.entry;
+    const delayMs = isLate ? 2_000 + this.#random.nextInt(6_000) : LINK_MS;
+    this.time.after(delayMs, () => {
+      if (
+        !target.isUp ||
+        target.entry.bornAtMs !== bornAtMs ||
+        (!isLate && this.#cutTargetIds.has(target.id))
+      )
+        return;
+      perform(target, (result) => {
+        if (isLost || this.#cutTargetIds.has(target.id)) return;
+        this.time.after(LINK_MS, () => answer(result));
+      });
+    });
+  }
+
+  #advise(owner: Owner, effect: Extract<OwnerEffect, { kind: 'askAdvice' }>): void {
+    const { laneId, stepKey, targetIds } = effect;
+    const good = targetIds.filter((targetId) => getHash(`${stepKey}/${targetId}`) % 10 < 6);
+    const grants = good.map((targetId) => ({ targetId, ticket: 'ticket' as Ticket }));
+    const sentAtMs = this.time.nowMs;
+    const result = E.right({ grants, validMs: 2_500 });
+    this.time.after(30, () =>
+      this.#dispatch(owner, { kind: 'advised', laneId, stepKey, targetIds, sentAtMs, result }),
+    );
+  }
+
+  #write(owner: Owner, effect: Extract<OwnerEffect, { kind: 'writeProgress' }>): void {
+    const answer = (result: E.Either<unknown, number>) =>
+      this.time.after(STORE_MS / 2, () =>
+        this.#dispatch(owner, { kind: 'progressWritten', batch: effect.batch, result }),
+      );
+    this.time.after(STORE_MS / 2, () => {
+      if (!this.isStoreUp) {
+        answer(E.left({ kind: 'unavailable', detail: 'down' }));
+        return;
+      }
+      if (owner.epoch !== this.#epoch) {
+        answer(E.left({ kind: 'superseded' }));
+        return;
+      }
+      const versions = effect.rows.map(({ submissionId }) => ({
+        submissionId,
+        version: this.#progress.get(submissionId)?.version ?? 0,
+      }));
+      const isCurrent = effect.rows.every(
+        (row, index) => row.expectedVersion === versions[index]?.version,
+      );
+      if (!isCurrent) {
+        answer(E.left({ kind: 'conflict', versions }));
+        return;
+      }
+      this.#storeVersion += 1;
+      const version = this.#storeVersion;
+      effect.rows.forEach(({ submissionId, value }) =>
+        this.#progress.set(submissionId, {
+          value: JSON.parse(JSON.stringify(value)) as StoredProgress,
+          version,
+        }),
+      );
+      if (this.#random.nextFraction() < this.#plan.faults.lostAnswers) {
+        answer(E.left({ kind: 'unavailable', detail: 'answer lost' }));
+        return;
+      }
+      answer(E.right(version));
+    });
+  }
+
+  #getStep(taskKey: TaskKey): { submission: Submission; step: StepSpec; number: number } {
+    const name = tryParseTaskKey(taskKey);
+    const submission = name && this.#submissions.get(name.submissionId);
+    const step = name && submission?.spec.steps[name.step];
+    if (name === undefined || submission === undefined || step === undefined) {
+      throw new Error(`no such task: ${taskKey}`);
+    }
+    return { submission, step, number: name.step };
+  }
+
+  #break(rule: string, detail: string): void {
+    this.broken.push(`${Math.round(this.time.nowMs)} ms ${rule}: ${detail}`);
+  }
+
+  #onStart(target: FakeTarget, call: StartCall): RunPlan {
+    const { taskKey } = call;
+    const { submission, step } = this.#getStep(taskKey);
+    this.startCount += 1;
+    this.#lastStartAtMs.set(taskKey, this.time.nowMs);
+    this.maxRunsByTask.set(taskKey, (this.maxRunsByTask.get(taskKey) ?? 0) + 1);
+    this.#checkRoom(target, step, taskKey);
+    this.#checkTwice(taskKey, step);
+    this.#checkOrder(submission, step, taskKey);
+    this.#checkBudget(submission, step, taskKey);
+    this.#checkTeam(submission, step, taskKey);
+    const cancelledAtMs = this.#cancelledAtMs.get(submission.id);
+    if (cancelledAtMs !== undefined && this.time.nowMs > cancelledAtMs + 3_000) {
+      this.#break('UNASKED', `${taskKey} after its cancellation`);
+    }
+    if (step.policy.kind === 'gang') this.time.after(0, () => this.#joinGang(taskKey, call.run));
+    const fails = this.#random.nextFraction() < this.#plan.faults.failedRuns;
+    return {
+      workMs: step.estimateMs * (0.5 + this.#random.nextFraction()),
+      how: step.policy.kind === 'standing' ? 'stuck' : (fails && 'failed') || 'done',
+      isGang: step.policy.kind === 'gang',
+    };
+  }
+
+  #checkRoom(target: FakeTarget, step: StepSpec, taskKey: TaskKey): void {
+    const used = [...target.runs.keys()]
+      .map((key) => getChargedDemand(this.#getStep(key).step))
+      .reduce((sum, demand) => addDemand(sum, demand), NO_DEMAND);
+    const free = addDemand(target.capacity, used, -1);
+    if (!isDemandFitting(getChargedDemand(step), free)) this.#break('LIMIT', taskKey);
+  }
+
+  #checkTwice(taskKey: TaskKey, step: StepSpec): void {
+    if (step.policy.kind === 'batch' && step.policy.isSpeculative) return;
+    const isElsewhere = [...this.targets.values()].some(
+      (other) => other.isUp && other.runs.has(taskKey),
+    );
+    if (isElsewhere) this.#break('TWICE', `${taskKey} runs elsewhere`);
+    if (this.#noted.has(taskKey)) this.#break('TWICE', `${taskKey} is done`);
+  }
+
+  #checkOrder(submission: Submission, step: StepSpec, taskKey: TaskKey): void {
+    step.after.forEach((before) => {
+      const count = submission.spec.steps[before]?.taskCount ?? 0;
+      for (let index = 0; index < count; index += 1) {
+        const earlier = `${submission.id}.0.${before}.${index}` as TaskKey;
+        if (!this.#done.has(earlier)) this.#break('ORDER', `${taskKey} before ${earlier}`);
+      }
+    });
+  }
+
+  #checkBudget(submission: Submission, step: StepSpec, taskKey: TaskKey): void {
+    if (step.policy.kind === 'standing') return;
+    const failures = this.#failures.get(taskKey)?.size ?? 0;
+    if (failures >= submission.queue.attemptLimit) this.#break('BUDGET', taskKey);
+  }
+
+  #checkTeam(submission: Submission, step: StepSpec, taskKey: TaskKey): void {
+    const team = this.#plan.teams?.find(({ id }) => id === submission.teamId);
+    if (team === undefined) return;
+    const used = [...this.targets.values()]
+      .flatMap((target) => [...target.runs.keys()])
+      .map((key) => this.#getStep(key))
+      .filter((other) => other.submission.teamId === submission.teamId)
+      .reduce((sum, other) => addDemand(sum, getChargedDemand(other.step)), step.demand);
+    if (used.cpuMillis > team.limit.cpuMillis) this.#break('QUOTA', taskKey);
+  }
+
+  #joinGang(taskKey: TaskKey, run: number): void {
+    const { submission, step, number } = this.#getStep(taskKey);
+    const members = [...this.targets.values()].flatMap((target) =>
+      [...target.runs.values()]
+        .filter((other) => other.run === run)
+        .filter((other) => other.taskKey.startsWith(`${submission.id}.0.${number}.`))
+        .map((other) => ({ target, other })),
+    );
+    if (members.length < step.taskCount || members.some(({ other }) => other.isAtWork)) return;
+    members.forEach(({ other }) => Object.assign(other, { isAtWork: true }));
+    this.time.after(step.estimateMs, () => {
+      const isWhole = members.every(
+        ({ target, other }) => target.runs.get(other.taskKey) === other,
+      );
+      members.forEach(({ target, other }) => target.end(other, isWhole ? 'done' : 'broken'));
+    });
+  }
+
+  #onNoted(row: EndedRow): void {
+    if (row.how !== 'done') return;
+    this.#noted.add(row.taskKey);
+    const { step } = this.#getStep(row.taskKey);
+    if (step.policy.kind === 'batch' && step.policy.isSpeculative) return;
+    const doneAtMs = this.#doneAtMs.get(`${row.taskKey}#${row.run}`) ?? 0;
+    if ((this.#lastStartAtMs.get(row.taskKey) ?? 0) > doneAtMs) {
+      this.#break('TWICE', `${row.taskKey} was started after its end`);
+    }
+  }
+
+  #onEnd(run: FakeRun, how: EndKind): void {
+    this.ends.set(how, (this.ends.get(how) ?? 0) + 1);
+    if (how === 'done') {
+      this.#done.add(run.taskKey);
+      this.#doneAtMs.set(`${run.taskKey}#${run.run}`, this.time.nowMs);
+    }
+    if (how !== 'failed') return;
+    const failures = this.#failures.get(run.taskKey) ?? new Set<number>();
+    failures.add(run.run);
+    this.#failures.set(run.taskKey, failures);
+  }
+}
+
+/** Names of a world's submissions, in their order. */
+export function toSubmissionId(number: number): SubmissionId {
+  return number.toString(16).padStart(16, '0') as SubmissionId;
+}
+
+/** A submission with the parts that a test cares for. */
+export function createSubmission(
+  number: number,
+  steps: readonly Partial<StepSpec>[],
+  overrides: { priority?: number; attemptLimit?: number; teamId?: string; advice?: boolean } = {},
+): Submission {
+  const { priority = 1, attemptLimit = 3, teamId = 'team-a', advice = false } = overrides;
+  return {
+    id: toSubmissionId(number),
+    teamId: teamId as TeamId,
+    acceptedAtMs: 0,
+    queue: {
+      id: `queue-${priority}` as Submission['queue']['id'],
+      host: 'host',
+      pathPrefix: '/q/',
+      serviceName: 'service',
+      priority,
+      attemptLimit,
+      stretchFactor: 2,
+      latencyGoalMs: 1_000,
+      timeoutMs: 3_000,
+      advice: advice ? { callMs: 20, perTargetMs: 0.3, ticketValidMs: 2_500 } : undefined,
+      isPublic: false,
+    },
+    spec: {
+      payload: `payload-${number}`,
+      schedule: { kind: 'once' },
+      steps: steps.map((step) => ({
+        taskCount: 1,
+        demand: { cpuMillis: 4_000, memoryMb: 4_096, accelerators: 0 },
+        estimateMs: 1_000,
+        after: [],
+        hasCheckpoints: false,
+        policy: { kind: 'batch', isSpeculative: false },
+        requiredLabel: '',
+        dataRack: '',
+        maxTasksPerTarget: 0,
+        image: '',
+        isFiller: false,
+        ...step,
+      })),
+    },
+  };
+}
