--- a/tests/support/fakeTarget.ts
+++ b/standins/fakeTarget.ts
@@ -1,17 +1,17 @@
 /** A target that follows the published rules: fences, leases, run numbers, ends until acknowledged. */
 
 import * as E from 'fp-ts/Either';
-import type { LookCall, StartCall, StopCall } from '../../src/node/ports';
+import type { LookCall, StartCall, StopCall } from '../src/node/ports';
 import type {
   EndedRow,
   Inventory,
   TargetAnswer,
   TargetEntry,
   TargetFailure,
-} from '../../src/owner/types';
-import type { Checkpoint, DataCentreId, TargetId, TaskKey } from '../../src/types/ids';
-import type { EndKind, TaskDemand } from '../../src/work/types';
-import type { VirtualTime } from './virtualTime';
+} from '../src/owner/types';
+import type { Checkpoint, DataCentreId, TargetId, TaskKey } from '../src/types/ids';
+import type { EndKind, TaskDemand } from '../src/work/types';
+import type { Timeline } from './timeline';
 
 const STOP_MS = 100;
 const GANG_WAIT_MS = 3_000;
@@ -68,7 +68,7 @@
   constructor(
     readonly id: TargetId,
     readonly capacity: TaskDemand,
-    readonly time: VirtualTime,
+    readonly time: Timeline,
     readonly events: FakeTargetEvents,
     /** Speed of its clock against the world's. */
     readonly clockRate: number,
--- /dev/null
+++ b/tests/platformNodes.test.ts
@@ -0,0 +1,224 @@
+/** Nodes on the platform's protocol, against its stand-ins: the whole path, a takeover, outages. */
+
+import { request } from 'node:http';
+import { CONFIG, PlatformDeployment } from './support/platformDeployment';
+
+const POLL_MS = 25;
+const TEST_TIMEOUT_MS = 30_000;
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+  readonly retryAfter: string | undefined;
+}
+
+function call(
+  address: string,
+  method: string,
+  path: string,
+  body = '',
+  key = 'key-a',
+): Promise<Answer> {
+  const [host, port] = address.split(':');
+  const headers = { host: 'checks.example', authorization: `Bearer ${key}` };
+  return new Promise((resolve, reject) => {
+    const sent = request({ host, port, method, path, headers }, (response) => {
+      let text = '';
+      response.on('data', (chunk) => {
+        text += String(chunk);
+      });
+      response.on('end', () => {
+        const retryAfter = response.headers['retry-after'];
+        resolve({ status: response.statusCode ?? 0, body: text, retryAfter });
+      });
+    });
+    sent.on('error', reject);
+    sent.end(body);
+  });
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
+/** Resolves with the time that it took. */
+async function waitFor(
+  isTrue: () => boolean | Promise<boolean>,
+  limitMs: number,
+  startedAtMs = performance.now(),
+): Promise<number> {
+  if (await isTrue()) return performance.now() - startedAtMs;
+  if (performance.now() - startedAtMs > limitMs) throw new Error('waited in vain');
+  await sleep(POLL_MS);
+  return waitFor(isTrue, limitMs, startedAtMs);
+}
+
+function toPath(number: number): string {
+  return `/checks/${number.toString(16).padStart(16, '0')}`;
+}
+
+const TWO_STEPS = JSON.stringify({
+  spec: 'text',
+  steps: [
+    { count: 4, cpu: 2_000, 'mem-mb': 512, 'est-ms': 300 },
+    { count: 2, cpu: 2_000, 'mem-mb': 512, 'est-ms': 300, after: [0] },
+  ],
+});
+
+describe('nodes on the platform', () => {
+  let deployment: PlatformDeployment;
+
+  async function begin(workMs: number, nodeCount = 3): Promise<void> {
+    deployment = new PlatformDeployment(workMs);
+    await deployment.start(4, nodeCount);
+    await waitFor(() => deployment.owner !== undefined, 5_000);
+    await waitFor(() => deployment.nodes.every(({ node }) => node.isReady), 5_000);
+  }
+
+  async function isSucceeded(address: string, number: number): Promise<boolean> {
+    const answer = await call(address, 'GET', toPath(number));
+    return answer.status === 200 && answer.body.includes('succeeded');
+  }
+
+  afterEach(() => deployment.stop());
+
+  test(
+    'serve a submission from POST to succeeded, once, whichever nodes see it',
+    async () => {
+      await begin(100);
+      const [first, second, third] = deployment.nodes;
+      const addresses = [first, second, third].map((node) => node?.address ?? '');
+      const answers = await Promise.all(
+        addresses.map((address) => call(address, 'POST', toPath(1), TWO_STEPS)),
+      );
+      expect(answers.map(({ status }) => status)).toEqual([200, 200, 200]);
+      await waitFor(() => isSucceeded(addresses[1] ?? '', 1), 5_000);
+      expect(deployment.starts.size).toBe(6);
+      expect([...deployment.starts.values()].every((count) => count === 1)).toBe(true);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  test(
+    'answer wrong calls as the protocol says',
+    async () => {
+      await begin(100, 1);
+      const address = deployment.nodes[0]?.address ?? '';
+      expect((await call(address, 'POST', '/other/0000000000000001', TWO_STEPS)).status).toBe(404);
+      expect((await call(address, 'POST', toPath(1), TWO_STEPS, 'no-key')).status).toBe(401);
+      expect((await call(address, 'POST', toPath(1), '{"steps":[]}')).status).toBe(400);
+      expect((await call(address, 'POST', toPath(1), 'no json')).status).toBe(400);
+      expect((await call(address, 'POST', '/checks/zz', TWO_STEPS)).status).toBe(404);
+      expect((await call(address, 'GET', toPath(9))).status).toBe(410);
+      expect((await call(address, 'DELETE', toPath(9))).status).toBe(410);
+      expect((await call(address, 'GET', '/checks/')).body).toBe('{"waiting":0}');
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  test(
+    'go on within a second when the owner is gone, and start nothing twice',
+    async () => {
+      await begin(1_500);
+      const former = deployment.owner;
+      const other = deployment.nodes.find((node) => node !== former);
+      const address = other?.address ?? '';
+      expect((await call(address, 'POST', toPath(1), TWO_STEPS)).status).toBe(200);
+      await waitFor(() => deployment.starts.size === 4, 2_000);
+      former?.stop();
+      deployment.nodes.splice(deployment.nodes.indexOf(former as never), 1);
+      const tookMs = await waitFor(() => deployment.owner !== undefined, 3_000);
+      expect(tookMs).toBeLessThan(1_000);
+      await waitFor(() => isSucceeded(address, 1), 8_000);
+      expect([...deployment.starts.values()].every((count) => count === 1)).toBe(true);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  test(
+    'refuse at once, with a time to return, while the store is away, and finish what runs',
+    async () => {
+      await begin(300);
+      const address = deployment.nodes[0]?.address ?? '';
+      await call(address, 'POST', toPath(1), TWO_STEPS);
+      await waitFor(() => deployment.starts.size === 4, 2_000);
+      deployment.store.fault = 'refuses';
+      const refused = await call(address, 'POST', toPath(2), TWO_STEPS);
+      expect(refused.status).toBe(503);
+      expect(Number(refused.retryAfter)).toBeGreaterThan(0);
+      await waitFor(() => deployment.done.size === 6, 5_000);
+      expect(await isSucceeded(address, 1)).toBe(false);
+      deployment.store.fault = 'none';
+      await waitFor(() => isSucceeded(address, 1), 5_000);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  test(
+    'say that the outcome is unknown when the answer of the store is lost',
+    async () => {
+      await begin(100, 1);
+      const address = deployment.nodes[0]?.address ?? '';
+      deployment.store.fault = 'losesAnswers';
+      const answer = await call(address, 'POST', toPath(1), TWO_STEPS);
+      expect([200, 504]).toContain(answer.status);
+      deployment.store.fault = 'none';
+      expect((await call(address, 'POST', toPath(1), TWO_STEPS)).status).toBe(200);
+      await waitFor(() => isSucceeded(address, 1), 8_000);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  test(
+    'follow the desired state within its bound, never backwards',
+    async () => {
+      await begin(100, 2);
+      const address = deployment.nodes[1]?.address ?? '';
+      const tenants = [{ name: 'team-a', 'api-keys': ['key-b'], weight: 5 }];
+      deployment.store.put('op', 'config', { ...CONFIG, version: 8, tenants });
+      const isNew = async () => (await call(address, 'GET', toPath(1), '', 'key-a')).status === 401;
+      expect(await waitFor(isNew, 2_000)).toBeLessThan(2_000);
+      deployment.store.put('op', 'config', CONFIG);
+      await sleep(300);
+      expect((await call(address, 'GET', toPath(1), '', 'key-a')).status).toBe(401);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  test(
+    'give a draining worker nothing new, and pass over entries of other writers',
+    async () => {
+      await begin(100, 1);
+      const address = deployment.nodes[0]?.address ?? '';
+      deployment.store.put('servers', 'i-strange', '{"service":7}');
+      deployment.store.put('servers', 'i-broken', 'no json');
+      deployment.workers.slice(1).forEach((worker) => {
+        const draining = worker;
+        draining.state = 'draining';
+        draining.register();
+      });
+      await sleep(800);
+      await call(address, 'POST', toPath(1), TWO_STEPS);
+      await waitFor(() => isSucceeded(address, 1), 5_000);
+      expect(deployment.workers.slice(1).every(({ target }) => target.entry.id !== '')).toBe(true);
+      expect(deployment.workers[0]?.target.runs.size).toBe(0);
+      expect(deployment.done.size).toBe(6);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
+  test(
+    'read everything again when the history of the store is lost',
+    async () => {
+      await begin(100, 1);
+      const address = deployment.nodes[0]?.address ?? '';
+      deployment.store.forgottenVersion = 1_000_000;
+      deployment.store.put('op', 'config', { ...CONFIG, version: 9, tenants: [] });
+      const isNew = async () => (await call(address, 'GET', toPath(1))).status === 401;
+      await waitFor(isNew, 3_000);
+    },
+    TEST_TIMEOUT_MS,
+  );
+});
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -15,8 +15,8 @@
 import { tryParseTaskKey } from '../../src/work/taskNames';
 import { addDemand, getChargedDemand, isDemandFitting, NO_DEMAND } from '../../src/work/types';
 import type { EndKind, StepSpec, Submission, Team } from '../../src/work/types';
-import { FakeTarget } from './fakeTarget';
-import type { FakeRun, RunPlan } from './fakeTarget';
+import { FakeTarget } from '../../standins/fakeTarget';
+import type { FakeRun, RunPlan } from '../../standins/fakeTarget';
 import { VirtualTime } from './virtualTime';
 
 const LINK_MS = 1;
--- /dev/null
+++ b/tests/support/platformDeployment.ts
@@ -0,0 +1,141 @@
+/** Real nodes with the platform's adapter, among stand-ins on the loopback address, in one process. */
+
+import { PassThrough } from 'node:stream';
+import { createFrontHandler } from '../../platform/ingress';
+import { AdviceServiceClient } from '../../platform/adviceClient';
+import { operatorRows } from '../../platform/operatorRows';
+import { StoreClient } from '../../platform/storeClient';
+import { WorkerClient } from '../../platform/targetClient';
+import { targetRegistry } from '../../platform/targetRegistry';
+import { ClusterNode } from '../../src/node/node';
+import { createLogger } from '../../src/observe/logger';
+import { Metrics } from '../../src/observe/metrics';
+import { HttpCaller } from '../../src/rpc/httpCaller';
+import { HttpListener } from '../../src/rpc/httpListener';
+import { ElapsedClock } from '../../src/types/clock';
+import type { NodeId } from '../../src/types/ids';
+import type { FakeTarget } from '../../standins/fakeTarget';
+import { RowStoreStandIn } from '../../standins/rowStore';
+import { WorkerStandIn } from '../../standins/worker';
+
+const LIMITS = { maxBodyBytes: 262_144, bodyTimeoutMs: 2_000 };
+
+/** One running node with its front address. */
+export interface RunningNode {
+  readonly node: ClusterNode;
+  readonly address: string;
+  readonly lines: string[];
+  stop(): void;
+}
+
+/** The desired state that a test begins with. */
+export const CONFIG = {
+  version: 3,
+  routes: [
+    {
+      ...{
+        name: 'r-checks',
+        host: 'checks.example',
+        'path-prefix': '/checks/',
+        service: 'service',
+      },
+      ...{ 'timeout-ms': 3_000, 'target-duration-ms': 250, attempts: 3, stretch: 1.5 },
+    },
+  ],
+  services: [{ name: 'service', 'enforces-capacity': false }],
+  tenants: [{ name: 'team-a', 'api-keys': ['key-a'], weight: 5 }],
+};
+
+/** Stand-ins and nodes of one test. */
+export class PlatformDeployment {
+  readonly store = new RowStoreStandIn();
+
+  readonly workers: WorkerStandIn[] = [];
+
+  readonly nodes: RunningNode[] = [];
+
+  /** Starts by task, and ends `done` by task. */
+  readonly starts = new Map<string, number>();
+
+  readonly done = new Map<string, number>();
+
+  #storeAddress = '';
+
+  constructor(
+    /** How long each task works. */
+    readonly workMs: number,
+  ) {}
+
+  async start(workerCount: number, nodeCount: number): Promise<void> {
+    this.#storeAddress = await this.store.listen();
+    this.store.put('op', 'config', CONFIG);
+    for (let index = 0; index < workerCount; index += 1) {
+      this.workers.push(
+        new WorkerStandIn(`i-${index}`, this.store, {
+          onStart: (_target: FakeTarget, call) => {
+            this.starts.set(call.taskKey, (this.starts.get(call.taskKey) ?? 0) + 1);
+            return { workMs: this.workMs, how: 'done', isGang: false };
+          },
+          onEnd: (_target, run, how) => {
+            if (how === 'done') this.done.set(run.taskKey, (this.done.get(run.taskKey) ?? 0) + 1);
+          },
+          onAcknowledged: () => undefined,
+        }),
+      );
+    }
+    await Promise.all(this.workers.map((worker) => worker.start()));
+    await Promise.all(
+      Array.from({ length: nodeCount }, (_, index) => this.addNode(`node-${index + 1}`)),
+    );
+  }
+
+  async addNode(name: string): Promise<RunningNode> {
+    const lines: string[] = [];
+    const stream = new PassThrough();
+    stream.on('data', (chunk) => lines.push(String(chunk)));
+    const storeCaller = new HttpCaller();
+    const workerCaller = new HttpCaller({ connectionsPerPeer: 3 });
+    const port = 20_000 + Math.floor(Math.random() * 20_000);
+    const node = new ClusterNode(
+      name as NodeId,
+      { host: '127.0.0.1', port },
+      {
+        store: new StoreClient(storeCaller, this.#storeAddress),
+        targets: new WorkerClient(workerCaller),
+        advice: new AdviceServiceClient(storeCaller, undefined),
+        operatorRows,
+        registry: targetRegistry,
+        clock: new ElapsedClock(),
+        logger: createLogger('test', name, 'info', stream),
+        metrics: new Metrics(),
+      },
+    );
+    const front = new HttpListener(
+      createFrontHandler((call) => node.answer(call)),
+      LIMITS,
+    );
+    const frontPort = await front.listen('127.0.0.1', 0);
+    await node.start();
+    const running: RunningNode = {
+      ...{ node, address: `127.0.0.1:${frontPort}`, lines },
+      stop: () => {
+        front.closeAll();
+        node.stop();
+        storeCaller.close().catch(() => undefined);
+        workerCaller.close().catch(() => undefined);
+      },
+    };
+    this.nodes.push(running);
+    return running;
+  }
+
+  get owner(): RunningNode | undefined {
+    return this.nodes.find(({ node }) => JSON.stringify(node.dump()).includes('"kind":"owning"'));
+  }
+
+  stop(): void {
+    this.nodes.forEach((node) => node.stop());
+    this.workers.forEach((worker) => worker.stop());
+    this.store.close();
+  }
+}
--- a/tests/support/virtualTime.ts
+++ b/tests/support/virtualTime.ts
@@ -1,5 +1,7 @@
 /** Events in virtual time, in the order of their moments. */
 
+import type { Timeline } from '../../standins/timeline';
+
 /** Something that happens at a moment. */
 interface Scheduled {
   readonly atMs: number;
@@ -8,7 +10,7 @@
 }
 
 /** Runs actions in the order of their moments. */
-export class VirtualTime {
+export class VirtualTime implements Timeline {
   #queue: Scheduled[] = [];
 
   #sequence = 0;
