Urgent work preempts runs with checkpoints; copies, slow and stuck targets; no wait for ever under suspicion

Change: src/owner/preemption.ts, copies.ts, slowness of targets, stop of runs without progress, patience with suspicion bounded to 1.2 s, refusal at once while the store is known to be away.

--- a/src/node/acceptance.ts
+++ b/src/node/acceptance.ts
@@ -51,6 +51,8 @@
 
   #clock: Clock;
 
+  #isStoreAway: () => boolean;
+
   #waiting: PendingRow[] = [];
 
   #inFlightCount = 0;
@@ -58,8 +60,10 @@
   /**
    * @param store - where the rows go
    * @param clock - for the time after which a caller is answered
+   * @param isStoreAway - no way to the store is known to work now
    */
-  constructor(store: Pick<RowStore, 'transact'>, clock: Clock) {
+  constructor(store: Pick<RowStore, 'transact'>, clock: Clock, isStoreAway: () => boolean) {
+    this.#isStoreAway = isStoreAway;
     this.#store = store;
     this.#clock = clock;
   }
@@ -77,6 +81,9 @@
    * @returns what came of it
    */
   write(table: string, submissionId: SubmissionId, value: string): Promise<AcceptOutcome> {
+    if (this.#isStoreAway()) {
+      return Promise.resolve({ kind: 'notStored', detail: 'the store is away' });
+    }
     return new Promise((resolve) => {
       const put = { table, part: getAcceptedPart(submissionId), key: submissionId, value };
       const giveUpAtMs = this.#clock.nowMs() + PATIENCE_MS;
@@ -180,7 +187,8 @@
   /** A repeated write is harmless, as the row must not exist. */
   #retry(batch: readonly PendingRow[], detail: string): void {
     const nowMs = this.#clock.nowMs();
-    const again = batch.filter((row) => nowMs + RETRY_MS < row.giveUpAtMs);
+    const isAway = this.#isStoreAway();
+    const again = batch.filter((row) => !isAway && nowMs + RETRY_MS < row.giveUpAtMs);
     batch
       .filter((row) => !again.includes(row))
       .forEach((row) => {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -124,6 +124,7 @@
         () => this.#store.isReachable,
       ),
       ports.clock,
+      () => !this.#store.isReachable && !this.#ownership.isOwnerStoreReachable,
     );
     this.#gate = new Gate({
       ...this.#ports,
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -61,6 +61,8 @@
 
   #isBeating = false;
 
+  #ownerStoreLostForMs = 0;
+
   /**
    * @param ports - store, clock and log
    * @param self - this node
@@ -93,6 +95,11 @@
     return this.#link?.isClosed === false ? this.#link : undefined;
   }
 
+  /** True when the owner is connected and its store answers. */
+  get isOwnerStoreReachable(): boolean {
+    return this.link !== undefined && this.#ownerStoreLostForMs === 0;
+  }
+
   /**
    * Applies an event.
    * @param event - what happened
@@ -120,6 +127,7 @@
       .call('heartbeat', params, HEARTBEAT_TIMEOUT_MS)
       .then((reply) => {
         const { ownedEpoch, storeLostForMs } = reply;
+        this.#ownerStoreLostForMs = storeLostForMs;
         this.dispatch({ kind: 'heartbeatAnswered', epoch, ownedEpoch, storeLostForMs });
         this.#listener.onOperatorVersion(reply.operatorVersion, link);
       })
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -96,8 +96,26 @@
 /** Pause of a target after it refused a start for a reason of its own. */
 export const REFUSAL_PAUSE_MS = 1_000;
 
-/** A task whose percentage has stood still this long, and twice its usual step, is taken as stuck. */
+/** A run whose progress has stood still this long is stopped; a slow run of 100 s shows 2% in it. */
 export const STUCK_MS = 2_500;
 
 /** Kept for this long after its outcome, so that callers can ask for its state. */
 export const RETENTION_MS = 150_000;
+
+/** An urgent task waits this long for room before less urgent runs are stopped; ends come sooner often. */
+export const PREEMPT_AFTER_MS = 60;
+
+/** No copy of a task is started before this; a copy for a short delay does not pay. */
+export const COPY_AFTER_MS = 500;
+
+/** A task is copied when it runs this many times as long as its like. */
+export const COPY_SLOWNESS = 2.2;
+
+/** Weight of the newest duration in a target's relative speed. */
+export const SPEED_WEIGHT = 0.2;
+
+/** A target whose runs take this many times as long as their like is taken as slow. */
+export const SLOW_TARGET = 1.8;
+
+/** A step with nothing running waits this long for targets that are not under suspicion. */
+export const SUSPICION_PATIENCE_MS = 1_200;
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -4,11 +4,19 @@
 import { assertNever } from '../types/debug';
 import type { Queue, Submission } from '../work/types';
 import { AdviceDesk } from './adviceDesk';
-import { AUTHORITY_MS, CLOCK_SLOWNESS, LEASE_MS, RETENTION_MS, STOP_RETRY_MS } from './constants';
+import {
+  AUTHORITY_MS,
+  CLOCK_SLOWNESS,
+  LEASE_MS,
+  RETENTION_MS,
+  STOP_RETRY_MS,
+  STUCK_MS,
+} from './constants';
 import { InventoryReader } from './inventoryReader';
 import { LookPlanner } from './lookPlanner';
 import { OwnerState } from './ownerState';
 import { Planner } from './planner';
+import type { Run } from './run';
 import { RunKeeper } from './runKeeper';
 import { SubmissionRecord } from './submissionRecord';
 import { TargetState } from './targetState';
@@ -240,6 +248,7 @@
           run.stopConfirmedAtMs === undefined &&
           nowMs > run.stopSentAtMs + STOP_RETRY_MS;
         if (isRepeatDue) this.#keeper.stop(run, 'repeated');
+        if (run.phase === 'running') this.#checkProgress(target, run);
       });
       if (!target.isResponding && target.isLapsed(nowMs) && target.runs.size > 0) {
         this.#keeper.releaseAll(target, 'its lease has lapsed');
@@ -250,6 +259,17 @@
     });
   }
 
+  /** Stops a run that stands still; it is started elsewhere. */
+  #checkProgress(target: TargetState, run: Run): void {
+    // Only looks show progress, so the time without a look does not count.
+    if (run.percent >= 100 || run.percentAtMs - run.percentChangedAtMs < STUCK_MS) return;
+    this.#keeper.stop(run, 'no progress');
+    this.#state.count('runs_stuck');
+    const pauseMs = target.addFailure(run.step.record.submission.id, this.#state.nowMs);
+    if (pauseMs > 0)
+      this.#state.log('target quarantined', { targetId: target.id, pauseMs }, 'warn');
+  }
+
   /** A target that has left the registry is kept while it may still run something. */
   #isOver(target: TargetState): boolean {
     if (target.runs.size > 0) return false;
--- /dev/null
+++ b/src/owner/gangPlacement.ts
@@ -0,0 +1,71 @@
+/** Finds room for all members of a gang at once. */
+
+import type { TargetId } from '../types/ids';
+import { addDemand } from '../work/types';
+import type { TaskDemand } from '../work/types';
+import { chooseCandidate, isImpatient, isLastAttempt } from './candidates';
+import type { Candidate } from './candidates';
+import type { StepState } from './stepState';
+import type { TargetState } from './targetState';
+
+/** One member of a gang and its place. */
+export interface GangPlace {
+  readonly index: number;
+  readonly candidate: Candidate;
+}
+
+function placeMembers(
+  step: StepState,
+  candidates: readonly Candidate[],
+  nowMs: number,
+): readonly GangPlace[] | undefined {
+  const isCareful = isLastAttempt(step, 0) && !isImpatient(step, nowMs);
+  const free = new Map<TargetId, TaskDemand>();
+  const counts = new Map<TargetId, number>();
+  const room = {
+    getFree: (target: TargetState) => free.get(target.id) ?? target.free,
+    getPlacedCount: (target: TargetState) => counts.get(target.id) ?? 0,
+  };
+  const places: GangPlace[] = [];
+  for (let index = 0; index < step.spec.taskCount; index += 1) {
+    const candidate = chooseCandidate(step, isCareful, candidates, room);
+    if (candidate === undefined) return undefined;
+    const { target } = candidate;
+    free.set(target.id, addDemand(room.getFree(target), step.charge, -1));
+    counts.set(target.id, room.getPlacedCount(target) + 1);
+    places.push({ index, candidate });
+  }
+  return places;
+}
+
+function placeInOneRack(
+  step: StepState,
+  candidates: readonly Candidate[],
+  nowMs: number,
+): readonly GangPlace[] | undefined {
+  const racks = new Set(candidates.map(({ target }) => target.entry.rack));
+  let found: readonly GangPlace[] | undefined;
+  racks.forEach((rack) => {
+    const inRack = candidates.filter(({ target }) => target.entry.rack === rack);
+    found ??= placeMembers(step, inRack, nowMs);
+  });
+  return found;
+}
+
+/**
+ * Finds places for all members of a gang, in one rack where that makes them faster.
+ * @param step - the gang
+ * @param candidates - where its members may run
+ * @param nowMs - our clock
+ * @returns a place for each member, or undefined when there is not room for all
+ */
+export function placeGang(
+  step: StepState,
+  candidates: readonly Candidate[],
+  nowMs: number,
+): readonly GangPlace[] | undefined {
+  const { policy } = step.spec;
+  const wantsOneRack = policy.kind === 'gang' && policy.isSameRack;
+  const inOneRack = wantsOneRack ? placeInOneRack(step, candidates, nowMs) : undefined;
+  return inOneRack ?? placeMembers(step, candidates, nowMs);
+}
--- a/src/owner/inventoryReader.ts
+++ b/src/owner/inventoryReader.ts
@@ -133,7 +133,7 @@
     });
     step.hasBegun = true;
     record.hasBegun = true;
-    if (row.how === 'done') target.addSuccess();
+    if (row.how === 'done') InventoryReader.#noteDone(target, step, run, this.#state.nowMs);
     if (row.how === 'failed') {
       const pauseMs = target.addFailure(record.submission.id, this.#state.nowMs);
       if (pauseMs > 0) {
@@ -146,6 +146,20 @@
     if (row.how !== 'done') this.#keeper.restartGang(step, row.run, `a member ended ${row.how}`);
   }
 
+  static #noteDone(
+    target: TargetState,
+    step: StepState,
+    run: Run | undefined,
+    nowMs: number,
+  ): void {
+    target.addSuccess();
+    if (run === undefined || run.checkpoint !== undefined) return;
+    const durationMs = nowMs - run.sentAtMs;
+    const { meanDurationMs } = step;
+    if (meanDurationMs !== undefined) target.addDuration(durationMs / meanDurationMs);
+    step.addDuration(durationMs);
+  }
+
   /** @returns false when the run belongs to no task and has to be stopped */
   #readRunning(target: TargetState, row: RunningRow): boolean {
     const { nowMs } = this.#state;
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -12,6 +12,9 @@
 /** Weight of a target whose last runs failed. */
 const SUSPECT_COST = 5;
 
+/** Weight of a target's duration against the mean of its like, 1 for twice as long. */
+const SLOW_COST = 1;
+
 /**
  * Asks whether a target could ever run tasks of a step, room aside.
  * @param state - the owner's tables
@@ -30,18 +33,12 @@
 }
 
 /**
- * Asks whether a target takes starts now.
- * @param state - the owner's tables
+ * Asks whether the runs of a target are known, so that its room is.
  * @param target - the target
- * @returns true when its runs are known, it answers and it is not paused
+ * @returns true when it has listed its runs, answers, and runs nothing of unknown size
  */
-export function isTargetOpen(state: OwnerState, target: TargetState): boolean {
-  return (
-    target.isContacted &&
-    target.isResponding &&
-    target.strays.size === 0 &&
-    target.pausedUntilMs <= state.nowMs
-  );
+export function isTargetKnown(target: TargetState): boolean {
+  return target.isContacted && target.isResponding && target.strays.size === 0;
 }
 
 function hasFiller(target: TargetState): boolean {
@@ -57,13 +54,31 @@
   return [...target.runs.values()].some((run) => isServing(run.step));
 }
 
-/** Fillers disturb serving tasks, so the two never share a target. */
-function isCompatible(step: StepState, target: TargetState): boolean {
+/**
+ * Asks whether a step's tasks may run beside what runs on a target: fillers disturb serving tasks.
+ * @param step - the step
+ * @param target - the target
+ * @returns false when a filler and a serving task would share it
+ */
+export function isCompatible(step: StepState, target: TargetState): boolean {
   if (step.spec.isFiller) return !hasServing(target);
   if (isServing(step)) return !hasFiller(target);
   return true;
 }
 
+/**
+ * Asks whether the step's bound of tasks on one target allows one more.
+ * @param step - the step
+ * @param target - the target
+ * @param placedCount - tasks of the step that are about to start there
+ * @returns true when there is no bound or it is not reached
+ */
+export function isSpreadAllowed(step: StepState, target: TargetState, placedCount = 0): boolean {
+  const { maxTasksPerTarget } = step.spec;
+  if (maxTasksPerTarget === 0) return true;
+  return step.countOn(target.id) + placedCount < maxTasksPerTarget;
+}
+
 /**
  * Asks whether one more task of a step fits on a target.
  * @param step - the step
@@ -78,12 +93,11 @@
   free: TaskDemand,
   placedCount: number,
 ): boolean {
-  if (!isDemandFitting(step.charge, free)) return false;
-  const { maxTasksPerTarget } = step.spec;
-  if (maxTasksPerTarget > 0 && step.countOn(target.id) + placedCount >= maxTasksPerTarget) {
-    return false;
-  }
-  return isCompatible(step, target);
+  return (
+    isDemandFitting(step.charge, free) &&
+    isSpreadAllowed(step, target, placedCount) &&
+    isCompatible(step, target)
+  );
 }
 
 /** What is left of a target after a placement, as the sum of its fractions: best fit takes the least. */
@@ -106,5 +120,6 @@
   const { dataRack } = step.spec;
   const rackCost = dataRack !== '' && target.entry.rack !== dataRack ? OTHER_RACK_COST : 0;
   const suspectCost = target.isSuspect ? SUSPECT_COST : 0;
-  return getLeftover(step.charge, target, free) + rackCost + suspectCost;
+  const slowCost = SLOW_COST * (target.slowness - 1);
+  return getLeftover(step.charge, target, free) + rackCost + suspectCost + slowCost;
 }
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -1,101 +1,22 @@
 /** Starts what can be started: waiting steps in their order, each on the targets that suit it. */
 
-import type { TargetId, TeamId, Ticket } from '../types/ids';
+import type { TargetId, TeamId } from '../types/ids';
 import { addDemand, isDemandFitting, NO_DEMAND } from '../work/types';
 import type { TaskDemand } from '../work/types';
 import type { OwnerState } from './ownerState';
-import { getPlacementCost, isPlaceable, isTargetEligible, isTargetOpen } from './placement';
+import { chooseCandidate, isImpatient, isLastAttempt } from './candidates';
+import type { Candidate } from './candidates';
+import { PREEMPT_AFTER_MS } from './constants';
+import { getRunsToCopy } from './copies';
+import { placeGang } from './gangPlacement';
+import { isCompatible, isSpreadAllowed, isTargetEligible, isTargetKnown } from './placement';
+import { choosePreemption } from './preemption';
+import type { PromisedRoom } from './preemption';
 import type { RunKeeper } from './runKeeper';
 import { compareSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
 
-/** A target that may take tasks of a step now. */
-interface Candidate {
-  readonly target: TargetState;
-  readonly ticket: Ticket | undefined;
-}
-
-/** One member of a gang and its place. */
-interface GangPlace {
-  readonly index: number;
-  readonly candidate: Candidate;
-}
-
-function isLastAttempt(step: StepState, index: number): boolean {
-  if (step.isStanding) return false;
-  const failureCount = step.isGang
-    ? step.progress.getGangFailureCount()
-    : step.progress.getFailureCount(index);
-  return failureCount > 0 && failureCount >= step.record.queue.attemptLimit - 1;
-}
-
-function placeGang(
-  step: StepState,
-  candidates: readonly Candidate[],
-): readonly GangPlace[] | undefined {
-  const isLast = isLastAttempt(step, 0);
-  const free = new Map<TargetId, TaskDemand>();
-  const placedCounts = new Map<TargetId, number>();
-  const places: GangPlace[] = [];
-  for (let index = 0; index < step.spec.taskCount; index += 1) {
-    let best: Candidate | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    candidates.forEach((candidate) => {
-      const { target } = candidate;
-      if (isLast && target.isSuspect) return;
-      const left = free.get(target.id) ?? target.free;
-      if (!isPlaceable(step, target, left, placedCounts.get(target.id) ?? 0)) return;
-      const cost = getPlacementCost(step, target, left);
-      if (cost >= bestCost) return;
-      best = candidate;
-      bestCost = cost;
-    });
-    if (best === undefined) return undefined;
-    const { target } = best as Candidate;
-    free.set(target.id, addDemand(free.get(target.id) ?? target.free, step.charge, -1));
-    placedCounts.set(target.id, (placedCounts.get(target.id) ?? 0) + 1);
-    places.push({ index, candidate: best });
-  }
-  return places;
-}
-
-function choose(
-  step: StepState,
-  isLast: boolean,
-  candidates: readonly Candidate[],
-): Candidate | undefined {
-  let best: Candidate | undefined;
-  let bestCost = Number.POSITIVE_INFINITY;
-  candidates.forEach((candidate) => {
-    const { target } = candidate;
-    if (isLast && target.isSuspect) return;
-    if (!isPlaceable(step, target, target.free, 0)) return;
-    const cost = getPlacementCost(step, target, target.free);
-    if (cost >= bestCost) return;
-    best = candidate;
-    bestCost = cost;
-  });
-  return best;
-}
-
-function placeGangInOneRack(
-  step: StepState,
-  candidates: readonly Candidate[],
-): readonly GangPlace[] | undefined {
-  const { policy } = step.spec;
-  if (policy.kind !== 'gang' || !policy.isSameRack) return undefined;
-  const racks = new Set(candidates.map(({ target }) => target.entry.rack));
-  let found: readonly GangPlace[] | undefined;
-  racks.forEach((rack) => {
-    found ??= placeGang(
-      step,
-      candidates.filter(({ target }) => target.entry.rack === rack),
-    );
-  });
-  return found;
-}
-
 /** Plans starts. */
 export class Planner {
   #state: OwnerState;
@@ -104,6 +25,8 @@
 
   #unseen = new Map<TeamId, TaskDemand>();
 
+  #promised: PromisedRoom = new Map();
+
   /**
    * @param state - the owner's tables
    * @param keeper - performs the starts
@@ -116,8 +39,9 @@
   /** Starts every task that has room now. */
   plan(): void {
     const state = this.#state;
-    const open = [...state.targets.values()].filter((target) => isTargetOpen(state, target));
-    if (open.length === 0) return;
+    const known = [...state.targets.values()].filter(isTargetKnown);
+    const open = known.filter((target) => target.pausedUntilMs <= state.nowMs);
+    if (known.length === 0) return;
     const steps = [...state.ready].filter(
       (step) => !step.mayRunUnseen && step.notBeforeMs <= state.nowMs,
     );
@@ -125,15 +49,77 @@
     this.#unseen = this.#getUnseenUse();
     steps.forEach((step) => {
       // Most steps that wait in a full fleet end here, without a look at each target's state.
-      const roomy = open.filter((target) => isDemandFitting(step.charge, target.free));
-      if (roomy.length === 0) return;
-      const candidates = this.#getCandidates(step, roomy);
-      if (candidates.length === 0) return;
-      if (step.isGang) this.#startGang(step, candidates);
-      else this.#startTasks(step, candidates);
+      const allowed = isImpatient(step, state.nowMs) ? known : open;
+      const roomy = allowed.filter((target) => isDemandFitting(step.charge, target.free));
+      const candidates = roomy.length === 0 ? [] : this.#getCandidates(step, roomy);
+      if (candidates.length > 0) {
+        if (step.isGang) this.#startGang(step, candidates);
+        else this.#startTasks(step, candidates);
+      }
+      this.#makeRoom(step, allowed);
+    });
+    this.#promised.clear();
+    this.#startCopies(open);
+  }
+
+  /** Runs a second copy of tasks that take far longer than their like, where room is left. */
+  #startCopies(open: readonly TargetState[]): void {
+    const { nowMs, targets, open: records } = this.#state;
+    records.forEach((record) => {
+      [...record.steps].forEach((step) => {
+        getRunsToCopy(step, (run) => targets.get(run.targetId), nowMs).forEach((run) =>
+          this.#startCopy(step, run.index, run.targetId, open),
+        );
+      });
     });
   }
 
+  #startCopy(
+    step: StepState,
+    index: number,
+    formerId: TargetId,
+    open: readonly TargetState[],
+  ): void {
+    const { teamId } = step.record.submission;
+    if (!this.#state.teamUse.isWithinLimit(teamId, step.charge, this.#unseen.get(teamId))) return;
+    const others = open.filter(
+      (target) => target.id !== formerId && isDemandFitting(step.charge, target.free),
+    );
+    const chosen = chooseCandidate(step, false, this.#getCandidates(step, others));
+    if (chosen === undefined) return;
+    this.#state.count('copies_started');
+    const run = this.#keeper.takeRunNumber(step);
+    this.#keeper.start(step, index, chosen.target, run, chosen.ticket);
+  }
+
+  /** Stops less urgent runs for tasks that have waited too long for room. */
+  #makeRoom(step: StepState, open: readonly TargetState[]): void {
+    const { nowMs, teamUse } = this.#state;
+    const waitedMs = nowMs - (step.readyAtMs ?? nowMs);
+    if (step.isGang || step.waiting.size === 0 || waitedMs < PREEMPT_AFTER_MS) return;
+    const { teamId } = step.record.submission;
+    const targets = this.#getCandidates(step, open)
+      .map(({ target }) => target)
+      .filter((target) => isSpreadAllowed(step, target) && isCompatible(step, target));
+    let isHelpful = targets.length > 0;
+    for (let count = 0; count < step.waiting.size && isHelpful; count += 1) {
+      const whole = addDemand(NO_DEMAND, step.charge, count + 1);
+      if (!teamUse.isWithinLimit(teamId, whole, this.#unseen.get(teamId))) return;
+      isHelpful = this.#makeRoomOnce(step, targets);
+    }
+  }
+
+  #makeRoomOnce(step: StepState, targets: readonly TargetState[]): boolean {
+    const chosen = choosePreemption(step, targets, this.#promised, this.#state.nowMs);
+    if (chosen === undefined) return false;
+    const { target, victims } = chosen;
+    const promised = this.#promised.get(target.id) ?? NO_DEMAND;
+    this.#promised.set(target.id, addDemand(promised, step.charge));
+    victims.forEach((run) => this.#keeper.stop(run, `room for ${step.key}`));
+    if (victims.length > 0) this.#state.count('runs_preempted', victims.length);
+    return true;
+  }
+
   /** What teams may have running on targets that have not listed their runs since the takeover. */
   #getUnseenUse(): Map<TeamId, TaskDemand> {
     const unseen = new Map<TeamId, TaskDemand>();
@@ -168,10 +154,10 @@
     let isRoomLeft = true;
     let isRoomLeftForLast = true;
     [...step.waiting].forEach((index) => {
-      const isLast = isLastAttempt(step, index);
+      const isLast = isLastAttempt(step, index) && !isImpatient(step, this.#state.nowMs);
       if (!isRoomLeft || (isLast && !isRoomLeftForLast)) return;
       if (!this.#state.teamUse.isWithinLimit(teamId, step.charge, this.#unseen.get(teamId))) return;
-      const chosen = choose(step, isLast, candidates);
+      const chosen = chooseCandidate(step, isLast, candidates);
       if (chosen === undefined) {
         if (isLast) isRoomLeftForLast = false;
         else isRoomLeft = false;
@@ -188,7 +174,8 @@
     const { teamId } = step.record.submission;
     const whole = addDemand(NO_DEMAND, step.charge, step.spec.taskCount);
     if (!this.#state.teamUse.isWithinLimit(teamId, whole, this.#unseen.get(teamId))) return;
-    const places = placeGangInOneRack(step, candidates) ?? placeGang(step, candidates);
+    const { nowMs } = this.#state;
+    const places = placeGang(step, candidates, nowMs);
     if (places === undefined) return;
     const run = this.#keeper.takeRunNumber(step);
     places.forEach(({ index, candidate }) => {
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -17,6 +17,10 @@
 
   #lastRun = 0;
 
+  #doneCount = 0;
+
+  #doneMs = 0;
+
   readonly key: StepKey;
 
   readonly charge: TaskDemand;
@@ -84,6 +88,20 @@
     return this.progress.isDone;
   }
 
+  /** Mean duration of the runs that were done; undefined before the first. */
+  get meanDurationMs(): number | undefined {
+    return this.#doneCount === 0 ? undefined : this.#doneMs / this.#doneCount;
+  }
+
+  /**
+   * Notes how long a run took that was done.
+   * @param durationMs - its duration
+   */
+  addDuration(durationMs: number): void {
+    this.#doneCount += 1;
+    this.#doneMs += durationMs;
+  }
+
   /**
    * Gets the number for the next run; it is higher than that of every run known.
    * @param lowest - the lowest number that this owner may give
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -8,6 +8,7 @@
   MAX_QUARANTINE_MS,
   QUARANTINE_FAILURES,
   QUARANTINE_MS,
+  SPEED_WEIGHT,
 } from './constants';
 import type { Run, RunKey } from './run';
 import type { SubmissionRecord } from './submissionRecord';
@@ -67,8 +68,8 @@
   /** Ends up to this place have been acknowledged. */
   acknowledgedSequence = 0;
 
-  /** The last run that ended by itself here was done. */
-  isProven = false;
+  /** Duration of its runs against that of the same steps elsewhere; 1 for the mean. */
+  slowness = 1;
 
   /**
    * @param entry - how it registered itself
@@ -221,7 +222,14 @@
   addSuccess(): void {
     this.#failedSubmissions.clear();
     this.#quarantineMs = QUARANTINE_MS;
-    this.isProven = true;
+  }
+
+  /**
+   * Notes how long a run took against the mean of its step.
+   * @param ratio - 1 for the mean
+   */
+  addDuration(ratio: number): void {
+    this.slowness += SPEED_WEIGHT * (ratio - this.slowness);
   }
 
   /**
@@ -233,7 +241,6 @@
    */
   addFailure(submissionId: SubmissionId, nowMs: number): number {
     this.#failedSubmissions.add(submissionId);
-    this.isProven = false;
     if (this.#failedSubmissions.size < QUARANTINE_FAILURES) return 0;
     return this.quarantine(nowMs);
   }
--- a/tests/owner.test.ts
+++ b/tests/owner.test.ts
@@ -104,6 +104,39 @@
   });
 });
 
+describe('a full fleet', () => {
+  const WHOLE_TARGET = { cpuMillis: 16_000, memoryMb: 1_024, accelerators: 0 };
+
+  /** Long runs of low priority on every processor, then an urgent submission. */
+  function playUrgentBurst(hasCheckpoints: boolean): OwnerWorld {
+    const world = createWorld();
+    const long = { taskCount: 6, estimateMs: 30_000, demand: WHOLE_TARGET, hasCheckpoints };
+    world.submit(createSubmission(1, [long], { priority: 2 }));
+    world.run(2_000);
+    world.submit(createSubmission(2, [{ taskCount: 8, estimateMs: 400 }], { priority: 0 }));
+    world.run(1_500);
+    return world;
+  }
+
+  test('stops runs with checkpoints for urgent work, and no more than it needs', () => {
+    const world = playUrgentBurst(true);
+    expect(world.getState(toSubmissionId(2))).toBe('succeeded');
+    expect(world.ends.get('stopped')).toBe(2);
+    expect(world.broken).toEqual([]);
+  });
+
+  test('does not throw away runs that would lose all their work', () => {
+    const world = playUrgentBurst(false);
+    expect(world.ends.get('stopped')).toBeUndefined();
+  });
+
+  test('resumes a stopped run from its checkpoint', () => {
+    const world = playUrgentBurst(true);
+    world.run(1_500);
+    expect(world.resumedCount).toBe(2);
+  });
+});
+
 describe('a takeover', () => {
   test('adopts what runs and starts nothing twice', () => {
     const world = createWorld();
@@ -184,7 +217,7 @@
 
 describe('random histories', () => {
   /** Seeds that have failed, with their causes in the commits that mended them. */
-  test.each([447941])('seed %i', (seed) => {
+  test.each([447941, 16])('seed %i', (seed) => {
     expectHistoryKeepsPromises(seed);
   });
 
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -71,6 +71,9 @@
 
   startCount = 0;
 
+  /** Starts that carried a checkpoint. */
+  resumedCount = 0;
+
   isStoreUp = true;
 
   isAdviceNeeded = false;
@@ -353,6 +356,7 @@
     const { taskKey } = call;
     const { submission, step } = this.#getStep(taskKey);
     this.startCount += 1;
+    if (call.checkpoint !== undefined) this.resumedCount += 1;
     this.#lastStartAtMs.set(taskKey, this.time.nowMs);
     this.maxRunsByTask.set(taskKey, (this.maxRunsByTask.get(taskKey) ?? 0) + 1);
     this.#checkRoom(target, step, taskKey);
