--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -337,9 +337,9 @@
     const sentAtMs = clock.nowMs();
     switch (effect.kind) {
       case 'look': {
-        const { targetId, bornAtMs } = effect;
+        const { targetId, bornAtMs, isProbe } = effect;
         this.#run(targets.look(effect, isTooLate), (result) => ({
-          ...{ kind: 'looked' as const, targetId, bornAtMs, sentAtMs, result },
+          ...{ kind: 'looked' as const, targetId, bornAtMs, isProbe, sentAtMs, result },
         }));
         return;
       }
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -12,6 +12,9 @@
 /** Wait of a look at a target with a run that is being stopped; a stop takes up to 200 ms there. */
 export const STOP_LOOK_WAIT_MS = 250;
 
+/** Pause between probes of a target with runs in doubt. */
+export const PROBE_PERIOD_MS = 60;
+
 /** Added to the wait of a look before it counts as lost. */
 export const LOOK_SLACK_MS = 500;
 
@@ -27,9 +30,18 @@
 /** A start that arrives later than this is refused by the target. */
 export const START_LIMIT_MS = 1_500;
 
-/** Wait for the answer to a start; several round trips beyond a target's usual 1 ms. */
+/** Longest wait for the answer to a start. */
 export const START_TIMEOUT_MS = 700;
 
+/** Shortest wait for an answer that targets give at once: far beyond the 2 ms that it takes on a calm net. */
+export const MIN_ANSWER_LIMIT_MS = 150;
+
+/** The wait for the answer to a start is this many times the slowest of the last answers. */
+export const START_TIMEOUT_FACTOR = 4;
+
+/** By how much the slowest of the last answers fades with each further one. */
+export const SLOWEST_ANSWER_FADE = 0.97;
+
 /** Wait for the answer to a stop or a change of pace. */
 export const STOP_TIMEOUT_MS = 700;
 
@@ -119,3 +131,12 @@
 
 /** A step with nothing running waits this long for targets that are not under suspicion. */
 export const SUSPICION_PATIENCE_MS = 1_200;
+
+/** Wait of a look while answers get lost: a lost one hides ends for this and the limit of an answer. */
+export const LOSSY_LOOK_WAIT_MS = 200;
+
+/** Targets that have to lose answers before looks are sent more often; one may just be gone. */
+export const LOSSY_TARGETS = 3;
+
+/** A lost answer counts for this long. */
+export const LOSSY_WINDOW_MS = 3_000;
--- a/src/owner/inventoryReader.ts
+++ b/src/owner/inventoryReader.ts
@@ -41,7 +41,8 @@
   onLooked(event: Looked): void {
     const target = this.#state.targets.get(event.targetId);
     if (target === undefined || target.entry.bornAtMs !== event.bornAtMs) return;
-    target.lookSentAtMs = undefined;
+    if (event.isProbe) target.isProbed = false;
+    else target.lookSentAtMs = undefined;
     if (E.isLeft(event.result)) {
       this.#onLookFailed(target, event.result.left);
       return;
@@ -68,8 +69,10 @@
       this.#state.log('target does not answer', { targetId: target.id, failure }, 'warn');
       this.#state.count('targets_lost');
     }
+    // The first retry goes at once, as a single answer may just have been lost.
+    target.nextLookAtMs = target.isResponding ? nowMs : nowMs + LOOK_RETRY_MS;
     target.isResponding = false;
-    target.nextLookAtMs = nowMs + LOOK_RETRY_MS;
+    this.#state.answerTimes.addLoss(target.id, nowMs);
   }
 
   #read(target: TargetState, inventory: Inventory, sentAtMs: number): void {
@@ -89,7 +92,7 @@
     const strays: RunKey[] = [];
     inventory.running.forEach((row) => {
       listed.add(toRunKey(row.taskKey, row.run));
-      if (!this.#readRunning(target, row)) strays.push(toRunKey(row.taskKey, row.run));
+      if (!this.#readRunning(target, row, sentAtMs)) strays.push(toRunKey(row.taskKey, row.run));
     });
     target.setStrays(strays);
     [...target.runs.values()].forEach((run) => {
@@ -161,7 +164,7 @@
   }
 
   /** @returns false when the run belongs to no task and has to be stopped */
-  #readRunning(target: TargetState, row: RunningRow): boolean {
+  #readRunning(target: TargetState, row: RunningRow, sentAtMs: number): boolean {
     const { nowMs } = this.#state;
     const known = target.runs.get(toRunKey(row.taskKey, row.run));
     if (known !== undefined) {
@@ -169,7 +172,11 @@
       return true;
     }
     const task = this.#findTask(row.taskKey);
-    if (task !== undefined && InventoryReader.#isWanted(task)) {
+    const closedAtMs = task?.step.getClosedAtMs(toRunKey(row.taskKey, row.run));
+    // An answer that another one overtook may list a run whose end is known.
+    if (closedAtMs !== undefined && sentAtMs <= closedAtMs) return true;
+    const isOpen = closedAtMs === undefined;
+    if (task !== undefined && isOpen && InventoryReader.#isWanted(task)) {
       this.#keeper.adopt(task.step, task.index, target, row);
       return true;
     }
--- a/src/owner/lookPlanner.ts
+++ b/src/owner/lookPlanner.ts
@@ -3,9 +3,8 @@
 import {
   IDLE_ACKNOWLEDGE_MS,
   LEASE_MS,
-  LOOK_SLACK_MS,
   LOOK_UNACKNOWLEDGED_MS,
-  LOOK_WAIT_MS,
+  PROBE_PERIOD_MS,
   STOP_LOOK_WAIT_MS,
 } from './constants';
 import type { OwnerState } from './ownerState';
@@ -29,6 +28,7 @@
   /** Sends every look that is due. */
   sendDueLooks(): void {
     this.#state.targets.forEach((target) => {
+      if (target.lookSentAtMs !== undefined) this.#probe(target);
       if (target.lookSentAtMs !== undefined || target.nextLookAtMs > this.#state.nowMs) return;
       if (!target.isContacted || target.strays.size > 0) {
         this.#look(target, 0);
@@ -40,9 +40,26 @@
     });
   }
 
+  /** Settles runs in doubt while the usual look waits for an end. */
+  #probe(target: TargetState): void {
+    const { nowMs } = this.#state;
+    if (target.isProbed || target.nextProbeAtMs > nowMs || !target.isResponding) return;
+    const isDoubtful = [...target.runs.values()].some(
+      (run) =>
+        run.phase === 'unconfirmed' ||
+        (run.phase === 'stopping' &&
+          run.confirmedAtMs === undefined &&
+          run.stopConfirmedAtMs !== undefined),
+    );
+    if (!isDoubtful) return;
+    target.isProbed = true;
+    target.nextProbeAtMs = nowMs + PROBE_PERIOD_MS;
+    this.#send(target, 0, true);
+  }
+
   #lookAtBusy(target: TargetState): void {
     if (!hasPendingEnds(target)) {
-      this.#look(target, LookPlanner.#getWaitMs(target));
+      this.#look(target, this.#getWaitMs(target));
       return;
     }
     // While ends cannot be acknowledged a look returns at once; it is sent to renew the lease alone.
@@ -61,15 +78,22 @@
     this.#look(target, 0);
   }
 
-  static #getWaitMs(target: TargetState): number {
+  #getWaitMs(target: TargetState): number {
     const phases = [...target.runs.values()].map((run) => run.phase);
     if (phases.includes('unconfirmed')) return 0;
-    return phases.includes('stopping') ? STOP_LOOK_WAIT_MS : LOOK_WAIT_MS;
+    if (!target.isResponding) return 0;
+    const waitMs = this.#state.answerTimes.getLookWaitMs(this.#state.nowMs);
+    return phases.includes('stopping') ? Math.min(STOP_LOOK_WAIT_MS, waitMs) : waitMs;
   }
 
   #look(target: TargetState, waitMs: number): void {
-    const { nowMs, epoch } = this.#state;
     target.idleSinceMs = undefined;
+    target.lookSentAtMs = this.#state.nowMs;
+    this.#send(target, waitMs, false);
+  }
+
+  #send(target: TargetState, waitMs: number, isProbe: boolean): void {
+    const { nowMs, epoch } = this.#state;
     const upperMs = target.clock.getUpperMs(nowMs);
     // A target that does not answer is not told to go on, so that its lease can be known to lapse.
     const isNeeded = target.runs.size > 0 || target.listedEndCount > 0;
@@ -78,7 +102,6 @@
     if (leaseUntilMs !== undefined) target.extendLease(leaseUntilMs);
     const acknowledgedSequence = target.acknowledgeableSequence;
     target.setAcknowledged(acknowledgedSequence);
-    target.lookSentAtMs = nowMs;
     this.#state.emit({
       kind: 'look',
       targetId: target.id,
@@ -88,7 +111,8 @@
       leaseUntilMs,
       acknowledgedSequence,
       waitMs,
-      timeoutMs: waitMs + LOOK_SLACK_MS,
+      timeoutMs: waitMs + this.#state.answerTimes.getLookSlackMs(nowMs),
+      isProbe,
     });
     this.#state.count('looks');
   }
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -2,6 +2,7 @@
 
 import type { Epoch, SubmissionId, TargetId } from '../types/ids';
 import type { OperatorState } from '../work/types';
+import { AnswerTimes } from './answerTimes';
 import { ProgressWriter } from './progressWriter';
 import type { StepState } from './stepState';
 import type { SubmissionRecord } from './submissionRecord';
@@ -27,6 +28,8 @@
 
   readonly writer = new ProgressWriter();
 
+  readonly answerTimes = new AnswerTimes();
+
   /** Targets on which a former owner may have started work that is not listed yet. */
   readonly unresolved = new Set<TargetId>();
 
--- a/src/owner/runKeeper.ts
+++ b/src/owner/runKeeper.ts
@@ -5,13 +5,7 @@
 import { assertNever } from '../types/debug';
 import { toTaskKey } from '../work/taskNames';
 import type { EndKind } from '../work/types';
-import {
-  REFUSAL_PAUSE_MS,
-  RUNS_PER_EPOCH,
-  START_LIMIT_MS,
-  START_TIMEOUT_MS,
-  STOP_TIMEOUT_MS,
-} from './constants';
+import { REFUSAL_PAUSE_MS, RUNS_PER_EPOCH, START_LIMIT_MS, STOP_TIMEOUT_MS } from './constants';
 import type { OwnerState } from './ownerState';
 import { toRunKey } from './run';
 import type { Run } from './run';
@@ -77,7 +71,7 @@
       notAfterMs,
       checkpoint,
       ticket,
-      timeoutMs: START_TIMEOUT_MS,
+      timeoutMs: this.#state.answerTimes.limitMs,
     });
     const waitedMs = step.readyAtMs === undefined ? 0 : nowMs - step.readyAtMs;
     this.#state.emit({
@@ -104,6 +98,7 @@
     const run = target?.runs.get(toRunKey(event.taskKey, event.run));
     if (target === undefined || run === undefined) return;
     if (E.isRight(event.result)) {
+      this.#state.answerTimes.addAnswer(this.#state.nowMs - event.sentAtMs);
       target.clock.addSample(event.result.right.clockMs, event.sentAtMs, this.#state.nowMs);
       target.isResponding = true;
       if (run.phase !== 'starting') return;
@@ -229,7 +224,7 @@
    */
   release(run: Run): void {
     this.#state.targets.get(run.targetId)?.removeRun(run.key);
-    run.step.removeRun(run);
+    run.step.removeRun(run, this.#state.nowMs);
     this.#state.teamUse.add(run.step.record.submission.teamId, run.charge, -1);
     this.#state.isPlanDue = true;
     this.refreshReady(run.step);
@@ -380,6 +375,7 @@
         return;
       case 'lost':
         if (run.phase === 'starting') run.phase = 'unconfirmed';
+        this.#state.answerTimes.addLoss(target.id, nowMs);
         target.nextLookAtMs = Math.min(target.nextLookAtMs, nowMs);
         return;
       case 'badTicket':
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -5,7 +5,7 @@
 import { toStepKey } from '../work/taskNames';
 import { getChargedDemand } from '../work/types';
 import type { StepSpec, TaskDemand } from '../work/types';
-import type { Run } from './run';
+import type { Run, RunKey } from './run';
 import { StepAdvice } from './stepAdvice';
 import type { SubmissionRecord } from './submissionRecord';
 
@@ -15,6 +15,8 @@
 
   #runs = new Map<number, Run[]>();
 
+  #closedAtMs = new Map<RunKey, number>();
+
   #lastRun = 0;
 
   #doneCount = 0;
@@ -129,8 +131,10 @@
   /**
    * Notes that a run no longer exists; its task waits again unless it is done or runs elsewhere.
    * @param run - the run
+   * @param nowMs - our clock
    */
-  removeRun(run: Run): void {
+  removeRun(run: Run, nowMs: number): void {
+    this.#closedAtMs.set(run.key, nowMs);
     const left = (this.#runs.get(run.index) ?? []).filter((other) => other !== run);
     if (left.length > 0) {
       this.#runs.set(run.index, left);
@@ -140,6 +144,14 @@
     if (!this.progress.isTaskDone(run.index)) this.#waiting.add(run.index);
   }
 
+  /**
+   * @param key - a run
+   * @returns when it was found to have ended; undefined while it may run
+   */
+  getClosedAtMs(key: RunKey): number | undefined {
+    return this.#closedAtMs.get(key);
+  }
+
   /** Forgets waiting tasks that have become done. */
   dropDoneTasks(): void {
     this.#waiting.forEach((index) => {
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -59,6 +59,12 @@
   /** No look before this moment. */
   nextLookAtMs = 0;
 
+  /** A probe waits for its answer. */
+  isProbed = false;
+
+  /** No probe before this moment. */
+  nextProbeAtMs = 0;
+
   /** Since when it runs nothing and only has ends to be acknowledged. */
   idleSinceMs: number | undefined;
 
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -157,6 +157,7 @@
         readonly kind: 'looked';
         readonly targetId: TargetId;
         readonly bornAtMs: number;
+        readonly isProbe: boolean;
         readonly sentAtMs: number;
         readonly result: E.Either<TargetFailure, Inventory>;
       }
@@ -206,6 +207,8 @@
       readonly acknowledgedSequence: number;
       readonly waitMs: number;
       readonly timeoutMs: number;
+      /** Sent beside a look that waits, to settle a run without waiting for an end. */
+      readonly isProbe: boolean;
     }
   | {
       readonly kind: 'startRun';
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -217,8 +217,8 @@
     const target = targetId === undefined ? undefined : this.targets.get(targetId);
     switch (effect.kind) {
       case 'look': {
-        const { bornAtMs } = effect;
-        const reply = { kind: 'looked', targetId, bornAtMs, sentAtMs };
+        const { bornAtMs, isProbe } = effect;
+        const reply = { kind: 'looked', targetId, bornAtMs, isProbe, sentAtMs };
         this.#call(owner, effect.timeoutMs, reply, target, (to, answer) => to.look(effect, answer));
         return;
       }
