Teams are held to their rate in the order of room; closed submissions are read without their steps

Cause: under a flooding team everyone's urgent work waited in one order; a takeover decoded every step of submissions that had long ended.

--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -17,8 +17,8 @@
 import { assertNever } from '../types/debug';
 import type { Epoch, NodeId, StepKey, SubmissionId, TargetId } from '../types/ids';
 import { decodeProgress } from '../work/storedProgress';
-import { decodeSubmission } from '../work/submissionSchema';
-import type { Submission } from '../work/types';
+import type { StoredProgress } from '../work/storedProgress';
+import { decodeClosedSubmission, decodeSubmission } from '../work/submissionSchema';
 import type { OperatorSnapshot } from './operatorSnapshot';
 import type { NodePorts } from './ports';
 import {
@@ -236,28 +236,33 @@
   #decodeLoaded({ submissions, cancels, progress }: LoadedRows): LoadedSubmission[] {
     const cancelled = new Set(cancels.rows.map(({ key }) => key));
     const progressRows = new Map(progress.rows.map((row) => [row.key, row]));
-    return this.#decodeSubmissions(submissions.rows).map((submission) => {
-      const row = progressRows.get(submission.id);
-      const stored = row === undefined ? undefined : decodeProgress(row.value);
-      if (stored !== undefined && E.isLeft(stored)) {
-        this.#ports.logger.error({ key: row?.key, reason: stored.left }, 'progress not usable');
+    return submissions.rows.flatMap((row) => {
+      const progressRow = progressRows.get(row.key);
+      const stored = this.#decodeProgress(progressRow);
+      const decode = stored?.outcome === undefined ? decodeSubmission : decodeClosedSubmission;
+      const submission = decode(row.value);
+      if (E.isLeft(submission)) {
+        this.#ports.logger.error(
+          { key: row.key, reason: submission.left },
+          'submission not usable',
+        );
+        return [];
       }
       return {
-        submission,
-        isCancelled: cancelled.has(submission.id),
-        progress: stored !== undefined && E.isRight(stored) ? stored.right : undefined,
-        progressVersion: row?.version ?? 0,
+        submission: submission.right,
+        isCancelled: cancelled.has(row.key),
+        progress: stored,
+        progressVersion: progressRow?.version ?? 0,
       };
     });
   }
 
-  #decodeSubmissions(rows: readonly StoredRow[]): Submission[] {
-    return rows.flatMap((row) => {
-      const decoded = decodeSubmission(row.value);
-      if (E.isRight(decoded)) return [decoded.right];
-      this.#ports.logger.error({ key: row.key, reason: decoded.left }, 'submission not usable');
-      return [];
-    });
+  #decodeProgress(row: StoredRow | undefined): StoredProgress | undefined {
+    if (row === undefined) return undefined;
+    const decoded = decodeProgress(row.value);
+    if (E.isRight(decoded)) return decoded.right;
+    this.#ports.logger.error({ key: row.key, reason: decoded.left }, 'progress not usable');
+    return undefined;
   }
 
   #decodeEntries(rows: readonly StoredRow[]): TargetEntry[] {
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -61,6 +61,8 @@
 
   #nextPlanAtMs = 0;
 
+  #areRatesKnown = false;
+
   /**
    * @param epoch - the fence of every call
    * @param loaded - every stored submission
@@ -321,6 +323,8 @@
     const { config } = operator;
     if (config === undefined) return;
     this.#state.teamUse.setTeams(config.teams);
+    this.#state.teamRates.setTeams(config.teams);
+    if (!this.#areRatesKnown) this.#rateLoaded();
     const queues = new Map<QueueId, Queue>(config.queues.map((queue) => [queue.id, queue]));
     this.#state.open.forEach((record) => {
       record.queue = queues.get(record.submission.queue.id) ?? record.queue;
@@ -331,6 +335,21 @@
     });
   }
 
+  /** Submissions of before the takeover are counted in the order in which they came. */
+  #rateLoaded(): void {
+    this.#areRatesKnown = true;
+    [...this.#state.records.values()]
+      .sort((left, right) => left.submission.acceptedAtMs - right.submission.acceptedAtMs)
+      .forEach((record) => this.#rate(record));
+  }
+
+  #rate(record: SubmissionRecord): void {
+    const { teamId, acceptedAtMs } = record.submission;
+    const rated = record;
+    rated.isExcess = this.#state.teamRates.isExcess(teamId, acceptedAtMs);
+    if (rated.isExcess) this.#state.count('submissions_excess');
+  }
+
   #onTargetsListed(entries: readonly TargetEntry[]): void {
     const listed = new Set(entries.map(({ id }) => id));
     entries.forEach((entry) => this.#onTargetChanged(entry));
@@ -371,13 +390,14 @@
 
   #onSubmitted(submission: Submission): void {
     if (this.#state.records.has(submission.id)) return;
-    this.#addRecord(
-      new SubmissionRecord(
-        { submission, isCancelled: false, progress: undefined, progressVersion: 0 },
-        false,
-      ),
+    const record = new SubmissionRecord(
+      { submission, isCancelled: false, progress: undefined, progressVersion: 0 },
+      false,
     );
+    this.#rate(record);
+    this.#addRecord(record);
     this.#state.log('submission taken', {
+      isExcess: record.isExcess,
       submissionId: submission.id,
       queue: submission.queue.id,
       teamId: submission.teamId,
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -7,6 +7,7 @@
 import type { StepState } from './stepState';
 import type { SubmissionRecord } from './submissionRecord';
 import type { TargetState } from './targetState';
+import { TeamRates } from './teamRates';
 import { TeamUse } from './teamUse';
 import type { Moment, OwnerEffect } from './types';
 
@@ -26,6 +27,8 @@
 
   readonly teamUse = new TeamUse();
 
+  readonly teamRates = new TeamRates();
+
   readonly writer = new ProgressWriter();
 
   readonly answerTimes = new AnswerTimes();
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -96,7 +96,8 @@
   #makeRoom(step: StepState, open: readonly TargetState[]): void {
     const { nowMs, teamUse } = this.#state;
     const waitedMs = nowMs - (step.readyAtMs ?? nowMs);
-    if (step.isGang || step.waiting.size === 0 || waitedMs < PREEMPT_AFTER_MS) return;
+    const { isExcess } = step.record;
+    if (step.isGang || isExcess || step.waiting.size === 0 || waitedMs < PREEMPT_AFTER_MS) return;
     const { teamId } = step.record.submission;
     const targets = this.#getCandidates(step, open)
       .map(({ target }) => target)
--- a/src/owner/stepOrder.ts
+++ b/src/owner/stepOrder.ts
@@ -1,6 +1,6 @@
 /**
- * Order in which waiting steps get room: the queue's priority, then those that can still be in time
- * before those that cannot, then the objective that ends first.
+ * Order in which waiting steps get room: work within its team's rate, the queue's priority, then those
+ * that can still be in time before those that cannot, then the objective that ends first.
  */
 
 import type { OwnerState } from './ownerState';
@@ -48,6 +48,8 @@
  * @returns below 0 when the left one goes first
  */
 export function compareSteps(state: OwnerState, left: StepState, right: StepState): number {
+  const byRate = Number(left.record.isExcess) - Number(right.record.isExcess);
+  if (byRate !== 0) return byRate;
   const byPriority = left.record.queue.priority - right.record.queue.priority;
   if (byPriority !== 0) return byPriority;
   const byRank = getRank(state, left) - getRank(state, right);
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -42,6 +42,9 @@
 
   hasBegun: boolean;
 
+  /** It lies beyond its team's rate and waits behind what does not. */
+  isExcess = false;
+
   /** Version of the stored row of progress; 0 when there is none. */
   progressVersion: number;
 
--- a/src/work/submissionSchema.ts
+++ b/src/work/submissionSchema.ts
@@ -70,6 +70,8 @@
   spec: z.object({ payload: z.string(), steps: z.array(stepSchema), schedule: scheduleSchema }),
 });
 
+const closedSchema = submissionSchema.extend({ spec: z.object({ schedule: scheduleSchema }) });
+
 /**
  * Reads a stored submission.
  * @param text - the row's value
@@ -80,6 +82,18 @@
   return parsed.success ? E.right(parsed.data) : E.left(z.prettifyError(parsed.error));
 }
 
+/**
+ * Reads a stored submission of which nothing will run any more. Its steps, most of the row, are left out.
+ * @param text - the row's value
+ * @returns the submission without steps, or what is wrong with the row
+ */
+export function decodeClosedSubmission(text: string): E.Either<string, Submission> {
+  const parsed = closedSchema.safeParse(tryParseJson(text));
+  if (!parsed.success) return E.left(z.prettifyError(parsed.error));
+  const { spec, ...rest } = parsed.data;
+  return E.right({ ...rest, spec: { ...spec, payload: '', steps: [] } });
+}
+
 /**
  * Writes a submission in its stored form.
  * @param submission - the submission
--- a/tests/owner.test.ts
+++ b/tests/owner.test.ts
@@ -130,6 +130,24 @@
     expect(world.ends.get('stopped')).toBeUndefined();
   });
 
+  test('serves a team within its rate while another one sends many times its own', () => {
+    const limit = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+    const teams = ['team-a', 'team-b'].map((id) => ({
+      ...{ id: id as TeamId, keys: [], weight: 3, limit },
+    }));
+    const world = new OwnerWorld({ seed: 1, targetCount: 4, faults: NO_FAULTS, teams });
+    world.takeOver();
+    for (let number = 1; number <= 60; number += 1) {
+      const step = { taskCount: 4, estimateMs: 800 };
+      world.submit(createSubmission(number, [step], { priority: 0, teamId: 'team-a' }));
+    }
+    world.run(500);
+    world.submit(createSubmission(61, [{ taskCount: 4, estimateMs: 800 }], { teamId: 'team-b' }));
+    world.run(2_800);
+    expect(world.getState(toSubmissionId(61))).toBe('succeeded');
+    expect(world.getState(toSubmissionId(60))).not.toBe('succeeded');
+  });
+
   test('resumes a stopped run from its checkpoint', () => {
     const world = playUrgentBurst(true);
     world.run(1_500);
