--- a/src/owner/adviceDesk.ts
+++ b/src/owner/adviceDesk.ts
@@ -19,7 +19,7 @@
 } from './constants';
 import type { OwnerState } from './ownerState';
 import { isTargetEligible } from './placement';
-import { compareSteps } from './stepOrder';
+import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { OwnerEvent } from './types';
 
@@ -112,14 +112,16 @@
     const { nowMs } = this.#state;
     const free = this.#lanes.filter((lane) => !lane.isBusy && lane.notBeforeMs <= nowMs);
     if (free.length === 0) return;
-    const wishes = this.#getWishes();
-    wishes.forEach((wish) => {
+    const wishing = sortSteps(this.#getWishingSteps(), this.#state.wallMs);
+    wishing.forEach((step) => {
+      // Targets are chosen only for steps that a lane is free for.
+      const wish = free.length === 0 ? undefined : this.#getWish(step);
+      if (wish === undefined) return;
       const isShort = getCallMs(wish.costs, wish.targetIds.length) <= SHORT_ADVICE_MS;
       const position = free.findIndex((lane) => isShort === lane.isShortOnly);
-      const fallback = isShort ? 0 : -1;
-      const chosen = position >= 0 ? position : fallback;
-      const lane = free[chosen] ?? undefined;
-      if (lane === undefined || chosen < 0) return;
+      const chosen = position < 0 && isShort ? 0 : position;
+      const lane = free[chosen];
+      if (lane === undefined) return;
       free.splice(chosen, 1);
       this.#ask(lane, wish);
     });
@@ -139,27 +141,29 @@
     this.#state.count('advice_asked');
   }
 
-  #getWishes(): Wish[] {
-    const wishes: Wish[] = [];
-    this.#state.ready.forEach((step) => this.#addWish(wishes, step));
+  #getWishingSteps(): StepState[] {
+    const steps = [...this.#state.ready].filter((step) => this.#isWishing(step));
     this.#state.open.forEach((record) => {
-      if (record.queue.advice === undefined) return;
+      if (record.queue.advice === undefined || record.submission.spec.steps.length < 2) return;
       [...record.steps].forEach((step) => {
         if (step.readyAtMs !== undefined || step.spec.after.length === 0) return;
-        if (this.#isSoonReady(step, record.queue.advice)) this.#addWish(wishes, step);
+        if (this.#isWishing(step) && this.#isSoonReady(step)) steps.push(step);
       });
     });
-    return wishes.sort((left, right) => compareSteps(this.#state, left.step, right.step));
+    return steps;
   }
 
-  #addWish(wishes: Wish[], step: StepState): void {
+  #isWishing({ record, advice, waiting, mayRunUnseen }: StepState): boolean {
+    if (record.queue.advice === undefined || advice.isAsked || mayRunUnseen) return false;
+    if (waiting.size === 0 || advice.notBeforeMs > this.#state.nowMs) return false;
+    return advice.getUsableIds(this.#state.nowMs).length === 0;
+  }
+
+  #getWish(step: StepState): Wish | undefined {
     const costs = step.record.queue.advice;
-    const { advice } = step;
-    if (costs === undefined || advice.isAsked || step.mayRunUnseen) return;
-    if (step.waiting.size === 0 || advice.notBeforeMs > this.#state.nowMs) return;
-    if (advice.getUsableIds(this.#state.nowMs).length > 0) return;
+    if (costs === undefined) return undefined;
     const targetIds = this.#chooseTargets(step, costs);
-    if (targetIds.length > 0) wishes.push({ step, costs, targetIds });
+    return targetIds.length === 0 ? undefined : { step, costs, targetIds };
   }
 
   /** Names the targets that suit the step best; those already refused are never named again. */
@@ -177,7 +181,8 @@
   }
 
   /** Asks whether all earlier steps end before a ticket asked for now would. */
-  #isSoonReady(step: StepState, costs: AdviceCosts | undefined): boolean {
+  #isSoonReady(step: StepState): boolean {
+    const costs = step.record.queue.advice;
     if (costs === undefined) return false;
     const leadMs =
       getCallMs(costs, ADVICE_DEAR_TARGETS) + costs.ticketValidMs * PREFETCH_TICKET_FRACTION;
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -134,3 +134,9 @@
 
 /** A lost answer counts for this long. */
 export const LOSSY_WINDOW_MS = 3_000;
+
+/** Tasks of one step for which room is made in one plan; the next plan makes room for more. */
+export const MAX_PREEMPTING_TASKS = 6;
+
+/** How often slow runs are looked for. */
+export const COPY_PERIOD_MS = 100;
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -38,6 +38,9 @@
 /** Plans are this far apart, so that a burst of events is planned for once. */
 const PLAN_PERIOD_MS = 8;
 
+/** Added for each step that waits, so that a long queue does not take the whole processor. */
+const PLAN_STEP_MS = 0.25;
+
 /** How often steps that no event has touched are planned again. */
 const REPLAN_PERIOD_MS = 200;
 
@@ -211,7 +214,7 @@
       this.#state.isPlanDue = true;
     }
     if (this.#state.isPlanDue && nowMs >= this.#nextPlanAtMs) {
-      this.#nextPlanAtMs = nowMs + PLAN_PERIOD_MS;
+      this.#nextPlanAtMs = nowMs + PLAN_PERIOD_MS + this.#state.ready.size * PLAN_STEP_MS;
       this.#state.isPlanDue = false;
       this.#planner.plan();
       this.#desk.assign();
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -6,14 +6,14 @@
 import type { OwnerState } from './ownerState';
 import { chooseCandidate, isImpatient, isLastAttempt } from './candidates';
 import type { Candidate } from './candidates';
-import { PREEMPT_AFTER_MS } from './constants';
+import { COPY_PERIOD_MS, MAX_PREEMPTING_TASKS, PREEMPT_AFTER_MS } from './constants';
 import { getRunsToCopy } from './copies';
 import { placeGang } from './gangPlacement';
 import { isCompatible, isSpreadAllowed, isTargetEligible, isTargetKnown } from './placement';
-import { choosePreemption } from './preemption';
-import type { PromisedRoom } from './preemption';
+import { choosePreemption, collectVictims, isAnyVictim } from './preemption';
+import type { PromisedRoom, VictimTable } from './preemption';
 import type { RunKeeper } from './runKeeper';
-import { compareSteps } from './stepOrder';
+import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
 
@@ -27,6 +27,10 @@
 
   #promised: PromisedRoom = new Map();
 
+  #victims: VictimTable = new Map();
+
+  #nextCopiesAtMs = 0;
+
   /**
    * @param state - the owner's tables
    * @param keeper - performs the starts
@@ -42,10 +46,11 @@
     const known = [...state.targets.values()].filter(isTargetKnown);
     const open = known.filter((target) => target.pausedUntilMs <= state.nowMs);
     if (known.length === 0) return;
-    const steps = [...state.ready].filter(
+    const waiting = [...state.ready].filter(
       (step) => !step.mayRunUnseen && step.notBeforeMs <= state.nowMs,
     );
-    steps.sort((left, right) => compareSteps(state, left, right));
+    const steps = sortSteps(waiting, state.wallMs);
+    this.#victims = collectVictims(known, state.nowMs);
     this.#unseen = this.#getUnseenUse();
     steps.forEach((step) => {
       // Most steps that wait in a full fleet end here, without a look at each target's state.
@@ -59,6 +64,8 @@
       this.#makeRoom(step, allowed);
     });
     this.#promised.clear();
+    if (state.nowMs < this.#nextCopiesAtMs) return;
+    this.#nextCopiesAtMs = state.nowMs + COPY_PERIOD_MS;
     this.#startCopies(open);
   }
 
@@ -98,12 +105,14 @@
     const waitedMs = nowMs - (step.readyAtMs ?? nowMs);
     const { isExcess } = step.record;
     if (step.isGang || isExcess || step.waiting.size === 0 || waitedMs < PREEMPT_AFTER_MS) return;
+    if (!isAnyVictim(this.#victims, step)) return;
     const { teamId } = step.record.submission;
     const targets = this.#getCandidates(step, open)
       .map(({ target }) => target)
       .filter((target) => isSpreadAllowed(step, target) && isCompatible(step, target));
     let isHelpful = targets.length > 0;
-    for (let count = 0; count < step.waiting.size && isHelpful; count += 1) {
+    const most = Math.min(step.waiting.size, MAX_PREEMPTING_TASKS);
+    for (let count = 0; count < most && isHelpful; count += 1) {
       const whole = addDemand(NO_DEMAND, step.charge, count + 1);
       if (!teamUse.isWithinLimit(teamId, whole, this.#unseen.get(teamId))) return;
       isHelpful = this.#makeRoomOnce(step, targets);
@@ -111,7 +120,7 @@
   }
 
   #makeRoomOnce(step: StepState, targets: readonly TargetState[]): boolean {
-    const chosen = choosePreemption(step, targets, this.#promised, this.#state.nowMs);
+    const chosen = choosePreemption(step, targets, this.#victims, this.#promised);
     if (chosen === undefined) return false;
     const { target, victims } = chosen;
     const promised = this.#promised.get(target.id) ?? NO_DEMAND;
--- a/src/owner/preemption.ts
+++ b/src/owner/preemption.ts
@@ -30,11 +30,55 @@
   return run.step.spec.hasCheckpoints ? RESTORE_MS : nowMs - run.sentAtMs;
 }
 
-function isVictim(run: Run, step: StepState, nowMs: number): boolean {
-  const { policy } = run.step.spec;
+/** A run that may be stopped for more urgent work. */
+interface Victim {
+  readonly run: Run;
+  readonly priority: number;
+  readonly lostMs: number;
+}
+
+/** Runs that may be stopped, by target, those that lose least first. */
+export type VictimTable = ReadonlyMap<TargetId, readonly Victim[]>;
+
+function isStoppable(run: Run, nowMs: number): boolean {
+  const { policy, hasCheckpoints } = run.step.spec;
   if (run.phase !== 'running' || policy.kind !== 'batch') return false;
-  if (run.step.record.queue.priority <= step.record.queue.priority) return false;
-  return run.step.spec.hasCheckpoints || getLostMs(run, nowMs) <= MAX_LOST_MS;
+  return hasCheckpoints || getLostMs(run, nowMs) <= MAX_LOST_MS;
+}
+
+/**
+ * Collects what may be stopped, once for a whole plan.
+ * @param targets - all targets
+ * @param nowMs - our clock
+ * @returns the runs by target
+ */
+export function collectVictims(targets: readonly TargetState[], nowMs: number): VictimTable {
+  const table = new Map<TargetId, readonly Victim[]>();
+  targets.forEach((target) => {
+    const victims = [...target.runs.values()]
+      .filter((run) => run.step.record.queue.priority > 0 && isStoppable(run, nowMs))
+      .map((run) => ({
+        run,
+        priority: run.step.record.queue.priority,
+        lostMs: getLostMs(run, nowMs),
+      }))
+      .sort((left, right) => left.lostMs - right.lostMs);
+    if (victims.length > 0) table.set(target.id, victims);
+  });
+  return table;
+}
+
+/**
+ * Asks whether anything may be stopped for a step.
+ * @param table - what may be stopped
+ * @param step - the step
+ * @returns true when some run is less urgent
+ */
+export function isAnyVictim(table: VictimTable, step: StepState): boolean {
+  const { priority } = step.record.queue;
+  return [...table.values()].some((victims) =>
+    victims.some((victim) => victim.priority > priority),
+  );
 }
 
 /** What will be free once every stop that is under way has ended. */
@@ -49,19 +93,18 @@
 
 function chooseVictims(
   step: StepState,
-  target: TargetState,
+  possible: readonly Victim[],
   room: TaskDemand,
-  nowMs: number,
-): readonly Run[] | undefined {
-  const possible = [...target.runs.values()]
-    .filter((run) => isVictim(run, step, nowMs))
-    .sort((left, right) => getLostMs(left, nowMs) - getLostMs(right, nowMs));
-  const victims: Run[] = [];
+): readonly Victim[] | undefined {
+  const { priority } = step.record.queue;
+  const victims: Victim[] = [];
   let free = room;
-  possible.forEach((run) => {
-    if (isDemandFitting(step.charge, free)) return;
-    victims.push(run);
-    free = addDemand(free, run.charge);
+  possible.forEach((victim) => {
+    const isNeeded = !isDemandFitting(step.charge, free);
+    // A run that an earlier task of this plan has claimed is no longer running.
+    if (!isNeeded || victim.priority <= priority || victim.run.phase !== 'running') return;
+    victims.push(victim);
+    free = addDemand(free, victim.run.charge);
   });
   return isDemandFitting(step.charge, free) ? victims : undefined;
 }
@@ -70,28 +113,25 @@
  * Finds the cheapest way to make room for one task.
  * @param step - the task's step
  * @param targets - where it may run
+ * @param table - what may be stopped
  * @param promised - room that other tasks are waiting for
- * @param nowMs - our clock
  * @returns the target and the runs to stop there, or undefined when nothing would help
  */
 export function choosePreemption(
   step: StepState,
   targets: readonly TargetState[],
+  table: VictimTable,
   promised: PromisedRoom,
-  nowMs: number,
 ): Preemption | undefined {
   let best: Preemption | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   targets.forEach((target) => {
     const room = getComingRoom(target, promised);
-    const victims = chooseVictims(step, target, room, nowMs);
+    const victims = chooseVictims(step, table.get(target.id) ?? [], room);
     if (victims === undefined) return;
-    const cost = victims.reduce(
-      (sum, run) => sum + run.charge.cpuMillis * getLostMs(run, nowMs),
-      0,
-    );
+    const cost = victims.reduce((sum, { run, lostMs }) => sum + run.charge.cpuMillis * lostMs, 0);
     if (cost >= bestCost) return;
-    best = { target, victims };
+    best = { target, victims: victims.map(({ run }) => run) };
     bestCost = cost;
   });
   return best;
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -90,6 +90,11 @@
     return this.progress.isDone;
   }
 
+  /** When its submission should be done, in milliseconds since 1970. */
+  get dueAtMs(): number {
+    return this.record.getReleasedAtMs(this.occurrence) + this.record.objectiveMs;
+  }
+
   /** Mean duration of the runs that were done; undefined before the first. */
   get meanDurationMs(): number | undefined {
     return this.#doneCount === 0 ? undefined : this.#doneMs / this.#doneCount;
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -22,6 +22,9 @@
 
   #openedCount = 0;
 
+  /** Estimated length of all steps one after another. */
+  #chainMs: number;
+
   readonly submission: Submission;
 
   /** The queue's present policy, or the one under which the submission was accepted. */
@@ -61,6 +64,8 @@
   constructor(loaded: LoadedSubmission, wasLoaded: boolean) {
     this.submission = loaded.submission;
     this.queue = loaded.submission.queue;
+    const { steps } = loaded.submission.spec;
+    this.#chainMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
     this.wasLoaded = wasLoaded;
     this.isCancelled = loaded.isCancelled;
     this.#stored = loaded.progress ?? {};
@@ -71,6 +76,11 @@
     this.progressVersion = loaded.progressVersion;
   }
 
+  /** Time within which the submission, or each occurrence, should be done. */
+  get objectiveMs(): number {
+    return this.queue.latencyGoalMs + this.queue.stretchFactor * this.#chainMs;
+  }
+
   /** Steps of the occurrences that are due. */
   get steps(): Iterable<StepState> {
     return this.#steps.values();
@@ -149,6 +159,15 @@
     return { steps, ...(this.hasBegun ? { hasBegun: true } : {}) };
   }
 
+  /**
+   * @param occurrence - number of the occurrence
+   * @returns from when its objective counts, in milliseconds since 1970
+   */
+  getReleasedAtMs(occurrence: number): number {
+    const { schedule } = this.submission.spec;
+    return schedule.kind === 'once' ? this.submission.acceptedAtMs : this.#getDueAtMs(occurrence);
+  }
+
   #getDueAtMs(occurrence: number): number {
     const { schedule } = this.submission.spec;
     if (schedule.kind === 'once') return 0;
