--- /dev/null
+++ b/tests/acceptance.test.ts
@@ -0,0 +1,97 @@
+/** Group commits of submissions: what callers are told is true, whatever the store does. */
+
+import * as E from 'fp-ts/Either';
+import { Acceptance } from '../src/node/acceptance';
+import type { Committed, RowTransaction, StoreOutcome } from '../src/store/types';
+import type { SubmissionId } from '../src/types/ids';
+
+const CLOCK = { nowMs: () => performance.now(), wallMs: () => Date.now() };
+
+function toId(digits: string): SubmissionId {
+  return digits.padEnd(16, '0') as SubmissionId;
+}
+
+/** A store that answers as a test says and keeps what it was asked. */
+class ScriptedStore {
+  readonly transactions: RowTransaction[] = [];
+
+  constructor(
+    readonly answer: (transaction: RowTransaction, number: number) => StoreOutcome<Committed>,
+  ) {}
+
+  async transact(transaction: RowTransaction): Promise<StoreOutcome<Committed>> {
+    this.transactions.push(transaction);
+    return this.answer(transaction, this.transactions.length);
+  }
+}
+
+const COMMITTED = E.right({ version: 7 });
+
+describe('acceptance', () => {
+  test('writes what must not exist yet, spread by the first digit of the id', async () => {
+    const store = new ScriptedStore(() => COMMITTED);
+    const acceptance = new Acceptance(store, CLOCK, () => false);
+    const outcomes = await Promise.all([
+      acceptance.write('submissions', toId('a1'), 'x'),
+      acceptance.write('submissions', toId('b1'), 'y'),
+    ]);
+    expect(outcomes).toEqual([{ kind: 'stored' }, { kind: 'stored' }]);
+    expect(store.transactions.map(({ puts }) => puts[0]?.part)).toEqual(['sa', 'sb']);
+    expect(store.transactions[0]?.conditions[0]?.version).toBe(0);
+  });
+
+  test('takes a row that exists as stored, and it does not hold up the others', async () => {
+    const store = new ScriptedStore((transaction) => {
+      const existing = transaction.puts.filter(({ key }) => key === toId('a1'));
+      if (existing.length === 0) return COMMITTED;
+      const rows = transaction.puts.map((put) => ({
+        ...put,
+        version: put.key === toId('a1') ? 5 : 0,
+      }));
+      return E.left({ kind: 'conflict', rows });
+    });
+    const acceptance = new Acceptance(store, CLOCK, () => false);
+    const outcomes = await Promise.all(
+      ['a1', 'a2', 'a3'].map((digits) => acceptance.write('submissions', toId(digits), digits)),
+    );
+    expect(outcomes.map(({ kind }) => kind)).toEqual(['stored', 'stored', 'stored']);
+  });
+
+  test('settles an unanswered write by writing it again', async () => {
+    const store = new ScriptedStore((transaction, number) => {
+      if (number === 1) return E.left({ kind: 'unknown', detail: 'no answer' });
+      const rows = transaction.puts.map((put) => ({ ...put, version: 3 }));
+      return E.left({ kind: 'conflict', rows });
+    });
+    const acceptance = new Acceptance(store, CLOCK, () => false);
+    expect(await acceptance.write('submissions', toId('a1'), 'x')).toEqual({ kind: 'stored' });
+  });
+
+  test('never says "not stored" after a write that may have been performed', async () => {
+    const store = new ScriptedStore((_transaction, number) =>
+      number === 1
+        ? E.left({ kind: 'unknown', detail: 'no answer' })
+        : E.left({ kind: 'notDone', detail: 'status 503' }),
+    );
+    const acceptance = new Acceptance(store, CLOCK, () => false);
+    const outcome = await acceptance.write('submissions', toId('a1'), 'x');
+    expect(outcome.kind).toBe('unknown');
+  });
+
+  test('refuses at once while no way to the store is known to work', async () => {
+    const store = new ScriptedStore(() => COMMITTED);
+    const acceptance = new Acceptance(store, CLOCK, () => true);
+    const outcome = await acceptance.write('submissions', toId('a1'), 'x');
+    expect(outcome.kind).toBe('notStored');
+    expect(store.transactions).toEqual([]);
+  });
+
+  test('answers within its patience when the store stays busy', async () => {
+    const store = new ScriptedStore(() => E.left({ kind: 'busy' }));
+    const acceptance = new Acceptance(store, CLOCK, () => false);
+    const startedAtMs = performance.now();
+    const outcome = await acceptance.write('submissions', toId('a1'), 'x');
+    expect(outcome.kind).toBe('notStored');
+    expect(performance.now() - startedAtMs).toBeLessThan(1_700);
+  });
+});
