Looks wait 0.6 s; the store's limit rises after three lost calls in a row and comes down at once

Cause: the first lost look of each target hid its ends for 1.5 s; a limit that grew a little with each loss took eight calls to follow a store that had turned slow.

--- a/src/owner/answerTimes.ts
+++ b/src/owner/answerTimes.ts
@@ -6,6 +6,7 @@
 import { AdaptiveLimit } from '../types/adaptiveLimit';
 import type { TargetId } from '../types/ids';
 import {
+  ANSWER_FADE_FACTOR,
   LOOK_SLACK_MS,
   LOOK_WAIT_MS,
   LOSSY_LOOK_WAIT_MS,
@@ -17,7 +18,11 @@
 
 /** Learns time limits from the answers of all targets. */
 export class AnswerTimes {
-  #limit = new AdaptiveLimit({ leastMs: MIN_ANSWER_LIMIT_MS, mostMs: START_TIMEOUT_MS });
+  #limit = new AdaptiveLimit({
+    leastMs: MIN_ANSWER_LIMIT_MS,
+    mostMs: START_TIMEOUT_MS,
+    fadeFactor: ANSWER_FADE_FACTOR,
+  });
 
   #lostAtMs = new Map<TargetId, number>();
 
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -6,8 +6,8 @@
  */
 export const LEASE_MS = 5_000;
 
-/** How long a look may wait at the target for an end; a third of the lease, so that two may fail. */
-export const LOOK_WAIT_MS = 1_000;
+/** How long a look may wait at the target for an end; a lost one hides ends for this and the slack. */
+export const LOOK_WAIT_MS = 600;
 
 /** Wait of a look at a target with a run that is being stopped; a stop takes up to 200 ms there. */
 export const STOP_LOOK_WAIT_MS = 250;
@@ -16,7 +16,7 @@
 export const PROBE_PERIOD_MS = 60;
 
 /** Added to the wait of a look before it counts as lost. */
-export const LOOK_SLACK_MS = 500;
+export const LOOK_SLACK_MS = 250;
 
 /** Pause before a target that did not answer is looked at again. */
 export const LOOK_RETRY_MS = 150;
@@ -36,6 +36,9 @@
 /** Shortest wait for an answer that targets give at once: far beyond the 2 ms that it takes on a calm net. */
 export const MIN_ANSWER_LIMIT_MS = 150;
 
+/** The slowest answer of a target is forgotten over some 50 further ones. */
+export const ANSWER_FADE_FACTOR = 0.97;
+
 /** Wait for the answer to a stop or a change of pace. */
 export const STOP_TIMEOUT_MS = 700;
 
--- a/src/store/watchedStore.ts
+++ b/src/store/watchedStore.ts
@@ -22,7 +22,7 @@
 const LOST_AFTER_MS = 400;
 
 /** A transaction takes 4 ms on a calm day and 0.6 s when the store is slow. */
-const TRANSACTION_LIMIT: LimitBounds = { leastMs: 150, mostMs: 1_500 };
+const TRANSACTION_LIMIT: LimitBounds = { leastMs: 150, mostMs: 1_500, fadeFactor: 0.7 };
 
 /** Watches each call. */
 export class WatchedStore implements RowStore {
--- a/src/types/adaptiveLimit.ts
+++ b/src/types/adaptiveLimit.ts
@@ -4,16 +4,18 @@
 export interface LimitBounds {
   readonly leastMs: number;
   readonly mostMs: number;
+  /** By how much the slowest of the last answers fades with each further one. */
+  readonly fadeFactor: number;
 }
 
 /** The limit is this many times the slowest of the last answers. */
 const SLOWEST_FACTOR = 4;
 
-/** By how much the slowest of the last answers fades with each further one. */
-const FADE = 0.95;
+/** Growth with each further call that was not answered, as the other side may have turned slow. */
+const GROWTH_FACTOR = 2;
 
-/** Growth with each call that was not answered, in case the other side has turned slow. */
-const GROWTH = 1.2;
+/** Lost calls in a row that are taken as slowness; a third of lost answers gives 3 in a row rarely. */
+const LOSSES_FOR_GROWTH = 3;
 
 /** Learns one limit. */
 export class AdaptiveLimit {
@@ -21,6 +23,8 @@
 
   #slowestMs: number;
 
+  #lossCount = 0;
+
   /**
    * @param bounds - least and most; it begins with the most
    */
@@ -40,11 +44,14 @@
    * @param tookMs - from sending to answer
    */
   addAnswer(tookMs: number): void {
-    this.#slowestMs = Math.max(tookMs, this.#slowestMs * FADE);
+    this.#lossCount = 0;
+    this.#slowestMs = Math.max(tookMs, this.#slowestMs * this.#bounds.fadeFactor);
   }
 
-  /** Notes a call that was not answered within the limit. */
+  /** Notes a call that was not answered. One is taken as lost; several in a row as a sign of slowness. */
   addLoss(): void {
-    this.#slowestMs = (this.limitMs / SLOWEST_FACTOR) * GROWTH;
+    this.#lossCount += 1;
+    if (this.#lossCount < LOSSES_FOR_GROWTH) return;
+    this.#slowestMs = (this.limitMs / SLOWEST_FACTOR) * GROWTH_FACTOR;
   }
 }
