--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
 import { durability } from './durability';
 import { footprint } from './footprint';
 import { overload } from './overload';
+import { owner } from './owner';
 import { packing } from './packing';
 import { plot } from './plot';
 import { recovery } from './recovery';
@@ -26,6 +27,7 @@
   durability,
   footprint,
   overload,
+  owner,
   packing,
   plot,
   recovery,
