A planned stop hands over to the youngest node, and the owner goes on until it is replaced

Change: the owner names its youngest follower and goes on until superseded; claims have their full time; candidates wait longer after each other when the store is slow; announcements carry the row's version.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -44,6 +44,8 @@
 /** A node that is connected to this one while it owns the fleet. */
 interface Follower {
   readonly link: PeerLinkHandle;
+  readonly startedAtMs: number;
+  isStoreReachable: boolean;
   heardAtMs: number;
 }
 
@@ -109,13 +111,20 @@
       }),
     );
     const handlers = this.#createHandlers();
-    this.#ownership = new OwnershipShell(this.#ports, this.#self, this.#members, handlers, {
-      onBegin: (epoch, rowVersion) => this.#beginOwning(epoch, rowVersion),
-      onEnd: (reason) => this.#endOwning(reason),
-      onOperatorVersion: (version, link) => this.#onOperatorVersion(version, link),
-      getOperatorVersion: () => this.#operator.snapshot.changeVersion,
-      isStoreReachable: () => this.#store.isReachable,
-    });
+    this.#ownership = new OwnershipShell(
+      this.#ports,
+      this.#self,
+      ports.store,
+      this.#members,
+      handlers,
+      {
+        onBegin: (epoch, rowVersion) => this.#beginOwning(epoch, rowVersion),
+        onEnd: (reason) => this.#endOwning(reason),
+        onOperatorVersion: (version, link) => this.#onOperatorVersion(version, link),
+        getOperatorVersion: () => this.#operator.snapshot.changeVersion,
+        isStoreReachable: () => this.#store.isReachable,
+      },
+    );
     this.#server = new PeerServer(handlers, (link) => this.#onFollowerClosed(link));
     const acceptance = new Acceptance(
       new RelayedStore(
@@ -168,17 +177,24 @@
     this.#isStopping = true;
     this.#ownership.dispatch({ kind: 'stopRequested' });
     const { mode } = this.#ownership.core;
-    if (mode.kind !== 'owning') return;
-    const { epoch } = mode;
-    const links = [...this.#followers.values()].map(({ link }) => link);
-    this.#ownership.dispatch({ kind: 'superseded', epoch, reason: 'this node stops' });
-    links.forEach((link) => {
-      link.call('resign', { epoch }, OWNER_TIMEOUT_MS).catch((error: unknown) => {
+    const successorId = this.#getSuccessorId();
+    if (mode.kind !== 'owning' || successorId === undefined) return;
+    this.#ports.logger.info({ epoch: mode.epoch, successorId }, 'ownership handed over');
+    this.#followers.forEach(({ link }) => {
+      const params = { epoch: mode.epoch, successorId };
+      link.call('resign', params, OWNER_TIMEOUT_MS).catch((error: unknown) => {
         this.#ports.logger.info({ reason: String(error) }, 'node did not hear of the resignation');
       });
     });
   }
 
+  /** Nodes are restarted in turn, so the youngest one is the last to be stopped next. */
+  #getSuccessorId(): NodeId | undefined {
+    const able = [...this.#followers].filter(([, follower]) => follower.isStoreReachable);
+    const [first] = able.sort(([, left], [, right]) => right.startedAtMs - left.startedAtMs);
+    return first?.[0];
+  }
+
   /** Ends everything. */
   stop(): void {
     this.#timers.forEach((timer) => clearInterval(timer));
@@ -297,12 +313,12 @@
       isOwnerHeard: ({ epoch }) => ({
         isHeard: this.#ownership.core.isOwnerHeard(epoch, this.#ports.clock.nowMs()),
       }),
-      announce: ({ epoch, nodeId, address }) => {
-        this.#ownership.dispatch({ kind: 'announced', epoch, nodeId, address });
+      announce: (params) => {
+        this.#ownership.dispatch({ kind: 'announced', ...params });
         return {};
       },
-      resign: ({ epoch }) => {
-        this.#ownership.dispatch({ kind: 'resigned', epoch });
+      resign: ({ epoch, successorId }) => {
+        this.#ownership.dispatch({ kind: 'resigned', epoch, successorId });
         return {};
       },
     };
@@ -325,14 +341,16 @@
     };
   }
 
-  #noteFollower({ nodeId }: PeerCalls['heartbeat'], link: PeerLinkHandle): void {
+  #noteFollower(params: PeerCalls['heartbeat'], link: PeerLinkHandle): void {
+    const { nodeId, isStoreReachable, startedAtMs } = params;
     const heardAtMs = this.#ports.clock.nowMs();
     const known = this.#followers.get(nodeId);
     if (known?.link === link) {
       known.heardAtMs = heardAtMs;
+      known.isStoreReachable = isStoreReachable;
       return;
     }
-    this.#followers.set(nodeId, { link, heardAtMs });
+    this.#followers.set(nodeId, { link, heardAtMs, isStoreReachable, startedAtMs });
     this.#ports.logger.info({ nodeId }, 'node connected');
     if (!this.#members.members.some((member) => member.nodeId === nodeId)) this.#members.refresh();
     this.#updateLanes();
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -27,6 +27,9 @@
 /** Pause between candidates, by rank; a claim takes about 10 ms. */
 const RANK_DELAY_MS = 120;
 
+/** A candidate waits this many reads of the store for each one before it: a claim takes two. */
+const CLAIM_READS = 3;
+
 /** Pause between reads of the owner row while there is no owner to follow. */
 const READ_PERIOD_MS = 250;
 
@@ -55,6 +58,10 @@
   verdict: PeerVerdict | undefined;
   aliveVersion: number;
   aliveSeenAtMs: number;
+  /** How long the last read of the owner row took. */
+  readMs: number;
+  readSentAtMs: number;
+  successorId: NodeId | undefined;
   confirmedAtMs: number;
 }
 
@@ -70,6 +77,9 @@
     verdict: undefined,
     aliveVersion: -1,
     aliveSeenAtMs: nowMs,
+    readMs: 0,
+    readSentAtMs: nowMs,
+    successorId: undefined,
     confirmedAtMs: nowMs,
   };
 }
@@ -183,9 +193,7 @@
         this.#onAnnounced(event);
         return;
       case 'resigned':
-        if (this.#mode.kind === 'following' && this.#mode.row.epoch === event.epoch) {
-          this.#suspect('resigned', event.nowMs);
-        }
+        this.#onResigned(event);
         return;
       case 'claimed':
         this.#onClaimed(event);
@@ -239,6 +247,7 @@
   #tryRead(nowMs: number): void {
     if (this.#notes.isReading || nowMs < this.#notes.nextTryAtMs) return;
     this.#notes.isReading = true;
+    this.#notes.readSentAtMs = nowMs;
     this.#notes.nextTryAtMs = nowMs + READ_PERIOD_MS;
     this.#effects.push({ kind: 'readOwnerRow' });
   }
@@ -266,8 +275,11 @@
   #isClaimable(row: OwnerRow, suspicion: Suspicion, nowMs: number): boolean {
     const notes = this.#notes;
     // The row has to be read again first, as another node may have claimed meanwhile.
+    const isSuccessor = notes.successorId === this.#nodeId && row.version >= 0;
+    if (isSuccessor) return true;
     if (notes.aliveVersion < 0) return false;
-    if (nowMs < notes.sinceMs + this.#getRank(row) * RANK_DELAY_MS) return false;
+    const rankDelayMs = Math.max(RANK_DELAY_MS, notes.readMs * CLAIM_READS);
+    if (nowMs < notes.sinceMs + this.#getRank(row) * rankDelayMs) return false;
     const isCertain =
       suspicion === 'resigned' || suspicion === 'withoutStore' || suspicion === 'none';
     if (isCertain || row.nodeId === this.#nodeId) return true;
@@ -287,16 +299,18 @@
 
   #getRank(row: OwnerRow): number {
     if (row.nodeId === this.#nodeId) return 0;
+    const named = this.#notes.successorId === undefined ? 0 : 1;
     const score = (nodeId: NodeId) => getHash(`${row.epoch}|${nodeId}`);
     const own = score(this.#nodeId);
     const others = this.#members.filter(
       (nodeId) => nodeId !== this.#nodeId && nodeId !== row.nodeId,
     );
-    return others.filter((nodeId) => score(nodeId) > own).length;
+    return named + others.filter((nodeId) => score(nodeId) > own).length;
   }
 
   #onRowRead({ result, nowMs }: Extract<OwnershipEvent, { kind: 'rowRead' }>): void {
     this.#notes.isReading = false;
+    this.#notes.readMs = nowMs - this.#notes.readSentAtMs;
     if (E.isLeft(result)) return;
     const row = result.right;
     const isIdle = this.#mode.kind === 'searching' || this.#mode.kind === 'suspecting';
@@ -382,10 +396,18 @@
     this.#log('owner suspected', { owner: row.nodeId, epoch: row.epoch, suspicion });
     this.#mode = { kind: 'suspecting', row, suspicion };
     this.#notes = createNotes(nowMs);
-    this.#effects.push({ kind: 'closeLink' });
+    // An owner that stops by plan goes on until it is replaced.
+    if (suspicion !== 'resigned') this.#effects.push({ kind: 'closeLink' });
     this.#tryRead(nowMs);
   }
 
+  #onResigned(event: Extract<OwnershipEvent, { kind: 'resigned' }>): void {
+    if (this.#mode.kind !== 'following' || this.#mode.row.epoch !== event.epoch) return;
+    this.#suspect('resigned', event.nowMs);
+    this.#notes.successorId = event.successorId;
+    this.#pursue(this.#mode.row, 'resigned', event.nowMs);
+  }
+
   #onPeersAnswered(event: Extract<OwnershipEvent, { kind: 'peersAnswered' }>): void {
     if (this.#mode.kind !== 'suspecting' || this.#mode.row.epoch !== event.epoch) return;
     this.#notes.isAsking = false;
@@ -408,8 +430,8 @@
     if (this.#mode.kind === 'owning') {
       this.#endOwning(`node ${event.nodeId} owns epoch ${event.epoch}`, event.nowMs);
     }
-    const { nodeId, address, epoch } = event;
-    this.#follow({ nodeId, address, epoch, version: -1, aliveVersion: 0 }, event.nowMs);
+    const { nodeId, address, epoch, rowVersion } = event;
+    this.#follow({ nodeId, address, epoch, version: rowVersion, aliveVersion: 0 }, event.nowMs);
   }
 
   #onClaimed({ epoch, result, nowMs }: Extract<OwnershipEvent, { kind: 'claimed' }>): void {
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -4,6 +4,7 @@
 import type { PeerLink } from '../peer/peerLink';
 import { callPeerOnce, openPeerLink } from '../peer/peerLink';
 import type { PeerHandlers } from '../peer/types';
+import type { RowStore } from '../store/types';
 import { assertNever } from '../types/debug';
 import type { Epoch, NodeId } from '../types/ids';
 import type { MemberList, Member } from './memberList';
@@ -49,6 +50,8 @@
 
   #self: Member;
 
+  #claimStore: RowStore;
+
   #members: MemberList;
 
   #handlers: PeerHandlers;
@@ -63,9 +66,13 @@
 
   #ownerStoreLostForMs = 0;
 
+  #startedAtMs: number;
+
   /**
    * @param ports - store, clock and log
    * @param self - this node
+   * @param claimStore - the store with no shorter time limit than the one asked for, as a claim that is
+   * given up may have taken effect
    * @param members - all nodes
    * @param handlers - answers the owner's calls
    * @param listener - the node
@@ -73,15 +80,18 @@
   constructor(
     ports: NodePorts,
     self: Member,
+    claimStore: RowStore,
     members: MemberList,
     handlers: PeerHandlers,
     listener: OwnershipListener,
   ) {
     this.#ports = ports;
     this.#self = self;
+    this.#claimStore = claimStore;
     this.#members = members;
     this.#handlers = handlers;
     this.#listener = listener;
+    this.#startedAtMs = ports.clock.wallMs();
     this.#core = new OwnershipCore(self.nodeId, () => listener.isStoreReachable());
   }
 
@@ -122,6 +132,7 @@
       epoch,
       operatorVersion: this.#listener.getOperatorVersion(),
       isStoreReachable: this.#listener.isStoreReachable(),
+      startedAtMs: this.#startedAtMs,
     };
     link
       .call('heartbeat', params, HEARTBEAT_TIMEOUT_MS)
@@ -163,7 +174,7 @@
         return;
       case 'claim': {
         const { epoch, expectedVersion } = effect;
-        const claimed = claimOwnerRow(this.#ports.store, { ...this.#self, epoch }, expectedVersion);
+        const claimed = claimOwnerRow(this.#claimStore, { ...this.#self, epoch }, expectedVersion);
         this.#run(claimed, (result) => ({ kind: 'claimed', epoch, result }));
         return;
       }
@@ -179,7 +190,7 @@
         this.#link?.close();
         this.#link = undefined;
         this.#listener.onBegin(effect.epoch, effect.rowVersion);
-        this.#announce(effect.epoch);
+        this.#announce(effect.epoch, effect.rowVersion);
         return;
       case 'endOwning':
         this.#listener.onEnd(effect.reason);
@@ -238,10 +249,10 @@
     return this.#members.members.filter(({ nodeId }) => nodeId !== this.#self.nodeId);
   }
 
-  #announce(epoch: Epoch): void {
+  #announce(epoch: Epoch, rowVersion: number): void {
     const { nodeId, address } = this.#self;
     this.#getOthers().forEach((member) => {
-      const params = { epoch, nodeId, address };
+      const params = { epoch, nodeId, address, rowVersion };
       callPeerOnce(member.address, 'announce', params, ANNOUNCE_TIMEOUT_MS).then(
         (reply) => this.#logAnnounced(member.nodeId, reply),
         (error: unknown) => {
--- a/src/node/ownershipTypes.ts
+++ b/src/node/ownershipTypes.ts
@@ -48,8 +48,15 @@
       readonly epoch: Epoch;
       readonly nodeId: NodeId;
       readonly address: string;
+      /** Version of the row that names the new owner. */
+      readonly rowVersion: number;
+    }
+  /** The owner stops by plan and has named who should follow it. */
+  | {
+      readonly kind: 'resigned';
+      readonly epoch: Epoch;
+      readonly successorId: NodeId | undefined;
     }
-  | { readonly kind: 'resigned'; readonly epoch: Epoch }
   | {
       readonly kind: 'claimed';
       readonly epoch: Epoch;
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -14,6 +14,8 @@
     /** Version of the operator's rows that the node acts on. */
     readonly operatorVersion: number;
     readonly isStoreReachable: boolean;
+    /** Milliseconds since 1970; a planned stop hands over to the youngest node. */
+    readonly startedAtMs: number;
   };
   submitted: { readonly text: string };
   cancelled: { readonly submissionId: SubmissionId };
@@ -31,9 +33,14 @@
   /** From any node to any other: does it hear the owner of this epoch? */
   isOwnerHeard: { readonly epoch: Epoch };
   /** From a new owner to every node. */
-  announce: { readonly epoch: Epoch; readonly nodeId: NodeId; readonly address: string };
+  announce: {
+    readonly epoch: Epoch;
+    readonly nodeId: NodeId;
+    readonly address: string;
+    readonly rowVersion: number;
+  };
   /** From an owner that stops by plan. */
-  resign: { readonly epoch: Epoch };
+  resign: { readonly epoch: Epoch; readonly successorId: NodeId };
 }
 
 /** What the calls are answered with. */
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -156,19 +156,28 @@
 
   test('passes on without questions when the owner resigns, but not to a node that stops', () => {
     const harness = createFollower();
-    harness.send({ kind: 'resigned', epoch: toEpoch(4) });
-    harness.send({ kind: 'rowRead', result: E.right(createRow()) });
+    harness.send({ kind: 'resigned', epoch: toEpoch(4), successorId: SELF });
     expect(harness.has('claim')).toBe(true);
     const stopping = createFollower();
     stopping.send({ kind: 'stopRequested' });
-    stopping.send({ kind: 'resigned', epoch: toEpoch(4) });
+    stopping.send({ kind: 'resigned', epoch: toEpoch(4), successorId: SELF });
     stopping.pass(3_000, createRow());
     expect(stopping.has('claim')).toBe(false);
   });
 
+  test('waits for the successor that a resigning owner has named', () => {
+    const harness = createFollower();
+    harness.send({ kind: 'resigned', epoch: toEpoch(4), successorId: OTHER });
+    harness.send({ kind: 'rowRead', result: E.right(createRow()) });
+    expect(harness.has('claim')).toBe(false);
+    harness.pass(500, createRow());
+    expect(harness.has('claim')).toBe(true);
+  });
+
   test('ends with the announcement of a later epoch', () => {
     const harness = createOwner();
-    harness.send({ kind: 'announced', epoch: toEpoch(6), nodeId: OTHER, address: 'a:1' });
+    const epoch = toEpoch(6);
+    harness.send({ kind: 'announced', epoch, nodeId: OTHER, address: 'a:1', rowVersion: 60 });
     expect(harness.has('endOwning')).toBe(true);
     expect(harness.core.mode.kind).toBe('following');
   });
