Large files split: loading and writing of an owner, its table of targets; test ports below the ephemeral range

The random port lay in the range of outgoing connections, and a node whose start failed was not stopped, which kept the test process alive. Ports are now probed below that range.

--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -2,48 +2,26 @@
 
 import * as E from 'fp-ts/Either';
 import { OwnerCore } from '../owner/core';
-import type {
-  AdviceFailure,
-  Advice,
-  LoadedSubmission,
-  OwnerEffect,
-  OwnerEvent,
-  TargetEntry,
-  WriteFailure,
-} from '../owner/types';
-import { joinParts, readWholePart, TableFollower } from '../store/tableFollower';
-import type { FollowedTable, FollowerEvent, WholePart } from '../store/tableFollower';
-import type { StoreFailure, StoredRow } from '../store/types';
+import type { Advice, AdviceFailure, OwnerEffect, OwnerEvent } from '../owner/types';
+import { TableFollower } from '../store/tableFollower';
+import type { FollowedTable, FollowerEvent } from '../store/tableFollower';
+import type { StoredRow } from '../store/types';
 import { assertNever } from '../types/debug';
 import type { Epoch, NodeId, StepKey, SubmissionId, TargetId } from '../types/ids';
-import { decodeProgress } from '../work/storedProgress';
-import type { StoredProgress } from '../work/storedProgress';
-import { decodeClosedSubmission, decodeSubmission } from '../work/submissionSchema';
+import { decodeSubmission } from '../work/submissionSchema';
 import type { OperatorSnapshot } from './operatorSnapshot';
+import { OwnerWrites } from './ownerWrites';
 import type { NodePorts } from './ports';
-import {
-  ACCEPTED_PARTS,
-  getAcceptedPart,
-  CANCELS_TABLE,
-  OWNER_KEY,
-  OWNER_PART,
-  OWNERSHIP_TABLE,
-  PROGRESS_TABLE,
-  SUBMISSIONS_TABLE,
-} from './tables';
+import { ACCEPTED_PARTS, CANCELS_TABLE, SUBMISSIONS_TABLE } from './tables';
+import { TakeoverLoader } from './takeoverLoader';
+import type { LoadedRows } from './takeoverLoader';
 
 /** How often time alone is applied: a plan that had to wait is made up for within this. */
 const TICK_MS = 10;
 
-/** Time limit of one page of a takeover's reads. */
-const LOAD_TIMEOUT_MS = 2_000;
-
 /** Pause before a failed load is repeated. */
 const LOAD_RETRY_MS = 100;
 
-/** Time limit of a write of progress. */
-const WRITE_TIMEOUT_MS = 1_500;
-
 /** Pause between reads of the registry; draining targets have to be left within 2 s. */
 const REGISTRY_PAUSE_MS = 300;
 
@@ -65,14 +43,6 @@
   onSuperseded(reason: string): void;
 }
 
-/** What a takeover reads. */
-interface LoadedRows {
-  readonly submissions: WholePart;
-  readonly cancels: WholePart;
-  readonly progress: WholePart;
-  readonly registry: WholePart;
-}
-
 type EventBody = OwnerEvent extends infer Event
   ? Event extends OwnerEvent
     ? Omit<Event, 'nowMs' | 'wallMs'>
@@ -87,7 +57,9 @@
 
   #epoch: Epoch;
 
-  #rowVersion: number;
+  #loader: TakeoverLoader;
+
+  #writes: OwnerWrites;
 
   #core: OwnerCore | undefined;
 
@@ -120,7 +92,8 @@
     this.#ports = ports;
     this.#links = links;
     this.#epoch = epoch;
-    this.#rowVersion = rowVersion;
+    this.#loader = new TakeoverLoader(ports);
+    this.#writes = new OwnerWrites(ports.store, rowVersion);
     this.#operator = operator;
   }
 
@@ -132,17 +105,20 @@
   /** Loads what is stored and begins to decide. */
   async start(): Promise<void> {
     const startedAtMs = this.#ports.clock.nowMs();
-    const loaded = await this.#load();
+    const loaded = await this.#loader.load();
     if (this.#isStopped) return;
     if (loaded === undefined) {
       setTimeout(() => this.#restart(), LOAD_RETRY_MS);
       return;
     }
-    const submissions = this.#decodeLoaded(loaded);
+    const submissions = this.#loader.decodeSubmissions(loaded);
     this.#core = new OwnerCore(this.#epoch, submissions, this.#getMoment());
     this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
     this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
-    this.#dispatch({ kind: 'targetsListed', entries: this.#decodeEntries(loaded.registry.rows) });
+    this.#dispatch({
+      kind: 'targetsListed',
+      entries: this.#loader.decodeEntries(loaded.registry.rows),
+    });
     this.#early.forEach((event) => this.#dispatch(event));
     this.#early = [];
     this.#follow(loaded);
@@ -210,71 +186,6 @@
     });
   }
 
-  async #load(): Promise<LoadedRows | undefined> {
-    const { store, registry } = this.#ports;
-    const read = (table: string, part: string) =>
-      readWholePart(store, table, part, LOAD_TIMEOUT_MS);
-    const readParts = async (table: string) =>
-      joinParts(await Promise.all(ACCEPTED_PARTS.map((part) => read(table, part))));
-    const [submissions, cancels, progress, targets] = await Promise.all([
-      readParts(SUBMISSIONS_TABLE),
-      readParts(CANCELS_TABLE),
-      read(PROGRESS_TABLE, OWNER_PART),
-      read(registry.table, registry.part),
-    ]);
-    const isWhole =
-      E.isRight(submissions) && E.isRight(cancels) && E.isRight(progress) && E.isRight(targets);
-    if (!isWhole) return undefined;
-    return {
-      submissions: submissions.right,
-      cancels: cancels.right,
-      progress: progress.right,
-      registry: targets.right,
-    };
-  }
-
-  #decodeLoaded({ submissions, cancels, progress }: LoadedRows): LoadedSubmission[] {
-    const cancelled = new Set(cancels.rows.map(({ key }) => key));
-    const progressRows = new Map(progress.rows.map((row) => [row.key, row]));
-    return submissions.rows.flatMap((row) => {
-      const progressRow = progressRows.get(row.key);
-      const stored = this.#decodeProgress(progressRow);
-      const decode = stored?.outcome === undefined ? decodeSubmission : decodeClosedSubmission;
-      const submission = decode(row.value);
-      if (E.isLeft(submission)) {
-        this.#ports.logger.error(
-          { key: row.key, reason: submission.left },
-          'submission not usable',
-        );
-        return [];
-      }
-      return {
-        submission: submission.right,
-        isCancelled: cancelled.has(row.key),
-        progress: stored,
-        progressVersion: progressRow?.version ?? 0,
-      };
-    });
-  }
-
-  #decodeProgress(row: StoredRow | undefined): StoredProgress | undefined {
-    if (row === undefined) return undefined;
-    const decoded = decodeProgress(row.value);
-    if (E.isRight(decoded)) return decoded.right;
-    this.#ports.logger.error({ key: row.key, reason: decoded.left }, 'progress not usable');
-    return undefined;
-  }
-
-  #decodeEntries(rows: readonly StoredRow[]): TargetEntry[] {
-    return rows.flatMap((row) => {
-      const decoded = this.#ports.registry.decode(row);
-      if (E.isRight(decoded)) return [decoded.right];
-      this.#ports.metrics.count('registry_malformed');
-      this.#ports.logger.warn({ key: row.key, reason: decoded.left }, 'registry entry not usable');
-      return [];
-    });
-  }
-
   #follow(loaded: LoadedRows): void {
     const { store, registry } = this.#ports;
     const follow = (
@@ -306,7 +217,7 @@
 
   #onRegistry(event: FollowerEvent): void {
     if (event.kind === 'snapshot') {
-      this.#dispatch({ kind: 'targetsListed', entries: this.#decodeEntries(event.rows) });
+      this.#dispatch({ kind: 'targetsListed', entries: this.#loader.decodeEntries(event.rows) });
       return;
     }
     event.changes.forEach((change) => {
@@ -314,9 +225,9 @@
         this.#dispatch({ kind: 'targetRemoved', targetId: change.address.key as TargetId });
         return;
       }
-      this.#decodeEntries([change.row]).forEach((entry) =>
-        this.#dispatch({ kind: 'targetChanged', entry }),
-      );
+      this.#loader
+        .decodeEntries([change.row])
+        .forEach((entry) => this.#dispatch({ kind: 'targetChanged', entry }));
     });
   }
 
@@ -373,12 +284,12 @@
         return;
       }
       case 'writeProgress':
-        this.#run(this.#write(effect), (result) => ({
+        this.#run(this.#writes.writeProgress(effect), (result) => ({
           ...{ kind: 'progressWritten' as const, batch: effect.batch, result },
         }));
         return;
       case 'deleteSubmissions':
-        this.#run(this.#delete(effect.submissionIds), (isDone) =>
+        this.#run(this.#writes.deleteSubmissions(effect.submissionIds), (isDone) =>
           isDone ? { kind: 'submissionsDeleted', submissionIds: effect.submissionIds } : undefined,
         );
         return;
@@ -410,75 +321,4 @@
       },
     );
   }
-
-  async #write(
-    effect: Extract<OwnerEffect, { kind: 'writeProgress' }>,
-  ): Promise<E.Either<WriteFailure, number>> {
-    const toAddress = (key: string) => ({ table: PROGRESS_TABLE, part: OWNER_PART, key });
-    const outcome = await this.#ports.store.transact(
-      {
-        conditions: [
-          this.#ownerCondition,
-          ...effect.rows.map((row) => ({
-            ...toAddress(row.submissionId),
-            version: row.expectedVersion,
-          })),
-        ],
-        puts: effect.rows.map((row) => ({
-          ...toAddress(row.submissionId),
-          value: JSON.stringify(row.value),
-        })),
-        removals: [],
-      },
-      WRITE_TIMEOUT_MS,
-    );
-    if (E.isRight(outcome)) return E.right(outcome.right.version);
-    return E.left(this.#toWriteFailure(outcome.left));
-  }
-
-  get #ownerCondition() {
-    return {
-      table: OWNERSHIP_TABLE,
-      part: OWNER_PART,
-      key: OWNER_KEY,
-      version: this.#rowVersion,
-    };
-  }
-
-  #toWriteFailure(failure: StoreFailure): WriteFailure {
-    if (failure.kind !== 'conflict') {
-      return { kind: 'unavailable', detail: 'detail' in failure ? failure.detail : failure.kind };
-    }
-    const owner = failure.rows.find(({ table }) => table === OWNERSHIP_TABLE);
-    if (owner !== undefined && owner.version !== this.#rowVersion) return { kind: 'superseded' };
-    return {
-      kind: 'conflict',
-      versions: failure.rows
-        .filter(({ table }) => table === PROGRESS_TABLE)
-        .map(({ key, version }) => ({ submissionId: key as SubmissionId, version })),
-    };
-  }
-
-  /** Submissions are removed last, so that what is left of a broken removal can be removed again. */
-  async #delete(submissionIds: readonly SubmissionId[]): Promise<boolean> {
-    const { store } = this.#ports;
-    const progress = await store.transact(
-      {
-        conditions: [this.#ownerCondition],
-        puts: [],
-        removals: submissionIds.map((key) => ({ table: PROGRESS_TABLE, part: OWNER_PART, key })),
-      },
-      WRITE_TIMEOUT_MS,
-    );
-    if (E.isLeft(progress)) return false;
-    const removals = submissionIds.flatMap((key) => {
-      const part = getAcceptedPart(key);
-      return [
-        { table: CANCELS_TABLE, part, key },
-        { table: SUBMISSIONS_TABLE, part, key },
-      ];
-    });
-    const accepted = await store.transact({ conditions: [], puts: [], removals }, WRITE_TIMEOUT_MS);
-    return E.isRight(accepted);
-  }
 }
--- /dev/null
+++ b/src/node/takeoverLoader.ts
@@ -0,0 +1,117 @@
+/** Reads and decodes what is stored, for a takeover. */
+
+import * as E from 'fp-ts/Either';
+import type { LoadedSubmission, TargetEntry } from '../owner/types';
+import { joinParts, readWholePart } from '../store/tableFollower';
+import type { WholePart } from '../store/tableFollower';
+import type { StoredRow } from '../store/types';
+import { decodeProgress } from '../work/storedProgress';
+import type { StoredProgress } from '../work/storedProgress';
+import { decodeClosedSubmission, decodeSubmission } from '../work/submissionSchema';
+import type { NodePorts } from './ports';
+import {
+  ACCEPTED_PARTS,
+  CANCELS_TABLE,
+  OWNER_PART,
+  PROGRESS_TABLE,
+  SUBMISSIONS_TABLE,
+} from './tables';
+
+/** Time limit of one page of a takeover's reads. */
+const LOAD_TIMEOUT_MS = 2_000;
+
+/** What a takeover reads. */
+export interface LoadedRows {
+  readonly submissions: WholePart;
+  readonly cancels: WholePart;
+  readonly progress: WholePart;
+  readonly registry: WholePart;
+}
+
+/** Reads the tables that a new owner needs. */
+export class TakeoverLoader {
+  #ports: NodePorts;
+
+  /**
+   * @param ports - store, registry and log
+   */
+  constructor(ports: NodePorts) {
+    this.#ports = ports;
+  }
+
+  /** @returns every row, or undefined when the store did not give all of them */
+  async load(): Promise<LoadedRows | undefined> {
+    const { store, registry } = this.#ports;
+    const read = (table: string, part: string) =>
+      readWholePart(store, table, part, LOAD_TIMEOUT_MS);
+    const readParts = async (table: string) =>
+      joinParts(await Promise.all(ACCEPTED_PARTS.map((part) => read(table, part))));
+    const [submissions, cancels, progress, targets] = await Promise.all([
+      readParts(SUBMISSIONS_TABLE),
+      readParts(CANCELS_TABLE),
+      read(PROGRESS_TABLE, OWNER_PART),
+      read(registry.table, registry.part),
+    ]);
+    const isWhole =
+      E.isRight(submissions) && E.isRight(cancels) && E.isRight(progress) && E.isRight(targets);
+    if (!isWhole) return undefined;
+    return {
+      submissions: submissions.right,
+      cancels: cancels.right,
+      progress: progress.right,
+      registry: targets.right,
+    };
+  }
+
+  /**
+   * Decodes what was read of submissions.
+   * @param rows - what was read
+   * @returns every submission whose row can be used
+   */
+  decodeSubmissions({ submissions, cancels, progress }: LoadedRows): LoadedSubmission[] {
+    const cancelled = new Set(cancels.rows.map(({ key }) => key));
+    const progressRows = new Map(progress.rows.map((row) => [row.key, row]));
+    return submissions.rows.flatMap((row) => {
+      const progressRow = progressRows.get(row.key);
+      const stored = this.#decodeProgress(progressRow);
+      const decode = stored?.outcome === undefined ? decodeSubmission : decodeClosedSubmission;
+      const submission = decode(row.value);
+      if (E.isLeft(submission)) {
+        this.#ports.logger.error(
+          { key: row.key, reason: submission.left },
+          'submission not usable',
+        );
+        return [];
+      }
+      return {
+        submission: submission.right,
+        isCancelled: cancelled.has(row.key),
+        progress: stored,
+        progressVersion: progressRow?.version ?? 0,
+      };
+    });
+  }
+
+  #decodeProgress(row: StoredRow | undefined): StoredProgress | undefined {
+    if (row === undefined) return undefined;
+    const decoded = decodeProgress(row.value);
+    if (E.isRight(decoded)) return decoded.right;
+    this.#ports.logger.error({ key: row.key, reason: decoded.left }, 'progress not usable');
+    return undefined;
+  }
+
+  /**
+   * Decodes entries of the registry; one of another writer names no target to use.
+   * @param rows - the entries
+   * @returns the targets
+   */
+  decodeEntries(rows: readonly StoredRow[]): TargetEntry[] {
+    return rows.flatMap((row) => {
+      const decoded = this.#ports.registry.decode(row);
+      if (E.isRight(decoded)) return [decoded.right];
+      this.#ports.metrics.count('registry_malformed');
+      this.#ports.logger.warn({ key: row.key, reason: decoded.left }, 'registry entry not usable');
+      return [];
+    });
+  }
+}
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -1,33 +1,18 @@
 /** The owner's reducer: decides and starts everything on all targets, under one epoch. */
 
-import type { Epoch, QueueId, SubmissionId, TargetId } from '../types/ids';
+import type { Epoch, QueueId, SubmissionId } from '../types/ids';
 import { assertNever } from '../types/debug';
 import type { Queue, Submission } from '../work/types';
 import { AdviceDesk } from './adviceDesk';
-import {
-  AUTHORITY_MS,
-  CLOCK_SLOWNESS,
-  LEASE_MS,
-  RETENTION_MS,
-  STOP_RETRY_MS,
-  STUCK_MS,
-} from './constants';
+import { AUTHORITY_MS, CLOCK_SLOWNESS, LEASE_MS, RETENTION_MS, STOP_RETRY_MS } from './constants';
 import { InventoryReader } from './inventoryReader';
 import { LookPlanner } from './lookPlanner';
 import { OwnerState } from './ownerState';
 import { Planner } from './planner';
-import type { Run } from './run';
 import { RunKeeper } from './runKeeper';
 import { SubmissionRecord } from './submissionRecord';
-import { TargetState } from './targetState';
-import type {
-  LoadedSubmission,
-  Moment,
-  OwnerEffect,
-  OwnerEvent,
-  SubmissionView,
-  TargetEntry,
-} from './types';
+import { TargetTable } from './targetTable';
+import type { LoadedSubmission, Moment, OwnerEffect, OwnerEvent, SubmissionView } from './types';
 
 /** Submissions deleted in one go once callers no longer ask for them. */
 const DELETE_BATCH = 25;
@@ -50,6 +35,8 @@
 
   #keeper: RunKeeper;
 
+  #targets: TargetTable;
+
   #reader: InventoryReader;
 
   #planner: Planner;
@@ -77,6 +64,7 @@
     this.#state.unresolvedUntilMs =
       moment.nowMs + AUTHORITY_MS + LEASE_MS * (1 + CLOCK_SLOWNESS) + STOP_RETRY_MS;
     this.#keeper = new RunKeeper(this.#state);
+    this.#targets = new TargetTable(this.#state, this.#keeper);
     this.#reader = new InventoryReader(this.#state, this.#keeper);
     this.#planner = new Planner(this.#state, this.#keeper);
     this.#looks = new LookPlanner(this.#state);
@@ -166,13 +154,13 @@
         this.#onOperatorChanged(event.operator);
         return;
       case 'targetsListed':
-        this.#onTargetsListed(event.entries);
+        this.#targets.onListed(event.entries);
         return;
       case 'targetChanged':
-        this.#onTargetChanged(event.entry);
+        this.#targets.onChanged(event.entry);
         return;
       case 'targetRemoved':
-        this.#onTargetRemoved(event.targetId);
+        this.#targets.onRemoved(event.targetId);
         return;
       case 'submitted':
         this.#onSubmitted(event.submission);
@@ -226,7 +214,7 @@
 
   #onTick(): void {
     this.#openOccurrences();
-    this.#checkTargets();
+    this.#targets.check();
     this.#checkUnresolved();
     this.#cleanUp();
   }
@@ -244,44 +232,6 @@
     if (record.isComplete) this.#keeper.close(record, 'succeeded');
   }
 
-  #checkTargets(): void {
-    const { nowMs } = this.#state;
-    [...this.#state.targets.values()].forEach((target) => {
-      target.runs.forEach((run) => {
-        const isRepeatDue =
-          run.phase === 'stopping' &&
-          run.stopConfirmedAtMs === undefined &&
-          nowMs > run.stopSentAtMs + STOP_RETRY_MS;
-        if (isRepeatDue) this.#keeper.stop(run, 'repeated');
-        if (run.phase === 'running') this.#checkProgress(target, run);
-      });
-      if (!target.isResponding && target.isLapsed(nowMs) && target.runs.size > 0) {
-        this.#keeper.releaseAll(target, 'its lease has lapsed');
-      }
-      if (!target.isListed && this.#isOver(target)) {
-        this.#keeper.endLife(target, 'it has left the registry');
-      }
-    });
-  }
-
-  /** Stops a run that stands still; it is started elsewhere. */
-  #checkProgress(target: TargetState, run: Run): void {
-    // Only looks show progress, so the time without a look does not count.
-    if (run.percent >= 100 || run.percentAtMs - run.percentChangedAtMs < STUCK_MS) return;
-    this.#keeper.stop(run, 'no progress');
-    this.#state.count('runs_stuck');
-    const pauseMs = target.addFailure(run.step.record.submission.id, this.#state.nowMs);
-    if (pauseMs > 0)
-      this.#state.log('target quarantined', { targetId: target.id, pauseMs }, 'warn');
-  }
-
-  /** A target that has left the registry is kept while it may still run something. */
-  #isOver(target: TargetState): boolean {
-    if (target.runs.size > 0) return false;
-    if (!target.isContacted) return this.#state.nowMs > this.#state.unresolvedUntilMs;
-    return !target.isResponding || target.listedEndCount === 0;
-  }
-
   #checkUnresolved(): void {
     const { unresolved, nowMs, unresolvedUntilMs } = this.#state;
     if (unresolved.size > 0 && nowMs < unresolvedUntilMs) return;
@@ -353,44 +303,6 @@
     if (rated.isExcess) this.#state.count('submissions_excess');
   }
 
-  #onTargetsListed(entries: readonly TargetEntry[]): void {
-    const listed = new Set(entries.map(({ id }) => id));
-    entries.forEach((entry) => this.#onTargetChanged(entry));
-    [...this.#state.targets.keys()].forEach((targetId) => {
-      if (!listed.has(targetId)) this.#onTargetRemoved(targetId);
-    });
-  }
-
-  #onTargetChanged(entry: TargetEntry): void {
-    const known = this.#state.targets.get(entry.id);
-    if (known !== undefined && known.entry.bornAtMs === entry.bornAtMs) {
-      if (known.entry.isDraining !== entry.isDraining) {
-        this.#state.log('target drains', { targetId: entry.id, isDraining: entry.isDraining });
-      }
-      known.setEntry(entry);
-      this.#state.isPlanDue = true;
-      return;
-    }
-    if (known !== undefined) this.#keeper.endLife(known, 'it has started again');
-    const isFormerLife = this.#state.nowMs < this.#state.unresolvedUntilMs;
-    this.#state.targets.set(entry.id, new TargetState(entry));
-    if (isFormerLife && known === undefined) this.#state.unresolved.add(entry.id);
-    this.#state.log('target registered', {
-      targetId: entry.id,
-      address: entry.address,
-      bornAtMs: entry.bornAtMs,
-      isDraining: entry.isDraining,
-    });
-  }
-
-  /** The registry forgets targets that it does not hear; one that still answers keeps its runs. */
-  #onTargetRemoved(targetId: TargetId): void {
-    const target = this.#state.targets.get(targetId);
-    if (target === undefined) return;
-    target.isListed = false;
-    this.#state.log('target left the registry', { targetId, runCount: target.runs.size });
-  }
-
   #onSubmitted(submission: Submission): void {
     if (this.#state.records.has(submission.id)) return;
     const record = new SubmissionRecord(
--- /dev/null
+++ b/src/owner/targetTable.ts
@@ -0,0 +1,113 @@
+/** Keeps the table of targets by what the registry says, and notices targets and runs that are lost. */
+
+import type { TargetId } from '../types/ids';
+import { STOP_RETRY_MS, STUCK_MS } from './constants';
+import type { OwnerState } from './ownerState';
+import type { Run } from './run';
+import type { RunKeeper } from './runKeeper';
+import { TargetState } from './targetState';
+import type { TargetEntry } from './types';
+
+/** Applies registrations and the passing of time to targets. */
+export class TargetTable {
+  #state: OwnerState;
+
+  #keeper: RunKeeper;
+
+  /**
+   * @param state - the owner's tables
+   * @param keeper - releases and stops runs
+   */
+  constructor(state: OwnerState, keeper: RunKeeper) {
+    this.#state = state;
+    this.#keeper = keeper;
+  }
+
+  /**
+   * Takes the whole registry.
+   * @param entries - every target in it
+   */
+  onListed(entries: readonly TargetEntry[]): void {
+    const listed = new Set(entries.map(({ id }) => id));
+    entries.forEach((entry) => this.onChanged(entry));
+    [...this.#state.targets.keys()].forEach((targetId) => {
+      if (!listed.has(targetId)) this.onRemoved(targetId);
+    });
+  }
+
+  /**
+   * Takes a registration.
+   * @param entry - the target
+   */
+  onChanged(entry: TargetEntry): void {
+    const known = this.#state.targets.get(entry.id);
+    if (known !== undefined && known.entry.bornAtMs === entry.bornAtMs) {
+      if (known.entry.isDraining !== entry.isDraining) {
+        this.#state.log('target drains', { targetId: entry.id, isDraining: entry.isDraining });
+      }
+      known.setEntry(entry);
+      this.#state.isPlanDue = true;
+      return;
+    }
+    if (known !== undefined) this.#keeper.endLife(known, 'it has started again');
+    const isFormerLife = this.#state.nowMs < this.#state.unresolvedUntilMs;
+    this.#state.targets.set(entry.id, new TargetState(entry));
+    if (isFormerLife && known === undefined) this.#state.unresolved.add(entry.id);
+    this.#state.log('target registered', {
+      targetId: entry.id,
+      address: entry.address,
+      bornAtMs: entry.bornAtMs,
+      isDraining: entry.isDraining,
+    });
+  }
+
+  /**
+   * The registry forgets targets that it does not hear; one that still answers keeps its runs.
+   * @param targetId - the target
+   */
+  onRemoved(targetId: TargetId): void {
+    const target = this.#state.targets.get(targetId);
+    if (target === undefined) return;
+    target.isListed = false;
+    this.#state.log('target left the registry', { targetId, runCount: target.runs.size });
+  }
+
+  /** Notices lapsed leases, targets that are gone, stops to be repeated and runs that stand still. */
+  check(): void {
+    const { nowMs } = this.#state;
+    [...this.#state.targets.values()].forEach((target) => {
+      target.runs.forEach((run) => {
+        const isRepeatDue =
+          run.phase === 'stopping' &&
+          run.stopConfirmedAtMs === undefined &&
+          nowMs > run.stopSentAtMs + STOP_RETRY_MS;
+        if (isRepeatDue) this.#keeper.stop(run, 'repeated');
+        if (run.phase === 'running') this.#checkProgress(target, run);
+      });
+      if (!target.isResponding && target.isLapsed(nowMs) && target.runs.size > 0) {
+        this.#keeper.releaseAll(target, 'its lease has lapsed');
+      }
+      if (!target.isListed && this.#isOver(target)) {
+        this.#keeper.endLife(target, 'it has left the registry');
+      }
+    });
+  }
+
+  /** Stops a run that stands still; it is started elsewhere. */
+  #checkProgress(target: TargetState, run: Run): void {
+    // Only looks show progress, so the time without a look does not count.
+    if (run.percent >= 100 || run.percentAtMs - run.percentChangedAtMs < STUCK_MS) return;
+    this.#keeper.stop(run, 'no progress');
+    this.#state.count('runs_stuck');
+    const pauseMs = target.addFailure(run.step.record.submission.id, this.#state.nowMs);
+    if (pauseMs > 0)
+      this.#state.log('target quarantined', { targetId: target.id, pauseMs }, 'warn');
+  }
+
+  /** A target that has left the registry is kept while it may still run something. */
+  #isOver(target: TargetState): boolean {
+    if (target.runs.size > 0) return false;
+    if (!target.isContacted) return this.#state.nowMs > this.#state.unresolvedUntilMs;
+    return !target.isResponding || target.listedEndCount === 0;
+  }
+}
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -1,5 +1,6 @@
 /** Real nodes with the platform's adapter, among stand-ins on the loopback address, in one process. */
 
+import { createServer } from 'node:net';
 import { PassThrough } from 'node:stream';
 import { createFrontHandler } from '../../platform/ingress';
 import { AdviceServiceClient } from '../../platform/adviceClient';
@@ -46,6 +47,23 @@
   tenants: [{ name: 'team-a', 'api-keys': ['key-a'], weight: 5 }],
 };
 
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+
+function isPortFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+async function findFreePort(): Promise<number> {
+  const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+  return (await isPortFree(port)) ? port : findFreePort();
+}
+
 /** Stand-ins and nodes of one test. */
 export class PlatformDeployment {
   readonly store = new RowStoreStandIn();
@@ -95,7 +113,7 @@
     stream.on('data', (chunk) => lines.push(String(chunk)));
     const storeCaller = new HttpCaller();
     const workerCaller = new HttpCaller({ connectionsPerPeer: 3 });
-    const port = 20_000 + Math.floor(Math.random() * 20_000);
+    const port = await findFreePort();
     const node = new ClusterNode(
       name as NodeId,
       { host: '127.0.0.1', port },
@@ -115,7 +133,6 @@
       LIMITS,
     );
     const frontPort = await front.listen('127.0.0.1', 0);
-    await node.start();
     const running: RunningNode = {
       ...{ node, address: `127.0.0.1:${frontPort}`, lines },
       stop: () => {
@@ -125,7 +142,9 @@
         workerCaller.close().catch(() => undefined);
       },
     };
+    // Known before it starts, so that a failed start is stopped as well.
     this.nodes.push(running);
+    await node.start();
     return running;
   }
 
