--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -8,6 +8,7 @@
 import type { StoredRow } from '../store/types';
 import { assertNever } from '../types/debug';
 import type { Epoch, NodeId, StepKey, SubmissionId, TargetId } from '../types/ids';
+import type { OmitEach } from '../types/omitEach';
 import { decodeSubmission } from '../work/submissionSchema';
 import type { OperatorSnapshot } from './operatorSnapshot';
 import { OwnerWrites } from './ownerWrites';
@@ -43,11 +44,7 @@
   onSuperseded(reason: string): void;
 }
 
-type EventBody = OwnerEvent extends infer Event
-  ? Event extends OwnerEvent
-    ? Omit<Event, 'nowMs' | 'wallMs'>
-    : never
-  : never;
+type EventBody = OmitEach<OwnerEvent, 'nowMs' | 'wallMs'>;
 
 /** One ownership from its beginning to its end. */
 export class OwnerHost {
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -7,6 +7,7 @@
 import type { RowStore } from '../store/types';
 import { assertNever } from '../types/debug';
 import type { Epoch, NodeId } from '../types/ids';
+import type { OmitEach } from '../types/omitEach';
 import type { MemberList, Member } from './memberList';
 import { OwnershipCore } from './ownership';
 import type { OwnershipEffect, OwnershipEvent } from './ownershipTypes';
@@ -38,11 +39,7 @@
   isStoreReachable(): boolean;
 }
 
-type EventBody = OwnershipEvent extends infer Event
-  ? Event extends OwnershipEvent
-    ? Omit<Event, 'nowMs'>
-    : never
-  : never;
+type EventBody = OmitEach<OwnershipEvent, 'nowMs'>;
 
 /** Drives the ownership reducer of one node. */
 export class OwnershipShell {
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -10,16 +10,13 @@
 } from '../src/node/ownershipTypes';
 import type { NodeId } from '../src/types/ids';
 import { toEpoch } from '../src/types/ids';
+import type { OmitEach } from '../src/types/omitEach';
 
 const SELF = 'node-1' as NodeId;
 const OTHER = 'node-2' as NodeId;
 const TICK_MS = 50;
 
-type EventBody = OwnershipEvent extends infer Event
-  ? Event extends OwnershipEvent
-    ? Omit<Event, 'nowMs'>
-    : never
-  : never;
+type EventBody = OmitEach<OwnershipEvent, 'nowMs'>;
 
 /** One reducer with a clock, and everything that it has asked for. */
 class Harness {
