A new owner waits for submissions that targets name and it has not read

The successor took the listed runs and ends for strays, acknowledged the ends, and started the tasks again when the feed brought the submission. Ruled out: a lost write of progress (the former owner's writes fail after the claim). Change: for 4 s after a takeover rows of unread submissions are neither acknowledged nor stopped; when the submission arrives, the targets that named it are looked at before anything of it starts. Test: waits for the runs of a submission that the former owner was told of first (failed before).

--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -48,6 +48,12 @@
 /** A target's steady clock may be this much slower than ours. */
 export const CLOCK_SLOWNESS = 0.02;
 
+/** A new owner has read every submission by then; the feed of submissions is read twice a second. */
+export const UNREAD_GRACE_MS = 4_000;
+
+/** Pause between looks at a target that names submissions not read yet. */
+export const UNREAD_LOOK_MS = 80;
+
 /** Added to a computed moment at which a lease has lapsed, for reading and timer delays. */
 export const LAPSE_MARGIN_MS = 150;
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -4,7 +4,14 @@
 import { assertNever } from '../types/debug';
 import type { Queue, Submission } from '../work/types';
 import { AdviceDesk } from './adviceDesk';
-import { AUTHORITY_MS, CLOCK_SLOWNESS, LEASE_MS, RETENTION_MS, STOP_RETRY_MS } from './constants';
+import {
+  AUTHORITY_MS,
+  CLOCK_SLOWNESS,
+  LEASE_MS,
+  RETENTION_MS,
+  STOP_RETRY_MS,
+  UNREAD_GRACE_MS,
+} from './constants';
 import { InventoryReader } from './inventoryReader';
 import { LookPlanner } from './lookPlanner';
 import { OwnerState } from './ownerState';
@@ -63,6 +70,7 @@
     this.#state.setMoment(moment);
     this.#state.unresolvedUntilMs =
       moment.nowMs + AUTHORITY_MS + LEASE_MS * (1 + CLOCK_SLOWNESS) + STOP_RETRY_MS;
+    this.#state.unreadUntilMs = moment.nowMs + UNREAD_GRACE_MS;
     this.#keeper = new RunKeeper(this.#state);
     this.#targets = new TargetTable(this.#state, this.#keeper);
     this.#reader = new InventoryReader(this.#state, this.#keeper);
@@ -307,7 +315,7 @@
     if (this.#state.records.has(submission.id)) return;
     const record = new SubmissionRecord(
       { submission, isCancelled: false, progress: undefined, progressVersion: 0 },
-      false,
+      this.#mayHaveBegun(submission.id),
     );
     this.#rate(record);
     this.#addRecord(record);
@@ -321,6 +329,21 @@
     });
   }
 
+  /** A former owner that was not shut out yet may have started what this owner had not read. */
+  #mayHaveBegun(submissionId: SubmissionId): boolean {
+    const { unread, unresolved, targets } = this.#state;
+    const namedBy = unread.get(submissionId);
+    unread.delete(submissionId);
+    namedBy?.forEach((targetId) => {
+      const target = targets.get(targetId);
+      if (target === undefined) return;
+      target.isContacted = false;
+      target.nextLookAtMs = this.#state.nowMs;
+      unresolved.add(targetId);
+    });
+    return unresolved.size > 0;
+  }
+
   #addRecord(record: SubmissionRecord): void {
     const { submission } = record;
     this.#state.records.set(submission.id, record);
--- a/src/owner/inventoryReader.ts
+++ b/src/owner/inventoryReader.ts
@@ -2,7 +2,7 @@
 
 import * as E from 'fp-ts/Either';
 import { tryParseTaskKey } from '../work/taskNames';
-import { LOOK_RETRY_MS, STOP_RETRY_MS } from './constants';
+import { LOOK_RETRY_MS, STOP_RETRY_MS, UNREAD_LOOK_MS } from './constants';
 import type { OwnerState } from './ownerState';
 import { toRunKey } from './run';
 import type { Run, RunKey } from './run';
@@ -87,11 +87,20 @@
     }
     target.clock.addSample(inventory.clockMs, sentAtMs, nowMs);
     target.isResponding = true;
-    inventory.ended.forEach((row) => this.#readEnd(target, row));
+    // Ends are acknowledged in their order, so one of an unread submission holds up those after it.
+    const firstUnread = inventory.ended.findIndex((row) => this.#isUnread(target, row));
+    const ended = firstUnread < 0 ? inventory.ended : inventory.ended.slice(0, firstUnread);
+    ended.forEach((row) => this.#readEnd(target, row));
+    let isUnreadNamed = firstUnread >= 0;
     const listed = new Set<RunKey>();
     const strays: RunKey[] = [];
     inventory.running.forEach((row) => {
       listed.add(toRunKey(row.taskKey, row.run));
+      if (this.#isUnread(target, row)) {
+        isUnreadNamed = true;
+        strays.push(toRunKey(row.taskKey, row.run));
+        return;
+      }
       if (!this.#readRunning(target, row, sentAtMs)) strays.push(toRunKey(row.taskKey, row.run));
     });
     target.setStrays(strays);
@@ -100,11 +109,21 @@
     });
     target.isContacted = true;
     this.#state.unresolved.delete(target.id);
-    target.nextLookAtMs = nowMs;
+    target.nextLookAtMs = isUnreadNamed ? nowMs + UNREAD_LOOK_MS : nowMs;
     target.lookAnsweredAtMs = nowMs;
     this.#state.isPlanDue = true;
   }
 
+  /** Names of tasks whose submission this owner has still to read after its takeover. */
+  #isUnread(target: TargetState, { taskKey }: { readonly taskKey: string }): boolean {
+    if (this.#state.nowMs > this.#state.unreadUntilMs) return false;
+    const submissionId = tryParseTaskKey(taskKey)?.submissionId;
+    if (submissionId === undefined || this.#state.records.has(submissionId)) return false;
+    const namedBy = this.#state.unread.get(submissionId) ?? new Set();
+    this.#state.unread.set(submissionId, namedBy.add(target.id));
+    return true;
+  }
+
   #findTask(taskKey: string): NamedTask | undefined {
     const name = tryParseTaskKey(taskKey);
     if (name === undefined) return undefined;
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -39,6 +39,15 @@
   /** Until then a target that has never answered may hold work of a former owner. */
   unresolvedUntilMs = 0;
 
+  /**
+   * Submissions that targets have named and that this owner has not read yet. A former owner may have
+   * started them after the rows were read; their runs and ends wait until the submission is known.
+   */
+  readonly unread = new Map<SubmissionId, Set<TargetId>>();
+
+  /** After this a submission that is still not read does not exist. */
+  unreadUntilMs = 0;
+
   operator: OperatorState = { config: undefined, closedDataCentreIds: [] };
 
   nowMs = 0;
--- a/tests/owner.test.ts
+++ b/tests/owner.test.ts
@@ -178,6 +178,21 @@
     expect(world.getState(toSubmissionId(2))).toBe('succeeded');
   });
 
+  test.each([0, 40, 400, 900])(
+    'waits for the runs of a submission that the former owner was told of first (%i ms)',
+    (feedDelayMs) => {
+      const world = createWorld();
+      world.run(500);
+      world.submitDuringTakeover(
+        createSubmission(1, [{ taskCount: 6, estimateMs: 300 }]),
+        feedDelayMs,
+      );
+      world.run(6_000);
+      expect(world.broken).toEqual([]);
+      expect(world.getState(toSubmissionId(1))).toBe('succeeded');
+    },
+  );
+
   test('does not start what a silent target may still run', () => {
     const world = createWorld();
     world.submit(createSubmission(1, [{ taskCount: 6, estimateMs: 2_000 }]));
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -23,6 +23,9 @@
 const TICK_MS = 10;
 const STORE_MS = 4;
 
+/** Within this a former owner has started what it was told of. */
+const FORMER_START_MS = 20;
+
 /** Faults of one world; each is the part of the calls that it strikes. */
 export interface WorldFaults {
   /** The call is carried out and its answer is lost. */
@@ -161,6 +164,23 @@
     this.#tick(owner);
   }
 
+  /**
+   * A new owner has read the rows before this submission came, and the former one, not shut out yet, is
+   * told of it first; the new one finds it a little later by the feed.
+   */
+  submitDuringTakeover(submission: Submission, feedDelayMs: number): void {
+    if (this.#owner !== undefined) this.#dispatch(this.#owner, { kind: 'submitted', submission });
+    this.#submissions.set(submission.id, submission);
+    this.run(FORMER_START_MS);
+    this.#submissions.delete(submission.id);
+    this.takeOver(true);
+    this.#submissions.set(submission.id, submission);
+    const successor = this.#owner;
+    this.time.after(feedDelayMs, () => {
+      if (successor !== undefined) this.#dispatch(successor, { kind: 'submitted', submission });
+    });
+  }
+
   submit(submission: Submission): void {
     this.#submissions.set(submission.id, submission);
     if (this.#owner !== undefined) this.#dispatch(this.#owner, { kind: 'submitted', submission });
