A cancelled submission without a written outcome is kept its time, not deleted by the next owner

An owner without a store could not write the outcome of a cancellation; its successor took the missing moment for 1970, found the submission past its retention, and deleted submission and cancellation. An unanswered first write of the submission then landed late under 'must not exist', and the tasks were started again. Test: keeps a cancelled submission whose outcome its former owner could not write (failed before).

--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -344,12 +344,17 @@
     return unresolved.size > 0;
   }
 
-  #addRecord(record: SubmissionRecord): void {
+  #addRecord(added: SubmissionRecord): void {
+    const record = added;
     const { submission } = record;
     this.#state.records.set(submission.id, record);
     const queues = this.#state.operator.config?.queues ?? [];
     record.queue = queues.find(({ id }) => id === submission.queue.id) ?? record.queue;
-    if (record.outcome !== undefined) return;
+    if (record.outcome !== undefined) {
+      // A cancellation may be stored without the moment of its outcome; it is kept from now on.
+      if (record.outcomeAtMs === 0) record.outcomeAtMs = this.#state.wallMs;
+      return;
+    }
     this.#state.open.add(record);
     this.#openDue(record);
   }
--- a/tests/owner.test.ts
+++ b/tests/owner.test.ts
@@ -204,6 +204,20 @@
     expect(world.getState(toSubmissionId(1))).toBe('succeeded');
   });
 
+  test('keeps a cancelled submission whose outcome its former owner could not write', () => {
+    const world = createWorld();
+    world.submit(createSubmission(1, [{ estimateMs: 20_000 }]));
+    world.run(300);
+    world.isStoreUp = false;
+    world.cancel(toSubmissionId(1));
+    world.run(500);
+    world.isStoreUp = true;
+    world.takeOver();
+    world.run(10_000);
+    expect(world.deletedIds).toEqual([]);
+    expect(world.getState(toSubmissionId(1))).toBe('cancelled');
+  });
+
   test('takes the ends that nobody has acknowledged', () => {
     const world = createWorld();
     world.submit(createSubmission(1, [{ taskCount: 3, estimateMs: 500 }]));
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -23,6 +23,9 @@
 const TICK_MS = 10;
 const STORE_MS = 4;
 
+/** Milliseconds since 1970 at the start of each world. */
+const WALL_START_MS = 1_700_000_000_000;
+
 /** Within this a former owner has started what it was told of. */
 const FORMER_START_MS = 20;
 
@@ -74,6 +77,8 @@
 
   startCount = 0;
 
+  readonly deletedIds: SubmissionId[] = [];
+
   /** Starts that carried a checkpoint. */
   resumedCount = 0;
 
@@ -143,7 +148,7 @@
       progress: this.#progress.get(submission.id)?.value,
       progressVersion: this.#progress.get(submission.id)?.version ?? 0,
     }));
-    const moment = { nowMs: this.time.nowMs, wallMs: this.time.nowMs };
+    const moment = { nowMs: this.time.nowMs, wallMs: WALL_START_MS + this.time.nowMs };
     const core = new OwnerCore(toEpoch(this.#epoch), loaded, moment);
     const owner = { core, epoch: this.#epoch, isStopped: false };
     this.#owner = owner;
@@ -228,7 +233,11 @@
   #dispatch(owner: Owner, event: object): void {
     if (owner.isStopped) return;
     const { nowMs } = this.time;
-    const effects = owner.core.reduce({ ...event, nowMs, wallMs: nowMs } as OwnerEvent);
+    const effects = owner.core.reduce({
+      ...event,
+      nowMs,
+      wallMs: WALL_START_MS + nowMs,
+    } as OwnerEvent);
     effects.forEach((effect) => this.#perform(owner, effect));
   }
 
@@ -263,6 +272,9 @@
       case 'writeProgress':
         this.#write(owner, effect);
         return;
+      case 'deleteSubmissions':
+        this.deletedIds.push(...effect.submissionIds);
+        break;
       case 'stepDown':
         Object.assign(owner, { isStopped: true });
         break;
@@ -502,7 +514,7 @@
   return {
     id: toSubmissionId(number),
     teamId: teamId as TeamId,
-    acceptedAtMs: 0,
+    acceptedAtMs: WALL_START_MS,
     queue: {
       id: `queue-${priority}` as Submission['queue']['id'],
       host: 'host',
