A lapsed lease counts as lost only after the target could report once more; unused members removed

The runs had finished meanwhile; their homes placed them again, and two tasks ran to their end twice. Seen in a trace: finished at 18.25 s, ended as stopped at 36.56 s, started again at 37.77 s. Change: TargetContacts.isLost wants one report interval and one timeout between the first sight of a lapse and its use, and begins again after a pause in between. Also removed, never read: hasBegun and notBeforeMs of StepState, notBeforeMs and answerCount of StepAdvice, TargetClock.isKnown, HttpCaller.forget, CallerCall.patienceMs.

--- a/src/jobs/targetContacts.ts
+++ b/src/jobs/targetContacts.ts
@@ -15,6 +15,10 @@
 const RENEWAL_INTERVAL_MS = 4_000;
 /** Leases on a target that was not heard for this long are left to lapse. */
 const SILENT_TARGET_MS = 5_000;
+/** A lapsed lease is acted on after this: one report interval and the timeout of a report. */
+const LAST_REPORT_MS = 3_000;
+/** Lapses are asked about more often than this, unless this process was paused meanwhile. */
+const PAUSE_MS = 2_000;
 
 interface ShardState {
   readonly epoch: Epoch;
@@ -29,6 +33,13 @@
   extendedMs: number;
   /** When a renewal, which extends every lease on the target, last left. */
   renewedMs: number;
+  /** When its leases were seen to have lapsed; undefined while some may be left. */
+  lapse: SeenLapse | undefined;
+}
+
+interface SeenLapse {
+  readonly firstMs: number;
+  lastMs: number;
 }
 
 /** Contacts with the targets of the shards that this scheduler owns. */
@@ -136,6 +147,26 @@
     return nowMs - Math.max(shard.acquiredMs, extendedMs) > LAPSE_MS;
   }
 
+  /**
+   * Asks whether the runs on a target count as lost. After a pause of this process a lease may have
+   * lapsed with the end of its run unread, so that the target is given time for one more report.
+   * @param target - which target
+   * @param epoch - of its shard
+   * @param nowMs - this process's clock
+   * @returns true when no lease is left and the target has not reported since that was first seen
+   */
+  isLost(target: Target, epoch: Epoch, nowMs: number): boolean {
+    const state = this.#get(target.targetId, epoch);
+    if (!this.isLapsed(target, epoch, nowMs)) {
+      state.lapse = undefined;
+      return false;
+    }
+    const isPaused = state.lapse !== undefined && nowMs - state.lapse.lastMs > PAUSE_MS;
+    if (state.lapse === undefined || isPaused) state.lapse = { firstMs: nowMs, lastMs: nowMs };
+    state.lapse.lastMs = nowMs;
+    return nowMs - state.lapse.firstMs >= LAST_REPORT_MS;
+  }
+
   /**
    * Asks whether the owner knows everything that runs on a shard.
    * @param shardId - the shard
@@ -157,7 +188,7 @@
     return targets.every((target) => {
       const state = this.#targets.get(target.targetId);
       const reportedMs = state?.epoch === epoch ? state.reportedMs : Number.NEGATIVE_INFINITY;
-      return reportedMs >= shard.acquiredMs + SETTLE_MS || this.isLapsed(target, epoch, nowMs);
+      return reportedMs >= shard.acquiredMs + SETTLE_MS || this.isLost(target, epoch, nowMs);
     });
   }
 
@@ -169,6 +200,7 @@
       reportedMs: Number.NEGATIVE_INFINITY,
       extendedMs: Number.NEGATIVE_INFINITY,
       renewedMs: Number.NEGATIVE_INFINITY,
+      lapse: undefined,
     };
     this.#targets.set(targetId, state);
     return state;
--- a/src/jobs/taskRunner.ts
+++ b/src/jobs/taskRunner.ts
@@ -218,8 +218,8 @@
         return [];
       }
       if (run.end === undefined) {
-        const isLapsed = this.#contacts.isLapsed(run.target, epoch, nowMs);
-        return isLapsed ? this.#end(nowMs, run, 'stopped', 0) : [];
+        const isLost = this.#contacts.isLost(run.target, epoch, nowMs);
+        return isLost ? this.#end(nowMs, run, 'stopped', 0) : [];
       }
       if (nowMs < run.nextTellMs) return [];
       run.nextTellMs = nowMs + TELL_INTERVAL_MS;
--- a/src/node/callerTypes.ts
+++ b/src/node/callerTypes.ts
@@ -10,8 +10,6 @@
   readonly host: string;
   readonly path: string;
   readonly key: string | undefined;
-  /** How long the caller waits for the answer. */
-  readonly patienceMs: number | undefined;
   /** Decodes the body of a submission. */
   decodeSpec(): E.Either<string, SubmissionSpec>;
 }
--- a/src/owner/adviceDesk.ts
+++ b/src/owner/adviceDesk.ts
@@ -155,7 +155,7 @@
 
   #isWishing({ record, advice, waiting, mayRunUnseen }: StepState): boolean {
     if (record.queue.advice === undefined || advice.isAsked || mayRunUnseen) return false;
-    if (waiting.size === 0 || advice.notBeforeMs > this.#state.nowMs) return false;
+    if (waiting.size === 0) return false;
     return advice.getUsableIds(this.#state.nowMs).length === 0;
   }
 
--- a/src/owner/inventoryReader.ts
+++ b/src/owner/inventoryReader.ts
@@ -154,7 +154,6 @@
       how: row.how,
       ranMs: run === undefined ? undefined : Math.round(this.#state.nowMs - run.sentAtMs),
     });
-    step.hasBegun = true;
     record.hasBegun = true;
     if (row.how === 'done') InventoryReader.#noteDone(target, step, run, this.#state.nowMs);
     if (row.how === 'failed') {
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -46,9 +46,7 @@
     const known = [...state.targets.values()].filter(isTargetKnown);
     const open = known.filter((target) => target.pausedUntilMs <= state.nowMs);
     if (known.length === 0) return;
-    const waiting = [...state.ready].filter(
-      (step) => !step.mayRunUnseen && step.notBeforeMs <= state.nowMs,
-    );
+    const waiting = [...state.ready].filter((step) => !step.mayRunUnseen);
     const steps = sortSteps(waiting, state.wallMs);
     this.#victims = collectVictims(known, state.nowMs);
     this.#unseen = this.#getUnseenUse();
--- a/src/owner/stepAdvice.ts
+++ b/src/owner/stepAdvice.ts
@@ -22,12 +22,6 @@
   /** A call for this step waits for its answer. */
   isAsked = false;
 
-  /** No call before this moment. */
-  notBeforeMs = 0;
-
-  /** Number of answers so far. */
-  answerCount = 0;
-
   /**
    * Takes an answer.
    * @param namedIds - the targets that were named
@@ -41,7 +35,6 @@
     usableUntilMs: number,
     getBornAtMs: (targetId: TargetId) => number,
   ): void {
-    this.answerCount += 1;
     const granted = new Set(grants.map(({ targetId }) => targetId));
     namedIds.forEach((targetId) => {
       if (!granted.has(targetId)) this.#refused.add(targetId);
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -32,18 +32,12 @@
   /** Since when all earlier steps are done; undefined before. */
   readyAtMs: number | undefined;
 
-  /** A task of it has been started by this owner or was found running. */
-  hasBegun = false;
-
   /** A former owner may have started tasks of it that no target has listed yet. */
   mayRunUnseen = false;
 
   /** Start of the latest run of any of its tasks. */
   lastStartAtMs = 0;
 
-  /** Tasks are not placed before this moment, after a gang had to be stopped. */
-  notBeforeMs = 0;
-
   /**
    * @param record - the submission
    * @param occurrence - number of the occurrence
@@ -126,7 +120,6 @@
   addRun(run: Run): void {
     this.#lastRun = Math.max(this.#lastRun, run.run);
     this.#waiting.delete(run.index);
-    this.hasBegun = true;
     const runs = this.#runs.get(run.index) ?? [];
     if (runs.includes(run)) return;
     runs.push(run);
--- a/src/owner/targetClock.ts
+++ b/src/owner/targetClock.ts
@@ -13,11 +13,6 @@
 export class TargetClock {
   #sample: ClockSample | undefined;
 
-  /** True once the target has said what its clock shows. */
-  get isKnown(): boolean {
-    return this.#sample !== undefined;
-  }
-
   /**
    * Takes a reading.
    * @param clockMs - what the target's clock showed
--- a/src/rpc/httpCaller.ts
+++ b/src/rpc/httpCaller.ts
@@ -115,15 +115,6 @@
     }
   }
 
-  /**
-   * Forgets a peer that is gone.
-   * @param address - `ip:port`
-   */
-  forget(address: string): void {
-    const pool = this.#pools.get(address);
-    if (pool !== undefined) this.#retire(address, pool);
-  }
-
   /**
    * Posts JSON.
    * @param address - `ip:port`
--- a/tests/taskRunner.test.ts
+++ b/tests/taskRunner.test.ts
@@ -51,7 +51,9 @@
     getCandidates: () => [TARGET],
     getReplicas: () => [],
   };
-  const runner = new TaskRunner(pool, guard, { tryGetEpoch: () => EPOCH }, new TargetContacts());
+  const contacts = new TargetContacts();
+  contacts.syncShards(new Map([[SHARD, EPOCH]]), 0);
+  const runner = new TaskRunner(pool, guard, { tryGetEpoch: () => EPOCH }, contacts);
   const model = new TargetModel(CAPACITY);
   const perform = (nowMs: number, effects: readonly TaskEffect[]): readonly TaskEffect[] =>
     effects.flatMap((effect) => {
@@ -109,6 +111,22 @@
     expect(report(1_600)).toEqual(['finished']);
   });
 
+  test('a run that finished while its owner was paused is not taken for a lost one', () => {
+    const { ask, report, runner } = createOwner();
+    ask(0, createAsk('start', 'a'));
+    expect(runner.tick(19_000)).toEqual([]);
+    expect(runner.tick(24_000)).toEqual([]);
+    expect(report(24_100)).toEqual(['finished']);
+  });
+
+  test('a run on a target that stays silent ends after its lease', () => {
+    const { ask, runner } = createOwner();
+    ask(0, createAsk('start', 'a'));
+    expect(runner.tick(19_000)).toEqual([]);
+    expect(runner.tick(20_500)).toEqual([]);
+    expect(runner.tick(22_000)).toMatchObject([{ kind: 'tellHome', news: { state: 'stopped' } }]);
+  });
+
   test('a reservation holds room, starts nothing, and ends by itself', () => {
     const { ask, runner, model } = createOwner();
     expect(ask(0, createAsk('reserve', 'a'))).toEqual(['reserved']);
