Transactions are sent again before they are given up; a starting node holds calls for its configuration

Ruled out: rates of the store (503 seen for none of them), the owner's processor. Change: further copies leave after the usual time and the first decisive answer counts (a second copy does nothing, as its conditions fail). A silence counts towards the loss of the store, which now takes 650 ms. Calls that reach a node within 0.8 s of its start wait for the first configuration instead of a 503.

--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -21,6 +21,12 @@
 /** When a caller that was turned away for a passing reason should come back. */
 const RETRY_AFTER_MS = 1_000;
 
+/** Wait of calls for the first configuration after a start; a slow store takes 0.6 s to give it. */
+const START_WAIT_MS = 800;
+
+/** Calls that wait for the first configuration; further ones are turned away at once. */
+const MAX_START_CALLS = 500;
+
 /** Time limit of the check for a submission that the owner does not know. */
 const CHECK_TIMEOUT_MS = 800;
 
@@ -56,6 +62,8 @@
 
   #router: Router | undefined;
 
+  #startCalls: (() => void)[] = [];
+
   /**
    * @param ports - store, owner, clock and log
    */
@@ -69,6 +77,9 @@
    */
   setRouter(router: Router): void {
     this.#router = router;
+    const calls = this.#startCalls;
+    this.#startCalls = [];
+    calls.forEach((proceed) => proceed());
   }
 
   /**
@@ -103,6 +114,7 @@
   }
 
   async #answer(call: CallerCall): Promise<CallerAnswer> {
+    if (this.#router === undefined) await this.#waitForRouter();
     if (this.#router === undefined) return refuse('configStale', RETRY_AFTER_MS);
     const routed = this.#router.route(call.host, call.path, call.key);
     if (E.isLeft(routed)) return refuse(routed.left.name);
@@ -121,6 +133,18 @@
     }
   }
 
+  /** Ends with the first configuration, after a time, or at once when too many calls wait. */
+  #waitForRouter(): Promise<void> {
+    if (this.#startCalls.length >= MAX_START_CALLS) return Promise.resolve();
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, START_WAIT_MS);
+      this.#startCalls.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
   async #submit(
     call: CallerCall,
     { queue, teamId }: RoutedCall,
--- a/src/store/watchedStore.ts
+++ b/src/store/watchedStore.ts
@@ -1,6 +1,7 @@
 /** A store whose reachability is watched, with a line in the log whenever it changes. */
 
 import * as E from 'fp-ts/Either';
+import { transactHedged } from './hedgedTransaction';
 import { AdaptiveLimit } from '../types/adaptiveLimit';
 import type { LimitBounds } from '../types/adaptiveLimit';
 import type { Clock } from '../types/clock';
@@ -18,8 +19,8 @@
 /** Told when the store is lost and regained. */
 export type ReachabilityListener = (isReachable: boolean, detail: string) => void;
 
-/** The store counts as lost when nothing but failures has come for this long. */
-const LOST_AFTER_MS = 400;
+/** The store counts as lost when nothing but failures has come for this long; a slow one takes 0.6 s. */
+const LOST_AFTER_MS = 650;
 
 /** A transaction takes 4 ms on a calm day and 0.6 s when the store is slow. */
 const TRANSACTION_LIMIT: LimitBounds = { leastMs: 150, mostMs: 1_500, fadeFactor: 0.7 };
@@ -64,14 +65,30 @@
     return this.#clock.nowMs() - this.#failingSinceMs;
   }
 
-  /** {@inheritDoc RowStore.transact} */
-  async transact(transaction: RowTransaction, timeoutMs: number): Promise<StoreOutcome<Committed>> {
+  /**
+   * Performs a transaction, in several copies when answers stay away. Its conditions must fail once it
+   * has taken effect, so that a second copy does nothing.
+   * @param transaction - conditions and changes
+   * @param timeoutMs - for each copy
+   * @returns what came of it
+   */
+  transact(transaction: RowTransaction, timeoutMs: number): Promise<StoreOutcome<Committed>> {
+    return transactHedged({
+      send: () => this.#transactOnce(transaction, timeoutMs),
+      // What the store usually takes bounds the wait, so that a lost answer is noticed soon.
+      delayMs: Math.min(timeoutMs, this.#limit.limitMs),
+      onSilence: () => this.#noteFailure('no answer within the usual time'),
+    });
+  }
+
+  async #transactOnce(
+    transaction: RowTransaction,
+    timeoutMs: number,
+  ): Promise<StoreOutcome<Committed>> {
     const startedAtMs = this.#clock.nowMs();
-    // What the store usually takes bounds the wait, so that a lost answer is noticed soon.
-    const limitMs = Math.min(timeoutMs, this.#limit.limitMs);
-    const outcome = await this.#watch('transact', this.#inner.transact(transaction, limitMs));
-    if (E.isLeft(outcome) && outcome.left.kind === 'unknown') this.#limit.addLoss();
-    else this.#limit.addAnswer(this.#clock.nowMs() - startedAtMs);
+    const outcome = await this.#watch('transact', this.#inner.transact(transaction, timeoutMs));
+    const isAnswered = E.isRight(outcome) || outcome.left.kind !== 'unknown';
+    if (isAnswered) this.#limit.addAnswer(this.#clock.nowMs() - startedAtMs);
     return outcome;
   }
 
@@ -105,10 +122,14 @@
     }
     const { left } = outcome;
     this.#metrics.count(`store_failures_${left.kind}`);
+    this.#noteFailure('detail' in left ? left.detail : left.kind);
+  }
+
+  #noteFailure(detail: string): void {
     const nowMs = this.#clock.nowMs();
     this.#failingSinceMs ??= nowMs;
     if (!this.#isReachable || nowMs < this.#failingSinceMs + LOST_AFTER_MS) return;
     this.#isReachable = false;
-    this.#listener(false, 'detail' in left ? left.detail : left.kind);
+    this.#listener(false, detail);
   }
 }
