Advice names further targets when those known to suit hold fewer tasks than wait

Change: src/owner/adviceChoice.ts counts the places on each target; unless the known ones hold all that waits, the others are named too, up to 60 where 30 are not expected to do. A step with tickets whose targets are full asks again after 0.25 s when others have room.

--- a/bench/owner.ts
+++ b/bench/owner.ts
@@ -32,7 +32,7 @@
       estimateMs: TASK_MS,
       demand: { cpuMillis: 2_000, memoryMb: 2_048, accelerators: 0 },
     };
-    world.submit(createSubmission(number, [step], { advice: true }));
+    world.submit(createSubmission(number, [step], { advice: 'cheap' }));
     world.run(gapMs);
   }
   const usedMs = getCpuMs() - beforeMs;
--- a/src/owner/adviceDesk.ts
+++ b/src/owner/adviceDesk.ts
@@ -8,19 +8,20 @@
 import type { NodeId, TargetId } from '../types/ids';
 import type { AdviceCosts } from '../work/types';
 import {
-  ADVICE_CHEAP_MS,
+  ADVICE_AGAIN_MS,
   ADVICE_DEAR_TARGETS,
-  ADVICE_MAX_TARGETS,
   ADVICE_RETRY_MS,
   ADVICE_SLACK_MS,
   PREFETCH_TICKET_FRACTION,
   SHORT_ADVICE_MS,
   SHORT_LANE_FRACTION,
 } from './constants';
+import { chooseAdvisedTargets, isMoreAdviceHelpful } from './adviceChoice';
 import type { OwnerState } from './ownerState';
 import { isTargetEligible } from './placement';
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
+import type { TargetState } from './targetState';
 import type { OwnerEvent } from './types';
 
 type Advised = Extract<OwnerEvent, { kind: 'advised' }>;
@@ -130,6 +131,7 @@
   #ask(lane: Lane, { step, costs, targetIds }: Wish): void {
     lane.isBusy = true;
     step.advice.isAsked = true;
+    step.advice.askedAtMs = this.#state.nowMs;
     this.#pending.set(step.key, step);
     this.#state.emit({
       kind: 'askAdvice',
@@ -153,31 +155,29 @@
     return steps;
   }
 
-  #isWishing({ record, advice, waiting, mayRunUnseen }: StepState): boolean {
+  #isWishing(step: StepState): boolean {
+    const { record, advice, waiting, mayRunUnseen } = step;
     if (record.queue.advice === undefined || advice.isAsked || mayRunUnseen) return false;
     if (waiting.size === 0) return false;
-    return advice.getUsableIds(this.#state.nowMs).length === 0;
+    const { nowMs } = this.#state;
+    if (advice.getUsableIds(nowMs).length === 0) return true;
+    if (step.readyAtMs === undefined || nowMs < advice.askedAtMs + ADVICE_AGAIN_MS) return false;
+    return isMoreAdviceHelpful(step, this.#getCandidates(step), nowMs);
   }
 
   #getWish(step: StepState): Wish | undefined {
     const costs = step.record.queue.advice;
     if (costs === undefined) return undefined;
-    const targetIds = this.#chooseTargets(step, costs);
+    const targets = chooseAdvisedTargets(step, this.#getCandidates(step), costs);
+    const targetIds = targets.map((target) => target.id);
     return targetIds.length === 0 ? undefined : { step, costs, targetIds };
   }
 
-  /** Names the targets that suit the step best; those already refused are never named again. */
-  #chooseTargets(step: StepState, costs: AdviceCosts): TargetId[] {
-    const limit = costs.perTargetMs < ADVICE_CHEAP_MS ? ADVICE_MAX_TARGETS : ADVICE_DEAR_TARGETS;
-    const candidates = [...this.#state.targets.values()].filter(
+  /** Targets that may run the step; those already refused are never named again. */
+  #getCandidates(step: StepState): TargetState[] {
+    return [...this.#state.targets.values()].filter(
       (target) => !step.advice.isRefused(target.id) && isTargetEligible(this.#state, step, target),
     );
-    const known = candidates.filter((target) => step.advice.isGood(target.id));
-    const named = known.length > 0 ? known : candidates;
-    return named
-      .sort((left, right) => right.free.cpuMillis - left.free.cpuMillis)
-      .slice(0, limit)
-      .map((target) => target.id);
   }
 
   /** Asks whether all earlier steps end before a ticket asked for now would. */
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -81,6 +81,15 @@
 /** Targets named where each one named costs more than {@link ADVICE_CHEAP_MS}. */
 export const ADVICE_DEAR_TARGETS = 30;
 
+/** Targets named when {@link ADVICE_DEAR_TARGETS} would not hold the tasks that wait. */
+export const ADVICE_WIDE_TARGETS = 60;
+
+/** Part of the named targets that get a ticket: 0.35 for wide steps on both sites, 0.7 for urgent ones. */
+export const ADVICE_GOOD_FRACTION = 0.35;
+
+/** Pause before a step with tickets asks again because their targets are full. */
+export const ADVICE_AGAIN_MS = 250;
+
 /** Below this cost of a named target all targets are named. */
 export const ADVICE_CHEAP_MS = 1;
 
--- a/src/owner/stepAdvice.ts
+++ b/src/owner/stepAdvice.ts
@@ -22,6 +22,9 @@
   /** A call for this step waits for its answer. */
   isAsked = false;
 
+  /** When the last call left. */
+  askedAtMs = 0;
+
   /**
    * Takes an answer.
    * @param namedIds - the targets that were named
--- a/tests/owner.test.ts
+++ b/tests/owner.test.ts
@@ -35,7 +35,7 @@
 
   test('asks for advice and starts only where it allows', () => {
     const world = createWorld();
-    world.submit(createSubmission(1, [{ taskCount: 4 }], { advice: true }));
+    world.submit(createSubmission(1, [{ taskCount: 4 }], { advice: 'cheap' }));
     world.run(4_000);
     expect(world.getState(toSubmissionId(1))).toBe('succeeded');
   });
@@ -82,6 +82,18 @@
     expect(world.startCount).toBe(2);
   });
 
+  test('finds targets for every task of a wide step when each takes one', () => {
+    const world = new OwnerWorld({ seed: 1, targetCount: 100, faults: NO_FAULTS });
+    world.takeOver();
+    const policy = { kind: 'standing', latencyTargetMs: 0, maxUnavailableCount: 0 } as const;
+    const step = { taskCount: 40, policy, maxTasksPerTarget: 1 };
+    world.submit(createSubmission(1, [step], { advice: 'dear' }));
+    world.run(6_000);
+    const runCount = [...world.targets.values()].reduce((sum, { runs }) => sum + runs.size, 0);
+    expect(runCount).toBe(40);
+    expect(world.broken).toEqual([]);
+  });
+
   test('fails a submission whose task has failed as often as its queue allows', () => {
     const world = createWorld({ ...NO_FAULTS, failedRuns: 1 });
     world.submit(createSubmission(1, [{}], { attemptLimit: 2 }));
--- a/tests/platformDecoders.test.ts
+++ b/tests/platformDecoders.test.ts
@@ -84,7 +84,7 @@
   });
 
   test('read back what is stored of a submission', () => {
-    const submission = createSubmission(3, [{ taskCount: 4 }, { after: [0] }], { advice: true });
+    const submission = createSubmission(3, [{ taskCount: 4 }, { after: [0] }], { advice: 'cheap' });
     expect(decodeSubmission(encodeSubmission(submission))).toEqual(E.right(submission));
   });
 
--- a/tests/support/ownerHistories.ts
+++ b/tests/support/ownerHistories.ts
@@ -33,9 +33,12 @@
   const world = new OwnerWorld({ seed, targetCount: 6, faults: FAULTS });
   world.takeOver();
   for (let number = 1; number <= 30; number += 1) {
-    const advice = random.nextInt(2) === 0;
+    const advice = random.nextInt(2) === 0 ? 'cheap' : undefined;
     world.submit(
-      createSubmission(number, getSteps(random), { advice, priority: random.nextInt(3) }),
+      createSubmission(number, getSteps(random), {
+        ...(advice === undefined ? {} : { advice }),
+        priority: random.nextInt(3),
+      }),
     );
     world.run(random.nextInt(500));
     const targetId = `target-${random.nextInt(6)}` as TargetId;
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -504,13 +504,23 @@
   return number.toString(16).padStart(16, '0') as SubmissionId;
 }
 
+/** Costs of advice of an urgent queue, and of one whose targets are expensive to judge. */
+const CHEAP_ADVICE = { callMs: 20, perTargetMs: 0.3, ticketValidMs: 2_500 };
+const DEAR_ADVICE = { callMs: 450, perTargetMs: 6.5, ticketValidMs: 2_500 };
+
 /** A submission with the parts that a test cares for. */
 export function createSubmission(
   number: number,
   steps: readonly Partial<StepSpec>[],
-  overrides: { priority?: number; attemptLimit?: number; teamId?: string; advice?: boolean } = {},
+  overrides: {
+    priority?: number;
+    attemptLimit?: number;
+    teamId?: string;
+    advice?: 'cheap' | 'dear';
+  } = {},
 ): Submission {
-  const { priority = 1, attemptLimit = 3, teamId = 'team-a', advice = false } = overrides;
+  const { priority = 1, attemptLimit = 3, teamId = 'team-a', advice } = overrides;
+  const costs = advice === 'dear' ? DEAR_ADVICE : CHEAP_ADVICE;
   return {
     id: toSubmissionId(number),
     teamId: teamId as TeamId,
@@ -525,7 +535,7 @@
       stretchFactor: 2,
       latencyGoalMs: 1_000,
       timeoutMs: 3_000,
-      advice: advice ? { callMs: 20, perTargetMs: 0.3, ticketValidMs: 2_500 } : undefined,
+      advice: advice === undefined ? undefined : costs,
       isPublic: false,
     },
     spec: {
