The strongest node owns the fleet

Cause: the Vms of the grown sites differ by four times in processor and twenty in bandwidth, and rank among candidates was drawn; a weak one as owner cannot carry 500 starts/s. Change: nodes register their processor; the strongest claim first, a planned stop hands over to the strongest (of equals the youngest), and a weak owner yields to a node with 1.5 times its processor after 3 s. src/node/followerTable.ts takes the followers out of node.ts. Tests: order of claims, choice of successors, and a whole deployment whose weak owner yields without starting anything twice.

--- a/src/node/memberList.ts
+++ b/src/node/memberList.ts
@@ -1,8 +1,10 @@
 /** The nodes of the deployment, as they registered themselves in the store. */
 
 import * as E from 'fp-ts/Either';
-import type { RowStore } from '../store/types';
+import * as z from 'zod';
+import type { RowStore, StoredRow } from '../store/types';
 import type { NodeId } from '../types/ids';
+import { tryParseJson } from '../types/json';
 import { MEMBER_PART, MEMBERS_TABLE } from './tables';
 
 /** One node. */
@@ -10,6 +12,15 @@
   readonly nodeId: NodeId;
   /** `ip:port` for calls of other nodes. */
   readonly address: string;
+  /** Processor of its Vm, in thousandths of a core. */
+  readonly processorMillis: number;
+}
+
+const memberSchema = z.object({ address: z.string(), processorMillis: z.number().nonnegative() });
+
+function toMember({ key, value }: StoredRow): Member[] {
+  const parsed = memberSchema.safeParse(tryParseJson(value));
+  return parsed.success ? [{ nodeId: key as NodeId, ...parsed.data }] : [];
 }
 
 /** Time limit of each call. */
@@ -90,17 +101,15 @@
     const query = { table: MEMBERS_TABLE, part: MEMBER_PART, fromKey: '', limit: PAGE_ROWS };
     const page = await this.#store.readRange(query, TIMEOUT_MS);
     if (E.isLeft(page)) return RETRY_MS;
-    this.#members = page.right.rows.map(({ key, value }) => ({
-      nodeId: key as NodeId,
-      address: value,
-    }));
+    this.#members = page.right.rows.flatMap(toMember);
     this.#onChanged(this.#members);
     return READ_PERIOD_MS;
   }
 
   async #register(): Promise<boolean> {
-    const { nodeId, address } = this.#self;
-    const row = { table: MEMBERS_TABLE, part: MEMBER_PART, key: nodeId, value: address };
+    const { nodeId, ...content } = this.#self;
+    const value = JSON.stringify(content);
+    const row = { table: MEMBERS_TABLE, part: MEMBER_PART, key: nodeId, value };
     const outcome = await this.#store.transact(
       { conditions: [], puts: [row], removals: [] },
       TIMEOUT_MS,
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -18,6 +18,7 @@
 import { OwnershipShell } from './ownershipShell';
 import type { NodePorts } from './ports';
 import { RelayedStore } from './relayedStore';
+import { FollowerTable, NODE_SILENCE_MS } from './followerTable';
 import { Router } from './router';
 
 /** How often ownership is checked. */
@@ -26,8 +27,8 @@
 /** How often the owner is sent a heartbeat: three within the time after which it is suspected. */
 const HEARTBEAT_PERIOD_MS = 200;
 
-/** A node that has not sent a heartbeat for this long is no lane and no supporter. */
-const NODE_SILENCE_MS = 900;
+/** How long a node owns the fleet before it looks for a stronger one, and how often after that. */
+const YIELD_PERIOD_MS = 3_000;
 
 /** Wait for the owner's answer to a gate. */
 const OWNER_TIMEOUT_MS = 500;
@@ -41,18 +42,14 @@
 /** Added to the time limit of an advice call that another node performs. */
 const RELAY_SLACK_MS = 200;
 
-/** A node that is connected to this one while it owns the fleet. */
-interface Follower {
-  readonly link: PeerLinkHandle;
-  readonly startedAtMs: number;
-  isStoreReachable: boolean;
-  heardAtMs: number;
-}
-
-/** Where a node listens for other nodes. */
-export interface PeerAddress {
+/** What a node is to the others. */
+export interface NodeIdentity {
+  readonly nodeId: NodeId;
+  /** Where it listens for other nodes. */
   readonly host: string;
   readonly port: number;
+  /** Processor of its Vm, in thousandths of a core. */
+  readonly processorMillis: number;
 }
 
 function sleep(durationMs: number): Promise<void> {
@@ -67,7 +64,7 @@
 
   #self: Member;
 
-  #address: PeerAddress;
+  #identity: NodeIdentity;
 
   #store: WatchedStore;
 
@@ -83,7 +80,9 @@
 
   #host: OwnerHost | undefined;
 
-  #followers = new Map<NodeId, Follower>();
+  #followers = new FollowerTable();
+
+  #ownsSinceMs = 0;
 
   #timers: NodeJS.Timeout[] = [];
 
@@ -92,13 +91,13 @@
   #isFetchingOperator = false;
 
   /**
-   * @param nodeId - name of this node
-   * @param address - where it listens for other nodes
+   * @param identity - what this node is to the others
    * @param ports - the outside
    */
-  constructor(nodeId: NodeId, address: PeerAddress, ports: NodePorts) {
-    this.#address = address;
-    this.#self = { nodeId, address: `${address.host}:${address.port}` };
+  constructor(identity: NodeIdentity, ports: NodePorts) {
+    const { nodeId, host, port, processorMillis } = identity;
+    this.#identity = identity;
+    this.#self = { nodeId, address: `${host}:${port}`, processorMillis };
     this.#store = new WatchedStore(ports.store, ports.clock, ports.metrics, (isReachable, detail) =>
       ports.logger.warn({ detail }, isReachable ? 'store regained' : 'store lost'),
     );
@@ -107,7 +106,7 @@
     this.#members = new MemberList(this.#store, this.#self, (members) =>
       this.#ownership.dispatch({
         kind: 'membersKnown',
-        nodeIds: members.map((member) => member.nodeId),
+        candidates: members,
       }),
     );
     const handlers = this.#createHandlers();
@@ -155,7 +154,7 @@
 
   /** Starts everything. */
   async start(): Promise<void> {
-    await this.#server.listen(this.#address.host, this.#address.port);
+    await this.#server.listen(this.#identity.host, this.#identity.port);
     this.#operator.start();
     this.#members.start();
     this.#timers.push(setInterval(() => this.#tick(), TICK_MS));
@@ -176,11 +175,16 @@
   beginStop(): void {
     this.#isStopping = true;
     this.#ownership.dispatch({ kind: 'stopRequested' });
+    const successorId = this.#followers.getSuccessorId();
+    if (successorId !== undefined) this.#handOver(successorId, 'planned stop');
+  }
+
+  /** Goes on until the successor has claimed the fleet. */
+  #handOver(successorId: NodeId, reason: string): void {
     const { mode } = this.#ownership.core;
-    const successorId = this.#getSuccessorId();
-    if (mode.kind !== 'owning' || successorId === undefined) return;
-    this.#ports.logger.info({ epoch: mode.epoch, successorId }, 'ownership handed over');
-    this.#followers.forEach(({ link }) => {
+    if (mode.kind !== 'owning') return;
+    this.#ports.logger.info({ epoch: mode.epoch, successorId, reason }, 'ownership handed over');
+    this.#followers.links.forEach((link) => {
       const params = { epoch: mode.epoch, successorId };
       link.call('resign', params, OWNER_TIMEOUT_MS).catch((error: unknown) => {
         this.#ports.logger.info({ reason: String(error) }, 'node did not hear of the resignation');
@@ -188,11 +192,13 @@
     });
   }
 
-  /** Nodes are restarted in turn, so the youngest one is the last to be stopped next. */
-  #getSuccessorId(): NodeId | undefined {
-    const able = [...this.#followers].filter(([, follower]) => follower.isStoreReachable);
-    const [first] = able.sort(([, left], [, right]) => right.startedAtMs - left.startedAtMs);
-    return first?.[0];
+  /** A weak node that became the owner while the strong ones were away gives the fleet back. */
+  #tryYield(nowMs: number): void {
+    if (this.#isStopping || nowMs < this.#ownsSinceMs + YIELD_PERIOD_MS) return;
+    const strongerId = this.#followers.tryGetStrongerId(this.#self.processorMillis, nowMs);
+    if (strongerId === undefined) return;
+    this.#ownsSinceMs = nowMs;
+    this.#handOver(strongerId, 'stronger node');
   }
 
   /** Ends everything. */
@@ -215,7 +221,7 @@
       configVersion: this.#operator.snapshot.operator.config?.version,
       closedDataCentreIds: this.#operator.snapshot.operator.closedDataCentreIds,
       members: this.#members.members,
-      followerIds: [...this.#followers.keys()],
+      followerIds: this.#followers.nodeIds,
       owner: this.#host?.core?.dump(),
     };
   }
@@ -224,14 +230,13 @@
     this.#ownership.dispatch({ kind: 'tick' });
     if (this.#host === undefined) return;
     const nowMs = this.#ports.clock.nowMs();
-    this.#followers.forEach((follower, nodeId) => {
-      if (nowMs < follower.heardAtMs + NODE_SILENCE_MS) return;
+    this.#tryYield(nowMs);
+    this.#followers.dropSilent(nowMs).forEach(({ nodeId, link }) => {
       this.#ports.logger.info({ nodeId }, 'node silent');
-      follower.link.close();
-      this.#followers.delete(nodeId);
+      link.close();
       this.#updateLanes();
     });
-    const isMajority = (this.#followers.size + 1) * 2 > this.#members.members.length;
+    const isMajority = (this.#followers.count + 1) * 2 > this.#members.members.length;
     if (!isMajority) return;
     const { epoch } = this.#ownership.core;
     this.#ownership.dispatch({ kind: 'majorityHeard', epoch, sinceMs: nowMs - NODE_SILENCE_MS });
@@ -239,6 +244,7 @@
 
   #beginOwning(epoch: Epoch, rowVersion: number): void {
     this.#followers.clear();
+    this.#ownsSinceMs = this.#ports.clock.nowMs();
     this.#host = new OwnerHost(
       this.#ports,
       {
@@ -264,7 +270,7 @@
   }
 
   #updateLanes(): void {
-    this.#host?.setLanes([this.#self.nodeId, ...this.#followers.keys()]);
+    this.#host?.setLanes([this.#self.nodeId, ...this.#followers.nodeIds]);
   }
 
   #onOperator(snapshot: OperatorSnapshot): void {
@@ -342,27 +348,18 @@
   }
 
   #noteFollower(params: PeerCalls['heartbeat'], link: PeerLinkHandle): void {
-    const { nodeId, isStoreReachable, startedAtMs } = params;
-    const heardAtMs = this.#ports.clock.nowMs();
-    const known = this.#followers.get(nodeId);
-    if (known?.link === link) {
-      known.heardAtMs = heardAtMs;
-      known.isStoreReachable = isStoreReachable;
-      return;
-    }
-    this.#followers.set(nodeId, { link, heardAtMs, isStoreReachable, startedAtMs });
+    const { nodeId } = params;
+    if (!this.#followers.note({ ...params, link }, this.#ports.clock.nowMs())) return;
     this.#ports.logger.info({ nodeId }, 'node connected');
     if (!this.#members.members.some((member) => member.nodeId === nodeId)) this.#members.refresh();
     this.#updateLanes();
   }
 
   #onFollowerClosed(link: PeerLinkHandle): void {
-    this.#followers.forEach((follower, nodeId) => {
-      if (follower.link !== link) return;
-      this.#followers.delete(nodeId);
-      this.#ports.logger.info({ nodeId }, 'node disconnected');
-      this.#updateLanes();
-    });
+    const nodeId = this.#followers.dropLink(link);
+    if (nodeId === undefined) return;
+    this.#ports.logger.info({ nodeId }, 'node disconnected');
+    this.#updateLanes();
   }
 
   async #transactFor(transaction: RowTransaction): Promise<PeerReplies['transact']> {
@@ -392,7 +389,7 @@
     if (nodeId === this.#self.nodeId) {
       return this.#ports.advice.advise(stepKey, targetIds, timeoutMs);
     }
-    const link = this.#followers.get(nodeId)?.link;
+    const link = this.#followers.getLink(nodeId);
     if (link === undefined) return E.left({ kind: 'failed', detail: 'node not connected' });
     try {
       const params = { stepKey, targetIds, timeoutMs };
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -12,6 +12,7 @@
 import type {
   OwnerRow,
   OwnershipEffect,
+  OwnerCandidate,
   OwnershipEvent,
   OwnershipMode,
   PeerVerdict,
@@ -92,7 +93,7 @@
 
   #notes: Notes = createNotes(0);
 
-  #members: readonly NodeId[] = [];
+  #candidates: readonly OwnerCandidate[] = [];
 
   #isStopping = false;
 
@@ -172,7 +173,7 @@
         this.#onTick(event.nowMs);
         return;
       case 'membersKnown':
-        this.#members = event.nodeIds;
+        this.#candidates = event.candidates;
         return;
       case 'rowRead':
         this.#onRowRead(event);
@@ -297,15 +298,20 @@
     this.#effects.push({ kind: 'askPeers', epoch: row.epoch });
   }
 
+  /** The strongest nodes come first; among equals the order differs from epoch to epoch. */
   #getRank(row: OwnerRow): number {
     if (row.nodeId === this.#nodeId) return 0;
     const named = this.#notes.successorId === undefined ? 0 : 1;
-    const score = (nodeId: NodeId) => getHash(`${row.epoch}|${nodeId}`);
-    const own = score(this.#nodeId);
-    const others = this.#members.filter(
-      (nodeId) => nodeId !== this.#nodeId && nodeId !== row.nodeId,
-    );
-    return named + others.filter((nodeId) => score(nodeId) > own).length;
+    const own = this.#candidates.find(({ nodeId }) => nodeId === this.#nodeId);
+    const ownMillis = own?.processorMillis ?? 0;
+    const getScore = (nodeId: NodeId) => getHash(`${row.epoch}|${nodeId}`);
+    const ownScore = getScore(this.#nodeId);
+    const before = this.#candidates.filter(({ nodeId, processorMillis }) => {
+      if (nodeId === this.#nodeId || nodeId === row.nodeId) return false;
+      if (processorMillis !== ownMillis) return processorMillis > ownMillis;
+      return getScore(nodeId) > ownScore;
+    });
+    return named + before.length;
   }
 
   #onRowRead({ result, nowMs }: Extract<OwnershipEvent, { kind: 'rowRead' }>): void {
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -130,6 +130,7 @@
       operatorVersion: this.#listener.getOperatorVersion(),
       isStoreReachable: this.#listener.isStoreReachable(),
       startedAtMs: this.#startedAtMs,
+      processorMillis: this.#self.processorMillis,
     };
     link
       .call('heartbeat', params, HEARTBEAT_TIMEOUT_MS)
--- a/src/node/ownershipTypes.ts
+++ b/src/node/ownershipTypes.ts
@@ -18,6 +18,13 @@
 export type OwnerRowFailure =
   { readonly kind: 'conflict' } | { readonly kind: 'unavailable'; readonly detail: string };
 
+/** A node that may own the fleet. */
+export interface OwnerCandidate {
+  readonly nodeId: NodeId;
+  /** Processor of its Vm, in thousandths of a core. */
+  readonly processorMillis: number;
+}
+
 /** Answers of the other nodes to whether they hear the owner. */
 export interface PeerVerdict {
   readonly askedCount: number;
@@ -28,7 +35,7 @@
 /** What happens to ownership. */
 export type OwnershipEvent = { readonly nowMs: number } & (
   | { readonly kind: 'tick' }
-  | { readonly kind: 'membersKnown'; readonly nodeIds: readonly NodeId[] }
+  | { readonly kind: 'membersKnown'; readonly candidates: readonly OwnerCandidate[] }
   | {
       readonly kind: 'rowRead';
       /** Undefined inside the outcome: there has never been an owner. */
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -16,6 +16,8 @@
     readonly isStoreReachable: boolean;
     /** Milliseconds since 1970; a planned stop hands over to the youngest node. */
     readonly startedAtMs: number;
+    /** Processor of the node's Vm, in thousandths of a core; the strongest node owns the fleet. */
+    readonly processorMillis: number;
   };
   submitted: { readonly text: string };
   cancelled: { readonly submissionId: SubmissionId };
--- /dev/null
+++ b/tests/followerTable.test.ts
@@ -0,0 +1,48 @@
+/** Who succeeds an owner: the strongest node, of equals the youngest, never one without the store. */
+
+import { FollowerTable } from '../src/node/followerTable';
+import type { FollowerNews } from '../src/node/followerTable';
+import type { PeerLinkHandle } from '../src/peer/types';
+import type { NodeId } from '../src/types/ids';
+
+function createNews(nodeId: string, overrides: Partial<FollowerNews> = {}): FollowerNews {
+  return {
+    nodeId: nodeId as NodeId,
+    link: {} as PeerLinkHandle,
+    startedAtMs: 100,
+    processorMillis: 300,
+    isStoreReachable: true,
+    ...overrides,
+  };
+}
+
+describe('a table of followers', () => {
+  test('names the strongest node, of equals the youngest', () => {
+    const table = new FollowerTable();
+    table.note(createNews('weak', { startedAtMs: 900 }), 0);
+    table.note(createNews('old', { processorMillis: 1_350 }), 0);
+    table.note(createNews('young', { processorMillis: 1_350, startedAtMs: 200 }), 0);
+    table.note(createNews('cut', { processorMillis: 2_000, isStoreReachable: false }), 0);
+    expect(table.getSuccessorId()).toBe('young');
+  });
+
+  test('names a stronger node only when it is much stronger and has been there for a while', () => {
+    const table = new FollowerTable();
+    table.note(createNews('strong', { processorMillis: 1_350 }), 0);
+    expect(table.tryGetStrongerId(300, 1_000)).toBeUndefined();
+    expect(table.tryGetStrongerId(300, 2_000)).toBe('strong');
+    expect(table.tryGetStrongerId(1_000, 2_000)).toBeUndefined();
+  });
+
+  test('takes a node that connects anew as new, and forgets silent and closed ones', () => {
+    const table = new FollowerTable();
+    const news = createNews('a');
+    expect(table.note(news, 0)).toBe(true);
+    expect(table.note(news, 500)).toBe(false);
+    expect(table.note(createNews('a'), 600)).toBe(true);
+    expect(table.dropLink(news.link)).toBeUndefined();
+    expect(table.dropSilent(1_400)).toEqual([]);
+    expect(table.dropSilent(1_500).map(({ nodeId }) => nodeId)).toEqual(['a']);
+    expect(table.count).toBe(0);
+  });
+});
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -83,6 +83,32 @@
   harness.send({ kind: 'peersAnswered', epoch: toEpoch(4), verdict });
 }
 
+describe('candidates for ownership', () => {
+  function getClaimDelayMs(processorMillis: number): number {
+    const harness = createFollower();
+    const weak = ['node-3', 'node-4', 'node-5'].map((nodeId) => ({
+      nodeId: nodeId as NodeId,
+      processorMillis: 324,
+    }));
+    harness.send({
+      kind: 'membersKnown',
+      candidates: [...weak, { nodeId: SELF, processorMillis }],
+    });
+    harness.send({ kind: 'resigned', epoch: toEpoch(4), successorId: undefined });
+    harness.send({ kind: 'rowRead', result: E.right(createRow()) });
+    const beganAtMs = harness.nowMs;
+    while (!harness.has('claim') && harness.nowMs < beganAtMs + 5_000) {
+      harness.pass(TICK_MS, createRow());
+    }
+    return harness.nowMs - beganAtMs;
+  }
+
+  test('claim in the order of their processors', () => {
+    expect(getClaimDelayMs(1_350)).toBeLessThanOrEqual(2 * TICK_MS);
+    expect(getClaimDelayMs(100)).toBeGreaterThanOrEqual(3 * 120);
+  });
+});
+
 describe('ownership', () => {
   test('is claimed at once when there has never been an owner', () => {
     const harness = new Harness();
--- a/tests/platformNodes.test.ts
+++ b/tests/platformNodes.test.ts
@@ -118,6 +118,20 @@
     TEST_TIMEOUT_MS,
   );
 
+  test(
+    'hand the fleet to a much stronger node, and start nothing twice',
+    async () => {
+      await begin(2_500, 2);
+      const address = deployment.nodes[0]?.address ?? '';
+      expect((await call(address, 'POST', toPath(1), TWO_STEPS)).status).toBe(200);
+      const strong = await deployment.addNode('node-9', 1_350);
+      await waitFor(() => deployment.owner === strong, 8_000);
+      await waitFor(() => isSucceeded(address, 1), 10_000);
+      expect([...deployment.starts.values()].every((count) => count === 1)).toBe(true);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
   test(
     'go on within a second when the owner is gone, and start nothing twice',
     async () => {
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -107,7 +107,7 @@
     );
   }
 
-  async addNode(name: string): Promise<RunningNode> {
+  async addNode(name: string, processorMillis = 500): Promise<RunningNode> {
     const lines: string[] = [];
     const stream = new PassThrough();
     stream.on('data', (chunk) => lines.push(String(chunk)));
@@ -115,8 +115,7 @@
     const workerCaller = new HttpCaller({ connectionsPerPeer: 3 });
     const port = await findFreePort();
     const node = new ClusterNode(
-      name as NodeId,
-      { host: '127.0.0.1', port },
+      { nodeId: name as NodeId, host: '127.0.0.1', port, processorMillis },
       {
         store: new StoreClient(storeCaller, this.#storeAddress),
         targets: new WorkerClient(workerCaller),
