Elapsed time no longer runs fast under frequent readings; leases of targets are judged by a steady clock

Logged: last reading of the target's clock 5.44 s ago by our clock, the target's own lapse came 0.98 s after we acted. ElapsedClock added the larger of the two steps at each reading; the wall clock moves by whole milliseconds, so several readings within one counted it twice: 10,000 readings within 1 s showed 1.9 s. Every time limit under load was short as well. Ruled out: the fence, a takeover (it happened within one epoch), orders carried out late. Change: the wall clock counts only where it leads by more than 20 ms (a suspension, or a clock set ahead). Clock.steadyMs never counts what may not have passed; lapses and the wait after a takeover go by it. Log lines are no longer cut when the pipe takes a part of a write.

--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -2,7 +2,7 @@
 
 import * as E from 'fp-ts/Either';
 import { OwnerCore } from '../owner/core';
-import type { Advice, AdviceFailure, OwnerEffect, OwnerEvent } from '../owner/types';
+import type { Advice, AdviceFailure, Moment, OwnerEffect, OwnerEvent } from '../owner/types';
 import { TableFollower } from '../store/tableFollower';
 import type { FollowedTable, FollowerEvent } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
@@ -44,7 +44,7 @@
   onSuperseded(reason: string): void;
 }
 
-type EventBody = OmitEach<OwnerEvent, 'nowMs' | 'wallMs'>;
+type EventBody = OmitEach<OwnerEvent, keyof Moment>;
 
 /** One ownership from its beginning to its end. */
 export class OwnerHost {
@@ -230,7 +230,7 @@
 
   #getMoment() {
     const { clock } = this.#ports;
-    return { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
+    return { nowMs: clock.nowMs(), wallMs: clock.wallMs(), steadyMs: clock.steadyMs() };
   }
 
   #dispatchOrKeep(event: EventBody): void {
--- a/src/observe/logStream.ts
+++ b/src/observe/logStream.ts
@@ -16,6 +16,9 @@
 
 const SECOND_MS = 1_000;
 
+/** Nothing could be written now. */
+const FULL_PIPE_CODE = 'EAGAIN';
+
 /** Takes the lines of a bunyan logger. */
 export class LogStream extends Writable {
   #waiting: string[] = [];
@@ -66,9 +69,21 @@
     const text = this.#waiting.join('');
     this.#waiting = [];
     this.#isWriting = true;
-    write(STDOUT_FD, text, () => {
+    this.#write(Buffer.from(text), text.length);
+  }
+
+  /** A pipe that is almost full takes a part; the rest follows, so that no line is cut. */
+  #write(bytes: Buffer, waitingBytes: number): void {
+    write(STDOUT_FD, bytes, 0, bytes.length, null, (error, writtenBytes) => {
+      const rest = bytes.subarray(error === null ? writtenBytes : 0);
+      const isLost = error !== null && error.code !== FULL_PIPE_CODE;
+      if (rest.length > 0 && !isLost) {
+        setTimeout(() => this.#write(rest, waitingBytes), FLUSH_DELAY_MS);
+        return;
+      }
+      if (isLost) this.#droppedCount += 1;
       this.#isWriting = false;
-      this.#waitingBytes -= text.length;
+      this.#waitingBytes -= waitingBytes;
       if (this.#waiting.length > 0) this.#timer ??= setTimeout(() => this.flush(), FLUSH_DELAY_MS);
     });
   }
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -69,7 +69,7 @@
     this.#state = new OwnerState(epoch);
     this.#state.setMoment(moment);
     this.#state.unresolvedUntilMs =
-      moment.nowMs + AUTHORITY_MS + LEASE_MS * (1 + CLOCK_SLOWNESS) + STOP_RETRY_MS;
+      moment.steadyMs + AUTHORITY_MS + LEASE_MS * (1 + CLOCK_SLOWNESS) + STOP_RETRY_MS;
     this.#state.unreadUntilMs = moment.nowMs + UNREAD_GRACE_MS;
     this.#keeper = new RunKeeper(this.#state);
     this.#targets = new TargetTable(this.#state, this.#keeper);
@@ -251,8 +251,8 @@
   }
 
   #checkUnresolved(): void {
-    const { unresolved, nowMs, unresolvedUntilMs } = this.#state;
-    if (unresolved.size > 0 && nowMs < unresolvedUntilMs) return;
+    const { unresolved, steadyMs, unresolvedUntilMs } = this.#state;
+    if (unresolved.size > 0 && steadyMs < unresolvedUntilMs) return;
     if (unresolved.size > 0) {
       this.#state.log('targets given up', { targetIds: [...unresolved] }, 'warn');
       unresolved.clear();
@@ -262,7 +262,8 @@
 
   /** Every target has listed its runs, so a task that no target lists is not running. */
   #clearUnseen(): void {
-    if (this.#state.targets.size === 0 && this.#state.nowMs < this.#state.unresolvedUntilMs) return;
+    if (this.#state.targets.size === 0 && this.#state.steadyMs < this.#state.unresolvedUntilMs)
+      return;
     let clearedCount = 0;
     this.#state.open.forEach((record) => {
       [...record.steps].forEach((step) => {
--- a/src/owner/inventoryReader.ts
+++ b/src/owner/inventoryReader.ts
@@ -85,7 +85,7 @@
         endedCount: inventory.ended.length,
       });
     }
-    target.clock.addSample(inventory.clockMs, sentAtMs, nowMs);
+    target.clock.addSample(inventory.clockMs, sentAtMs, this.#state.steadyMs);
     target.isResponding = true;
     // Ends are acknowledged in their order, so one of an unread submission holds up those after it.
     const firstUnread = inventory.ended.findIndex((row) => this.#isUnread(target, row));
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -54,6 +54,9 @@
 
   wallMs = 0;
 
+  /** Elapsed time that has certainly passed. */
+  steadyMs = 0;
+
   /** Something has changed that may let a task start. */
   isPlanDue = true;
 
@@ -69,6 +72,7 @@
   setMoment(moment: Moment): void {
     this.nowMs = moment.nowMs;
     this.wallMs = moment.wallMs;
+    this.steadyMs = moment.steadyMs;
   }
 
   /**
--- a/src/owner/runKeeper.ts
+++ b/src/owner/runKeeper.ts
@@ -99,7 +99,7 @@
     if (target === undefined || run === undefined) return;
     if (E.isRight(event.result)) {
       this.#state.answerTimes.addAnswer(this.#state.nowMs - event.sentAtMs);
-      target.clock.addSample(event.result.right.clockMs, event.sentAtMs, this.#state.nowMs);
+      target.clock.addSample(event.result.right.clockMs, event.sentAtMs, this.#state.steadyMs);
       target.isResponding = true;
       if (run.phase !== 'starting') return;
       run.phase = 'running';
--- a/src/owner/targetClock.ts
+++ b/src/owner/targetClock.ts
@@ -6,7 +6,8 @@
 interface ClockSample {
   readonly clockMs: number;
   readonly sentAtMs: number;
-  readonly receivedAtMs: number;
+  /** When the answer came, by the time that has certainly passed. */
+  readonly receivedSteadyMs: number;
 }
 
 /** Estimates a clock that runs at most 2% slow against ours. */
@@ -17,12 +18,12 @@
    * Takes a reading.
    * @param clockMs - what the target's clock showed
    * @param sentAtMs - when the call left, on our clock
-   * @param receivedAtMs - when the answer came, on our clock
+   * @param receivedSteadyMs - when the answer came, by the time that has certainly passed here
    */
-  addSample(clockMs: number, sentAtMs: number, receivedAtMs: number): void {
+  addSample(clockMs: number, sentAtMs: number, receivedSteadyMs: number): void {
     const isOlder = this.#sample !== undefined && sentAtMs < this.#sample.sentAtMs;
     if (isOlder) return;
-    this.#sample = { clockMs, sentAtMs, receivedAtMs };
+    this.#sample = { clockMs, sentAtMs, receivedSteadyMs };
   }
 
   /**
@@ -35,12 +36,12 @@
   }
 
   /**
-   * @param nowMs - our clock
+   * @param steadyMs - time that has certainly passed here
    * @returns the least that the target's clock can show, or undefined when it was never read
    */
-  getLowerMs(nowMs: number): number | undefined {
+  getLowerMs(steadyMs: number): number | undefined {
     if (this.#sample === undefined) return undefined;
-    const elapsedMs = Math.max(0, nowMs - this.#sample.receivedAtMs);
+    const elapsedMs = Math.max(0, steadyMs - this.#sample.receivedSteadyMs);
     return this.#sample.clockMs + elapsedMs * (1 - CLOCK_SLOWNESS);
   }
 }
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -177,11 +177,11 @@
 
   /**
    * Asks whether every run here must have been killed, as its lease has lapsed.
-   * @param nowMs - our clock
+   * @param steadyMs - time that has certainly passed here
    * @returns true when even a slow clock has passed the end of the lease
    */
-  isLapsed(nowMs: number): boolean {
-    const lowerMs = this.clock.getLowerMs(nowMs);
+  isLapsed(steadyMs: number): boolean {
+    const lowerMs = this.clock.getLowerMs(steadyMs);
     return lowerMs !== undefined && lowerMs > this.#leaseUntilMs + LAPSE_MARGIN_MS;
   }
 
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -50,7 +50,7 @@
       return;
     }
     if (known !== undefined) this.#keeper.endLife(known, 'it has started again');
-    const isFormerLife = this.#state.nowMs < this.#state.unresolvedUntilMs;
+    const isFormerLife = this.#state.steadyMs < this.#state.unresolvedUntilMs;
     this.#state.targets.set(entry.id, new TargetState(entry));
     if (isFormerLife && known === undefined) this.#state.unresolved.add(entry.id);
     this.#state.log('target registered', {
@@ -74,7 +74,7 @@
 
   /** Notices lapsed leases, targets that are gone, stops to be repeated and runs that stand still. */
   check(): void {
-    const { nowMs } = this.#state;
+    const { nowMs, steadyMs } = this.#state;
     [...this.#state.targets.values()].forEach((target) => {
       target.runs.forEach((run) => {
         const isRepeatDue =
@@ -84,7 +84,7 @@
         if (isRepeatDue) this.#keeper.stop(run, 'repeated');
         if (run.phase === 'running') this.#checkProgress(target, run);
       });
-      if (!target.isResponding && target.isLapsed(nowMs) && target.runs.size > 0) {
+      if (!target.isResponding && target.isLapsed(steadyMs) && target.runs.size > 0) {
         this.#keeper.releaseAll(target, 'its lease has lapsed');
       }
       if (!target.isListed && this.#isOver(target)) {
@@ -107,7 +107,7 @@
   /** A target that has left the registry is kept while it may still run something. */
   #isOver(target: TargetState): boolean {
     if (target.runs.size > 0) return false;
-    if (!target.isContacted) return this.#state.nowMs > this.#state.unresolvedUntilMs;
+    if (!target.isContacted) return this.#state.steadyMs > this.#state.unresolvedUntilMs;
     return !target.isResponding || target.listedEndCount === 0;
   }
 }
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -140,6 +140,8 @@
   readonly nowMs: number;
   /** Milliseconds since 1970. */
   readonly wallMs: number;
+  /** Elapsed time that has certainly passed: what others must have noticed is judged by it. */
+  readonly steadyMs: number;
 }
 
 /** Everything that the owner's reducer reacts to. */
--- a/src/types/clock.ts
+++ b/src/types/clock.ts
@@ -6,36 +6,91 @@
 export interface Clock {
   /** Milliseconds since the process started. */
   nowMs(): number;
+  /** Milliseconds that have certainly passed since the process started; a suspension may be missing. */
+  steadyMs(): number;
   /** Milliseconds since 1970, for values that leave the process. */
   wallMs(): number;
 }
 
+/** Where a clock reads the time. */
+export interface TimeSources {
+  /** Milliseconds of a clock that never goes back and may stop while the Vm is suspended. */
+  monotonicMs(): number;
+  /** Milliseconds since 1970. */
+  wallMs(): number;
+}
+
+const SYSTEM_TIME: TimeSources = {
+  monotonicMs: () => performance.now(),
+  wallMs: () => Date.now(),
+};
+
+/**
+ * Lead of the wall clock that counts as a suspension. Far above its resolution of 1 ms, far below the
+ * margins of leases.
+ */
+const JUMP_MS = 20;
+
+/** Both clocks are read within this time, or again. */
+const READ_TOGETHER_MS = 1;
+const MAX_READS = 3;
+
 /**
- * Takes the larger of monotonic and wall-clock progress. A frozen Vm can stop the monotonic clock,
- * and a stepped wall clock only ever makes a lease end early.
+ * Follows the monotonic clock, and adds what the wall clock has gained on it when the Vm was suspended.
+ * A wall clock that is set ahead is taken for a suspension: by this clock a process gives up its own
+ * authority early. What others must have noticed is judged by {@link Clock.steadyMs}.
  */
 export class ElapsedClock implements Clock {
-  #elapsedMs = 0;
+  #sources: TimeSources;
 
-  #lastMonotonicMs = performance.now();
+  #startedAtMs: number;
 
-  #lastWallMs = Date.now();
+  #suspendedMs = 0;
+
+  /** Wall clock less monotonic clock at the last reading that counted. */
+  #offsetMs: number;
+
+  #lastWallMs: number;
+
+  /**
+   * @param sources - the clocks to read
+   */
+  constructor(sources: TimeSources = SYSTEM_TIME) {
+    this.#sources = sources;
+    this.#startedAtMs = sources.monotonicMs();
+    this.#lastWallMs = sources.wallMs();
+    this.#offsetMs = this.#lastWallMs - this.#startedAtMs;
+  }
 
   /** {@inheritDoc Clock.nowMs} */
   nowMs(): number {
-    const monotonicMs = performance.now();
-    const wallMs = Date.now();
-    const monotonicStepMs = monotonicMs - this.#lastMonotonicMs;
-    const wallStepMs = wallMs - this.#lastWallMs;
-    this.#lastMonotonicMs = monotonicMs;
-    this.#lastWallMs = wallMs;
-    this.#elapsedMs += Math.max(monotonicStepMs, wallStepMs, 0);
-    return this.#elapsedMs;
+    const monotonicMs = this.#read();
+    const leadMs = this.#lastWallMs - monotonicMs - this.#offsetMs;
+    if (leadMs > JUMP_MS) this.#suspendedMs += leadMs;
+    if (Math.abs(leadMs) > JUMP_MS) this.#offsetMs += leadMs;
+    return monotonicMs - this.#startedAtMs + this.#suspendedMs;
+  }
+
+  /** {@inheritDoc Clock.steadyMs} */
+  steadyMs(): number {
+    return this.#sources.monotonicMs() - this.#startedAtMs;
   }
 
   /** {@inheritDoc Clock.wallMs} */
   wallMs(): number {
-    this.nowMs();
-    return this.#lastWallMs;
+    return this.#sources.wallMs();
+  }
+
+  /** Reads both clocks; a pause of the process in between would look like a jump. */
+  #read(): number {
+    let monotonicMs = this.#sources.monotonicMs();
+    for (let count = 1; count <= MAX_READS; count += 1) {
+      this.#lastWallMs = this.#sources.wallMs();
+      const afterMs = this.#sources.monotonicMs();
+      const isTogether = afterMs - monotonicMs <= READ_TOGETHER_MS;
+      monotonicMs = afterMs;
+      if (isTogether) break;
+    }
+    return monotonicMs;
   }
 }
--- a/tests/acceptance.test.ts
+++ b/tests/acceptance.test.ts
@@ -5,7 +5,11 @@
 import type { Committed, RowTransaction, StoreOutcome } from '../src/store/types';
 import type { SubmissionId } from '../src/types/ids';
 
-const CLOCK = { nowMs: () => performance.now(), wallMs: () => Date.now() };
+const CLOCK = {
+  nowMs: () => performance.now(),
+  steadyMs: () => performance.now(),
+  wallMs: () => Date.now(),
+};
 
 function toId(digits: string): SubmissionId {
   return digits.padEnd(16, '0') as SubmissionId;
--- a/tests/leaseParts.test.ts
+++ b/tests/leaseParts.test.ts
@@ -205,7 +205,7 @@
       },
     };
     const ports = {
-      clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+      clock: { nowMs: () => nowMs, steadyMs: () => nowMs, wallMs: () => nowMs },
       metrics: { count: () => undefined },
       targets: {
         perform: (address: string) => {
--- a/tests/owner.test.ts
+++ b/tests/owner.test.ts
@@ -255,6 +255,18 @@
     expect(world.getState(toSubmissionId(1))).toBe('succeeded');
   });
 
+  test('that is cut off keeps its tasks when the time of day is set ahead', () => {
+    const world = createWorld();
+    world.submit(createSubmission(1, [{ taskCount: 6, estimateMs: 8_000 }]));
+    world.run(500);
+    world.cut('target-0' as TargetId, 60_000);
+    world.run(1_500);
+    world.clockLeadMs = 4_000;
+    world.run(25_000);
+    expect(world.broken).toEqual([]);
+    expect(world.getState(toSubmissionId(1))).toBe('succeeded');
+  });
+
   test('that restarts under its id loses its runs at once', () => {
     const world = createWorld();
     world.submit(createSubmission(1, [{ taskCount: 6, estimateMs: 4_000 }]));
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -86,6 +86,9 @@
 
   isAdviceNeeded = false;
 
+  /** By how much the owner's time of day was set ahead, which it cannot tell from a suspension. */
+  clockLeadMs = 0;
+
   #random: Random;
 
   #plan: WorldPlan;
@@ -148,7 +151,8 @@
       progress: this.#progress.get(submission.id)?.value,
       progressVersion: this.#progress.get(submission.id)?.version ?? 0,
     }));
-    const moment = { nowMs: this.time.nowMs, wallMs: WALL_START_MS + this.time.nowMs };
+    const { nowMs } = this.time;
+    const moment = { nowMs, wallMs: WALL_START_MS + nowMs, steadyMs: nowMs };
     const core = new OwnerCore(toEpoch(this.#epoch), loaded, moment);
     const owner = { core, epoch: this.#epoch, isStopped: false };
     this.#owner = owner;
@@ -235,14 +239,15 @@
     const { nowMs } = this.time;
     const effects = owner.core.reduce({
       ...event,
-      nowMs,
-      wallMs: WALL_START_MS + nowMs,
+      nowMs: nowMs + this.clockLeadMs,
+      wallMs: WALL_START_MS + nowMs + this.clockLeadMs,
+      steadyMs: nowMs,
     } as OwnerEvent);
     effects.forEach((effect) => this.#perform(owner, effect));
   }
 
   #perform(owner: Owner, effect: OwnerEffect): void {
-    const sentAtMs = this.time.nowMs;
+    const sentAtMs = this.time.nowMs + this.clockLeadMs;
     const { targetId = undefined } = 'targetId' in effect ? effect : {};
     const target = targetId === undefined ? undefined : this.targets.get(targetId);
     switch (effect.kind) {
@@ -323,7 +328,7 @@
     const { laneId, stepKey, targetIds } = effect;
     const good = targetIds.filter((targetId) => getHash(`${stepKey}/${targetId}`) % 10 < 6);
     const grants = good.map((targetId) => ({ targetId, ticket: 'ticket' as Ticket }));
-    const sentAtMs = this.time.nowMs;
+    const sentAtMs = this.time.nowMs + this.clockLeadMs;
     const result = E.right({ grants, validMs: 2_500 });
     this.time.after(30, () =>
       this.#dispatch(owner, { kind: 'advised', laneId, stepKey, targetIds, sentAtMs, result }),
