--- a/tests/hedgedTransaction.test.ts
+++ b/tests/hedgedTransaction.test.ts
@@ -74,6 +74,14 @@
     expect(played.outcome).toEqual(UNKNOWN);
   });
 
+  test('stays doubtful when the copy that may have been performed is not the last to end', async () => {
+    const played = await play([
+      { tookMs: 200, outcome: UNKNOWN },
+      { tookMs: 300, outcome: TURNED_AWAY },
+    ]);
+    expect(played).toMatchObject({ outcome: UNKNOWN, tookMs: 600, sentCount: 3 });
+  });
+
   test('is given up at once when the store turns its only copy away', async () => {
     const played = await play([{ tookMs: 1, outcome: TURNED_AWAY }]);
     expect(played).toMatchObject({ outcome: TURNED_AWAY, tookMs: 1, sentCount: 1 });
--- /dev/null
+++ b/tests/ownerGolden.test.ts
@@ -0,0 +1,85 @@
+/** Sessions of the owner against golden files: a takeover, an outage of the store, a gang, a cancellation. */
+
+import { readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import type { OwnerEffect } from '../src/owner/types';
+import { createSubmission, NO_FAULTS, OwnerWorld, toSubmissionId } from './support/ownerWorld';
+
+const KINDS: readonly OwnerEffect['kind'][] = [
+  'startRun',
+  'stopRun',
+  'askAdvice',
+  'writeProgress',
+  'deleteSubmissions',
+  'stepDown',
+  'log',
+];
+
+/** Plays a session and lists what the owners asked for; looks and figures are left out. */
+function record(play: (world: OwnerWorld) => void): unknown {
+  const world = new OwnerWorld({ seed: 3, targetCount: 3, faults: NO_FAULTS });
+  const session: unknown[] = [];
+  world.onEffect = (epoch, effect) => {
+    if (!KINDS.includes(effect.kind)) return;
+    session.push({ atMs: Math.round(world.time.nowMs), epoch, effect });
+  };
+  world.takeOver();
+  play(world);
+  expect(world.broken).toEqual([]);
+  return JSON.parse(JSON.stringify(session));
+}
+
+function expectGolden(name: string, session: unknown): void {
+  const file = join(__dirname, 'golden', `owner.${name}.golden.json`);
+  if (process.env.ACCEPT_GOLDEN === '1') {
+    writeFileSync(file, `${JSON.stringify(session, undefined, 2)}\n`);
+  }
+  expect(session).toEqual(JSON.parse(readFileSync(file, 'utf8')));
+}
+
+describe('a session of the owner', () => {
+  test('with a takeover while tasks run is as accepted', () => {
+    const session = record((world) => {
+      world.submit(createSubmission(1, [{ taskCount: 3 }, { taskCount: 1, after: [0] }]));
+      world.run(500);
+      world.takeOver();
+      world.run(3_000);
+      expect(world.getState(toSubmissionId(1))).toBe('succeeded');
+    });
+    expectGolden('takeover', session);
+  });
+
+  test('with an outage of the store is as accepted', () => {
+    const session = record((world) => {
+      world.submit(createSubmission(1, [{ taskCount: 2 }, { taskCount: 1, after: [0] }]));
+      world.run(500);
+      world.isStoreUp = false;
+      world.run(3_000);
+      world.isStoreUp = true;
+      world.run(3_000);
+      expect(world.getState(toSubmissionId(1))).toBe('succeeded');
+    });
+    expectGolden('outage', session);
+  });
+
+  test('with a gang is as accepted', () => {
+    const policy = { kind: 'gang', isSameRack: false } as const;
+    const session = record((world) => {
+      world.submit(createSubmission(1, [{ taskCount: 4, policy }], { advice: 'cheap' }));
+      world.run(3_000);
+      expect(world.getState(toSubmissionId(1))).toBe('succeeded');
+    });
+    expectGolden('gang', session);
+  });
+
+  test('with a cancellation is as accepted', () => {
+    const session = record((world) => {
+      world.submit(createSubmission(1, [{ taskCount: 2, estimateMs: 20_000 }]));
+      world.run(500);
+      world.cancel(toSubmissionId(1));
+      world.run(1_500);
+      expect(world.getState(toSubmissionId(1))).toBe('cancelled');
+    });
+    expectGolden('cancel', session);
+  });
+});
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -73,6 +73,12 @@
   /** Runs that were stopped, lapsed or lost. */
   readonly ends = new Map<EndKind, number>();
 
+  /** Told of each effect before it is performed. */
+  onEffect: ((epoch: number, effect: OwnerEffect) => void) | undefined;
+
+  /** Tasks of which a run was stopped. */
+  readonly stoppedKeys: TaskKey[] = [];
+
   readonly maxRunsByTask = new Map<TaskKey, number>();
 
   startCount = 0;
@@ -247,6 +253,7 @@
   }
 
   #perform(owner: Owner, effect: OwnerEffect): void {
+    this.onEffect?.(owner.epoch, effect);
     const sentAtMs = this.time.nowMs + this.clockLeadMs;
     const { targetId = undefined } = 'targetId' in effect ? effect : {};
     const target = targetId === undefined ? undefined : this.targets.get(targetId);
@@ -376,6 +383,11 @@
     });
   }
 
+  /** What was asked for the step of a task. */
+  getSpec(taskKey: TaskKey): StepSpec {
+    return this.#getStep(taskKey).step;
+  }
+
   #getStep(taskKey: TaskKey): { submission: Submission; step: StepSpec; number: number } {
     const name = tryParseTaskKey(taskKey);
     const submission = name && this.#submissions.get(name.submissionId);
@@ -501,6 +513,7 @@
     this.ends.set(how, (this.ends.get(how) ?? 0) + 1);
     this.#endedAtMs.set(`${run.taskKey}#${run.run}`, this.time.nowMs);
     if (how === 'done') this.#done.add(run.taskKey);
+    if (how === 'stopped') this.stoppedKeys.push(run.taskKey);
   }
 }
 
--- a/tools/mutants.mjs
+++ b/tools/mutants.mjs
@@ -16,6 +16,7 @@
 const COPIED = [
   'src',
   'standins',
+  'platform',
   'tests',
   'tools',
   'demo',
