An owner is not left while the store is away for all nodes

At 19.24 six nodes suspected the owner as being without the store, as their own last call had been answered; from then to 22.28 they had no owner and refused 116 reads of states, and the store's return began with a takeover. Ruled out: the owner's authority (most nodes heard it until then), the processor. Change: such an owner is replaced only after the store has answered this node and the owner still goes without 0.3 s later, so that its return for all is not taken for a loss of the owner alone. Also: a call that waited in vain for a starting node is taken off its list. Tests: two in tests/ownership.test.ts; the first failed before.

--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -62,7 +62,7 @@
 
   #router: Router | undefined;
 
-  #startCalls: (() => void)[] = [];
+  #startCalls = new Set<() => void>();
 
   /**
    * @param ports - store, owner, clock and log
@@ -78,7 +78,7 @@
   setRouter(router: Router): void {
     this.#router = router;
     const calls = this.#startCalls;
-    this.#startCalls = [];
+    this.#startCalls = new Set();
     calls.forEach((proceed) => proceed());
   }
 
@@ -135,13 +135,14 @@
 
   /** Ends with the first configuration, after a time, or at once when too many calls wait. */
   #waitForRouter(): Promise<void> {
-    if (this.#startCalls.length >= MAX_START_CALLS) return Promise.resolve();
+    if (this.#startCalls.size >= MAX_START_CALLS) return Promise.resolve();
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, START_WAIT_MS);
-      this.#startCalls.push(() => {
-        clearTimeout(timer);
+      const proceed = () => {
+        this.#startCalls.delete(proceed);
         resolve();
-      });
+      };
+      setTimeout(proceed, START_WAIT_MS);
+      this.#startCalls.add(proceed);
     });
   }
 
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -40,6 +40,9 @@
 /** An owner whose store does not answer for this long is replaced by a node whose store does. */
 const STORE_LOST_MS = 900;
 
+/** When the store returns for all, the owner notices within this time of the first other node. */
+const STORE_PROVEN_MS = 300;
+
 /** A node that hears nobody claims only after the owner's row has not been renewed for this long. */
 const ISOLATED_MS = 2_500;
 
@@ -63,6 +66,8 @@
   readMs: number;
   readSentAtMs: number;
   successorId: NodeId | undefined;
+  /** Since when the store has answered this node while it does not answer the owner. */
+  storeAnsweredAtMs: number | undefined;
   confirmedAtMs: number;
 }
 
@@ -81,6 +86,7 @@
     readMs: 0,
     readSentAtMs: nowMs,
     successorId: undefined,
+    storeAnsweredAtMs: undefined,
     confirmedAtMs: nowMs,
   };
 }
@@ -319,6 +325,7 @@
     this.#notes.readMs = nowMs - this.#notes.readSentAtMs;
     if (E.isLeft(result)) return;
     const row = result.right;
+    if (this.#mode.kind === 'following') this.#notes.storeAnsweredAtMs ??= nowMs;
     const isIdle = this.#mode.kind === 'searching' || this.#mode.kind === 'suspecting';
     if (!isIdle) return;
     if (row === undefined) {
@@ -342,6 +349,16 @@
     this.#follow(row, nowMs);
   }
 
+  /**
+   * The owner gets no answers from the store. It is replaced only once the store has answered this node
+   * for a while, as nobody could own the fleet while the store is away for all.
+   */
+  #checkStore(nowMs: number): void {
+    const { storeAnsweredAtMs } = this.#notes;
+    if (storeAnsweredAtMs === undefined) this.#tryRead(nowMs);
+    else if (nowMs >= storeAnsweredAtMs + STORE_PROVEN_MS) this.#suspect('withoutStore', nowMs);
+  }
+
   #noteAlive(row: OwnerRow, nowMs: number): void {
     if (this.#notes.aliveVersion !== row.aliveVersion) this.#notes.aliveSeenAtMs = nowMs;
     this.#notes.aliveVersion = row.aliveVersion;
@@ -391,9 +408,8 @@
     }
     this.#notes.heardAtMs = event.nowMs;
     this.#notes.hasHeard = true;
-    if (event.storeLostForMs > STORE_LOST_MS && this.#isStoreReachable()) {
-      this.#suspect('withoutStore', event.nowMs);
-    }
+    if (event.storeLostForMs <= STORE_LOST_MS) this.#notes.storeAnsweredAtMs = undefined;
+    else if (this.#isStoreReachable()) this.#checkStore(event.nowMs);
   }
 
   #suspect(suspicion: Suspicion, nowMs: number): void {
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -174,9 +174,40 @@
     const withStore = createFollower();
     withStore.send(answer);
     withStore.send({ kind: 'rowRead', result: E.right(createRow()) });
+    withStore.send(answer);
+    expect(withStore.has('claim')).toBe(false);
+    withStore.nowMs += 400;
+    withStore.send(answer);
+    withStore.send({ kind: 'rowRead', result: E.right(createRow()) });
     expect(withStore.has('claim')).toBe(true);
   });
 
+  test('stays with its owner while the store answers nobody', () => {
+    const harness = createFollower();
+    for (let lostForMs = 1_000; lostForMs < 5_000; lostForMs += 200) {
+      harness.nowMs += 200;
+      harness.send({
+        ...{ kind: 'heartbeatAnswered', epoch: toEpoch(4), ownedEpoch: 4 },
+        storeLostForMs: lostForMs,
+      });
+      harness.send({ kind: 'rowRead', result: E.left({ kind: 'unavailable', detail: 'lost' }) });
+    }
+    expect(harness.core.mode.kind).toBe('following');
+  });
+
+  test('stays with its owner when the store returns for all', () => {
+    const harness = createFollower();
+    const answer = { kind: 'heartbeatAnswered' as const, epoch: toEpoch(4), ownedEpoch: 4 };
+    harness.send({ ...answer, storeLostForMs: 4_000 });
+    harness.send({ kind: 'rowRead', result: E.right(createRow()) });
+    harness.nowMs += 200;
+    harness.send({ ...answer, storeLostForMs: 4_200 });
+    harness.nowMs += 200;
+    harness.send({ ...answer, storeLostForMs: 0 });
+    harness.pass(200, createRow());
+    expect(harness.core.mode.kind).toBe('following');
+  });
+
   test('passes on without questions when the owner resigns, but not to a node that stops', () => {
     const harness = createFollower();
     harness.send({ kind: 'resigned', epoch: toEpoch(4), successorId: SELF });
