One virtual time for tests and benchmarks, on the heap that the other world uses

VirtualTime repeated the Timeline of bench/overload.ts, with a linear insertion instead of its binary search, while tests/support/world.ts had heap-js for the same. Also: the fence of the durability benchmark is a constant, so that no check is switched off for it.

--- a/bench/durability.ts
+++ b/bench/durability.ts
@@ -44,8 +44,13 @@
   };
 }
 
+/** The benchmark has no lease rows; a row that does not exist stands for an unchanged one. */
+const NO_LEASES: FenceSource = {
+  tryGetFence: (shardId: ShardId): RowCheck => ({ key: `shard/${shardId}`, version: 0 }),
+};
+
 /** One scheduler's journal with the platform answering after a fixed latency. */
-class BenchWriter implements FenceSource {
+class BenchWriter {
   readonly shardIds: readonly ShardId[];
 
   readonly #journal: Journal<number>;
@@ -61,20 +66,14 @@
     this.shardIds = Array.from({ length: HOME_SHARD_COUNT }, (_, shard) => shard)
       .filter((shard) => shard % WRITER_COUNT === index)
       .map((shard) => toId<ShardId>(`home.${shard}`));
-    this.#journal = new Journal(`w${index}`, this);
-    this.#snapshots = new Snapshots(`w${index}`, this, { createSnapshot: () => '[]' });
+    this.#journal = new Journal(`w${index}`, NO_LEASES);
+    this.#snapshots = new Snapshots(`w${index}`, NO_LEASES, { createSnapshot: () => '[]' });
     this.shardIds.forEach((shardId) => {
       this.#journal.open(shardId, 0);
       this.#snapshots.open(createEmpty(shardId));
     });
   }
 
-  // The benchmark has no lease rows; a row that does not exist stands for an unchanged one.
-  // eslint-disable-next-line class-methods-use-this
-  tryGetFence(shardId: ShardId): RowCheck {
-    return { key: `shard/${shardId}`, version: 0 };
-  }
-
   append(nowMs: number, shardId: ShardId, entry: Parameters<Journal<number>['append']>[2]): void {
     this.#journal.append(nowMs, shardId, entry, [nowMs], true);
   }
--- a/bench/overload.ts
+++ b/bench/overload.ts
@@ -8,6 +8,7 @@
 import type { Target } from '../src/placement/types';
 import { Random } from '../src/types/random';
 import { toEpoch, toId } from '../src/types/ids';
+import { VirtualTime } from '../tests/support/virtualTime';
 import type { Bench, Figure } from './types';
 
 const TARGET_COUNT = 8;
@@ -20,40 +21,6 @@
 const LOADS = [0.5, 0.8, 1, 1.5, 2, 3];
 const SEED = 5;
 
-/** Something that happens at a time. */
-interface Timed {
-  readonly atMs: number;
-  readonly run: () => void;
-}
-
-/** Virtual time in which events are run in order. */
-class Timeline {
-  nowMs = 0;
-
-  #queue: Timed[] = [];
-
-  schedule(delayMs: number, run: () => void): void {
-    const atMs = this.nowMs + delayMs;
-    let low = 0;
-    let high = this.#queue.length;
-    while (low < high) {
-      const middle = Math.floor((low + high) / 2);
-      if ((this.#queue[middle]?.atMs ?? 0) > atMs) low = middle + 1;
-      else high = middle;
-    }
-    this.#queue.splice(low, 0, { atMs, run });
-  }
-
-  run(untilMs: number): void {
-    for (;;) {
-      const next = this.#queue.pop();
-      if (next === undefined || next.atMs > untilMs) return;
-      this.nowMs = next.atMs;
-      next.run();
-    }
-  }
-}
-
 /** Takes requests in and counts those answered within their window. */
 interface Server {
   readonly goodCount: number;
@@ -76,7 +43,7 @@
 class TableServer implements Server {
   goodCount = 0;
 
-  #timeline: Timeline;
+  #timeline: VirtualTime;
 
   #table: RequestTable;
 
@@ -88,7 +55,7 @@
 
   #pool: TargetPool;
 
-  constructor(timeline: Timeline) {
+  constructor(timeline: VirtualTime) {
     this.#timeline = timeline;
     const pool = new TargetPool({
       getAllottedSlots: () => Number.POSITIVE_INFINITY,
@@ -142,7 +109,7 @@
 
   #tick(): void {
     this.#perform(this.#table.tick(this.#timeline.nowMs));
-    this.#timeline.schedule(TICK_MS, () => this.#tick());
+    this.#timeline.after(TICK_MS, () => this.#tick());
   }
 
   /** What was lost may run on; targets report what they run, as they do to their owner. */
@@ -162,7 +129,7 @@
       const owned = { target, report, sentMs: nowMs, isTakeover: false };
       this.#perform(this.#table.applyReport(nowMs, owned));
     });
-    this.#timeline.schedule(REPORT_MS, () => this.#report());
+    this.#timeline.after(REPORT_MS, () => this.#report());
   }
 
   #perform(effects: readonly RequestEffect[]): void {
@@ -176,8 +143,8 @@
       const { origin, timeoutMs } = effect;
       const serviceMs = this.#serviceMs.get(origin.callId) ?? 0;
       this.#runningIds.add(origin.callId);
-      this.#timeline.schedule(serviceMs, () => this.#runningIds.delete(origin.callId));
-      this.#timeline.schedule(Math.min(serviceMs, timeoutMs), () => {
+      this.#timeline.after(serviceMs, () => this.#runningIds.delete(origin.callId));
+      this.#timeline.after(Math.min(serviceMs, timeoutMs), () => {
         const result =
           serviceMs > timeoutMs
             ? ({ kind: 'lost', detail: 'timeout' } as const)
@@ -198,13 +165,13 @@
 class FifoServer implements Server {
   goodCount = 0;
 
-  #timeline: Timeline;
+  #timeline: VirtualTime;
 
   #waiting: { readonly deadlineMs: number; readonly serviceMs: number }[] = [];
 
   #freeSlots = TARGET_COUNT * SLOTS;
 
-  constructor(timeline: Timeline) {
+  constructor(timeline: VirtualTime) {
     this.#timeline = timeline;
   }
 
@@ -218,7 +185,7 @@
       const next = this.#waiting.shift();
       if (next === undefined) return;
       this.#freeSlots -= 1;
-      this.#timeline.schedule(next.serviceMs, () => {
+      this.#timeline.after(next.serviceMs, () => {
         this.#freeSlots += 1;
         if (this.#timeline.nowMs <= next.deadlineMs) this.goodCount += 1;
         this.#startWaiting();
@@ -227,9 +194,9 @@
   }
 }
 
-function measure(load: number, createServer: (timeline: Timeline) => Server): number {
+function measure(load: number, createServer: (timeline: VirtualTime) => Server): number {
   const random = new Random(SEED);
-  const timeline = new Timeline();
+  const timeline = new VirtualTime();
   const server = createServer(timeline);
   const intervalMs = MEAN_SERVICE_MS / (TARGET_COUNT * SLOTS * load);
   const getExponential = (meanMs: number) => -meanMs * Math.log(1 - random.nextFraction());
@@ -237,14 +204,17 @@
   const arrive = () => {
     callId += 1;
     server.arrive(callId, getExponential(MEAN_SERVICE_MS));
-    timeline.schedule(getExponential(intervalMs), arrive);
+    timeline.after(getExponential(intervalMs), arrive);
   };
   arrive();
-  timeline.run(DURATION_MS);
+  timeline.runUntil(DURATION_MS);
   return (server.goodCount * 1_000) / DURATION_MS;
 }
 
-function measureAll(name: string, createServer: (timeline: Timeline) => Server): readonly Figure[] {
+function measureAll(
+  name: string,
+  createServer: (timeline: VirtualTime) => Server,
+): readonly Figure[] {
   const goodputs = LOADS.map((load) => measure(load, createServer));
   const lastFraction = (goodputs.at(-1) ?? 0) / Math.max(...goodputs);
   return [
--- a/tests/support/virtualTime.ts
+++ b/tests/support/virtualTime.ts
@@ -1,5 +1,6 @@
 /** Events in virtual time, in the order of their moments. */
 
+import { Heap } from 'heap-js';
 import type { Timeline } from '../../standins/timeline';
 
 /** Something that happens at a moment. */
@@ -9,9 +10,13 @@
   readonly action: () => void;
 }
 
-/** Runs actions in the order of their moments. */
+function compareScheduled(left: Scheduled, right: Scheduled): number {
+  return left.atMs - right.atMs || left.sequence - right.sequence;
+}
+
+/** Runs actions in the order of their moments; those of one moment in the order of their scheduling. */
 export class VirtualTime implements Timeline {
-  #queue: Scheduled[] = [];
+  #queue = new Heap<Scheduled>(compareScheduled);
 
   #sequence = 0;
 
@@ -20,18 +25,16 @@
   /** Runs an action after a delay. */
   after(delayMs: number, action: () => void): void {
     this.#sequence += 1;
-    const scheduled = { atMs: this.nowMs + Math.max(0, delayMs), sequence: this.#sequence, action };
-    let position = this.#queue.length;
-    while (position > 0 && (this.#queue[position - 1]?.atMs ?? 0) > scheduled.atMs) position -= 1;
-    this.#queue.splice(position, 0, scheduled);
+    const atMs = this.nowMs + Math.max(0, delayMs);
+    this.#queue.push({ atMs, sequence: this.#sequence, action });
   }
 
   /** Runs everything up to a moment. */
   runUntil(untilMs: number): void {
     for (;;) {
-      const next = this.#queue[0];
+      const next = this.#queue.peek();
       if (next === undefined || next.atMs > untilMs) break;
-      this.#queue.shift();
+      this.#queue.pop();
       this.nowMs = next.atMs;
       next.action();
     }
