Newcomer's read of the owner's code: twins joined, unused parts out, fewer clock readings

Behaviour is unchanged but for one counter: a target put into quarantine by a run that stands still is now counted like any other. Out: changes of pace and the figure of running tasks, which nothing sends or reads; the weighted use of teams. Hot path: the clock is read only for effects that carry a time, not for each count and log line; the look for more advice ends at the first ticket with room. ElapsedClock returns both readings instead of keeping one.

--- a/src/gate/main.ts
+++ b/src/gate/main.ts
@@ -1,12 +1,14 @@
 /** `hemlockway-gate --settings FILE`: the callers' entry point. */
 
 import { randomBytes } from 'node:crypto';
+import * as E from 'fp-ts/Either';
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
 import { tryParseGateSettings, tryReadSettings } from '../config/settings';
 import type { GateSettings } from '../config/settings';
 import { createLogger } from '../observe/logger';
 import { Metrics } from '../observe/metrics';
+import { startProgram } from '../observe/program';
 import { HttpCaller } from '../rpc/httpCaller';
 import { HttpListener } from '../rpc/httpListener';
 import { RpcClient } from '../rpc/rpcClient';
@@ -16,7 +18,6 @@
 
 const TICK_MS = 100;
 const INSTANCE_BYTES = 6;
-const EXIT_BAD_SETTINGS = 2;
 /** Callers' bodies together; further requests are refused until some are answered. */
 const MAX_BUFFERED_BYTES = 16_777_216;
 /** The balancer sees the failing health page before new connections are refused. */
@@ -56,23 +57,13 @@
   });
 }
 
-function main(): void {
-  const { settings: file } = yargs(hideBin(process.argv))
-    .option('settings', { type: 'string', demandOption: true, describe: 'settings file (JSON)' })
-    .strict()
-    .parseSync();
-  const settings = tryReadSettings(file, tryParseGateSettings);
-  if (settings.kind === 'error') {
-    process.stderr.write(`hemlockway-gate: ${settings.diagnostic.detail ?? ''}\n`);
-    process.exitCode = EXIT_BAD_SETTINGS;
-    return;
-  }
-  run(settings.value).catch((error: unknown) => {
-    process.stderr.write(`hemlockway-gate: ${String(error)}\n`);
-    process.exit(1);
-  });
-}
-
-// Node leaves io_uring off only while this is not set to 1.
-process.env.UV_USE_IO_URING = '0';
-main();
+const { settings: file } = yargs(hideBin(process.argv))
+  .option('settings', { type: 'string', demandOption: true, describe: 'settings file (JSON)' })
+  .strict()
+  .parseSync();
+const settings = tryReadSettings(file, tryParseGateSettings);
+startProgram(
+  'hemlockway-gate',
+  settings.kind === 'error' ? E.left(settings.diagnostic.detail ?? '') : E.right(settings.value),
+  run,
+);
--- a/src/node/acceptance.ts
+++ b/src/node/acceptance.ts
@@ -8,6 +8,7 @@
 import type { RowPut, RowStore, StoreFailure, StoreOutcome, Committed } from '../store/types';
 import type { Clock } from '../types/clock';
 import { getAcceptedPart } from './tables';
+import { throwRejection } from '../types/debug';
 
 /** Rows in one transaction: each takes a condition and a put of the store's 100 entries. */
 const MAX_ROWS = 45;
@@ -101,16 +102,11 @@
       puts: batch.map(({ put }) => put),
       removals: [],
     };
-    this.#store.transact(transaction, TIMEOUT_MS).then(
-      (outcome) => {
-        this.#inFlightCount -= 1;
-        this.#settle(batch, outcome);
-        this.#send();
-      },
-      (error: unknown) => {
-        throw error;
-      },
-    );
+    this.#store.transact(transaction, TIMEOUT_MS).then((outcome) => {
+      this.#inFlightCount -= 1;
+      this.#settle(batch, outcome);
+      this.#send();
+    }, throwRejection);
   }
 
   /** Takes waiting rows of one part, in their order. */
--- a/src/node/memberList.ts
+++ b/src/node/memberList.ts
@@ -6,6 +6,7 @@
 import type { NodeId } from '../types/ids';
 import { tryParseJson } from '../types/json';
 import { MEMBER_PART, MEMBERS_TABLE } from './tables';
+import { throwRejection } from '../types/debug';
 
 /** One node. */
 export interface Member {
@@ -86,12 +87,7 @@
     if (this.#isStopped) return;
     clearTimeout(this.#timer);
     this.#timer = setTimeout(() => {
-      this.#step().then(
-        (nextDelayMs) => this.#schedule(nextDelayMs),
-        (error: unknown) => {
-          throw error;
-        },
-      );
+      this.#step().then((nextDelayMs) => this.#schedule(nextDelayMs), throwRejection);
     }, delayMs);
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -20,6 +20,7 @@
 import { RelayedStore } from './relayedStore';
 import { FollowerTable, NODE_SILENCE_MS } from './followerTable';
 import { Router } from './router';
+import { throwRejection } from '../types/debug';
 
 /** How often ownership is checked. */
 const TICK_MS = 50;
@@ -258,9 +259,7 @@
       this.#operator.snapshot,
     );
     this.#updateLanes();
-    this.#host.start().catch((error: unknown) => {
-      throw error;
-    });
+    this.#host.start().catch(throwRejection);
   }
 
   #endOwning(reason: string): void {
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -6,7 +6,7 @@
 import { TableFollower } from '../store/tableFollower';
 import type { FollowedTable, FollowerEvent } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
-import { assertNever } from '../types/debug';
+import { assertNever, throwRejection } from '../types/debug';
 import type { Epoch, NodeId, StepKey, SubmissionId, TargetId } from '../types/ids';
 import type { OmitEach } from '../types/omitEach';
 import { decodeSubmission } from '../work/submissionSchema';
@@ -72,6 +72,9 @@
 
   #early: EventBody[] = [];
 
+  /** Asked right before a call to a target is written. */
+  #isTooLate = () => this.#isStopped || !this.#links.isAuthorized();
+
   /**
    * @param ports - store, targets, registry, clock and log
    * @param links - the node
@@ -178,9 +181,7 @@
 
   #restart(): void {
     if (this.#isStopped) return;
-    this.start().catch((error: unknown) => {
-      throw error;
-    });
+    this.start().catch(throwRejection);
   }
 
   #follow(loaded: LoadedRows): void {
@@ -245,36 +246,35 @@
   }
 
   #perform(effect: OwnerEffect): void {
-    const isTooLate = () => this.#isStopped || !this.#links.isAuthorized();
     const { targets, metrics, logger, clock } = this.#ports;
-    const sentAtMs = clock.nowMs();
     switch (effect.kind) {
       case 'look': {
         const { targetId, bornAtMs, isProbe } = effect;
-        this.#run(targets.look(effect, isTooLate), (result) => ({
+        const sentAtMs = clock.nowMs();
+        this.#run(targets.look(effect, this.#isTooLate), (result) => ({
           ...{ kind: 'looked' as const, targetId, bornAtMs, isProbe, sentAtMs, result },
         }));
         return;
       }
       case 'startRun': {
         const { targetId, taskKey, run } = effect;
-        this.#run(targets.start(effect, isTooLate), (result) => ({
+        const sentAtMs = clock.nowMs();
+        this.#run(targets.start(effect, this.#isTooLate), (result) => ({
           ...{ kind: 'startAnswered' as const, targetId, taskKey, run, sentAtMs, result },
         }));
         return;
       }
       case 'stopRun': {
         const { targetId, taskKey, run } = effect;
-        this.#run(targets.stop(effect, isTooLate), (result) => ({
+        const sentAtMs = clock.nowMs();
+        this.#run(targets.stop(effect, this.#isTooLate), (result) => ({
           ...{ kind: 'stopAnswered' as const, targetId, taskKey, run, sentAtMs, result },
         }));
         return;
       }
-      case 'setPace':
-        this.#run(targets.setPace(effect, isTooLate), () => undefined);
-        return;
       case 'askAdvice': {
         const { laneId, stepKey, targetIds, timeoutMs } = effect;
+        const sentAtMs = clock.nowMs();
         this.#run(this.#links.advise(laneId, stepKey, targetIds, timeoutMs), (result) => ({
           ...{ kind: 'advised' as const, laneId, stepKey, targetIds, sentAtMs, result },
         }));
@@ -308,14 +308,9 @@
   }
 
   #run<T>(call: Promise<T>, toEvent: (result: T) => EventBody | undefined): void {
-    call.then(
-      (result) => {
-        const event = toEvent(result);
-        if (event !== undefined) this.#dispatch(event);
-      },
-      (error: unknown) => {
-        throw error;
-      },
-    );
+    call.then((result) => {
+      const event = toEvent(result);
+      if (event !== undefined) this.#dispatch(event);
+    }, throwRejection);
   }
 }
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -5,7 +5,7 @@
 import { callPeerOnce, openPeerLink } from '../peer/peerLink';
 import type { PeerHandlers } from '../peer/types';
 import type { RowStore } from '../store/types';
-import { assertNever } from '../types/debug';
+import { assertNever, throwRejection } from '../types/debug';
 import type { Epoch, NodeId } from '../types/ids';
 import type { OmitEach } from '../types/omitEach';
 import type { MemberList, Member } from './memberList';
@@ -202,12 +202,7 @@
   }
 
   #run<T>(call: Promise<T>, toEvent: (result: T) => EventBody): void {
-    call.then(
-      (result) => this.dispatch(toEvent(result)),
-      (error: unknown) => {
-        throw error;
-      },
-    );
+    call.then((result) => this.dispatch(toEvent(result)), throwRejection);
   }
 
   async #openLink(address: string, epoch: Epoch): Promise<EventBody> {
@@ -253,9 +248,7 @@
       const params = { epoch, nodeId, address, rowVersion };
       callPeerOnce(member.address, 'announce', params, ANNOUNCE_TIMEOUT_MS).then(
         (reply) => this.#logAnnounced(member.nodeId, reply),
-        (error: unknown) => {
-          throw error;
-        },
+        throwRejection,
       );
     });
   }
--- a/src/node/ports.ts
+++ b/src/node/ports.ts
@@ -23,15 +23,12 @@
 export type StartCall = Extract<OwnerEffect, { kind: 'startRun' }>;
 /** A stop on a target. */
 export type StopCall = Extract<OwnerEffect, { kind: 'stopRun' }>;
-/** A change of pace on a target. */
-export type PaceCall = Extract<OwnerEffect, { kind: 'setPace' }>;
 
 /** Calls targets. No call ever rejects; `isTooLate` voids one right before it is written. */
 export interface TargetClient {
   look(call: LookCall, isTooLate: () => boolean): Promise<E.Either<TargetFailure, Inventory>>;
   start(call: StartCall, isTooLate: () => boolean): Promise<E.Either<TargetFailure, TargetAnswer>>;
   stop(call: StopCall, isTooLate: () => boolean): Promise<E.Either<TargetFailure, TargetAnswer>>;
-  setPace(call: PaceCall, isTooLate: () => boolean): Promise<E.Either<TargetFailure, TargetAnswer>>;
 }
 
 /** Calls the advice service. No call ever rejects. */
--- a/src/owner/adviceChoice.ts
+++ b/src/owner/adviceChoice.ts
@@ -11,7 +11,7 @@
   ADVICE_MAX_TARGETS,
   ADVICE_WIDE_TARGETS,
 } from './constants';
-import { isCompatible } from './placement';
+import { getSpreadLeft, isCompatible } from './placement';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
 
@@ -32,20 +32,11 @@
   return Math.max(0, Math.floor(Math.min(...ratios)));
 }
 
-/**
- * Counts the tasks of a step that fit on a target now.
- * @param step - the step
- * @param target - the target
- * @returns how many, no more than wait
- */
-export function countPlaces(step: StepState, target: TargetState): number {
+/** How many tasks of a step fit on a target now, no more than wait. */
+function countPlaces(step: StepState, target: TargetState): number {
   if (!isCompatible(step, target)) return 0;
-  const { maxTasksPerTarget } = step.spec;
-  const spread =
-    maxTasksPerTarget === 0
-      ? Number.POSITIVE_INFINITY
-      : maxTasksPerTarget - step.countOn(target.id);
-  return Math.max(0, Math.min(countFitting(step.charge, target.free), spread, step.waiting.size));
+  const fittingCount = countFitting(step.charge, target.free);
+  return Math.max(0, Math.min(fittingCount, getSpreadLeft(step, target), step.waiting.size));
 }
 
 /** Targets with room come first, of these the ones known to suit, then those with most room. */
@@ -110,8 +101,10 @@
   candidates: readonly TargetState[],
   nowMs: number,
 ): boolean {
-  const roomy = candidates.filter((target) => countPlaces(step, target) > 0);
+  const hasRoom = (target: TargetState) => countPlaces(step, target) > 0;
   const hasTicket = (target: TargetState) =>
     step.advice.getTicket(target.id, target.entry.bornAtMs, nowMs) !== undefined;
-  return roomy.length > 0 && !roomy.some(hasTicket);
+  // Tickets are few and quick to look up, so most calls end here.
+  if (candidates.some((target) => hasTicket(target) && hasRoom(target))) return false;
+  return candidates.some(hasRoom);
 }
--- a/src/owner/candidates.ts
+++ b/src/owner/candidates.ts
@@ -34,9 +34,7 @@
  */
 export function isLastAttempt(step: StepState, index: number): boolean {
   if (step.isStanding) return false;
-  const failureCount = step.isGang
-    ? step.progress.getGangFailureCount()
-    : step.progress.getFailureCount(index);
+  const failureCount = step.getFailureCount(index);
   return failureCount > 0 && failureCount >= step.record.queue.attemptLimit - 1;
 }
 
--- a/src/owner/inventoryReader.ts
+++ b/src/owner/inventoryReader.ts
@@ -58,7 +58,7 @@
   #onLookFailed(target: TargetState, failure: { readonly kind: string }): void {
     const { nowMs } = this.#state;
     if (failure.kind === 'fenced') {
-      this.#state.emit({ kind: 'stepDown', reason: `target ${target.id} knows a later owner` });
+      this.#keeper.stepDown(target);
       return;
     }
     if (failure.kind === 'otherLife') {
@@ -156,13 +156,7 @@
     });
     record.hasBegun = true;
     if (row.how === 'done') InventoryReader.#noteDone(target, step, run, this.#state.nowMs);
-    if (row.how === 'failed') {
-      const pauseMs = target.addFailure(record.submission.id, this.#state.nowMs);
-      if (pauseMs > 0) {
-        this.#state.log('target quarantined', { targetId: target.id, pauseMs }, 'warn');
-        this.#state.count('targets_quarantined');
-      }
-    }
+    if (row.how === 'failed') this.#keeper.noteFailure(target, record);
     if (record.outcome !== undefined) return;
     this.#keeper.applyEnd(step, index, row.run, row.how, row.checkpoint);
     if (row.how !== 'done') this.#keeper.restartGang(step, row.run, `a member ended ${row.how}`);
@@ -232,7 +226,6 @@
       run.percentChangedAtMs = nowMs;
     }
     run.percentAtMs = nowMs;
-    run.recentFigure = row.recentFigure;
     run.checkpoint = row.checkpoint;
   }
 
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -66,6 +66,18 @@
   return true;
 }
 
+/**
+ * Counts the tasks that the step's bound on one target leaves.
+ * @param step - the step
+ * @param target - the target
+ * @returns how many more may run there; infinite without a bound
+ */
+export function getSpreadLeft(step: StepState, target: TargetState): number {
+  const { maxTasksPerTarget } = step.spec;
+  if (maxTasksPerTarget === 0) return Number.POSITIVE_INFINITY;
+  return maxTasksPerTarget - step.countOn(target.id);
+}
+
 /**
  * Asks whether the step's bound of tasks on one target allows one more.
  * @param step - the step
@@ -74,9 +86,7 @@
  * @returns true when there is no bound or it is not reached
  */
 export function isSpreadAllowed(step: StepState, target: TargetState, placedCount = 0): boolean {
-  const { maxTasksPerTarget } = step.spec;
-  if (maxTasksPerTarget === 0) return true;
-  return step.countOn(target.id) + placedCount < maxTasksPerTarget;
+  return getSpreadLeft(step, target) > placedCount;
 }
 
 /**
--- a/src/owner/run.ts
+++ b/src/owner/run.ts
@@ -29,8 +29,6 @@
   percent: number;
   percentAtMs: number;
   percentChangedAtMs: number;
-  pacePercent: number;
-  recentFigure: number;
   checkpoint: Checkpoint | undefined;
 }
 
--- a/src/owner/runKeeper.ts
+++ b/src/owner/runKeeper.ts
@@ -163,7 +163,7 @@
       if (run !== undefined) run.stopConfirmedAtMs = this.#state.nowMs;
       return;
     }
-    if (event.result.left.kind === 'fenced') this.#stepDown(target);
+    if (event.result.left.kind === 'fenced') this.stepDown(target);
     if (event.result.left.kind === 'staleRun' && run !== undefined) {
       run.stopConfirmedAtMs = this.#state.nowMs;
     }
@@ -261,6 +261,26 @@
     this.#state.log('target gone', { targetId: target.id, reason });
   }
 
+  /**
+   * Ends this ownership, as a target has refused the fence.
+   * @param target - the target
+   */
+  stepDown(target: TargetState): void {
+    this.#state.emit({ kind: 'stepDown', reason: `target ${target.id} knows a later owner` });
+  }
+
+  /**
+   * Notes that a run failed or stood still on a target, which may put the target into quarantine.
+   * @param target - the target
+   * @param record - the submission of the run
+   */
+  noteFailure(target: TargetState, record: SubmissionRecord): void {
+    const pauseMs = target.addFailure(record.submission.id, this.#state.nowMs);
+    if (pauseMs === 0) return;
+    this.#state.log('target quarantined', { targetId: target.id, pauseMs }, 'warn');
+    this.#state.count('targets_quarantined');
+  }
+
   /**
    * Stops the other members of a gang's run, which cannot go on without all of them.
    * @param step - the step
@@ -344,8 +364,6 @@
       percent: 0,
       percentAtMs: nowMs,
       percentChangedAtMs: nowMs,
-      pacePercent: 100,
-      recentFigure: 0,
       checkpoint: undefined,
     };
   }
@@ -371,7 +389,7 @@
     this.#state.count(`starts_${failure.kind}`);
     switch (failure.kind) {
       case 'fenced':
-        this.#stepDown(target);
+        this.stepDown(target);
         return;
       case 'lost':
         if (run.phase === 'starting') run.phase = 'unconfirmed';
@@ -402,10 +420,6 @@
     this.restartGang(run.step, run.run, 'a member was not started');
   }
 
-  #stepDown(target: TargetState): void {
-    this.#state.emit({ kind: 'stepDown', reason: `target ${target.id} knows a later owner` });
-  }
-
   #applyDone(step: StepState, index: number): boolean {
     if (step.isStanding) return false;
     if (!step.isGang) {
@@ -428,11 +442,8 @@
   }
 
   #checkAttempts(step: StepState, index: number): void {
-    const { record, progress } = step;
-    const failureCount = step.isGang
-      ? progress.getGangFailureCount()
-      : progress.getFailureCount(index);
-    if (failureCount < record.queue.attemptLimit) return;
+    const { record } = step;
+    if (step.getFailureCount(index) < record.queue.attemptLimit) return;
     this.close(record, record.isCancelled ? 'cancelled' : 'failed');
   }
 
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -84,6 +84,15 @@
     return this.progress.isDone;
   }
 
+  /**
+   * Counts what counts towards the attempts of a task.
+   * @param index - the task
+   * @returns its failed runs; for a gang those of all members together
+   */
+  getFailureCount(index: number): number {
+    return this.isGang ? this.progress.getGangFailureCount() : this.progress.getFailureCount(index);
+  }
+
   /** When its submission should be done, in milliseconds since 1970. */
   get dueAtMs(): number {
     return this.record.getReleasedAtMs(this.occurrence) + this.record.objectiveMs;
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -99,9 +99,7 @@
     if (run.percent >= 100 || run.percentAtMs - run.percentChangedAtMs < STUCK_MS) return;
     this.#keeper.stop(run, 'no progress');
     this.#state.count('runs_stuck');
-    const pauseMs = target.addFailure(run.step.record.submission.id, this.#state.nowMs);
-    if (pauseMs > 0)
-      this.#state.log('target quarantined', { targetId: target.id, pauseMs }, 'warn');
+    this.#keeper.noteFailure(target, run.step.record);
   }
 
   /** A target that has left the registry is kept while it may still run something. */
--- a/src/owner/teamUse.ts
+++ b/src/owner/teamUse.ts
@@ -15,7 +15,7 @@
   #teams = new Map<TeamId, Team>();
 
   /**
-   * Takes the limits and weights in force.
+   * Takes the limits in force.
    * @param teams - every team of the configuration
    */
   setTeams(teams: readonly Team[]): void {
@@ -57,13 +57,4 @@
       isWithin(sum.accelerators, limit.accelerators)
     );
   }
-
-  /**
-   * @param teamId - the team
-   * @returns processors in use by unit of weight, for the order of shares
-   */
-  getWeightedUse(teamId: TeamId): number {
-    const weight = Math.max(this.#teams.get(teamId)?.weight ?? 1, 1);
-    return this.getUsed(teamId).cpuMillis / weight;
-  }
 }
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -42,8 +42,6 @@
   readonly run: number;
   readonly checkpoint: Checkpoint | undefined;
   readonly percent: number;
-  /** Tail of the response times for a serving task, processors in use for any other. */
-  readonly recentFigure: number;
 }
 
 /** One run that a target lists as ended. */
@@ -235,16 +233,6 @@
       readonly fence: Epoch;
       readonly timeoutMs: number;
     }
-  | {
-      readonly kind: 'setPace';
-      readonly targetId: TargetId;
-      readonly address: string;
-      readonly taskKey: TaskKey;
-      readonly run: number;
-      readonly percent: number;
-      readonly fence: Epoch;
-      readonly timeoutMs: number;
-    }
   | {
       readonly kind: 'askAdvice';
       readonly laneId: NodeId;
--- a/src/scheduler/main.ts
+++ b/src/scheduler/main.ts
@@ -1,12 +1,14 @@
 /** `hemlockway-scheduler --settings FILE`: owns shards of targets and decides every start on them. */
 
 import { randomBytes } from 'node:crypto';
+import * as E from 'fp-ts/Either';
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
 import { tryParseSchedulerSettings, tryReadSettings } from '../config/settings';
 import type { SchedulerSettings } from '../config/settings';
 import { createLogger } from '../observe/logger';
 import { Metrics } from '../observe/metrics';
+import { startProgram } from '../observe/program';
 import { HttpPlatform } from '../platform/httpPlatform';
 import { HttpCaller } from '../rpc/httpCaller';
 import { HttpListener } from '../rpc/httpListener';
@@ -20,7 +22,6 @@
 
 const TICK_MS = 100;
 const INCARNATION_BYTES = 6;
-const EXIT_BAD_SETTINGS = 2;
 const MAX_BODY_BYTES = 4_194_304;
 const BODY_TIMEOUT_MS = 10_000;
 const MAX_BUFFERED_BYTES = 33_554_432;
@@ -67,23 +68,13 @@
   });
 }
 
-function main(): void {
-  const { settings: file } = yargs(hideBin(process.argv))
-    .option('settings', { type: 'string', demandOption: true, describe: 'settings file (JSON)' })
-    .strict()
-    .parseSync();
-  const settings = tryReadSettings(file, tryParseSchedulerSettings);
-  if (settings.kind === 'error') {
-    process.stderr.write(`hemlockway-scheduler: ${settings.diagnostic.detail ?? ''}\n`);
-    process.exitCode = EXIT_BAD_SETTINGS;
-    return;
-  }
-  run(settings.value).catch((error: unknown) => {
-    process.stderr.write(`hemlockway-scheduler: ${String(error)}\n`);
-    process.exit(1);
-  });
-}
-
-// Node leaves io_uring off only while this is not set to 1.
-process.env.UV_USE_IO_URING = '0';
-main();
+const { settings: file } = yargs(hideBin(process.argv))
+  .option('settings', { type: 'string', demandOption: true, describe: 'settings file (JSON)' })
+  .strict()
+  .parseSync();
+const settings = tryReadSettings(file, tryParseSchedulerSettings);
+startProgram(
+  'hemlockway-scheduler',
+  settings.kind === 'error' ? E.left(settings.diagnostic.detail ?? '') : E.right(settings.value),
+  run,
+);
--- a/src/store/hedgedTransaction.ts
+++ b/src/store/hedgedTransaction.ts
@@ -5,6 +5,7 @@
 
 import * as E from 'fp-ts/Either';
 import type { Committed, StoreFailure, StoreOutcome } from './types';
+import { throwRejection } from '../types/debug';
 
 /** Copies of one transaction: with a third of the answers lost, all three are lost once in 30. */
 const MAX_COPIES = 3;
@@ -47,12 +48,7 @@
   send(): void {
     this.#sentCount += 1;
     this.#openCount += 1;
-    this.#hedge.send().then(
-      (outcome) => this.#onOutcome(outcome),
-      (error: unknown) => {
-        throw error;
-      },
-    );
+    this.#hedge.send().then((outcome) => this.#onOutcome(outcome), throwRejection);
     this.#timer = setTimeout(() => this.#onSilence(), this.#hedge.delayMs);
   }
 
--- a/src/store/tableFollower.ts
+++ b/src/store/tableFollower.ts
@@ -2,6 +2,7 @@
 
 import * as E from 'fp-ts/Either';
 import type { RowChange, RowStore, StoredRow } from './types';
+import { throwRejection } from '../types/debug';
 
 /** How long the store may hold a call while nothing changes. */
 const FOLLOW_WAIT_MS = 1_000;
@@ -125,12 +126,7 @@
     setTimeout(() => {
       if (this.#isStopped) return;
       const step = this.#version === undefined ? this.#read() : this.#follow(this.#version);
-      step.then(
-        (nextDelayMs) => this.#next(nextDelayMs),
-        (error: unknown) => {
-          throw error;
-        },
-      );
+      step.then((nextDelayMs) => this.#next(nextDelayMs), throwRejection);
     }, delayMs);
   }
 
--- a/src/types/clock.ts
+++ b/src/types/clock.ts
@@ -50,22 +50,20 @@
   /** Wall clock less monotonic clock at the last reading that counted. */
   #offsetMs: number;
 
-  #lastWallMs: number;
-
   /**
    * @param sources - the clocks to read
    */
   constructor(sources: TimeSources = SYSTEM_TIME) {
     this.#sources = sources;
-    this.#startedAtMs = sources.monotonicMs();
-    this.#lastWallMs = sources.wallMs();
-    this.#offsetMs = this.#lastWallMs - this.#startedAtMs;
+    const { monotonicMs, wallMs } = this.#read();
+    this.#startedAtMs = monotonicMs;
+    this.#offsetMs = wallMs - monotonicMs;
   }
 
   /** {@inheritDoc Clock.nowMs} */
   nowMs(): number {
-    const monotonicMs = this.#read();
-    const leadMs = this.#lastWallMs - monotonicMs - this.#offsetMs;
+    const { monotonicMs, wallMs } = this.#read();
+    const leadMs = wallMs - monotonicMs - this.#offsetMs;
     if (leadMs > JUMP_MS) this.#suspendedMs += leadMs;
     if (Math.abs(leadMs) > JUMP_MS) this.#offsetMs += leadMs;
     return monotonicMs - this.#startedAtMs + this.#suspendedMs;
@@ -82,15 +80,14 @@
   }
 
   /** Reads both clocks; a pause of the process in between would look like a jump. */
-  #read(): number {
-    let monotonicMs = this.#sources.monotonicMs();
-    for (let count = 1; count <= MAX_READS; count += 1) {
-      this.#lastWallMs = this.#sources.wallMs();
-      const afterMs = this.#sources.monotonicMs();
-      const isTogether = afterMs - monotonicMs <= READ_TOGETHER_MS;
-      monotonicMs = afterMs;
-      if (isTogether) break;
+  #read(): { readonly monotonicMs: number; readonly wallMs: number } {
+    let beforeMs = this.#sources.monotonicMs();
+    for (let count = 1; ; count += 1) {
+      const wallMs = this.#sources.wallMs();
+      const monotonicMs = this.#sources.monotonicMs();
+      const isTogether = monotonicMs - beforeMs <= READ_TOGETHER_MS;
+      if (isTogether || count >= MAX_READS) return { monotonicMs, wallMs };
+      beforeMs = monotonicMs;
     }
-    return monotonicMs;
   }
 }
--- a/src/types/debug.ts
+++ b/src/types/debug.ts
@@ -14,6 +14,16 @@
   throw new InvariantError('unexpected variant: %s', JSON.stringify(value));
 }
 
+/**
+ * Takes the rejection of a promise that never rejects but for a broken invariant: as nothing catches
+ * what it throws, the process stops.
+ * @param error - what the promise was rejected with
+ * @throws the error always
+ */
+export function throwRejection(error: unknown): never {
+  throw error;
+}
+
 /**
  * Stops the process when an invariant does not hold.
  * @param condition - what must be true
--- a/standins/fakeTarget.ts
+++ b/standins/fakeTarget.ts
@@ -228,7 +228,6 @@
         run: run.run,
         checkpoint: undefined,
         percent: Math.min(99, Math.floor(((this.time.nowMs - run.startedAtMs) * 100) / run.workMs)),
-        recentFigure: 0,
       })),
       ended: this.#ended.slice(0, 500),
     };
--- a/standins/worker.ts
+++ b/standins/worker.ts
@@ -43,7 +43,7 @@
     'clock-ms': inventory.clockMs,
     born: inventory.bornAtMs,
     running: inventory.running.map((row) => [
-      ...[row.taskKey, row.run, row.checkpoint ?? '', row.percent, row.recentFigure],
+      ...[row.taskKey, row.run, row.checkpoint ?? '', row.percent, 0],
     ]),
     ended: inventory.ended.map((row) => [
       ...[row.sequence, row.taskKey, row.run, row.how, row.checkpoint ?? ''],
