--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -4,6 +4,7 @@
  */
 
 import * as E from 'fp-ts/Either';
+import { OWNER_AUTHORITY_MS } from '../../src/owner/constants';
 import { OwnerCore } from '../../src/owner/core';
 import type { EndedEntry, LoadedSubmission, OwnerEffect, OwnerEvent } from '../../src/owner/types';
 import type { StartCall } from '../../src/node/ports';
@@ -55,11 +56,15 @@
   readonly version: number;
 }
 
-/** An owner; a former one continues until a target or the store rejects it. */
+/**
+ * An owner; a former one continues until a target or the store rejects it, but its calls are no longer sent once its
+ * authority has expired, as the host checks it before each call.
+ */
 interface Owner {
   readonly core: OwnerCore;
   readonly epoch: number;
   isStopped: boolean;
+  authorizedUntilMs: number;
 }
 
 /** A simulated fleet with its owners, targets and store. */
@@ -150,7 +155,10 @@
 
   /** A new owner takes over; the former one has stopped, or continues unaware of it. */
   takeOver(isFormerAlive = false): void {
-    if (this.#owner !== undefined && !isFormerAlive) this.#owner.isStopped = true;
+    if (this.#owner !== undefined) {
+      this.#owner.isStopped = !isFormerAlive;
+      this.#owner.authorizedUntilMs = this.time.nowMs + OWNER_AUTHORITY_MS;
+    }
     this.#epoch += 1;
     const loaded: LoadedSubmission[] = [...this.#submissions.values()].map((submission) => ({
       submission,
@@ -161,7 +169,8 @@
     const { nowMs } = this.time;
     const clocks = { nowMs, wallMs: WALL_START_MS + nowMs, steadyMs: nowMs };
     const core = new OwnerCore(toEpoch(this.#epoch), loaded, clocks);
-    const owner = { core, epoch: this.#epoch, isStopped: false };
+    const authorizedUntilMs = Number.POSITIVE_INFINITY;
+    const owner = { core, epoch: this.#epoch, isStopped: false, authorizedUntilMs };
     this.#owner = owner;
     const operator = {
       closedDataCentreIds: [],
@@ -311,6 +320,10 @@
       isAnswered = true;
       this.#dispatch(owner, { ...reply, result });
     };
+    if (this.time.nowMs > owner.authorizedUntilMs) {
+      this.time.after(0, () => answer(E.left({ kind: 'notSent', detail: 'no authority' })));
+      return;
+    }
     this.time.after(timeoutMs, () => answer(E.left({ kind: 'lost', detail: 'timeout' })));
     if (target === undefined) return;
     const { lateCalls, lostAnswers } = this.#options.faults;
