--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -2,11 +2,7 @@
 
 import * as E from 'fp-ts/Either';
 import { tryParseTaskKey } from '../work/taskKeys';
-import {
-  POLL_RETRY_DELAY_MS,
-  STOP_RETRY_DELAY_MS,
-  UNREAD_SUBMISSION_POLL_INTERVAL_MS,
-} from './constants';
+import { POLL_RETRY_DELAY_MS, UNREAD_SUBMISSION_POLL_INTERVAL_MS } from './constants';
 import type { OwnerState } from './ownerState';
 import { toRunKey } from './run';
 import type { Run, RunKey } from './run';
@@ -119,6 +115,7 @@
       if (!listed.has(run.key)) this.#onRunNotListed(target, run, sentAtMs);
     });
     target.isContacted = true;
+    target.hasUnreadRuns = isUnreadListed;
     this.#state.unresolvedTargets.delete(target.id);
     target.nextPollAtMs = isUnreadListed ? nowMs + UNREAD_SUBMISSION_POLL_INTERVAL_MS : nowMs;
     target.pollAnsweredAtMs = nowMs;
@@ -214,6 +211,7 @@
       this.#runManager.adopt(task.step, task.index, target, entry);
       return true;
     }
+    if (!target.takeOrphanStop(toRunKey(entry.taskKey, entry.run), nowMs)) return false;
     this.#state.log('stopping unexpected run', {
       task: entry.taskKey,
       run: entry.run,
@@ -222,7 +220,6 @@
     });
     this.#state.count('runs_unexpected');
     this.#runManager.sendStop(target, entry.taskKey, entry.run);
-    target.nextPollAtMs = nowMs + STOP_RETRY_DELAY_MS;
     return false;
   }
 
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -40,11 +40,12 @@
       return;
     }
     if (target.nextPollAtMs > this.#state.nowMs) return;
-    if (!target.isContacted || target.orphanRuns.size > 0) {
+    if (!target.isContacted || target.hasUnreadRuns) {
       this.#poll(target, 0);
       return;
     }
-    if (target.runs.size > 0 || hasUnwrittenEnds(target)) this.#pollBusyTarget(target);
+    const isBusy = target.runs.size > 0 || target.orphanRuns.size > 0;
+    if (isBusy || hasUnwrittenEnds(target)) this.#pollBusyTarget(target);
     else if (target.unacknowledgedEndCount > 0) this.#pollIdleTarget(target);
     else if (!target.isResponding) this.#poll(target, 0);
   }
@@ -91,7 +92,8 @@
     if (phases.includes('unconfirmed')) return 0;
     if (!target.isResponding) return 0;
     const waitMs = this.#state.responseTimes.getPollWaitMs(this.#state.nowMs);
-    return phases.includes('stopping') ? Math.min(STOPPING_POLL_WAIT_MS, waitMs) : waitMs;
+    const isStopping = phases.includes('stopping') || target.orphanRuns.size > 0;
+    return isStopping ? Math.min(STOPPING_POLL_WAIT_MS, waitMs) : waitMs;
   }
 
   #poll(target: TargetState, waitMs: number): void {
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -9,6 +9,7 @@
   QUARANTINE_THRESHOLD,
   INITIAL_QUARANTINE_MS,
   SLOWDOWN_SMOOTHING_FACTOR,
+  STOP_RETRY_DELAY_MS,
 } from './constants';
 import type { Run, RunKey } from './run';
 import type { SubmissionRecord } from './submissionRecord';
@@ -32,6 +33,8 @@
 
   #orphanRuns = new Set<RunKey>();
 
+  #orphanStopSentAtMs = new Map<RunKey, number>();
+
   #used: TaskDemand = NO_DEMAND;
 
   #ends: UnacknowledgedEnd[] = [];
@@ -47,6 +50,9 @@
   /** The target has answered a poll in the current epoch. */
   isContacted = false;
 
+  /** The target reports runs of submissions that this owner has not read yet. */
+  hasUnreadRuns = false;
+
   /** The last poll or start was answered. */
   isResponding = true;
 
@@ -164,6 +170,22 @@
    */
   setOrphanRuns(keys: readonly RunKey[]): void {
     this.#orphanRuns = new Set(keys);
+    this.#orphanStopSentAtMs.forEach((_sentAtMs, key) => {
+      if (!this.#orphanRuns.has(key)) this.#orphanStopSentAtMs.delete(key);
+    });
+  }
+
+  /**
+   * Checks whether a run that matches no task has to be stopped now, and if so records the stop.
+   * @param key - the run
+   * @param nowMs - current time on the owner's clock
+   * @returns false while an earlier stop may still take effect
+   */
+  takeOrphanStop(key: RunKey, nowMs: number): boolean {
+    const sentAtMs = this.#orphanStopSentAtMs.get(key);
+    if (sentAtMs !== undefined && nowMs < sentAtMs + STOP_RETRY_DELAY_MS) return false;
+    this.#orphanStopSentAtMs.set(key, nowMs);
+    return true;
   }
 
   /**
--- a/tests/owner.test.ts
+++ b/tests/owner.test.ts
@@ -205,6 +205,26 @@
     },
   );
 
+  test('stops each run of a cancelled submission once, without polling in a loop', () => {
+    const world = createWorld();
+    world.submit(createSubmission(1, [{ taskCount: 6, estimateMs: 30_000 }]));
+    world.run(800);
+    world.isStoreAvailable = false;
+    const counts = { poll: 0, stopRun: 0 };
+    world.takeOver();
+    world.cancel(toSubmissionId(1));
+    world.takeOver();
+    world.onEffect = (_epoch, { kind }) => {
+      if (kind === 'poll' || kind === 'stopRun') counts[kind] += 1;
+    };
+    world.isStoreAvailable = true;
+    world.run(1_000);
+    expect(world.getState(toSubmissionId(1))).toBe('cancelled');
+    expect(world.endCountByKind.get('stopped')).toBe(6);
+    expect(counts.stopRun).toBeLessThanOrEqual(6);
+    expect(counts.poll).toBeLessThan(100);
+  });
+
   test('does not start tasks that an unreachable target may still run', () => {
     const world = createWorld();
     world.submit(createSubmission(1, [{ taskCount: 6, estimateMs: 2_000 }]));
