--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -244,8 +244,26 @@
 
   #dispatch(event: EventBody): void {
     if (this.#isStopped || this.#core === undefined) return;
-    const effects = this.#core.reduce({ ...event, ...this.#getClockReadings() } as OwnerEvent);
-    effects.forEach((effect) => this.#perform(effect));
+    this.#tryReduce(this.#core, event).forEach((effect) => this.#perform(effect));
+  }
+
+  /**
+   * An unexpected error ends this ownership, as the state may be inconsistent, but not the process: its gate goes on
+   * and the next owner rebuilds the state from the store and the targets.
+   */
+  #tryReduce(core: OwnerCore, event: EventBody): readonly OwnerEffect[] {
+    try {
+      return core.reduce({ ...event, ...this.#getClockReadings() } as OwnerEvent);
+    } catch (error) {
+      this.#ports.logger.error(
+        { err: error, event: event.kind, epoch: this.#epoch },
+        'unexpected error in the scheduler; this ownership ends',
+      );
+      this.#ports.metrics.count('scheduler_errors');
+      this.stop();
+      this.#callbacks.onSuperseded(`unexpected error on ${event.kind}`);
+      return [];
+    }
   }
 
   #perform(effect: OwnerEffect): void {
--- a/src/node/ownerWrites.ts
+++ b/src/node/ownerWrites.ts
@@ -89,12 +89,21 @@
   }
 
   /**
-   * Deletes submissions whose retention has expired, with their cancellations and progress. Progress
-   * rows go first and submission rows last, so that an interrupted deletion can be repeated.
+   * Deletes submissions whose retention has expired. The progress row goes last: a submission that is read without
+   * its progress is taken for new work and would run again. A transaction holds rows of one part only.
    * @param submissionIds - the submissions to delete
    * @returns true when all rows are deleted
    */
   async deleteSubmissions(submissionIds: readonly SubmissionId[]): Promise<boolean> {
+    const idsByPart = new Map<string, SubmissionId[]>();
+    submissionIds.forEach((id) => {
+      const part = getSubmissionPart(id);
+      idsByPart.set(part, [...(idsByPart.get(part) ?? []), id]);
+    });
+    const accepted = await Promise.all(
+      [...idsByPart].map(([part, ids]) => this.#deleteAccepted(part, ids)),
+    );
+    if (!accepted.every(E.isRight)) return false;
     const progress = await this.#store.transact(
       {
         conditions: [this.#ownerCondition],
@@ -103,18 +112,14 @@
       },
       WRITE_TIMEOUT_MS,
     );
-    if (E.isLeft(progress)) return false;
-    const removals = submissionIds.flatMap((key) => {
-      const part = getSubmissionPart(key);
-      return [
-        { table: CANCELS_TABLE, part, key },
-        { table: SUBMISSIONS_TABLE, part, key },
-      ];
-    });
-    const accepted = await this.#store.transact(
-      { conditions: [], puts: [], removals },
-      WRITE_TIMEOUT_MS,
-    );
-    return E.isRight(accepted);
+    return E.isRight(progress);
+  }
+
+  #deleteAccepted(part: string, ids: readonly SubmissionId[]) {
+    const removals = ids.flatMap((key) => [
+      { table: CANCELS_TABLE, part, key },
+      { table: SUBMISSIONS_TABLE, part, key },
+    ]);
+    return this.#store.transact({ conditions: [], puts: [], removals }, WRITE_TIMEOUT_MS);
   }
 }
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -83,7 +83,7 @@
     this.#planner = new Planner(this.#state, this.#runManager);
     this.#poller = new TargetPoller(this.#state);
     this.#adviceDispatcher = new AdviceDispatcher(this.#state);
-    loaded.forEach((submission) => this.#addRecord(new SubmissionRecord(submission, true)));
+    loaded.forEach((submission) => this.#tryAddRecord(submission, true));
   }
 
   /** The fencing token of all requests. */
@@ -336,12 +336,12 @@
 
   #onSubmitted(submission: Submission): void {
     if (this.#state.records.has(submission.id)) return;
-    const record = new SubmissionRecord(
+    const record = this.#tryAddRecord(
       { submission, isCancelled: false, progress: undefined, progressVersion: 0 },
       this.#mayHaveBegun(submission.id),
     );
+    if (record === undefined) return;
     this.#classifySubmission(record);
-    this.#addRecord(record);
     this.#state.log('submission taken', {
       isExcess: record.isExcess,
       submissionId: submission.id,
@@ -367,6 +367,24 @@
     return unresolvedTargets.size > 0;
   }
 
+  /** A submission that cannot be represented is left out, so that it cannot stop the others. */
+  #tryAddRecord(loaded: LoadedSubmission, mayHaveBegun: boolean): SubmissionRecord | undefined {
+    try {
+      const record = new SubmissionRecord(loaded, mayHaveBegun);
+      this.#addRecord(record);
+      return record;
+    } catch (error) {
+      const { id } = loaded.submission;
+      this.#state.records.delete(id);
+      this.#state.log('submission cannot be scheduled', {
+        submissionId: id,
+        reason: String(error),
+      });
+      this.#state.count('submissions_unschedulable');
+      return undefined;
+    }
+  }
+
   #addRecord(added: SubmissionRecord): void {
     const record = added;
     const { submission } = record;
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -10,6 +10,12 @@
 /** Final outcome of a submission. */
 export type SubmissionOutcome = NonNullable<StoredProgress['outcome']>;
 
+/**
+ * Maximum number of occurrences that are open and not done. Occurrences that are overdue, such as those of a
+ * schedule that begins in the past, are opened as earlier ones end.
+ */
+const MAX_OPEN_OCCURRENCES = 50;
+
 function getStepName(occurrence: number, step: number): string {
   return `${occurrence}.${step}`;
 }
@@ -106,7 +112,9 @@
    */
   openDueOccurrences(wallMs: number): StepState[] {
     const added: StepState[] = [];
-    while (this.#openedCount < this.occurrenceCount) {
+    let unfinishedCount = this.#openedCount === 0 ? 0 : this.#countUnfinishedOccurrences();
+    for (; this.#openedCount < this.occurrenceCount; unfinishedCount += 1) {
+      if (unfinishedCount >= MAX_OPEN_OCCURRENCES) return added;
       if (this.#getDueAtMs(this.#openedCount) > wallMs) return added;
       added.push(...this.#openOccurrence(this.#openedCount));
       this.#openedCount += 1;
@@ -147,6 +155,14 @@
     return [...this.#steps.values()].every((step) => step.isDone);
   }
 
+  #countUnfinishedOccurrences(): number {
+    const unfinished = new Set<number>();
+    this.#steps.forEach((step) => {
+      if (!step.isDone) unfinished.add(step.occurrence);
+    });
+    return unfinished.size;
+  }
+
   /** @returns the progress in its stored form */
   toStored(): StoredProgress {
     const steps: Record<string, StoredStepProgress> = { ...this.#stored.steps };
--- a/src/rpc/httpClient.ts
+++ b/src/rpc/httpClient.ts
@@ -85,7 +85,10 @@
    */
   async perform(call: HttpCall): Promise<HttpResult> {
     this.#sentBytes += call.body.length;
-    const pool = this.#getOrCreatePool(call.address);
+    const pool = this.#tryGetPool(call.address);
+    if (pool === undefined) {
+      return { kind: 'notSent', isRefused: false, detail: `malformed address ${call.address}` };
+    }
     const outcome = await performExchange(
       pool,
       {
@@ -142,6 +145,12 @@
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
+  /** Returns undefined for an address that no connection can be opened to. */
+  #tryGetPool(address: string): Pool | undefined {
+    if (!URL.canParse(`http://${address}`)) return undefined;
+    return this.#getOrCreatePool(address);
+  }
+
   #getOrCreatePool(address: string): Pool {
     const existing = this.#pools.get(address);
     if (existing !== undefined) return existing;
--- a/src/rpc/httpListener.ts
+++ b/src/rpc/httpListener.ts
@@ -44,6 +44,11 @@
   refuse(diagnostic: Diagnostic): HttpResponse;
 }
 
+function writeError(error: unknown): void {
+  const text = error instanceof Error ? error.stack : String(error);
+  process.stderr.write(`request not answered because of an unexpected error: ${text}\n`);
+}
+
 function send(response: ServerResponse, answer: HttpResponse, isClosing: boolean): void {
   if (response.destroyed || response.writableEnded) return;
   const body = typeof answer.body === 'string' ? Buffer.from(answer.body) : answer.body;
@@ -68,12 +73,20 @@
 
   #isClosing = false;
 
+  #onError: (error: unknown) => void;
+
   /**
    * @param handler - answers each request
    * @param limits - limits of request bodies and idle connections
+   * @param onError - called with an unexpected error; the request is answered as one whose outcome is unknown
    */
-  constructor(handler: HttpHandler, limits: ListenerLimits) {
+  constructor(
+    handler: HttpHandler,
+    limits: ListenerLimits,
+    onError: (error: unknown) => void = writeError,
+  ) {
     this.#handler = handler;
+    this.#onError = onError;
     this.#bodies = new BodyBuffer(limits);
     this.#server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -82,12 +95,7 @@
       ...(limits.idleTimeoutMs === undefined ? {} : { keepAliveTimeout: limits.idleTimeoutMs }),
     });
     this.#server.on('request', (message, response) => {
-      this.#serve(message, response).catch((error: unknown) => {
-        process.emit(
-          'uncaughtException',
-          error instanceof Error ? error : new Error(String(error)),
-        );
-      });
+      this.#serve(message, response).catch((error: unknown) => this.#onError(error));
     });
     this.#server.on('clientError', (_error, socket) => socket.destroy());
   }
@@ -138,7 +146,10 @@
   async #serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#openCount += 1;
     try {
-      const answer = await this.#getAnswer(message, response);
+      const answer = await this.#getAnswer(message, response).catch((error: unknown) => {
+        this.#onError(error);
+        return this.#handler.refuse(createDiagnostic('outcomeUnknown'));
+      });
       // `complete` is only meaningful after the body has been read.
       const isComplete = message.complete;
       send(response, answer, this.#isClosing || !isComplete);
--- a/standins/fakeRowStore.ts
+++ b/standins/fakeRowStore.ts
@@ -123,6 +123,13 @@
     body: { precondition: WireRow[]; puts: WireRow[]; remove: WireRow[] },
     response: ServerResponse,
   ): void {
+    const parts = new Set(
+      [...body.precondition, ...body.puts, ...body.remove].map(({ part }) => part),
+    );
+    if (parts.size > 1) {
+      sendJson(response, 400, { reason: 'rows of several parts' });
+      return;
+    }
     const currentRows = body.precondition.map((condition) => ({
       ...condition,
       ver: this.#rows.get(toRowId(condition))?.ver ?? 0,
--- /dev/null
+++ b/tests/containment.test.ts
@@ -0,0 +1,179 @@
+/** Malformed input and unexpected errors end neither a process nor the work of others. */
+
+import { request } from 'node:http';
+import * as E from 'fp-ts/Either';
+import { decodeSubmissionBody } from '../platform/submissionBody';
+import { targetRegistry } from '../platform/targetRegistry';
+import { OwnerWrites } from '../src/node/ownerWrites';
+import { OwnerCore } from '../src/owner/core';
+import { SubmissionRecord } from '../src/owner/submissionRecord';
+import { HttpClient } from '../src/rpc/httpClient';
+import { HttpListener } from '../src/rpc/httpListener';
+import type { Committed, RowStore, RowTransaction, StoreOutcome } from '../src/store/types';
+import { createDiagnostic, Diagnostics } from '../src/types/diagnostics';
+import { toEpoch } from '../src/types/ids';
+import { createSubmission, toSubmissionId } from './support/ownerWorld';
+
+const CLOCKS = { nowMs: 1_000, wallMs: 1_700_000_000_000, steadyMs: 1_000 };
+
+describe('a malformed registry entry', () => {
+  const content = { service: 's', zone: 'z', state: 'ready', capacity: { cpu: 1, 'mem-mb': 1 } };
+  const decode = (addr: string) =>
+    targetRegistry.decode({
+      ...{ table: 'servers', part: '', key: 'i-1', version: 1 },
+      value: JSON.stringify({ ...content, addr }),
+    });
+
+  test.each(['10.0.0.1:99999', '999.1.1.1:80', 'host:80', ''])('with address "%s"', (addr) => {
+    expect(E.isLeft(decode(addr))).toBe(true);
+  });
+
+  test('does not hide a sound one', () => {
+    expect(E.isRight(decode('10.0.0.1:8080'))).toBe(true);
+  });
+});
+
+describe('a call to an address that cannot exist', () => {
+  test.each(['10.0.0.1:99999', '999.1.1.1:80'])(
+    '%s fails without an exception',
+    async (address) => {
+      const client = new HttpClient();
+      const result = await client.postJson(address, '/', {}, 200);
+      expect(result.kind).toBe('notSent');
+      await client.close();
+    },
+  );
+});
+
+describe('a submission that would exhaust the memory of each owner in turn', () => {
+  test('is refused when its steps have too many tasks together', () => {
+    const steps = Array.from({ length: 10 }, () => ({ count: 20_000 }));
+    expect(E.isLeft(decodeSubmissionBody(JSON.stringify({ steps })))).toBe(true);
+    expect(E.isRight(decodeSubmissionBody(JSON.stringify({ steps: steps.slice(1, 2) })))).toBe(
+      true,
+    );
+  });
+
+  test('has a bounded number of overdue occurrences open, and opens more as they end', () => {
+    const submission = createSubmission(1, [{}]);
+    const schedule = {
+      ...{ kind: 'repeated' as const, occurrenceCount: 1_000_000 },
+      ...{ firstAtMs: 0, intervalMs: 0 },
+    };
+    const spec = { ...submission.spec, schedule };
+    const record = new SubmissionRecord(
+      {
+        submission: { ...submission, spec },
+        ...{ isCancelled: false, progress: undefined, progressVersion: 0 },
+      },
+      false,
+    );
+    const opened = record.openDueOccurrences(CLOCKS.wallMs);
+    expect(opened.length).toBeLessThanOrEqual(100);
+    expect(record.openDueOccurrences(CLOCKS.wallMs)).toEqual([]);
+    opened.slice(0, 3).forEach((step) => step.progress.setDone(0));
+    expect(record.openDueOccurrences(CLOCKS.wallMs).map(({ occurrence }) => occurrence)).toEqual([
+      opened.length,
+      opened.length + 1,
+      opened.length + 2,
+    ]);
+  });
+});
+
+describe('an unexpected error', () => {
+  test('while one stored submission is loaded leaves the others scheduled', () => {
+    const sound = createSubmission(1, [{}]);
+    const broken = {
+      ...createSubmission(2, [{}]),
+      get spec(): never {
+        throw new Error('unexpected');
+      },
+    };
+    const loaded = [broken, sound].map((submission) => ({
+      ...{ submission, isCancelled: false, progress: undefined, progressVersion: 0 },
+    }));
+    const core = new OwnerCore(toEpoch(1), loaded, CLOCKS);
+    expect(core.getView(toSubmissionId(1)).kind).toBe('known');
+    const effects = core.reduce({ ...CLOCKS, kind: 'tick' });
+    const messages = effects.flatMap((effect) => (effect.kind === 'log' ? [effect.message] : []));
+    expect(messages).toContain('submission cannot be scheduled');
+  });
+
+  test('while a request is answered tells its caller that the outcome is unknown', async () => {
+    const errors: unknown[] = [];
+    const listener = new HttpListener(
+      {
+        handle: () => Promise.reject(new Error('unexpected')),
+        refuse: ({ name }) => ({
+          ...{ status: Diagnostics[name].httpStatus, contentType: 'text/plain', body: '' },
+        }),
+      },
+      { maxBodyBytes: 100, bodyTimeoutMs: 500 },
+      (error) => errors.push(error),
+    );
+    const port = await listener.listen('127.0.0.1', 0);
+    const status = await new Promise((resolve, reject) => {
+      request({ host: '127.0.0.1', port, timeout: 1_000 }, (response) => {
+        response.resume();
+        resolve(response.statusCode);
+      })
+        .on('timeout', () => reject(new Error('no answer')))
+        .on('error', reject)
+        .end();
+    });
+    listener.closeAll();
+    expect(status).toBe(Diagnostics[createDiagnostic('outcomeUnknown').name].httpStatus);
+    expect(errors).toHaveLength(1);
+  });
+});
+
+describe('the deletion of expired submissions', () => {
+  /** Rows by table and key; refuses transactions over several parts, and all after a given number. */
+  class PartStore implements Pick<RowStore, 'transact'> {
+    readonly rows = new Set<string>();
+
+    constructor(public remainingCount: number) {}
+
+    async transact(transaction: RowTransaction): Promise<StoreOutcome<Committed>> {
+      const { conditions, puts, removals } = transaction;
+      const parts = new Set([...conditions, ...puts, ...removals].map(({ part }) => part));
+      if (parts.size > 1) return E.left({ kind: 'notDone', detail: 'several parts' });
+      if (this.remainingCount <= 0) return E.left({ kind: 'unknown', detail: 'killed' });
+      this.remainingCount -= 1;
+      removals.forEach(({ table, key }) => this.rows.delete(`${table}/${key}`));
+      return E.right({ version: 1 });
+    }
+  }
+
+  const ids = [1, 2, 3].map((digit) => toSubmissionId(digit * 16 ** 15));
+
+  function fill(store: PartStore): void {
+    ids.forEach((id) => {
+      store.rows.add(`submissions/${id}`);
+      store.rows.add(`progress/${id}`);
+    });
+  }
+
+  test.each([0, 1, 2, 3])(
+    'interrupted after %i transactions leaves nothing to run',
+    async (count) => {
+      const store = new PartStore(count);
+      fill(store);
+      const writes = new OwnerWrites(store as unknown as RowStore, 7);
+      expect(await writes.deleteSubmissions(ids)).toBe(false);
+      ids.forEach((id) => {
+        const isReadAsNew =
+          store.rows.has(`submissions/${id}`) && !store.rows.has(`progress/${id}`);
+        expect(isReadAsNew).toBe(false);
+      });
+    },
+  );
+
+  test('removes all rows', async () => {
+    const store = new PartStore(100);
+    fill(store);
+    const writes = new OwnerWrites(store as unknown as RowStore, 7);
+    expect(await writes.deleteSubmissions(ids)).toBe(true);
+    expect(store.rows.size).toBe(0);
+  });
+});
