--- a/src/node/acceptance.ts
+++ b/src/node/acceptance.ts
@@ -1,13 +1,15 @@
 /**
  * Stores submissions and cancellations before they are acknowledged, with group commit: rows that
  * arrive while transactions are in flight share a later one. Every write requires that its row does
- * not exist, so duplicates are detected by the store.
+ * not exist, so duplicates are detected by the store. While the store is slow, another node may commit the rows
+ * of all gates together.
  */
 
 import * as E from 'fp-ts/Either';
 import type { SubmissionId } from '../types/ids';
 import type { RowPut, RowStore, StoreFailure, StoreOutcome, Committed } from '../store/types';
 import type { Clock } from '../types/clock';
+import { CommitEstimator } from './commitEstimate';
 import { getSubmissionPart } from './tables';
 import { throwRejection } from '../types/debug';
 
@@ -18,17 +20,29 @@
 const MAX_CHARS = 600_000;
 
 /** Concurrent transactions, so that one slow answer does not delay the other rows. */
-const MAX_IN_FLIGHT = 8;
+const MAX_IN_FLIGHT = 16;
+
+/**
+ * Concurrent transactions of one part. The store runs them one after another, so more would only carry fewer
+ * rows each.
+ */
+const MAX_IN_FLIGHT_PER_PART = 2;
 
 /** Timeout of one transaction; half the usual timeout of callers. */
 const TRANSACTION_TIMEOUT_MS = 1_200;
 
+/** The same while the store answers late: a transaction that is given up is repeated, which adds to the load. */
+const SLOW_TRANSACTION_TIMEOUT_MS = 2_000;
+
 /** Delay before a failed transaction is retried. */
 const RETRY_DELAY_MS = 80;
 
 /** A row is not retried after this time, so that its caller gets an answer; half of callers' usual timeout. */
 const ANSWER_TIMEOUT_MS = 1_500;
 
+/** The same while the store answers late, which is within the usual timeout of callers. */
+const SLOW_ANSWER_TIMEOUT_MS = 2_400;
+
 /** The outcome of a write. */
 export type AcceptOutcome =
   /** The row is stored, by this or an earlier attempt. */
@@ -38,6 +52,27 @@
   /** The row may be stored, or may be stored later. */
   | { readonly kind: 'unknown'; readonly detail: string };
 
+/** The outcome of a row that was handed to another node. */
+export type DelegatedOutcome =
+  | AcceptOutcome
+  /** The other node has not received the row. */
+  | { readonly kind: 'notSent' };
+
+/** Lets another node commit rows. */
+export interface RowDelegate {
+  /** Whether the store answers late. */
+  isStoreSlow(): boolean;
+  /**
+   * @param put - the row to create
+   * @param timeoutMs - time in which the outcome is needed
+   * @returns undefined when this node has to commit the row itself
+   */
+  tryDelegate(put: RowPut, timeoutMs: number): Promise<DelegatedOutcome> | undefined;
+}
+
+/** No row is handed to another node. */
+export const NO_DELEGATE: RowDelegate = { isStoreSlow: () => false, tryDelegate: () => undefined };
+
 /** A row whose write has no final outcome yet. */
 interface PendingRow {
   readonly put: RowPut;
@@ -47,6 +82,10 @@
   mayBeStored: boolean;
 }
 
+function toRowKey({ table, key }: Pick<RowPut, 'table' | 'key'>): string {
+  return `${table}/${key}`;
+}
+
 /** Groups rows into transactions and retries them. */
 export class AcceptanceWriter {
   #store: Pick<RowStore, 'transact'>;
@@ -55,19 +94,35 @@
 
   #isStoreUnreachable: () => boolean;
 
+  #delegate: RowDelegate;
+
   #waiting: PendingRow[] = [];
 
   #inFlightCount = 0;
 
+  #inFlightCountByPart = new Map<string, number>();
+
+  #estimator = new CommitEstimator();
+
+  /** Writes without a final outcome, so that a repeated request joins the first one. */
+  #openWrites = new Map<string, Promise<AcceptOutcome>>();
+
   /**
    * @param store - the store
    * @param clock - clock for retry deadlines
    * @param isStoreUnreachable - true when neither this node nor the owner reaches the store
+   * @param delegate - hands rows to another node
    */
-  constructor(store: Pick<RowStore, 'transact'>, clock: Clock, isStoreUnreachable: () => boolean) {
+  constructor(
+    store: Pick<RowStore, 'transact'>,
+    clock: Clock,
+    isStoreUnreachable: () => boolean,
+    delegate: RowDelegate = NO_DELEGATE,
+  ) {
     this.#isStoreUnreachable = isStoreUnreachable;
     this.#store = store;
     this.#clock = clock;
+    this.#delegate = delegate;
   }
 
   /** Number of rows waiting for a transaction. */
@@ -76,49 +131,128 @@
   }
 
   /**
-   * Creates one row.
+   * Creates one row, through another node if the delegate takes it.
    * @param table - table of the row
    * @param submissionId - key of the row
    * @param value - content of the row
    * @returns the outcome; `stored` also when the row existed before
    */
   write(table: string, submissionId: SubmissionId, value: string): Promise<AcceptOutcome> {
+    const put = { table, part: getSubmissionPart(submissionId), key: submissionId, value };
+    return this.#join(put, () => this.#delegateOrCommit(put));
+  }
+
+  /**
+   * Creates one row for another node.
+   * @param put - the row
+   * @param timeoutMs - time in which the other node needs the outcome
+   * @returns the outcome
+   */
+  writeForPeer(put: RowPut, timeoutMs: number): Promise<AcceptOutcome> {
+    return this.#join(put, () => this.#commit(put, timeoutMs, false));
+  }
+
+  /** Starts a write, or joins one of the same row. */
+  #join(put: RowPut, start: () => Promise<AcceptOutcome>): Promise<AcceptOutcome> {
     if (this.#isStoreUnreachable()) {
       return Promise.resolve({ kind: 'notStored', detail: 'the store is away' });
     }
+    const key = toRowKey(put);
+    const open = this.#openWrites.get(key);
+    if (open !== undefined) return open;
+    const write = start().finally(() => this.#openWrites.delete(key));
+    this.#openWrites.set(key, write);
+    return write;
+  }
+
+  async #delegateOrCommit(put: RowPut): Promise<AcceptOutcome> {
+    const startedAtMs = this.#clock.nowMs();
+    const timeoutMs = this.#delegate.isStoreSlow() ? SLOW_ANSWER_TIMEOUT_MS : ANSWER_TIMEOUT_MS;
+    const delegated = await this.#delegate.tryDelegate(put, timeoutMs);
+    const remainingMs = timeoutMs - (this.#clock.nowMs() - startedAtMs);
+    switch (delegated?.kind) {
+      case 'stored':
+      case 'notStored':
+        return delegated;
+      case 'unknown':
+        // The other node may still store the row, so this node cannot report it as not stored.
+        return remainingMs > 0 ? this.#commit(put, remainingMs, true) : delegated;
+      default:
+        return this.#commit(put, remainingMs, false);
+    }
+  }
+
+  #commit(put: RowPut, timeoutMs: number, mayBeStored: boolean): Promise<AcceptOutcome> {
+    const nowMs = this.#clock.nowMs();
+    const expectedMs = this.#estimator.getExpectedMs(put.part, this.#hasFreeSlot(put.part), nowMs);
+    if (expectedMs > timeoutMs && !mayBeStored) {
+      const detail = `the store needs ${Math.round(expectedMs)} ms, the caller waits ${timeoutMs} ms`;
+      return Promise.resolve({ kind: 'notStored', detail });
+    }
     return new Promise((resolve) => {
-      const put = { table, part: getSubmissionPart(submissionId), key: submissionId, value };
-      const expiresAtMs = this.#clock.nowMs() + ANSWER_TIMEOUT_MS;
-      this.#waiting.push({ put, resolve, expiresAtMs, mayBeStored: false });
+      const expiresAtMs = nowMs + timeoutMs;
+      this.#waiting.push({ put, resolve, expiresAtMs, mayBeStored });
       this.#send();
     });
   }
 
   #send(): void {
-    if (this.#inFlightCount >= MAX_IN_FLIGHT || this.#waiting.length === 0) return;
-    const batch = this.#takeBatch();
-    this.#inFlightCount += 1;
+    if (this.#inFlightCount >= MAX_IN_FLIGHT) return;
+    this.#dropExpired();
+    const next = this.#waiting.find(({ put }) => this.#hasFreeSlot(put.part));
+    if (next === undefined) return;
+    const { part } = next.put;
+    const batch = this.#takeBatch(part);
+    this.#addInFlight(part, 1);
+    const sentAtMs = this.#clock.nowMs();
     const transaction = {
-      conditions: batch.map(({ put: { table, part, key } }) => ({ table, part, key, version: 0 })),
+      conditions: batch.map(({ put: { table, key } }) => ({ table, part, key, version: 0 })),
       puts: batch.map(({ put }) => put),
       removals: [],
     };
-    this.#store.transact(transaction, TRANSACTION_TIMEOUT_MS).then((outcome) => {
-      this.#inFlightCount -= 1;
+    const timeoutMs = this.#delegate.isStoreSlow()
+      ? SLOW_TRANSACTION_TIMEOUT_MS
+      : TRANSACTION_TIMEOUT_MS;
+    this.#store.transact(transaction, timeoutMs).then((outcome) => {
+      this.#addInFlight(part, -1);
+      const nowMs = this.#clock.nowMs();
+      if (E.isRight(outcome)) this.#estimator.addCommit(part, nowMs - sentAtMs, nowMs);
       this.#completeBatch(batch, outcome);
       this.#send();
     }, throwRejection);
+    this.#send();
+  }
+
+  #hasFreeSlot(part: string): boolean {
+    return (this.#inFlightCountByPart.get(part) ?? 0) < MAX_IN_FLIGHT_PER_PART;
+  }
+
+  /** Gives up rows whose time has passed while all transactions of their part were in flight. */
+  #dropExpired(): void {
+    const nowMs = this.#clock.nowMs();
+    const expired = this.#waiting.filter(({ expiresAtMs }) => expiresAtMs <= nowMs);
+    if (expired.length === 0) return;
+    this.#waiting = this.#waiting.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
+    expired.forEach((row) => AcceptanceWriter.#giveUp(row, 'no transaction in time'));
+  }
+
+  static #giveUp(row: PendingRow, detail: string): void {
+    row.resolve({ kind: row.mayBeStored ? 'unknown' : 'notStored', detail });
+  }
+
+  #addInFlight(part: string, change: 1 | -1): void {
+    this.#inFlightCount += change;
+    this.#inFlightCountByPart.set(part, (this.#inFlightCountByPart.get(part) ?? 0) + change);
   }
 
   /** Removes up to one transaction's worth of rows of a single part from the queue, in order. */
-  #takeBatch(): PendingRow[] {
-    const part = this.#waiting[0]?.put.part;
+  #takeBatch(part: string): PendingRow[] {
     const batch: PendingRow[] = [];
     const remaining: PendingRow[] = [];
     const keys = new Set<string>();
     let chars = 0;
     this.#waiting.forEach((row) => {
-      const key = `${row.put.table}/${row.put.key}`;
+      const key = toRowKey(row.put);
       const isFitting =
         batch.length < MAX_ROWS &&
         (batch.length === 0 || chars + row.put.value.length <= MAX_CHARS);
@@ -168,15 +302,13 @@
     batch: readonly PendingRow[],
     failure: Extract<StoreFailure, { kind: 'conflict' }>,
   ): void {
-    const existing = new Set(
-      failure.rows.filter(({ version }) => version > 0).map(({ table, key }) => `${table}/${key}`),
-    );
+    const existing = new Set(failure.rows.filter(({ version }) => version > 0).map(toRowKey));
     if (existing.size === 0) {
       this.#retry(batch, 'a conflict that names no existing row');
       return;
     }
     batch.forEach((row) => {
-      if (existing.has(`${row.put.table}/${row.put.key}`)) row.resolve({ kind: 'stored' });
+      if (existing.has(toRowKey(row.put))) row.resolve({ kind: 'stored' });
       else this.#waiting.unshift(row);
     });
   }
@@ -190,9 +322,7 @@
     );
     batch
       .filter((row) => !retried.includes(row))
-      .forEach((row) => {
-        row.resolve({ kind: row.mayBeStored ? 'unknown' : 'notStored', detail });
-      });
+      .forEach((row) => AcceptanceWriter.#giveUp(row, detail));
     if (retried.length === 0) return;
     setTimeout(() => {
       this.#waiting.unshift(...retried);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -8,7 +8,9 @@
 import { MonitoredStore } from '../store/monitoredStore';
 import type { Epoch, NodeId, QueueId, StepKey, SubmissionId, TargetId } from '../types/ids';
 import { AcceptanceWriter } from './acceptance';
+import type { DelegatedOutcome } from './acceptance';
 import type { CallerAnswer, CallerCall } from './callerTypes';
+import { CommitterLinks } from './committerLinks';
 import { Gate } from './gate';
 import { MemberList } from './memberList';
 import type { Member } from './memberList';
@@ -19,7 +21,8 @@
 import type { NodePorts } from './ports';
 import { RelayedStore } from './relayedStore';
 import { FollowerTable, FOLLOWER_TIMEOUT_MS } from './followerTable';
-import { Router } from './router';
+import { Router, tryParseSubmissionId } from './router';
+import { CANCELS_TABLE, getSubmissionPart, SUBMISSIONS_TABLE } from './tables';
 import { throwRejection } from '../types/debug';
 
 /** Interval of the ownership checks. */
@@ -79,6 +82,10 @@
 
   #gate: Gate;
 
+  #acceptance: AcceptanceWriter;
+
+  #committers: CommitterLinks;
+
   #ownerHost: OwnerHost | undefined;
 
   #followers = new FollowerTable();
@@ -105,6 +112,7 @@
       ports.metrics,
       (isReachable, detail) =>
         ports.logger.warn({ detail }, isReachable ? 'store regained' : 'store lost'),
+      () => this.#ownership.isOwnerStoreSlow,
     );
     this.#ports = { ...ports, store: this.#store };
     this.#operator = new OperatorFollower(this.#ports, (snapshot) =>
@@ -132,7 +140,13 @@
       },
     );
     this.#server = new PeerServer(handlers, (link) => this.#onFollowerClosed(link));
-    const acceptance = new AcceptanceWriter(
+    this.#committers = new CommitterLinks({
+      ...{ selfId: nodeId, clock: ports.clock, logger: ports.logger, metrics: ports.metrics },
+      isStoreSlow: () => this.#store.isSlow || this.#ownership.isOwnerStoreSlow,
+      getMembers: () => this.#members.members,
+      getOwnerId: () => this.#ownership.core.followedId,
+    });
+    this.#acceptance = new AcceptanceWriter(
       new RelayedStore(
         this.#store,
         (transaction, timeoutMs) => this.#relayTransaction(transaction, timeoutMs),
@@ -140,10 +154,11 @@
       ),
       ports.clock,
       () => !this.#store.isReachable && !this.#ownership.isOwnerStoreReachable,
+      this.#committers,
     );
     this.#gate = new Gate({
       ...this.#ports,
-      acceptance,
+      acceptance: this.#acceptance,
       owner: {
         getView: (submissionId) => this.#getView(submissionId),
         getWaitingCount: (queueId) => this.#getWaitingCount(queueId),
@@ -215,6 +230,7 @@
     this.#members.stop();
     this.#ownerHost?.stop();
     this.#ownership.close();
+    this.#committers.close();
     this.#server.close();
   }
 
@@ -319,6 +335,8 @@
       getWaiting: ({ queueId }) => ({ count: this.#requireCore().getWaitingCount(queueId) }),
       getOperator: () => ({ snapshot: this.#operator.snapshot }),
       transact: ({ transaction }) => this.#transactForPeer(transaction),
+      storeRow: (params) => this.#storeRowForPeer(params),
+      ping: () => ({}),
       advise: async ({ stepKey, targetIds, timeoutMs }) => {
         const result = await this.#ports.advice.advise(stepKey, targetIds, timeoutMs);
         return E.isRight(result)
@@ -354,6 +372,7 @@
       ownedEpoch,
       operatorVersion: this.#operator.snapshot.changeVersion,
       storeLostForMs: this.#store.unreachableForMs,
+      isStoreSlow: this.#store.isSlow,
     };
   }
 
@@ -372,6 +391,15 @@
     this.#updateLanes();
   }
 
+  async #storeRowForPeer(params: PeerCalls['storeRow']): Promise<DelegatedOutcome> {
+    const { table, key, value, timeoutMs } = params;
+    const submissionId = tryParseSubmissionId(key);
+    const isKnownTable = table === SUBMISSIONS_TABLE || table === CANCELS_TABLE;
+    if (this.#isStopping || submissionId === undefined || !isKnownTable) return { kind: 'notSent' };
+    const put = { table, part: getSubmissionPart(submissionId), key, value };
+    return this.#acceptance.writeForPeer(put, timeoutMs);
+  }
+
   async #transactForPeer(transaction: RowTransaction): Promise<PeerReplies['transact']> {
     const outcome = await this.#store.transact(transaction, OWNER_TIMEOUT_MS);
     if (E.isLeft(outcome)) return { kind: 'failed', failure: outcome.left };
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -144,6 +144,11 @@
     }
   }
 
+  /** The owner that this node follows; undefined when it follows none. */
+  get followedId(): NodeId | undefined {
+    return this.#mode.kind === 'following' ? this.#mode.row.nodeId : undefined;
+  }
+
   /** The epoch that this node owns or is claiming; 0 otherwise. */
   get ownedEpoch(): number {
     const isOwner = this.#mode.kind === 'owning' || this.#mode.kind === 'claiming';
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -63,6 +63,8 @@
 
   #ownerStoreLostForMs = 0;
 
+  #isOwnerStoreSlow = false;
+
   #startedAtMs: number;
 
   /**
@@ -107,6 +109,11 @@
     return this.link !== undefined && this.#ownerStoreLostForMs === 0;
   }
 
+  /** True when the owner is connected and reports that the store answers late. */
+  get isOwnerStoreSlow(): boolean {
+    return this.link !== undefined && this.#isOwnerStoreSlow;
+  }
+
   /**
    * Applies an event and performs the resulting effects.
    * @param event - the event
@@ -143,6 +150,7 @@
       .then((reply) => {
         const { ownedEpoch, storeLostForMs } = reply;
         this.#ownerStoreLostForMs = storeLostForMs;
+        this.#isOwnerStoreSlow = reply.isStoreSlow ?? false;
         this.dispatch({ kind: 'heartbeatAnswered', epoch, ownedEpoch, storeLostForMs });
         this.#delegate.onOperatorVersion(reply.operatorVersion, link);
       })
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -4,6 +4,7 @@
 import type { Advice, AdviceFailure, SubmissionView } from '../owner/types';
 import type { RowTransaction, StoreFailure } from '../store/types';
 import type { OperatorSnapshot } from '../node/operatorSnapshot';
+import type { DelegatedOutcome } from '../node/acceptance';
 
 /** Parameters of the calls, by method. */
 export interface PeerCalls {
@@ -32,6 +33,16 @@
   getOperator: Record<string, never>;
   /** Performs a transaction for a node whose own calls to the store are rejected. */
   transact: { readonly transaction: RowTransaction };
+  /** Sent by a gate while the store is slow: create this row together with those of other gates. */
+  storeRow: {
+    readonly table: string;
+    readonly key: string;
+    readonly value: string;
+    /** Time in which the gate needs the outcome. */
+    readonly timeoutMs: number;
+  };
+  /** Answered at once, to tell a busy node from a lost one. */
+  ping: Record<string, never>;
   /** Sent by the owner: query the advice service. */
   advise: {
     readonly stepKey: StepKey;
@@ -59,6 +70,8 @@
     readonly operatorVersion: number;
     /** How long the answering node has not reached the store; 0 while it does. */
     readonly storeLostForMs: number;
+    /** Whether the store answers the node late; nodes of earlier builds do not report it. */
+    readonly isStoreSlow?: boolean;
   };
   submitted: Record<string, never>;
   cancelled: Record<string, never>;
@@ -66,6 +79,8 @@
   getWaiting: { readonly count: number };
   getOperator: { readonly snapshot: OperatorSnapshot | null };
   transact: TransactReply;
+  storeRow: DelegatedOutcome;
+  ping: Record<string, never>;
   advise: AdviseReply;
   isOwnerHeard: { readonly isHeard: boolean };
   announce: Record<string, never>;
--- a/src/store/hedgedTransaction.ts
+++ b/src/store/hedgedTransaction.ts
@@ -19,6 +19,8 @@
   readonly delayMs: number;
   /** Called each time the delay elapses without an answer. */
   onDelayElapsed(): void;
+  /** False while the store is slow: another copy would make it slower and be answered no earlier. */
+  isCopyUseful(): boolean;
 }
 
 function isConclusive(outcome: StoreOutcome<Committed>): boolean {
@@ -31,6 +33,8 @@
 
   #sentCount = 0;
 
+  #delayCount = 0;
+
   #pendingCount = 0;
 
   #isSettled = false;
@@ -50,13 +54,20 @@
     this.#sentCount += 1;
     this.#pendingCount += 1;
     this.#options.send().then((outcome) => this.#onOutcome(outcome), throwRejection);
+    this.#startDelay();
+  }
+
+  #startDelay(): void {
     this.#timer = setTimeout(() => this.#onDelayElapsed(), this.#options.delayMs);
   }
 
   #onDelayElapsed(): void {
     if (this.#isSettled) return;
     this.#options.onDelayElapsed();
-    if (this.#sentCount < MAX_COPIES) this.send();
+    this.#delayCount += 1;
+    if (this.#delayCount >= MAX_COPIES) return;
+    if (this.#options.isCopyUseful()) this.send();
+    else this.#startDelay();
   }
 
   #onOutcome(outcome: StoreOutcome<Committed>): void {
--- a/src/store/monitoredStore.ts
+++ b/src/store/monitoredStore.ts
@@ -2,6 +2,7 @@
 
 import * as E from 'fp-ts/Either';
 import { transactHedged } from './hedgedTransaction';
+import { LATE_ANSWER_MS, SlownessDetector } from './slownessDetector';
 import { AdaptiveTimeout } from '../types/adaptiveTimeout';
 import type { TimeoutBounds } from '../types/adaptiveTimeout';
 import type { Clock } from '../types/clock';
@@ -19,9 +20,12 @@
 /** Called when the store becomes unreachable or reachable. */
 export type ReachabilityListener = (isReachable: boolean, detail: string) => void;
 
-/** The store is unreachable when all calls have failed for this long. A slow store answers within 0.6 s. */
+/** The store is unreachable when all calls have failed for this long. */
 const UNREACHABLE_AFTER_MS = 650;
 
+/** The same for a store whose last answers came late: a transaction that waits for others takes over a second. */
+const SLOW_UNREACHABLE_AFTER_MS = 2_000;
+
 /**
  * Bounds of the delay before another copy of a transaction is sent. A transaction usually takes 4 ms, and
  * 0.6 s when the store is slow.
@@ -44,13 +48,26 @@
 
   #hedgeDelay = new AdaptiveTimeout(HEDGE_DELAY_BOUNDS);
 
+  #slowness = new SlownessDetector();
+
+  /** Whether another node reports that the store answers it late. */
+  #isReportedSlow: () => boolean;
+
   /**
    * @param inner - the store
    * @param clock - measures calls and the time without answers
    * @param metrics - receives counts and durations of calls
    * @param listener - called when reachability changes
+   * @param isReportedSlow - whether another node reports that the store answers it late
    */
-  constructor(inner: RowStore, clock: Clock, metrics: Metrics, listener: ReachabilityListener) {
+  constructor(
+    inner: RowStore,
+    clock: Clock,
+    metrics: Metrics,
+    listener: ReachabilityListener,
+    isReportedSlow: () => boolean = () => false,
+  ) {
+    this.#isReportedSlow = isReportedSlow;
     this.#inner = inner;
     this.#clock = clock;
     this.#metrics = metrics;
@@ -62,6 +79,16 @@
     return this.#isReachable;
   }
 
+  /** True when the store answers this node late, as opposed to losing answers. */
+  get isSlow(): boolean {
+    return this.#slowness.isSlow(this.#clock.nowMs());
+  }
+
+  /** False when a transaction without an answer is more likely late than lost. */
+  get isCopyUseful(): boolean {
+    return !this.#slowness.isAnsweringLate(this.#clock.nowMs()) && !this.#isReportedSlow();
+  }
+
   /** Time since the first of the failed calls; 0 while the store is reachable. */
   get unreachableForMs(): number {
     if (this.#isReachable || this.#failingSinceMs === undefined) return 0;
@@ -81,6 +108,7 @@
       // The delay follows the usual latency of the store, so that a lost answer is detected early.
       delayMs: Math.min(timeoutMs, this.#hedgeDelay.timeoutMs),
       onDelayElapsed: () => this.#recordFailure('no answer within the hedge delay'),
+      isCopyUseful: () => this.isCopyUseful,
     });
   }
 
@@ -89,9 +117,14 @@
     timeoutMs: number,
   ): Promise<StoreOutcome<Committed>> {
     const startedAtMs = this.#clock.nowMs();
+    const timer = setTimeout(() => this.#slowness.addDelay(this.#clock.nowMs()), LATE_ANSWER_MS);
     const outcome = await this.#measure('transact', this.#inner.transact(transaction, timeoutMs));
+    clearTimeout(timer);
     const isAnswered = E.isRight(outcome) || outcome.left.kind !== 'unknown';
-    if (isAnswered) this.#hedgeDelay.addResponse(this.#clock.nowMs() - startedAtMs);
+    if (!isAnswered) return outcome;
+    const nowMs = this.#clock.nowMs();
+    this.#hedgeDelay.addResponse(nowMs - startedAtMs);
+    this.#slowness.addAnswer(nowMs - startedAtMs, nowMs);
     return outcome;
   }
 
@@ -131,7 +164,10 @@
   #recordFailure(detail: string): void {
     const nowMs = this.#clock.nowMs();
     this.#failingSinceMs ??= nowMs;
-    if (!this.#isReachable || nowMs < this.#failingSinceMs + UNREACHABLE_AFTER_MS) return;
+    const afterMs = this.#slowness.isAnsweringLate(nowMs)
+      ? SLOW_UNREACHABLE_AFTER_MS
+      : UNREACHABLE_AFTER_MS;
+    if (!this.#isReachable || nowMs < this.#failingSinceMs + afterMs) return;
     this.#isReachable = false;
     this.#listener(false, detail);
   }
--- a/tests/hedgedTransaction.test.ts
+++ b/tests/hedgedTransaction.test.ts
@@ -20,7 +20,7 @@
 }
 
 /** Performs a transaction whose copies get these replies in order; further copies get the last one. */
-async function runTransaction(replies: readonly Reply[]) {
+async function runTransaction(replies: readonly Reply[], isCopyUseful = true) {
   let sentCount = 0;
   let delayElapsedCount = 0;
   let tookMs: number | undefined;
@@ -37,6 +37,7 @@
     onDelayElapsed: () => {
       delayElapsedCount += 1;
     },
+    isCopyUseful: () => isCopyUseful,
   }).then((outcome) => {
     tookMs = Date.now() - startedAtMs;
     return outcome;
@@ -64,6 +65,11 @@
     expect(result).toEqual({ outcome: STORED, tookMs: 240, sentCount: 2, delayElapsedCount: 1 });
   });
 
+  test('sends no copy to a store that is known to answer late', async () => {
+    const result = await runTransaction([{ afterMs: 900, outcome: STORED }], false);
+    expect(result).toMatchObject({ outcome: STORED, tookMs: 900, sentCount: 1 });
+  });
+
   test('recovers from a lost answer with its second copy', async () => {
     const result = await runTransaction([LOST, { afterMs: 4, outcome: CONFLICT }]);
     expect(result).toMatchObject({ outcome: CONFLICT, tookMs: DELAY_MS + 4, sentCount: 2 });
