--- a/src/node/acceptance.ts
+++ b/src/node/acceptance.ts
@@ -10,7 +10,8 @@
 import type { RowPut, RowStore, StoreFailure, StoreOutcome, Committed } from '../store/types';
 import type { Clock } from '../types/clock';
 import { CommitEstimator } from './commitEstimate';
-import { getSubmissionPart } from './tables';
+import { commitWithFallback } from './partFallback';
+import { getSubmissionPart, getSubmissionParts } from './tables';
 import { throwRejection } from '../types/debug';
 
 /** Rows per transaction; each takes a condition and a put of the store's limit of 100 entries. */
@@ -43,6 +44,9 @@
 /** The same while the store answers late, which is within the usual timeout of callers. */
 const SLOW_ANSWER_TIMEOUT_MS = 2_400;
 
+/** A part for which the store did not answer is written to last for this long. */
+const SILENT_PART_MS = 1_000;
+
 /** The outcome of a write. */
 export type AcceptOutcome =
   /** The row is stored, by this or an earlier attempt. */
@@ -60,8 +64,8 @@
 
 /** Lets another node commit rows. */
 export interface RowDelegate {
-  /** Whether the store answers late. */
-  isStoreSlow(): boolean;
+  /** Whether the store answers late, as opposed to not at all. */
+  isStoreLate(): boolean;
   /**
    * @param put - the row to create
    * @param timeoutMs - time in which the outcome is needed
@@ -71,13 +75,14 @@
 }
 
 /** No row is handed to another node. */
-export const NO_DELEGATE: RowDelegate = { isStoreSlow: () => false, tryDelegate: () => undefined };
+export const NO_DELEGATE: RowDelegate = { isStoreLate: () => false, tryDelegate: () => undefined };
 
 /** A row whose write has no final outcome yet. */
 interface PendingRow {
   readonly put: RowPut;
   resolve(outcome: AcceptOutcome): void;
   readonly expiresAtMs: number;
+  readonly timer: NodeJS.Timeout;
   /** An earlier attempt has an unknown outcome and may have stored the row. */
   mayBeStored: boolean;
 }
@@ -104,6 +109,8 @@
 
   #estimator = new CommitEstimator();
 
+  #silentUntilMs = new Map<string, number>();
+
   /** Writes without a final outcome, so that a repeated request joins the first one. */
   #openWrites = new Map<string, Promise<AcceptOutcome>>();
 
@@ -167,7 +174,7 @@
 
   async #delegateOrCommit(put: RowPut): Promise<AcceptOutcome> {
     const startedAtMs = this.#clock.nowMs();
-    const timeoutMs = this.#delegate.isStoreSlow() ? SLOW_ANSWER_TIMEOUT_MS : ANSWER_TIMEOUT_MS;
+    const timeoutMs = this.#delegate.isStoreLate() ? SLOW_ANSWER_TIMEOUT_MS : ANSWER_TIMEOUT_MS;
     const delegated = await this.#delegate.tryDelegate(put, timeoutMs);
     const remainingMs = timeoutMs - (this.#clock.nowMs() - startedAtMs);
     switch (delegated?.kind) {
@@ -183,22 +190,57 @@
   }
 
   #commit(put: RowPut, timeoutMs: number, mayBeStored: boolean): Promise<AcceptOutcome> {
+    const expiresAtMs = this.#clock.nowMs() + timeoutMs;
+    return commitWithFallback({
+      parts: this.#getPartsInOrder(put.key as SubmissionId),
+      commit: (part) => this.#commitInPart({ ...put, part }, expiresAtMs, mayBeStored),
+      isFallbackUseful: () => !this.#delegate.isStoreLate() && !this.#isStoreUnreachable(),
+      onSilent: (parts) => {
+        const silentUntilMs = this.#clock.nowMs() + SILENT_PART_MS;
+        parts.forEach((part) => this.#silentUntilMs.set(part, silentUntilMs));
+      },
+    });
+  }
+
+  #getPartsInOrder(submissionId: SubmissionId): readonly string[] {
     const nowMs = this.#clock.nowMs();
+    const parts = getSubmissionParts(submissionId);
+    const isSilent = (part: string) => nowMs < (this.#silentUntilMs.get(part) ?? 0);
+    return [...parts.filter((part) => !isSilent(part)), ...parts.filter(isSilent)];
+  }
+
+  #commitInPart(put: RowPut, expiresAtMs: number, mayBeStored: boolean): Promise<AcceptOutcome> {
+    const nowMs = this.#clock.nowMs();
+    const timeoutMs = expiresAtMs - nowMs;
     const expectedMs = this.#estimator.getExpectedMs(put.part, this.#hasFreeSlot(put.part), nowMs);
     if (expectedMs > timeoutMs && !mayBeStored) {
-      const detail = `the store needs ${Math.round(expectedMs)} ms, the caller waits ${timeoutMs} ms`;
+      const detail = `the store needs ${Math.round(expectedMs)} ms, the caller waits ${Math.round(timeoutMs)} ms`;
       return Promise.resolve({ kind: 'notStored', detail });
     }
     return new Promise((resolve) => {
-      const expiresAtMs = nowMs + timeoutMs;
-      this.#waiting.push({ put, resolve, expiresAtMs, mayBeStored });
+      const row: PendingRow = {
+        ...{ put, expiresAtMs, mayBeStored },
+        resolve: (outcome) => {
+          clearTimeout(row.timer);
+          resolve(outcome);
+        },
+        timer: setTimeout(() => this.#expire(row), timeoutMs),
+      };
+      this.#waiting.push(row);
       this.#send();
     });
   }
 
+  /** Answers a row whose time has passed, also while its transaction is in flight. */
+  #expire(row: PendingRow): void {
+    const isWaiting = this.#waiting.includes(row);
+    this.#waiting = this.#waiting.filter((other) => other !== row);
+    if (isWaiting) AcceptanceWriter.#giveUp(row, 'no transaction in time');
+    else row.resolve({ kind: 'unknown', detail: 'no answer in time' });
+  }
+
   #send(): void {
     if (this.#inFlightCount >= MAX_IN_FLIGHT) return;
-    this.#dropExpired();
     const next = this.#waiting.find(({ put }) => this.#hasFreeSlot(put.part));
     if (next === undefined) return;
     const { part } = next.put;
@@ -210,7 +252,7 @@
       puts: batch.map(({ put }) => put),
       removals: [],
     };
-    const timeoutMs = this.#delegate.isStoreSlow()
+    const timeoutMs = this.#delegate.isStoreLate()
       ? SLOW_TRANSACTION_TIMEOUT_MS
       : TRANSACTION_TIMEOUT_MS;
     this.#store.transact(transaction, timeoutMs).then((outcome) => {
@@ -227,15 +269,6 @@
     return (this.#inFlightCountByPart.get(part) ?? 0) < MAX_IN_FLIGHT_PER_PART;
   }
 
-  /** Gives up rows whose time has passed while all transactions of their part were in flight. */
-  #dropExpired(): void {
-    const nowMs = this.#clock.nowMs();
-    const expired = this.#waiting.filter(({ expiresAtMs }) => expiresAtMs <= nowMs);
-    if (expired.length === 0) return;
-    this.#waiting = this.#waiting.filter(({ expiresAtMs }) => expiresAtMs > nowMs);
-    expired.forEach((row) => AcceptanceWriter.#giveUp(row, 'no transaction in time'));
-  }
-
   static #giveUp(row: PendingRow, detail: string): void {
     row.resolve({ kind: row.mayBeStored ? 'unknown' : 'notStored', detail });
   }
--- a/src/node/committerLinks.ts
+++ b/src/node/committerLinks.ts
@@ -40,7 +40,10 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Whether the store answers late, or answers are missing. */
   isStoreSlow(): boolean;
+  /** Whether the store answers late. */
+  isStoreLate(): boolean;
   getMembers(): readonly Member[];
   /** The owner of the fleet, which has enough other work. */
   getOwnerId(): NodeId | undefined;
@@ -66,9 +69,9 @@
     this.#ports = ports;
   }
 
-  /** {@inheritDoc RowDelegate.isStoreSlow} */
-  isStoreSlow(): boolean {
-    return this.#ports.isStoreSlow();
+  /** {@inheritDoc RowDelegate.isStoreLate} */
+  isStoreLate(): boolean {
+    return this.#ports.isStoreLate();
   }
 
   /** {@inheritDoc RowDelegate.tryDelegate} */
--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -16,7 +16,7 @@
 import type { CallerAnswer, CallerCall } from './callerTypes';
 import { tryParseSubmissionId } from './router';
 import type { RoutedCall, Router } from './router';
-import { CANCELS_TABLE, getSubmissionPart, SUBMISSIONS_TABLE } from './tables';
+import { CANCELS_TABLE, getSubmissionParts, SUBMISSIONS_TABLE } from './tables';
 
 /** Retry delay given to callers when a request was refused for a temporary reason. */
 const RETRY_AFTER_MS = 1_000;
@@ -220,14 +220,16 @@
 
   /** Checks whether the submission is stored; undefined when the store did not answer. */
   async #isStored(submissionId: SubmissionId): Promise<boolean | undefined> {
-    const query = {
-      table: SUBMISSIONS_TABLE,
-      part: getSubmissionPart(submissionId),
-      fromKey: submissionId,
-      limit: 1,
-    };
-    const page = await this.#ports.store.readRange(query, CHECK_TIMEOUT_MS);
-    if (E.isLeft(page)) return undefined;
-    return page.right.rows.some(({ key }) => key === submissionId);
+    const pages = await Promise.all(
+      getSubmissionParts(submissionId).map((part) =>
+        this.#ports.store.readRange(
+          { table: SUBMISSIONS_TABLE, part, fromKey: submissionId, limit: 1 },
+          CHECK_TIMEOUT_MS,
+        ),
+      ),
+    );
+    const rows = pages.flatMap((page) => (E.isRight(page) ? page.right.rows : []));
+    if (rows.some(({ key }) => key === submissionId)) return true;
+    return pages.some(E.isLeft) ? undefined : false;
   }
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -143,6 +143,7 @@
     this.#committers = new CommitterLinks({
       ...{ selfId: nodeId, clock: ports.clock, logger: ports.logger, metrics: ports.metrics },
       isStoreSlow: () => this.#store.isSlow || this.#ownership.isOwnerStoreSlow,
+      isStoreLate: () => this.#store.isLate,
       getMembers: () => this.#members.members,
       getOwnerId: () => this.#ownership.core.followedId,
     });
@@ -395,7 +396,8 @@
     const { table, key, value, timeoutMs } = params;
     const submissionId = tryParseSubmissionId(key);
     const isKnownTable = table === SUBMISSIONS_TABLE || table === CANCELS_TABLE;
-    if (this.#isStopping || submissionId === undefined || !isKnownTable) return { kind: 'notSent' };
+    const canStore = this.#store.isReachable && !this.#isStopping;
+    if (!canStore || submissionId === undefined || !isKnownTable) return { kind: 'notSent' };
     const put = { table, part: getSubmissionPart(submissionId), key, value };
     return this.#acceptance.writeForPeer(put, timeoutMs);
   }
--- a/src/node/ownerWrites.ts
+++ b/src/node/ownerWrites.ts
@@ -9,7 +9,7 @@
 import type { SubmissionId } from '../types/ids';
 import {
   CANCELS_TABLE,
-  getSubmissionPart,
+  getSubmissionParts,
   OWNER_KEY,
   OWNER_PART,
   OWNERSHIP_TABLE,
@@ -97,8 +97,9 @@
   async deleteSubmissions(submissionIds: readonly SubmissionId[]): Promise<boolean> {
     const idsByPart = new Map<string, SubmissionId[]>();
     submissionIds.forEach((id) => {
-      const part = getSubmissionPart(id);
-      idsByPart.set(part, [...(idsByPart.get(part) ?? []), id]);
+      getSubmissionParts(id).forEach((part) => {
+        idsByPart.set(part, [...(idsByPart.get(part) ?? []), id]);
+      });
     });
     const accepted = await Promise.all(
       [...idsByPart].map(([part, ids]) => this.#deleteAccepted(part, ids)),
--- a/src/node/tables.ts
+++ b/src/node/tables.ts
@@ -11,8 +11,26 @@
   (digit) => `s${digit}`,
 );
 
+/** Number of parts in which the rows of a submission may be. */
+const PARTS_PER_SUBMISSION = 3;
+
+/**
+ * Gets the parts that may hold a submission's row and its cancellation. They are in the first one unless the store
+ * did not answer for it when they were written.
+ * @param submissionId - 16 hexadecimal digits
+ * @returns distinct parts, the preferred one first
+ */
+export function getSubmissionParts(submissionId: SubmissionId): readonly string[] {
+  const first = parseInt(submissionId.charAt(0), 16);
+  const stride = 1 + (parseInt(submissionId.charAt(1), 16) % (SUBMISSION_PARTS.length / 2 - 1));
+  return Array.from({ length: PARTS_PER_SUBMISSION }, (_, number) => {
+    const position = (first + number * stride) % SUBMISSION_PARTS.length;
+    return SUBMISSION_PARTS[position] ?? '';
+  });
+}
+
 /**
- * Gets the part that holds a submission's row and its cancellation.
+ * Gets the preferred part of a submission's row and its cancellation.
  * @param submissionId - 16 hexadecimal digits
  * @returns the part
  */
--- a/src/node/takeoverLoader.ts
+++ b/src/node/takeoverLoader.ts
@@ -72,7 +72,9 @@
   decodeSubmissions({ submissions, cancels, progress }: LoadedRows): LoadedSubmission[] {
     const cancelled = new Set(cancels.rows.map(({ key }) => key));
     const progressRows = new Map(progress.rows.map((row) => [row.key, row]));
-    return submissions.rows.flatMap((row) => {
+    // A row may be in two parts, as the store did not answer for one of them when it was written.
+    const uniqueRows = [...new Map(submissions.rows.map((row) => [row.key, row])).values()];
+    return uniqueRows.flatMap((row) => {
       const progressRow = progressRows.get(row.key);
       const stored = this.#decodeProgress(progressRow);
       const decode = stored?.outcome === undefined ? decodeSubmission : decodeFinishedSubmission;
--- a/src/store/monitoredStore.ts
+++ b/src/store/monitoredStore.ts
@@ -79,14 +79,14 @@
     return this.#isReachable;
   }
 
-  /** True when the store answers this node late, as opposed to losing answers. */
+  /** True when the store answers this node late, or answers are missing. */
   get isSlow(): boolean {
     return this.#slowness.isSlow(this.#clock.nowMs());
   }
 
-  /** False when a transaction without an answer is more likely late than lost. */
-  get isCopyUseful(): boolean {
-    return !this.#slowness.isAnsweringLate(this.#clock.nowMs()) && !this.#isReportedSlow();
+  /** True when a transaction without an answer is more likely late than lost. */
+  get isLate(): boolean {
+    return this.#slowness.isAnsweringLate(this.#clock.nowMs()) || this.#isReportedSlow();
   }
 
   /** Time since the first of the failed calls; 0 while the store is reachable. */
@@ -108,7 +108,7 @@
       // The delay follows the usual latency of the store, so that a lost answer is detected early.
       delayMs: Math.min(timeoutMs, this.#hedgeDelay.timeoutMs),
       onDelayElapsed: () => this.#recordFailure('no answer within the hedge delay'),
-      isCopyUseful: () => this.isCopyUseful,
+      isCopyUseful: () => !this.isLate,
     });
   }
 
--- a/tests/acceptance.test.ts
+++ b/tests/acceptance.test.ts
@@ -2,6 +2,8 @@
 
 import * as E from 'fp-ts/Either';
 import { AcceptanceWriter } from '../src/node/acceptance';
+import type { DelegatedOutcome } from '../src/node/acceptance';
+import { getSubmissionParts, SUBMISSION_PARTS } from '../src/node/tables';
 import type { Committed, RowTransaction, StoreOutcome } from '../src/store/types';
 import type { SubmissionId } from '../src/types/ids';
 
@@ -90,6 +92,89 @@
     expect(store.transactions).toEqual([]);
   });
 
+  describe('through another node', () => {
+    const REFUSED = E.left({ kind: 'notDone' as const, detail: 'status 503' });
+
+    async function writeAfter(delegated: DelegatedOutcome, answer: StoreOutcome<Committed>) {
+      const store = new ScriptedStore(() => answer);
+      const delegate = { isStoreLate: () => true, tryDelegate: () => Promise.resolve(delegated) };
+      const acceptance = new AcceptanceWriter(store, CLOCK, () => false, delegate);
+      const outcome = await acceptance.write('submissions', toId('a1'), 'x');
+      return { kind: outcome.kind, transactionCount: store.transactions.length };
+    }
+
+    test('is not repeated when that node has stored the row', async () => {
+      expect(await writeAfter({ kind: 'stored' }, REFUSED)).toEqual({
+        ...{ kind: 'stored', transactionCount: 0 },
+      });
+    });
+
+    test('is never reported as not stored when that node may have stored it', async () => {
+      const lost = { kind: 'unknown', detail: 'the connection is closed' } as const;
+      expect((await writeAfter(lost, REFUSED)).kind).toBe('unknown');
+      expect((await writeAfter(lost, COMMITTED)).kind).toBe('stored');
+    });
+
+    test('falls back to this node when that node has not received the row', async () => {
+      expect((await writeAfter({ kind: 'notSent' }, COMMITTED)).kind).toBe('stored');
+      expect((await writeAfter({ kind: 'notSent' }, REFUSED)).kind).toBe('notStored');
+    });
+  });
+
+  describe('while a part of the store is silent', () => {
+    /** A store that never answers for the given parts. */
+    function createWriter(silentParts: readonly string[]) {
+      const asked: string[] = [];
+      const store = {
+        transact: ({ puts }: RowTransaction) => {
+          const part = puts[0]?.part ?? '';
+          asked.push(part);
+          if (!silentParts.includes(part)) return Promise.resolve(COMMITTED);
+          return new Promise<StoreOutcome<Committed>>((resolve) => {
+            setTimeout(() => resolve(E.left({ kind: 'unknown', detail: 'no answer' })), 1_200);
+          });
+        },
+      };
+      return { asked, writer: new AcceptanceWriter(store, CLOCK, () => false) };
+    }
+
+    test('stores the row in another part, and the next one without a delay', async () => {
+      const { asked, writer } = createWriter(['sa']);
+      const startedAtMs = performance.now();
+      expect((await writer.write('submissions', toId('a1'), 'x')).kind).toBe('stored');
+      expect(performance.now() - startedAtMs).toBeLessThan(600);
+      expect((await writer.write('submissions', toId('a2'), 'x')).kind).toBe('stored');
+      expect(performance.now() - startedAtMs).toBeLessThan(700);
+      expect(asked[0]).toBe('sa');
+      expect(asked.slice(1)).not.toContain('sa');
+    });
+
+    test('answers in time, with an unknown outcome, when all its parts are silent', async () => {
+      const { writer } = createWriter(getSubmissionParts(toId('a1')));
+      const startedAtMs = performance.now();
+      expect((await writer.write('submissions', toId('a1'), 'x')).kind).toBe('unknown');
+      expect(performance.now() - startedAtMs).toBeLessThan(1_700);
+    });
+
+    test('uses distinct parts for every id', () => {
+      for (let number = 0; number < 256; number += 1) {
+        const parts = getSubmissionParts(toId(number.toString(16).padStart(2, '0')));
+        expect(new Set(parts).size).toBe(3);
+        parts.forEach((part) => expect(SUBMISSION_PARTS).toContain(part));
+      }
+    });
+  });
+
+  test('joins requests for the same row that arrive while its write is open', async () => {
+    const store = new ScriptedStore(() => COMMITTED);
+    const acceptance = new AcceptanceWriter(store, CLOCK, () => false);
+    const outcomes = await Promise.all(
+      [1, 2, 3].map(() => acceptance.write('submissions', toId('a1'), 'x')),
+    );
+    expect(outcomes.map(({ kind }) => kind)).toEqual(['stored', 'stored', 'stored']);
+    expect(store.transactions).toHaveLength(1);
+  });
+
   test('answers within its time limit while the store stays busy', async () => {
     const store = new ScriptedStore(() => E.left({ kind: 'busy' }));
     const acceptance = new AcceptanceWriter(store, CLOCK, () => false);
--- a/tests/containment.test.ts
+++ b/tests/containment.test.ts
@@ -5,6 +5,8 @@
 import { decodeSubmissionBody } from '../platform/submissionBody';
 import { targetRegistry } from '../platform/targetRegistry';
 import { OwnerWrites } from '../src/node/ownerWrites';
+import type { NodePorts } from '../src/node/ports';
+import { TakeoverLoader } from '../src/node/takeoverLoader';
 import { OwnerCore } from '../src/owner/core';
 import { SubmissionRecord } from '../src/owner/submissionRecord';
 import { HttpClient } from '../src/rpc/httpClient';
@@ -12,6 +14,7 @@
 import type { Committed, RowStore, RowTransaction, StoreOutcome } from '../src/store/types';
 import { createDiagnostic, Diagnostics } from '../src/types/diagnostics';
 import { toEpoch } from '../src/types/ids';
+import { encodeSubmission } from '../src/work/submissionSchema';
 import { createSubmission, toSubmissionId } from './support/ownerWorld';
 
 const CLOCKS = { nowMs: 1_000, wallMs: 1_700_000_000_000, steadyMs: 1_000 };
@@ -127,6 +130,17 @@
   });
 });
 
+test('a submission whose row is in two parts is read once', () => {
+  const value = encodeSubmission(createSubmission(1, [{}]));
+  const rows = ['s0', 's4'].map((part, index) => ({
+    ...{ table: 'submissions', part, key: toSubmissionId(1), version: 5 + index, value },
+  }));
+  const none = { rows: [], version: 5 };
+  const loader = new TakeoverLoader({} as NodePorts);
+  const loaded = { submissions: { rows, version: 5 }, cancels: none, progress: none };
+  expect(loader.decodeSubmissions({ ...loaded, registry: none })).toHaveLength(1);
+});
+
 describe('the deletion of expired submissions', () => {
   /** Rows by table and key; refuses transactions over several parts, and all after a given number. */
   class PartStore implements Pick<RowStore, 'transact'> {
--- a/tests/slowStore.test.ts
+++ b/tests/slowStore.test.ts
@@ -70,7 +70,7 @@
     const store = new MonitoredStore(this.store, CLOCK, metrics, () => undefined, isSlowReported);
     const isStoreSlow = () => store.isSlow || this.#isOwnerStoreSlow;
     const delegate: RowDelegate = {
-      isStoreSlow,
+      isStoreLate: () => store.isLate,
       tryDelegate: (put, timeoutMs) =>
         isStoreSlow() ? this.#delegate(nodeId, put, timeoutMs) : undefined,
     };
