--- a/src/node/committerLinks.ts
+++ b/src/node/committerLinks.ts
@@ -127,7 +127,7 @@
     try {
       const params = { table, key, value, timeoutMs: remainingMs - ANSWER_MARGIN_MS };
       const reply = await link.call('storeRow', params, remainingMs);
-      if (reply.kind === 'notSent') this.#exclude(nodeId, 'it is stopping');
+      if (reply.kind === 'notSent') this.#exclude(nodeId, 'it takes no rows now');
       return reply;
     } catch (error) {
       // A committer that is alive but late is kept: it also queues the rows of all other gates of the part.
--- a/src/node/takeoverLoader.ts
+++ b/src/node/takeoverLoader.ts
@@ -77,6 +77,8 @@
     return uniqueRows.flatMap((row) => {
       const progressRow = progressRows.get(row.key);
       const stored = this.#decodeProgress(progressRow);
+      // Without its progress the submission would be taken for new and run again.
+      if (progressRow !== undefined && stored === undefined) return [];
       const decode = stored?.outcome === undefined ? decodeSubmission : decodeFinishedSubmission;
       const submission = decode(row.value);
       if (E.isLeft(submission)) {
@@ -99,7 +101,10 @@
     if (row === undefined) return undefined;
     const decoded = decodeProgress(row.value);
     if (E.isRight(decoded)) return decoded.right;
-    this.#ports.logger.error({ key: row.key, reason: decoded.left }, 'cannot decode progress');
+    this.#ports.logger.error(
+      { key: row.key, reason: decoded.left },
+      'cannot decode progress; its submission is left out',
+    );
     return undefined;
   }
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -369,13 +369,15 @@
 
   /** A submission that cannot be represented is left out, so that it cannot stop the others. */
   #tryAddRecord(loaded: LoadedSubmission, mayHaveBegun: boolean): SubmissionRecord | undefined {
+    let record: SubmissionRecord | undefined;
     try {
-      const record = new SubmissionRecord(loaded, mayHaveBegun);
+      record = new SubmissionRecord(loaded, mayHaveBegun);
       this.#addRecord(record);
       return record;
     } catch (error) {
       const { id } = loaded.submission;
       this.#state.records.delete(id);
+      if (record !== undefined) this.#state.open.delete(record);
       this.#state.log('submission cannot be scheduled', {
         submissionId: id,
         reason: String(error),
--- a/tests/containment.test.ts
+++ b/tests/containment.test.ts
@@ -1,12 +1,14 @@
 /** Malformed input and unexpected errors end neither a process nor the work of others. */
 
 import { request } from 'node:http';
+import { PassThrough } from 'node:stream';
 import * as E from 'fp-ts/Either';
 import { decodeSubmissionBody } from '../platform/submissionBody';
 import { targetRegistry } from '../platform/targetRegistry';
 import { OwnerWrites } from '../src/node/ownerWrites';
 import type { NodePorts } from '../src/node/ports';
 import { TakeoverLoader } from '../src/node/takeoverLoader';
+import { createLogger } from '../src/observe/logger';
 import { OwnerCore } from '../src/owner/core';
 import { SubmissionRecord } from '../src/owner/submissionRecord';
 import { HttpClient } from '../src/rpc/httpClient';
@@ -130,13 +132,38 @@
   });
 });
 
+function createLoader(): TakeoverLoader {
+  const logger = createLogger('test', 'node-1', 'info', new PassThrough());
+  return new TakeoverLoader({ logger } as unknown as NodePorts);
+}
+
+test('a submission whose progress cannot be read is left out instead of run again', () => {
+  const id = toSubmissionId(1);
+  const value = encodeSubmission(createSubmission(1, [{}]));
+  const submissions = {
+    rows: [{ table: 'submissions', part: 's0', key: id, version: 5, value }],
+    version: 5,
+  };
+  const none = { rows: [], version: 5 };
+  const load = (progressValue: string) =>
+    createLoader().decodeSubmissions({
+      ...{ submissions, cancels: none, registry: none },
+      progress: {
+        rows: [{ table: 'progress', part: 'p', key: id, version: 6, value: progressValue }],
+        version: 6,
+      },
+    });
+  expect(load('no json')).toEqual([]);
+  expect(load('{}')).toHaveLength(1);
+});
+
 test('a submission whose row is in two parts is read once', () => {
   const value = encodeSubmission(createSubmission(1, [{}]));
   const rows = ['s0', 's4'].map((part, index) => ({
     ...{ table: 'submissions', part, key: toSubmissionId(1), version: 5 + index, value },
   }));
   const none = { rows: [], version: 5 };
-  const loader = new TakeoverLoader({} as NodePorts);
+  const loader = createLoader();
   const loaded = { submissions: { rows, version: 5 }, cancels: none, progress: none };
   expect(loader.decodeSubmissions({ ...loaded, registry: none })).toHaveLength(1);
 });
