--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -1,6 +1,7 @@
 /** Runs the owner's scheduler on the owner node: loads the stored state and performs its effects. */
 
 import * as E from 'fp-ts/Either';
+import { OWNER_AUTHORITY_MS } from '../owner/constants';
 import { OwnerCore } from '../owner/core';
 import type { Advice, AdviceFailure, ClockReadings, OwnerEffect, OwnerEvent } from '../owner/types';
 import { TableFollower } from '../store/tableFollower';
@@ -13,7 +14,13 @@
 import type { OperatorSnapshot } from './operatorSnapshot';
 import { OwnerWrites } from './ownerWrites';
 import type { NodePorts } from './ports';
-import { SUBMISSION_PARTS, CANCELS_TABLE, SUBMISSIONS_TABLE } from './tables';
+import {
+  CANCELS_TABLE,
+  OWNER_PART,
+  OWNERSHIP_TABLE,
+  SUBMISSION_PARTS,
+  SUBMISSIONS_TABLE,
+} from './tables';
 import { TakeoverLoader } from './takeoverLoader';
 import type { LoadedRows } from './takeoverLoader';
 
@@ -29,6 +36,13 @@
 /** Pause between reads of submissions and cancellations, for those of which no gate notified the owner. */
 const SUBMISSIONS_PAUSE_MS = 500;
 
+/** Added to the authority of a former owner to allow for timer delays and clocks of different speed. */
+const FORMER_OWNER_MARGIN_MS = 200;
+
+/** Timeout of the read that gets the store's version, and the delay before it is repeated. */
+const VERSION_TIMEOUT_MS = 1_000;
+const VERSION_RETRY_DELAY_MS = 200;
+
 /** Callbacks of the node that the host runs on. */
 export interface OwnerHostCallbacks {
   /** True while this node may act as the owner. */
@@ -123,6 +137,7 @@
     this.#pendingEvents = [];
     this.#follow(loaded);
     this.#timer = setInterval(() => this.#dispatch({ kind: 'tick' }), TICK_INTERVAL_MS);
+    this.#scheduleFormerOwnersEnd(OWNER_AUTHORITY_MS + FORMER_OWNER_MARGIN_MS);
     const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
     this.#ports.logger.info(
       { epoch: this.#epoch, submissionCount: submissions.length, durationMs },
@@ -161,14 +176,18 @@
   /**
    * Adds a stored submission.
    * @param text - the submission in its stored form
+   * @param rowVersion - version of its row; omitted when a gate announces it
    */
-  submit(text: string): void {
+  submit(text: string, rowVersion?: number): void {
     const decoded = decodeSubmission(text);
     if (E.isLeft(decoded)) {
       this.#ports.logger.warn({ reason: decoded.left }, 'cannot decode stored submission');
       return;
     }
-    this.#dispatchOrQueue({ kind: 'submitted', submission: decoded.right });
+    this.#dispatchOrQueue({
+      ...{ kind: 'submitted', submission: decoded.right },
+      ...(rowVersion === undefined ? {} : { rowVersion }),
+    });
   }
 
   /**
@@ -179,6 +198,18 @@
     this.#dispatchOrQueue({ kind: 'cancelled', submissionId });
   }
 
+  /** Once no former owner may act any more, learns the version of the store at that time. */
+  #scheduleFormerOwnersEnd(delayMs: number): void {
+    setTimeout(() => {
+      if (this.#isStopped) return;
+      const query = { table: OWNERSHIP_TABLE, part: OWNER_PART, fromKey: '', limit: 1 };
+      this.#ports.store.readRange(query, VERSION_TIMEOUT_MS).then((page) => {
+        if (E.isLeft(page)) this.#scheduleFormerOwnersEnd(VERSION_RETRY_DELAY_MS);
+        else this.#dispatch({ kind: 'formerOwnersEnded', storeVersion: page.right.storeVersion });
+      }, throwRejection);
+    }, delayMs).unref();
+  }
+
   #restart(): void {
     if (this.#isStopped) return;
     this.start().catch(throwRejection);
@@ -201,7 +232,7 @@
     );
     const accepted = { parts: SUBMISSION_PARTS, pauseMs: SUBMISSIONS_PAUSE_MS };
     follow({ ...accepted, table: SUBMISSIONS_TABLE }, loaded.submissions.version, (event) => {
-      OwnerHost.#getRows(event).forEach((row) => this.submit(row.value));
+      OwnerHost.#getRows(event).forEach((row) => this.submit(row.value, row.version));
     });
     follow({ ...accepted, table: CANCELS_TABLE }, loaded.cancels.version, (event) => {
       OwnerHost.#getRows(event).forEach((row) => this.cancel(row.key as SubmissionId));
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -177,7 +177,10 @@
         this.#targets.onTargetRemoved(event.targetId);
         return;
       case 'submitted':
-        this.#onSubmitted(event.submission);
+        this.#onSubmitted(event.submission, event.rowVersion);
+        return;
+      case 'formerOwnersEnded':
+        this.#state.lastFormerVersion = event.storeVersion;
         return;
       case 'cancelled':
         this.#onCancelled(event.submissionId);
@@ -334,11 +337,16 @@
     if (classified.isExcess) this.#state.count('submissions_excess');
   }
 
-  #onSubmitted(submission: Submission): void {
-    if (this.#state.records.has(submission.id)) return;
+  #onSubmitted(submission: Submission, rowVersion = 0): void {
+    const isUnknownToFormer = rowVersion > this.#state.lastFormerVersion;
+    const known = this.#state.records.get(submission.id);
+    if (known !== undefined) {
+      if (isUnknownToFormer) this.#releaseUnseen(known);
+      return;
+    }
     const record = this.#tryAddRecord(
       { submission, isCancelled: false, progress: undefined, progressVersion: 0 },
-      this.#mayHaveBegun(submission.id),
+      this.#mayHaveBegun(submission.id) && !isUnknownToFormer,
     );
     if (record === undefined) return;
     this.#classifySubmission(record);
@@ -352,6 +360,12 @@
     });
   }
 
+  /** Lets the tasks of a submission start while targets have not reported their runs since the takeover. */
+  #releaseUnseen(record: SubmissionRecord): void {
+    record.clearUnseenRuns();
+    this.#state.isPlanDue = true;
+  }
+
   /** A former owner that was not fenced off yet may have started a submission that this owner had not read. */
   #mayHaveBegun(submissionId: SubmissionId): boolean {
     const { unreadSubmissions, unresolvedTargets, targets } = this.#state;
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -48,6 +48,9 @@
   /** After this time a submission that has still not been read does not exist. */
   unreadSubmissionsUntilMs = 0;
 
+  /** Submissions whose rows are of a later version cannot have been started by a former owner. */
+  lastFormerVersion = Number.POSITIVE_INFINITY;
+
   operator: OperatorState = { config: undefined, closedDataCentreIds: [] };
 
   nowMs = 0;
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -36,8 +36,8 @@
   /** Current configuration of the queue; the one at acceptance if the queue is no longer configured. */
   queue: Queue;
 
-  /** Whether it was loaded at the takeover, that is, accepted under a former owner. */
-  readonly wasLoaded: boolean;
+  /** Whether a former owner may have started tasks of it that no target has listed yet. */
+  #mayRunUnseen: boolean;
 
   isCancelled: boolean;
 
@@ -65,14 +65,14 @@
 
   /**
    * @param loaded - the submission as accepted or loaded
-   * @param wasLoaded - whether it was loaded at a takeover
+   * @param mayRunUnseen - whether a former owner may have started tasks of it that no target has listed yet
    */
-  constructor(loaded: LoadedSubmission, wasLoaded: boolean) {
+  constructor(loaded: LoadedSubmission, mayRunUnseen: boolean) {
     this.submission = loaded.submission;
     this.queue = loaded.submission.queue;
     const { steps } = loaded.submission.spec;
     this.#totalEstimateMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
-    this.wasLoaded = wasLoaded;
+    this.#mayRunUnseen = mayRunUnseen;
     this.isCancelled = loaded.isCancelled;
     this.#stored = loaded.progress ?? {};
     this.outcome = this.#stored.outcome ?? (loaded.isCancelled ? 'cancelled' : undefined);
@@ -92,6 +92,15 @@
     return this.#steps.values();
   }
 
+  /** Records that no former owner has started any task of it. */
+  clearUnseenRuns(): void {
+    this.#mayRunUnseen = false;
+    this.#steps.forEach((step) => {
+      const known = step;
+      known.mayRunUnseen = false;
+    });
+  }
+
   /** Total number of occurrences. */
   get occurrenceCount(): number {
     const { schedule } = this.submission.spec;
@@ -195,7 +204,7 @@
       const name = getStepName(occurrence, number);
       const progress = new StepProgress(spec.taskCount, this.#stored.steps?.[name]);
       const step = new StepState(this, occurrence, number, spec, progress);
-      step.mayRunUnseen = this.wasLoaded;
+      step.mayRunUnseen = this.#mayRunUnseen;
       this.#steps.set(name, step);
       return step;
     });
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -150,7 +150,14 @@
     | { readonly kind: 'targetsListed'; readonly entries: readonly TargetEntry[] }
     | { readonly kind: 'targetChanged'; readonly entry: TargetEntry }
     | { readonly kind: 'targetRemoved'; readonly targetId: TargetId }
-    | { readonly kind: 'submitted'; readonly submission: Submission }
+    | {
+        readonly kind: 'submitted';
+        readonly submission: Submission;
+        /** Version of its row; undefined when a gate has announced it. */
+        readonly rowVersion?: number;
+      }
+    /** No former owner may act any more; every row of a later version was written after that. */
+    | { readonly kind: 'formerOwnersEnded'; readonly storeVersion: number }
     | { readonly kind: 'cancelled'; readonly submissionId: SubmissionId }
     | { readonly kind: 'lanesChanged'; readonly nodeIds: readonly NodeId[] }
     | {
--- a/tests/owner.test.ts
+++ b/tests/owner.test.ts
@@ -236,6 +236,28 @@
     expect(world.getState(toSubmissionId(1))).toBe('succeeded');
   });
 
+  test('that meets dead targets starts what no former owner can have known, and nothing else', () => {
+    const world = createWorld();
+    world.submit(createSubmission(1, [{ taskCount: 6, estimateMs: 20_000 }]));
+    world.run(800);
+    world.partition('target-0' as TargetId, 60_000);
+    world.takeOver(true);
+    world.submit(createSubmission(2, [{ taskCount: 2, estimateMs: 300 }]), 40);
+    world.run(2_300);
+    world.endFormerOwners(50);
+    world.submit(createSubmission(3, [{ taskCount: 2, estimateMs: 300 }]));
+    world.submit(createSubmission(3, [{ taskCount: 2, estimateMs: 300 }]), 60);
+    world.submit(createSubmission(4, [{ taskCount: 2, estimateMs: 300 }]), 61);
+    world.submit(createSubmission(2, [{ taskCount: 2, estimateMs: 300 }]), 40);
+    world.run(1_500);
+    expect([2, 3, 4].map((number) => world.getState(toSubmissionId(number)))).toEqual([
+      ...['pending', 'succeeded', 'succeeded'],
+    ]);
+    world.run(8_000);
+    expect(world.getState(toSubmissionId(2))).toBe('succeeded');
+    expect(world.broken).toEqual([]);
+  });
+
   test('keeps a cancelled submission whose outcome the former owner could not write', () => {
     const world = createWorld();
     world.submit(createSubmission(1, [{ estimateMs: 20_000 }]));
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -56,10 +56,7 @@
   readonly version: number;
 }
 
-/**
- * An owner; a former one continues until a target or the store rejects it, but its calls are no longer sent once its
- * authority has expired, as the host checks it before each call.
- */
+/** An owner; a former one goes on until it is rejected or its authority expires, which the host checks. */
 interface Owner {
   readonly core: OwnerCore;
   readonly epoch: number;
@@ -96,8 +93,6 @@
 
   isStoreAvailable = true;
 
-  isAdviceNeeded = false;
-
   /** Forward step of the owner's wall clock, which the owner cannot distinguish from a suspension. */
   clockOffsetMs = 0;
 
@@ -207,9 +202,16 @@
     });
   }
 
-  submit(submission: Submission): void {
+  submit(submission: Submission, rowVersion?: number): void {
     this.#submissions.set(submission.id, submission);
-    if (this.#owner !== undefined) this.#dispatch(this.#owner, { kind: 'submitted', submission });
+    if (this.#owner !== undefined)
+      this.#dispatch(this.#owner, { kind: 'submitted', submission, rowVersion });
+  }
+
+  /** Tells the owner that no former one may act any more. */
+  endFormerOwners(storeVersion: number): void {
+    if (this.#owner !== undefined)
+      this.#dispatch(this.#owner, { kind: 'formerOwnersEnded', storeVersion });
   }
 
   cancel(submissionId: SubmissionId): void {
