--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -177,7 +177,10 @@
         this.#targets.onTargetRemoved(event.targetId);
         return;
       case 'submitted':
-        this.#onSubmitted(event.submission);
+        this.#onSubmitted(event.submission, event.rowVersion);
+        return;
+      case 'formerOwnersEnded':
+        this.#state.lastFormerVersion = event.storeVersion;
         return;
       case 'cancelled':
         this.#onCancelled(event.submissionId);
@@ -334,11 +337,16 @@
     if (classified.isExcess) this.#state.count('submissions_excess');
   }
 
-  #onSubmitted(submission: Submission): void {
-    if (this.#state.records.has(submission.id)) return;
+  #onSubmitted(submission: Submission, rowVersion = 0): void {
+    const isUnknownToFormer = rowVersion > this.#state.lastFormerVersion;
+    const known = this.#state.records.get(submission.id);
+    if (known !== undefined) {
+      if (isUnknownToFormer) this.#releaseUnseen(known);
+      return;
+    }
     const record = this.#tryAddRecord(
       { submission, isCancelled: false, progress: undefined, progressVersion: 0 },
-      this.#mayHaveBegun(submission.id),
+      this.#mayHaveBegun(submission.id) && !isUnknownToFormer,
     );
     if (record === undefined) return;
     this.#classifySubmission(record);
@@ -352,6 +360,12 @@
     });
   }
 
+  /** Lets the tasks of a submission start while targets have not reported their runs since the takeover. */
+  #releaseUnseen(record: SubmissionRecord): void {
+    record.clearUnseenRuns();
+    this.#state.isPlanDue = true;
+  }
+
   /** A former owner that was not fenced off yet may have started a submission that this owner had not read. */
   #mayHaveBegun(submissionId: SubmissionId): boolean {
     const { unreadSubmissions, unresolvedTargets, targets } = this.#state;
@@ -369,13 +383,15 @@
 
   /** A submission that cannot be represented is left out, so that it cannot stop the others. */
   #tryAddRecord(loaded: LoadedSubmission, mayHaveBegun: boolean): SubmissionRecord | undefined {
+    let record: SubmissionRecord | undefined;
     try {
-      const record = new SubmissionRecord(loaded, mayHaveBegun);
+      record = new SubmissionRecord(loaded, mayHaveBegun);
       this.#addRecord(record);
       return record;
     } catch (error) {
       const { id } = loaded.submission;
       this.#state.records.delete(id);
+      if (record !== undefined) this.#state.open.delete(record);
       this.#state.log('submission cannot be scheduled', {
         submissionId: id,
         reason: String(error),
