--- a/tests/containment.test.ts
+++ b/tests/containment.test.ts
@@ -173,13 +173,17 @@
   class PartStore implements Pick<RowStore, 'transact'> {
     readonly rows = new Set<string>();
 
-    constructor(public remainingCount: number) {}
+    constructor(
+      public remainingCount: number,
+      readonly silentPart = '',
+    ) {}
 
     async transact(transaction: RowTransaction): Promise<StoreOutcome<Committed>> {
       const { conditions, puts, removals } = transaction;
       const parts = new Set([...conditions, ...puts, ...removals].map(({ part }) => part));
       if (parts.size > 1) return E.left({ kind: 'notDone', detail: 'several parts' });
-      if (this.remainingCount <= 0) return E.left({ kind: 'unknown', detail: 'killed' });
+      if (this.remainingCount <= 0 || parts.has(this.silentPart))
+        return E.left({ kind: 'unknown', detail: 'killed' });
       this.remainingCount -= 1;
       removals.forEach(({ table, key }) => this.rows.delete(`${table}/${key}`));
       return E.right({ version: 1 });
@@ -210,6 +214,14 @@
     },
   );
 
+  test('keeps the progress of a submission whose part does not answer', async () => {
+    const store = new PartStore(100, 's1');
+    fill(store);
+    const writes = new OwnerWrites(store as unknown as RowStore, 7);
+    expect(await writes.deleteSubmissions(ids)).toBe(false);
+    expect(store.rows.has(`progress/${ids[0]}`)).toBe(true);
+  });
+
   test('removes all rows', async () => {
     const store = new PartStore(100);
     fill(store);
