--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -19,6 +19,17 @@
   readonly index: number;
 }
 
+/** Number of runs that a log line about a lost target names. */
+const MAX_LOGGED_RUNS = 5;
+
+/** The runs that were started last, which may have caused the loss of their target. */
+function getLatestStarts(target: TargetState, nowMs: number): readonly object[] {
+  return [...target.runs.values()]
+    .sort((left, right) => right.sentAtMs - left.sentAtMs)
+    .slice(0, MAX_LOGGED_RUNS)
+    .map(({ taskKey, sentAtMs }) => ({ task: taskKey, ageMs: Math.round(nowMs - sentAtMs) }));
+}
+
 /** Applies the responses to polls. */
 export class InventoryReconciler {
   #state: OwnerState;
@@ -70,7 +81,17 @@
       return;
     }
     if (target.isResponding) {
-      this.#state.log('target does not answer', { targetId: target.id, failure }, 'warn');
+      this.#state.log(
+        'target does not answer',
+        {
+          targetId: target.id,
+          failure,
+          answeredAgoMs: Math.round(nowMs - target.lastAnsweredAtMs),
+          runCount: target.runs.size,
+          latestStarts: getLatestStarts(target, nowMs),
+        },
+        'warn',
+      );
       this.#state.count('targets_lost');
     }
     // The first retry is sent at once, because a single response may have been lost.
@@ -91,6 +112,7 @@
     }
     target.clock.addSample(inventory.clockMs, sentAtMs, this.#state.steadyMs);
     target.isResponding = true;
+    target.lastAnsweredAtMs = nowMs;
     // Ends are acknowledged in order, so an end of an unread submission defers all later ones.
     const firstUnread = inventory.ended.findIndex((entry) =>
       this.#isSubmissionUnread(target, entry),
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -106,6 +106,7 @@
       this.#state.responseTimes.addResponse(this.#state.nowMs - event.sentAtMs);
       target.clock.addSample(event.result.right.clockMs, event.sentAtMs, this.#state.steadyMs);
       target.isResponding = true;
+      target.lastAnsweredAtMs = this.#state.nowMs;
       if (run.phase !== 'starting') return;
       run.phase = 'running';
       run.confirmedAtMs = this.#state.nowMs;
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -56,6 +56,9 @@
   /** The last poll or start was answered. */
   isResponding = true;
 
+  /** When the target last answered a poll or a start. */
+  lastAnsweredAtMs = 0;
+
   /** The target is in the registry. */
   isListed = true;
 
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -78,9 +78,12 @@
   /** The target refused for another reason; nothing ran. */
   | { readonly kind: 'refused'; readonly status: number }
   /** No byte of the request was sent. */
-  | { readonly kind: 'notSent'; readonly detail: string }
-  /** The request may have been performed, or may still be performed later. */
-  | { readonly kind: 'lost'; readonly detail: string };
+  | { readonly kind: 'notSent'; readonly detail: string; readonly isConnectionClosed?: boolean }
+  /**
+   * The request may have been performed, or may still be performed later. `isConnectionClosed` tells a
+   * connection that was closed or refused, as by the end of the process, from silence.
+   */
+  | { readonly kind: 'lost'; readonly detail: string; readonly isConnectionClosed?: boolean };
 
 /** A target's response to a start or a stop. */
 export interface TargetResponse {
--- a/src/rpc/httpClient.ts
+++ b/src/rpc/httpClient.ts
@@ -18,7 +18,7 @@
   /** No byte of the request was sent: no connection was established, or the call was voided in time. */
   | { readonly kind: 'notSent'; readonly isRefused: boolean; readonly detail: string }
   /** The request may have arrived, but no complete response did. */
-  | { readonly kind: 'lost'; readonly detail: string };
+  | { readonly kind: 'lost'; readonly isConnectionClosed: boolean; readonly detail: string };
 
 export interface HttpCall {
   readonly method: 'GET' | 'POST' | 'DELETE';
@@ -33,6 +33,9 @@
 
 const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 
+/** Error codes of a connection that the peer closed or reset. */
+const CLOSED_CODES: ReadonlySet<string> = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+
 function getCode(error: unknown): string {
   if (typeof error !== 'object' || error === null) return 'unknown';
   if ('code' in error && typeof error.code === 'string') return error.code;
@@ -107,7 +110,7 @@
     const code = getCode(outcome.error);
     if (code === TIMEOUT_CODE) this.#retirePool(call.address, pool);
     if (outcome.isWritten && !isConnectFailure(outcome.error))
-      return { kind: 'lost', detail: code };
+      return { kind: 'lost', isConnectionClosed: CLOSED_CODES.has(code), detail: code };
     return { kind: 'notSent', isRefused: code === 'ECONNREFUSED', detail: code };
   }
 
