A task that crashes its targets is tried apart from others and given up

Cause: a run that was lost with its target went back to the waiting tasks without a mark, was placed by best fit beside the work of others, and a new owner knew nothing of it.

Now the tasks that had been started right before a loss are reported in the submission's progress row, one report for each target incarnation. A report is void once the incarnation answers and confirmed once another one takes its place. Suspects start one by one on a reserved target, after a durable report; two alike crashes, or three where other targets were lost too, fail the submission.

Ruled out: the restart of a crashed target as the cause (each task crashes it 10 ms after its start, on any target).

--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -137,6 +137,10 @@
       openCount: open.size,
       unwrittenCount: writer.dirtyCount,
       unresolvedTargetIds: [...unresolvedTargets],
+      suspectedTasks: this.#runManager.crashTracker.dump(),
+      givenUpTasks: [...records.values()].flatMap(({ givenUpTask, outcomeAtMs }) =>
+        givenUpTask === undefined ? [] : [{ task: givenUpTask, atMs: outcomeAtMs }],
+      ),
       waitingSteps: [...ready].map((step) => ({
         step: step.key,
         priority: step.record.queue.priority,
@@ -154,6 +158,7 @@
         isListed: target.isListed,
         isDraining: target.entry.isDraining,
         isSuspect: target.isSuspect,
+        trialOf: target.trial?.step.key,
         pausedForMs: Math.max(0, target.pausedUntilMs - this.#state.nowMs),
       })),
     };
@@ -256,7 +261,10 @@
 
   #openDueOccurrences(record: SubmissionRecord): void {
     const steps = record.openDueOccurrences(this.#state.wallMs);
-    steps.forEach((step) => this.#runManager.updateReadiness(step));
+    steps.forEach((step) => {
+      this.#runManager.updateReadiness(step);
+      this.#runManager.giveUp(this.#runManager.crashTracker.addStored(step));
+    });
     if (record.isComplete) this.#runManager.closeSubmission(record, 'succeeded');
   }
 
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -9,7 +9,7 @@
 import type { RunManager } from './runManager';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
-import type { EndedEntry, Inventory, OwnerEvent, RunningEntry } from './types';
+import type { EndedEntry, Inventory, OwnerEvent, RunningEntry, TargetFailure } from './types';
 
 type PollAnsweredEvent = Extract<OwnerEvent, { kind: 'pollAnswered' }>;
 
@@ -64,20 +64,20 @@
       inventory.incarnationStartMs !== undefined &&
       inventory.incarnationStartMs !== target.entry.incarnationStartMs
     ) {
-      this.#runManager.removeTarget(target, 'the target has restarted');
+      this.#runManager.removeTarget(target, 'the target has restarted', true);
       return;
     }
     this.#reconcile(target, inventory, event.sentAtMs);
   }
 
-  #onPollFailed(target: TargetState, failure: { readonly kind: string }): void {
+  #onPollFailed(target: TargetState, failure: TargetFailure): void {
     const { nowMs } = this.#state;
     if (failure.kind === 'fenced') {
       this.#runManager.stepDown(target);
       return;
     }
     if (failure.kind === 'otherLife') {
-      this.#runManager.removeTarget(target, 'another incarnation responds at its address');
+      this.#runManager.removeTarget(target, 'another incarnation responds at its address', true);
       return;
     }
     if (target.isResponding) {
@@ -94,6 +94,7 @@
       );
       this.#state.count('targets_lost');
     }
+    this.#runManager.crashTracker.onNoAnswer(target, failure);
     // The first retry is sent at once, because a single response may have been lost.
     target.nextPollAtMs = target.isResponding ? nowMs : nowMs + POLL_RETRY_DELAY_MS;
     target.isResponding = false;
@@ -136,6 +137,7 @@
     [...target.runs.values()].forEach((run) => {
       if (!listed.has(run.key)) this.#onRunNotListed(target, run, sentAtMs);
     });
+    this.#runManager.crashTracker.onAnswered(target, sentAtMs);
     target.isContacted = true;
     target.hasUnreadRuns = isUnreadListed;
     this.#state.unresolvedTargets.delete(target.id);
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -25,6 +25,14 @@
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
+import { TrialPlanner } from './trialPlanner';
+
+/** The waiting tasks that are not suspected of having crashed a target; suspected ones get a trial. */
+function getRegularTasks(step: StepState): readonly number[] {
+  const waiting = [...step.waiting];
+  if (!step.progress.hasSuspect) return waiting;
+  return waiting.filter((index) => !step.progress.isSuspect(index));
+}
 
 /** Decides which tasks start, where they run, and which runs are preempted for them. */
 export class Planner {
@@ -40,6 +48,8 @@
 
   #nextSpeculationAtMs = 0;
 
+  #trialPlanner: TrialPlanner;
+
   /**
    * @param state - the owner's state
    * @param runManager - performs the starts and stops
@@ -47,18 +57,21 @@
   constructor(state: OwnerState, runManager: RunManager) {
     this.#state = state;
     this.#runManager = runManager;
+    this.#trialPlanner = new TrialPlanner(state, runManager, runManager.crashTracker);
   }
 
   /** Runs one scheduling pass: starts every task that fits now. */
   plan(): void {
     const state = this.#state;
-    const inventoried = [...state.targets.values()].filter(isInventoryKnown);
-    const unpaused = inventoried.filter((target) => target.pausedUntilMs <= state.nowMs);
-    if (inventoried.length === 0) return;
+    const known = [...state.targets.values()].filter(isInventoryKnown);
+    if (known.length === 0) return;
     const waiting = [...state.ready].filter((step) => !step.mayRunUnseen);
     const steps = sortSteps(waiting, state.wallMs);
-    this.#victims = collectVictims(inventoried, state.nowMs);
     this.#unseenUsage = this.#getUnseenUsage();
+    this.#planTrials(steps, known);
+    const inventoried = known.filter(({ trial }) => trial === undefined);
+    const unpaused = inventoried.filter((target) => target.pausedUntilMs <= state.nowMs);
+    this.#victims = collectVictims(inventoried, state.nowMs);
     steps.forEach((step) => {
       // In a full fleet this cheap check rules out most steps before the eligibility of each target is examined.
       const allowed = isStarved(step, state.nowMs) ? inventoried : unpaused;
@@ -76,6 +89,21 @@
     this.#startSpeculativeCopies(unpaused);
   }
 
+  #planTrials(steps: readonly StepState[], targets: readonly TargetState[]): void {
+    this.#trialPlanner.plan({
+      steps,
+      targets,
+      getCandidates: (step, allowed) => this.#getCandidates(step, allowed),
+      isWithinTeamLimit: (step, taskCount) =>
+        this.#isWithinTeamLimit(step, addDemand(NO_DEMAND, step.charge, taskCount)),
+    });
+  }
+
+  #isWithinTeamLimit(step: StepState, demand: TaskDemand): boolean {
+    const { teamId } = step.record.submission;
+    return this.#state.teamUsage.isWithinLimit(teamId, demand, this.#unseenUsage.get(teamId));
+  }
+
   /** Starts a second copy of stragglers where capacity is left (speculative execution). */
   #startSpeculativeCopies(unpaused: readonly TargetState[]): void {
     const { nowMs, targets, open: records } = this.#state;
@@ -94,9 +122,7 @@
     currentId: TargetId,
     unpaused: readonly TargetState[],
   ): void {
-    const { teamId } = step.record.submission;
-    if (!this.#state.teamUsage.isWithinLimit(teamId, step.charge, this.#unseenUsage.get(teamId)))
-      return;
+    if (!this.#isWithinTeamLimit(step, step.charge)) return;
     const alternatives = unpaused.filter(
       (target) => target.id !== currentId && isDemandFitting(step.charge, target.free),
     );
@@ -109,21 +135,20 @@
 
   /** Preempts runs of lower priority for tasks that have waited too long for capacity. */
   #preemptFor(step: StepState, allowed: readonly TargetState[]): void {
-    const { nowMs, teamUsage } = this.#state;
+    const { nowMs } = this.#state;
     const waitedMs = nowMs - (step.readyAtMs ?? nowMs);
     const { isExcess } = step.record;
-    if (step.isGang || isExcess || step.waiting.size === 0 || waitedMs < PREEMPTION_DELAY_MS)
-      return;
+    const waitingCount = getRegularTasks(step).length;
+    if (step.isGang || isExcess || waitingCount === 0 || waitedMs < PREEMPTION_DELAY_MS) return;
     if (!hasVictim(this.#victims, step)) return;
-    const { teamId } = step.record.submission;
     const targets = this.#getCandidates(step, allowed)
       .map(({ target }) => target)
       .filter((target) => isSpreadAllowed(step, target) && isColocationAllowed(step, target));
     let canContinue = targets.length > 0;
-    const maxCount = Math.min(step.waiting.size, MAX_PREEMPTING_TASKS);
+    const maxCount = Math.min(waitingCount, MAX_PREEMPTING_TASKS);
     for (let count = 0; count < maxCount && canContinue; count += 1) {
       const totalDemand = addDemand(NO_DEMAND, step.charge, count + 1);
-      if (!teamUsage.isWithinLimit(teamId, totalDemand, this.#unseenUsage.get(teamId))) return;
+      if (!this.#isWithinTeamLimit(step, totalDemand)) return;
       canContinue = this.#preemptForOneTask(step, targets);
     }
   }
@@ -172,14 +197,12 @@
    * their last attempt are tracked separately, as they avoid suspect targets.
    */
   #startTasks(step: StepState, candidates: readonly Candidate[]): void {
-    const { teamId } = step.record.submission;
     let hasCapacity = true;
     let hasCapacityForLastAttempt = true;
-    [...step.waiting].forEach((index) => {
+    getRegularTasks(step).forEach((index) => {
       const isCautious = isLastAttempt(step, index) && !isStarved(step, this.#state.nowMs);
       if (!hasCapacity || (isCautious && !hasCapacityForLastAttempt)) return;
-      if (!this.#state.teamUsage.isWithinLimit(teamId, step.charge, this.#unseenUsage.get(teamId)))
-        return;
+      if (!this.#isWithinTeamLimit(step, step.charge)) return;
       const chosen = chooseCandidate(step, isCautious, candidates);
       if (chosen === undefined) {
         if (isCautious) hasCapacityForLastAttempt = false;
@@ -193,11 +216,9 @@
 
   /** Starts all members of a gang at once, or none of them. */
   #startGang(step: StepState, candidates: readonly Candidate[]): void {
-    if (step.waiting.size < step.spec.taskCount) return;
-    const { teamId } = step.record.submission;
+    if (getRegularTasks(step).length < step.spec.taskCount) return;
     const totalDemand = addDemand(NO_DEMAND, step.charge, step.spec.taskCount);
-    if (!this.#state.teamUsage.isWithinLimit(teamId, totalDemand, this.#unseenUsage.get(teamId)))
-      return;
+    if (!this.#isWithinTeamLimit(step, totalDemand)) return;
     const { nowMs } = this.#state;
     const placements = placeGang(step, candidates, nowMs);
     if (placements === undefined) return;
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -11,6 +11,8 @@
   START_DEADLINE_MS,
   STOP_TIMEOUT_MS,
 } from './constants';
+import { CrashTracker } from './crashTracker';
+import type { TaskRef } from './crashTracker';
 import type { OwnerState } from './ownerState';
 import { toRunKey } from './run';
 import type { Run } from './run';
@@ -26,11 +28,35 @@
 export class RunManager {
   #state: OwnerState;
 
+  /** Knows which tasks may have crashed their targets. */
+  readonly crashTracker: CrashTracker;
+
   /**
    * @param state - the shared state of the owner
    */
   constructor(state: OwnerState) {
     this.#state = state;
+    this.crashTracker = new CrashTracker(state);
+  }
+
+  /**
+   * Gives tasks up under which targets have crashed; their submissions fail.
+   * @param tasks - the tasks
+   */
+  giveUp(tasks: readonly TaskRef[]): void {
+    tasks.forEach(({ step, index }) => {
+      const { record } = step;
+      if (record.outcome !== undefined) return;
+      const task = toTaskKey(step.key, index);
+      record.givenUpTask = task;
+      this.#state.log(
+        'task given up, targets crashed under it',
+        { submissionId: record.submission.id, task, crashes: step.progress.crashes.get(index) },
+        'warn',
+      );
+      this.#state.count('tasks_given_up');
+      this.closeSubmission(record, record.isCancelled ? 'cancelled' : 'failed');
+    });
   }
 
   /**
@@ -107,6 +133,7 @@
       target.clock.addSample(event.result.right.clockMs, event.sentAtMs, this.#state.steadyMs);
       target.isResponding = true;
       target.lastAnsweredAtMs = this.#state.nowMs;
+      target.lostAtMs = undefined;
       if (run.phase !== 'starting') return;
       run.phase = 'running';
       run.confirmedAtMs = this.#state.nowMs;
@@ -259,12 +286,16 @@
    * Removes a target incarnation that is gone, with all its runs.
    * @param target - the target
    * @param reason - for the log
+   * @param isEndKnown - whether it is known to have ended, as another incarnation has taken its place
    */
-  removeTarget(target: TargetState, reason: string): void {
+  removeTarget(target: TargetState, reason: string, isEndKnown: boolean): void {
+    const givenUp =
+      isEndKnown || target.wasConnectionClosed ? this.crashTracker.onCrashed(target) : [];
     this.releaseAll(target, reason);
     if (this.#state.targets.get(target.id) === target) this.#state.targets.delete(target.id);
     this.#state.unresolvedTargets.delete(target.id);
     this.#state.log('target gone', { targetId: target.id, reason });
+    this.giveUp(givenUp);
   }
 
   /**
@@ -415,7 +446,7 @@
         target.nextPollAtMs = Math.min(target.nextPollAtMs, nowMs);
         break;
       case 'otherLife':
-        this.removeTarget(target, 'another incarnation responds at its address');
+        this.removeTarget(target, 'another incarnation responds at its address', true);
         return;
       case 'late':
       case 'staleRun':
@@ -423,7 +454,10 @@
       default:
         assertNever(failure);
     }
+    // The run has not begun, so it cannot be the cause of a crash.
+    this.crashTracker.removeReport(run, target.incarnation);
     this.release(run);
+    if (failure.kind === 'notSent') this.crashTracker.onNoAnswer(target, failure);
     this.stopGangMembers(run.step, run.run, 'a gang member was not started');
   }
 
--- a/src/owner/stragglers.ts
+++ b/src/owner/stragglers.ts
@@ -19,8 +19,12 @@
   return nowMs - run.sentAtMs > Math.max(MIN_SPECULATION_AGE_MS, expectedMs * STRAGGLER_SLOWDOWN);
 }
 
-/** A failed copy uses up an attempt, so a task that has failed before is not copied. */
+/**
+ * A failed copy uses up an attempt, so a task that has failed before is not copied, nor is one that may crash its
+ * target.
+ */
 function hasSpareAttempt(step: StepState, index: number): boolean {
+  if (step.progress.isSuspect(index)) return false;
   return step.record.queue.attemptLimit > 1 && step.progress.getFailureCount(index) === 0;
 }
 
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -51,6 +51,9 @@
 
   hasBegun: boolean;
 
+  /** The task that was given up because targets crashed under it. */
+  givenUpTask: string | undefined;
+
   /** Whether it exceeds its team's rate and is scheduled after submissions that do not. */
   isExcess = false;
 
@@ -79,6 +82,7 @@
     this.outcomeAtMs = this.#stored.outcomeAtMs ?? 0;
     this.durableOutcome = this.outcome;
     this.hasBegun = this.#stored.hasBegun ?? false;
+    this.givenUpTask = this.#stored.givenUpTask;
     this.progressVersion = loaded.progressVersion;
   }
 
@@ -179,8 +183,9 @@
       const stored = step.progress.toStored();
       if (Object.keys(stored).length > 0) steps[name] = stored;
     });
-    const { outcome, outcomeAtMs } = this;
-    if (outcome !== undefined) return { outcome, outcomeAtMs };
+    const { outcome, outcomeAtMs, givenUpTask } = this;
+    if (outcome !== undefined)
+      return { outcome, outcomeAtMs, ...(givenUpTask === undefined ? {} : { givenUpTask }) };
     return { steps, ...(this.hasBegun ? { hasBegun: true } : {}) };
   }
 
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -50,7 +50,7 @@
     else if (!target.isResponding) this.#poll(target, 0);
   }
 
-  /** Probes a target with unconfirmed runs while the regular poll waits for an end. */
+  /** Probes a target with unconfirmed runs or a trial while the regular poll waits for an end. */
   #probeIfDue(target: TargetState): void {
     const { nowMs } = this.#state;
     if (target.isProbeInFlight || target.nextProbeAtMs > nowMs || !target.isResponding) return;
@@ -61,7 +61,7 @@
           run.confirmedAtMs === undefined &&
           run.stopConfirmedAtMs !== undefined),
     );
-    if (!hasUnconfirmedRun) return;
+    if (!hasUnconfirmedRun && target.trial?.run === undefined) return;
     target.isProbeInFlight = true;
     target.nextProbeAtMs = nowMs + PROBE_INTERVAL_MS;
     this.#send(target, 0, true);
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -14,6 +14,7 @@
 import type { Run, RunKey } from './run';
 import type { SubmissionRecord } from './submissionRecord';
 import { TargetClock } from './targetClock';
+import type { Trial } from './trial';
 import type { TargetEntry } from './types';
 
 /** An end that the target reports until it is acknowledged. */
@@ -25,6 +26,16 @@
   readonly change: number;
 }
 
+/**
+ * Builds the identity of a target incarnation.
+ * @param address - address of the target
+ * @param incarnationStartMs - its start time in Unix milliseconds
+ * @returns a text that is the same for every owner
+ */
+export function toIncarnation(address: string, incarnationStartMs: number): string {
+  return `${address}@${incarnationStartMs}`;
+}
+
 /** One incarnation of a target. */
 export class TargetState {
   #entry: TargetEntry;
@@ -59,6 +70,15 @@
   /** When the target last answered a poll or a start. */
   lastAnsweredAtMs = 0;
 
+  /** When contact was lost; undefined while the target responds. */
+  lostAtMs: number | undefined;
+
+  /** Whether its host closed or refused a connection since contact was lost, as after the end of the process. */
+  wasConnectionClosed = false;
+
+  /** The trial of a suspected task for which no other run is started here. */
+  trial: Trial | undefined;
+
   /** The target is in the registry. */
   isListed = true;
 
@@ -100,6 +120,11 @@
     return this.#entry.id;
   }
 
+  /** Identifies the incarnation, also for a later owner: a new one at the address has another start time. */
+  get incarnation(): string {
+    return toIncarnation(this.#entry.address, this.#entry.incarnationStartMs);
+  }
+
   /** The latest registration. */
   get entry(): TargetEntry {
     return this.#entry;
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -49,9 +49,10 @@
       this.#state.isPlanDue = true;
       return;
     }
-    if (known !== undefined) this.#runManager.removeTarget(known, 'the target has restarted');
+    if (known !== undefined) this.#runManager.removeTarget(known, 'the target has restarted', true);
     const mayHoldFormerRuns = this.#state.steadyMs < this.#state.unresolvedUntilMs;
-    this.#state.targets.set(entry.id, new TargetState(entry));
+    const target = new TargetState(entry);
+    this.#state.targets.set(entry.id, target);
     if (mayHoldFormerRuns && known === undefined) this.#state.unresolvedTargets.add(entry.id);
     this.#state.log('target registered', {
       targetId: entry.id,
@@ -59,6 +60,7 @@
       bornAtMs: entry.incarnationStartMs,
       isDraining: entry.isDraining,
     });
+    this.#runManager.giveUp(this.#runManager.crashTracker.onRegistered(target));
   }
 
   /**
@@ -89,7 +91,7 @@
         this.#runManager.releaseAll(target, 'its lease has expired');
       }
       if (!target.isListed && this.#canRemove(target)) {
-        this.#runManager.removeTarget(target, 'the target has left the registry');
+        this.#runManager.removeTarget(target, 'the target has left the registry', false);
       }
     });
   }
--- a/src/work/stepProgress.ts
+++ b/src/work/stepProgress.ts
@@ -3,6 +3,30 @@
 import type { Checkpoint } from '../types/ids';
 import { formatRanges, parseRanges } from './indexRanges';
 
+/**
+ * A target incarnation that ended, or may have ended, right after it had started a task. It is also recorded before
+ * a suspected task is started, so that a later owner knows of a crash that this one does not live to record.
+ */
+export interface CrashReport {
+  /** Address and start time of the incarnation. */
+  readonly incarnation: string;
+  /** Milliseconds since 1970. */
+  readonly recordedAtMs: number;
+  /** Whether the incarnation is known to have ended; until then it may be alive and the report is void. */
+  readonly isConfirmed?: boolean | undefined;
+  /**
+   * Number of tasks, a gang counting as one, that had just been started there; undefined when no owner saw the
+   * connection close.
+   */
+  readonly suspectCount?: number | undefined;
+  /** Age of the task's run when the loss was noticed. */
+  readonly ageMs?: number | undefined;
+  /** Whether other tasks had been started there later, so that one report alone is no reason for a trial. */
+  readonly isUnlikely?: boolean | undefined;
+  /** Whether targets without recent starts were lost around the same time, so that the task need not be the cause. */
+  readonly isDoubtful?: boolean | undefined;
+}
+
 /** Stored form of a step's progress; empty fields are omitted. */
 export interface StoredStepProgress {
   /** Tasks that are done, as ranges. */
@@ -11,6 +35,8 @@
   readonly failedRuns?: Readonly<Record<string, readonly number[]>> | undefined;
   /** Last checkpoint by task, for tasks with a run that ended before completion. */
   readonly checkpoints?: Readonly<Record<string, string>> | undefined;
+  /** Crashes that a task may have caused, by task. */
+  readonly crashes?: Readonly<Record<string, readonly CrashReport[]>> | undefined;
 }
 
 /** Progress of the tasks of one step. Every change is idempotent. */
@@ -23,6 +49,8 @@
 
   #checkpoints = new Map<number, Checkpoint>();
 
+  #crashes = new Map<number, readonly CrashReport[]>();
+
   /**
    * @param taskCount - number of tasks of the step
    * @param stored - its stored progress, if there is any
@@ -36,6 +64,9 @@
     Object.entries(stored.checkpoints ?? {}).forEach(([index, checkpoint]) => {
       this.#checkpoints.set(Number(index), checkpoint as Checkpoint);
     });
+    Object.entries(stored.crashes ?? {}).forEach(([index, crashes]) => {
+      if (!this.#done.has(Number(index))) this.#crashes.set(Number(index), crashes);
+    });
   }
 
   /** Whether every task is done. */
@@ -82,6 +113,60 @@
     return [...this.#checkpoints.values()].at(-1);
   }
 
+  /** Tasks that are suspected of having crashed a target, with the reports. */
+  get crashes(): ReadonlyMap<number, readonly CrashReport[]> {
+    return this.#crashes;
+  }
+
+  /**
+   * @param index - the task
+   * @returns true when a target has probably crashed because of it, so that it is started only in a trial
+   */
+  isSuspect(index: number): boolean {
+    const crashes = this.#crashes.get(index) ?? [];
+    return crashes.length > 1 || crashes.some(({ isUnlikely }) => isUnlikely !== true);
+  }
+
+  /** Whether any task is a suspect. */
+  get hasSuspect(): boolean {
+    return [...this.#crashes.keys()].some((index) => this.isSuspect(index));
+  }
+
+  /**
+   * Adds a report, or replaces that of the same incarnation, so that a crash counts once.
+   * @param index - the task
+   * @param crash - the report
+   */
+  setCrash(index: number, crash: CrashReport): void {
+    const others = (this.#crashes.get(index) ?? []).filter(
+      ({ incarnation }) => incarnation !== crash.incarnation,
+    );
+    this.#crashes.set(index, [...others, crash]);
+  }
+
+  /**
+   * Removes the report of an incarnation that has turned out to be alive.
+   * @param index - the task
+   * @param incarnation - the incarnation
+   * @returns false when there is none
+   */
+  removeCrash(index: number, incarnation: string): boolean {
+    const crashes = this.#crashes.get(index) ?? [];
+    const others = crashes.filter((crash) => crash.incarnation !== incarnation);
+    if (others.length === crashes.length) return false;
+    if (others.length === 0) this.#crashes.delete(index);
+    else this.#crashes.set(index, others);
+    return true;
+  }
+
+  /**
+   * Ends the suspicion against a task.
+   * @param index - the task
+   */
+  clearCrashes(index: number): void {
+    this.#crashes.delete(index);
+  }
+
   /**
    * Marks a task as done.
    * @param index - the task
@@ -91,6 +176,7 @@
     if (this.#done.has(index)) return false;
     this.#done.add(index);
     this.#checkpoints.delete(index);
+    this.#crashes.delete(index);
     return true;
   }
 
@@ -98,6 +184,7 @@
   setAllDone(): void {
     for (let index = 0; index < this.#taskCount; index += 1) this.#done.add(index);
     this.#checkpoints.clear();
+    this.#crashes.clear();
   }
 
   /**
@@ -139,6 +226,7 @@
       ...(this.#done.size > 0 ? { done: formatRanges(this.#done) } : {}),
       ...(this.#failedRuns.size > 0 ? { failedRuns } : {}),
       ...(this.#checkpoints.size > 0 ? { checkpoints } : {}),
+      ...(this.#crashes.size > 0 ? { crashes: Object.fromEntries(this.#crashes) } : {}),
     };
   }
 }
--- a/src/work/storedProgress.ts
+++ b/src/work/storedProgress.ts
@@ -5,6 +5,16 @@
 import { tryParseJson } from '../types/json';
 import type { StoredStepProgress } from './stepProgress';
 
+const crashReportSchema = z.object({
+  incarnation: z.string(),
+  recordedAtMs: z.number(),
+  isConfirmed: z.boolean().optional(),
+  suspectCount: z.int().optional(),
+  ageMs: z.number().optional(),
+  isUnlikely: z.boolean().optional(),
+  isDoubtful: z.boolean().optional(),
+});
+
 const storedStepSchema = z.object({
   done: z
     .string()
@@ -12,12 +22,14 @@
     .optional(),
   failedRuns: z.record(z.string(), z.array(z.int())).optional(),
   checkpoints: z.record(z.string(), z.string()).optional(),
+  crashes: z.record(z.string(), z.array(crashReportSchema)).optional(),
 });
 
 const storedProgressSchema = z.object({
   outcome: z.enum(['succeeded', 'failed', 'cancelled']).optional(),
   outcomeAtMs: z.number().optional(),
   hasBegun: z.boolean().optional(),
+  givenUpTask: z.string().optional(),
   steps: z.record(z.string(), storedStepSchema).optional(),
 });
 
@@ -28,6 +40,8 @@
   /** Time at which the outcome was decided, in milliseconds since 1970. */
   readonly outcomeAtMs?: number | undefined;
   readonly hasBegun?: boolean | undefined;
+  /** The task that was given up because targets crashed under it, when that was the reason of the outcome. */
+  readonly givenUpTask?: string | undefined;
   /** Progress by `occurrence.step`. */
   readonly steps?: Readonly<Record<string, StoredStepProgress>> | undefined;
 }
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -111,7 +111,6 @@
   /** Runs that were lost in those crashes besides the one that caused it. */
   bystanderCount = 0;
 
-  /** While set, the answer of every write to the store is lost. */
   areWriteAnswersLost = false;
 
   /** Forward step of the owner's wall clock, which the owner cannot distinguish from a suspension. */
