--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -98,7 +98,7 @@
    */
   reduce(event: OwnerEvent): readonly OwnerEffect[] {
     this.#state.setClocks(event);
-    this.#apply(event);
+    this.#tryApply(event);
     this.#runFollowUps(event);
     return this.#state.takeEffects();
   }
@@ -164,6 +164,29 @@
     };
   }
 
+  /**
+   * An answer that causes an unexpected error would end the ownership of each node that polls the target in turn.
+   * The target is treated as one that does not answer, so that its tasks are started elsewhere once its lease ends.
+   */
+  #tryApply(event: OwnerEvent): void {
+    const target = 'result' in event && 'targetId' in event ? event.targetId : undefined;
+    if (target === undefined) {
+      this.#apply(event);
+      return;
+    }
+    try {
+      this.#apply(event);
+    } catch (error) {
+      this.#state.count('answers_unusable');
+      this.#state.log(
+        'answer of a target caused an unexpected error; the target counts as silent',
+        { targetId: target, event: event.kind, reason: String(error) },
+        'warn',
+      );
+      this.#targets.setSilent(target);
+    }
+  }
+
   #apply(event: OwnerEvent): void {
     switch (event.kind) {
       case 'tick':
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -73,15 +73,11 @@
     const unpaused = inventoried.filter((target) => target.pausedUntilMs <= state.nowMs);
     this.#victims = collectVictims(inventoried, state.nowMs);
     steps.forEach((step) => {
-      // In a full fleet this cheap check rules out most steps before the eligibility of each target is examined.
-      const allowed = isStarved(step, state.nowMs) ? inventoried : unpaused;
-      const fitting = allowed.filter((target) => isDemandFitting(step.charge, target.free));
-      const candidates = fitting.length === 0 ? [] : this.#getCandidates(step, fitting);
-      if (candidates.length > 0) {
-        if (step.isGang) this.#startGang(step, candidates);
-        else this.#startTasks(step, candidates);
+      try {
+        this.#planStep(step, inventoried, unpaused);
+      } catch (error) {
+        this.#setAside(step, error);
       }
-      this.#preemptFor(step, allowed);
     });
     this.#reserved.clear();
     if (state.nowMs < this.#nextSpeculationAtMs) return;
@@ -89,6 +85,33 @@
     this.#startSpeculativeCopies(unpaused);
   }
 
+  #planStep(
+    step: StepState,
+    inventoried: readonly TargetState[],
+    unpaused: readonly TargetState[],
+  ): void {
+    // In a full fleet this cheap check rules out most steps before the eligibility of each target is examined.
+    const allowed = isStarved(step, this.#state.nowMs) ? inventoried : unpaused;
+    const fitting = allowed.filter((target) => isDemandFitting(step.charge, target.free));
+    const candidates = fitting.length === 0 ? [] : this.#getCandidates(step, fitting);
+    if (candidates.length > 0) {
+      if (step.isGang) this.#startGang(step, candidates);
+      else this.#startTasks(step, candidates);
+    }
+    this.#preemptFor(step, allowed);
+  }
+
+  /** A step that cannot be planned would end the ownership of each node in turn, so the others go on without it. */
+  #setAside(step: StepState, error: unknown): void {
+    this.#state.ready.delete(step);
+    this.#state.count('submissions_unschedulable');
+    this.#state.log(
+      'step cannot be planned; it is left out until its submission changes',
+      { submissionId: step.record.submission.id, step: step.key, reason: String(error) },
+      'warn',
+    );
+  }
+
   #planTrials(steps: readonly StepState[], targets: readonly TargetState[]): void {
     this.#trialPlanner.plan({
       steps,
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -8,6 +8,9 @@
 import { TargetState } from './targetState';
 import type { TargetEntry } from './types';
 
+/** Delay before a target is polled again whose answer could not be applied. */
+const UNUSABLE_ANSWER_DELAY_MS = 1_000;
+
 /** Applies registry changes and timeouts to targets. */
 export class TargetTable {
   #state: OwnerState;
@@ -75,6 +78,17 @@
     this.#state.log('target left the registry', { targetId, runCount: target.runs.size });
   }
 
+  /**
+   * Treats a target as one that does not answer, after an answer that could not be applied.
+   * @param targetId - the target
+   */
+  setSilent(targetId: TargetId): void {
+    const target = this.#state.targets.get(targetId);
+    if (target === undefined) return;
+    target.isResponding = false;
+    target.nextPollAtMs = this.#state.nowMs + UNUSABLE_ANSWER_DELAY_MS;
+  }
+
   /** Handles expired leases and removed targets, repeats stops and stops stalled runs. */
   check(): void {
     const { nowMs, steadyMs } = this.#state;
--- a/tests/containment.test.ts
+++ b/tests/containment.test.ts
@@ -17,7 +17,7 @@
 import { createDiagnostic, Diagnostics } from '../src/types/diagnostics';
 import { toEpoch } from '../src/types/ids';
 import { encodeSubmission } from '../src/work/submissionSchema';
-import { createSubmission, toSubmissionId } from './support/ownerWorld';
+import { createSubmission, NO_FAULTS, OwnerWorld, toSubmissionId } from './support/ownerWorld';
 
 const CLOCKS = { nowMs: 1_000, wallMs: 1_700_000_000_000, steadyMs: 1_000 };
 
@@ -104,6 +104,41 @@
     expect(messages).toContain('submission cannot be scheduled');
   });
 
+  test('while one step is planned leaves the others scheduled', () => {
+    const world = new OwnerWorld({ seed: 1, targetCount: 3, faults: NO_FAULTS });
+    world.takeOver();
+    const broken = createSubmission(1, [{}]);
+    const [step] = broken.spec.steps;
+    Object.defineProperty(step, 'requiredLabel', {
+      get: () => {
+        throw new Error('unexpected');
+      },
+    });
+    world.submit(broken);
+    world.submit(createSubmission(2, [{}]));
+    world.run(5_000);
+    expect(world.getState(toSubmissionId(2))).toBe('succeeded');
+    expect(world.getState(toSubmissionId(1))).toBe('pending');
+  });
+
+  test('on the answer of one target leaves the others in use, and its tasks move', () => {
+    const world = new OwnerWorld({ seed: 1, targetCount: 3, faults: NO_FAULTS });
+    world.takeOver();
+    world.submit(createSubmission(1, [{ taskCount: 9, estimateMs: 2_000 }]));
+    world.run(200);
+    const [target] = world.targets.values();
+    if (target === undefined) throw new Error('no target');
+    const poll = target.poll.bind(target);
+    target.poll = (call, respond) =>
+      poll(call, (result) => {
+        if (E.isLeft(result)) respond(result);
+        else respond(E.right({ ...result.right, running: [null] as never }));
+      });
+    world.run(20_000);
+    expect(world.getState(toSubmissionId(1))).toBe('succeeded');
+    expect(world.broken).toEqual([]);
+  });
+
   test('while a request is answered tells its caller that the outcome is unknown', async () => {
     const errors: unknown[] = [];
     const listener = new HttpListener(
