--- a/src/owner/crashTracker.ts
+++ b/src/owner/crashTracker.ts
@@ -176,6 +176,7 @@
   #report(target: TargetState, suspects: readonly Run[]): void {
     if (suspects.length === 0) return;
     const { incarnation, wasConnectionClosed } = target;
+    if (wasConnectionClosed) this.#addCrashingQueues(suspects);
     const suspectCount = wasConnectionClosed ? countSuspects(suspects) : undefined;
     const recordedAtMs = this.#state.wallMs;
     const tasks = suspects.map((run) => {
@@ -203,6 +204,15 @@
     suspects.forEach((run) => this.#exonerateOthers(run, incarnation));
   }
 
+  /** Remembers the queues of the most likely causes. */
+  #addCrashingQueues(suspects: readonly Run[]): void {
+    suspects
+      .filter((run) => !isUnlikelyCause(run, suspects))
+      .forEach(({ step }) => {
+        this.#state.crashingQueues.set(step.record.queue.id, this.#state.nowMs);
+      });
+  }
+
   /**
    * A task that was lost with a target of its own was most likely the cause of its earlier losses too, so the other
    * suspects of those are released.
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -1,6 +1,6 @@
 /** State shared by the components of the owner's reducer. */
 
-import type { Epoch, SubmissionId, TargetId } from '../types/ids';
+import type { Epoch, QueueId, SubmissionId, TargetId } from '../types/ids';
 import type { OperatorState } from '../work/types';
 import { ResponseTimes } from './responseTimes';
 import { ProgressWriter } from './progressWriter';
@@ -36,6 +36,9 @@
   /** Targets on which a former owner may have started runs that have not been reported yet. */
   readonly unresolvedTargets = new Set<TargetId>();
 
+  /** Queues whose tasks are suspected of having crashed targets, with the time of the latest such crash. */
+  readonly crashingQueues = new Map<QueueId, number>();
+
   /** Until this time a target that has never responded may hold runs of a former owner. */
   unresolvedUntilMs = 0;
 
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -120,6 +120,14 @@
   return cpu + memory + accelerators;
 }
 
+/** Capacity in use on a target, as a sum of fractions per resource: what a crash would interrupt. */
+function getUsedFraction(target: TargetState, free: TaskDemand): number {
+  const { capacity } = target.entry;
+  const cpu = 1 - free.cpuMillis / Math.max(capacity.cpuMillis, 1);
+  const memory = 1 - free.memoryMb / Math.max(capacity.memoryMb, 1);
+  return cpu + memory;
+}
+
 /**
  * Computes the cost of placing one task on a target; the target with the lowest cost is chosen.
  * @param step - the step
@@ -132,5 +140,8 @@
   const rackCost = dataRack !== '' && target.entry.rack !== dataRack ? REMOTE_RACK_COST : 0;
   const suspectCost = target.isSuspect ? SUSPECT_COST : 0;
   const slowdownCost = SLOWDOWN_WEIGHT * (target.slowdown - 1);
-  return getRemainingFraction(step.charge, target, free) + rackCost + suspectCost + slowdownCost;
+  const fitCost = step.record.isCrashLikely
+    ? getUsedFraction(target, free)
+    : getRemainingFraction(step.charge, target, free);
+  return fitCost + rackCost + suspectCost + slowdownCost;
 }
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -27,6 +27,9 @@
 import type { TargetState } from './targetState';
 import { TrialPlanner } from './trialPlanner';
 
+/** After a crash, tasks of the same queue are placed where a further one would interrupt little, for this long. */
+const CRASHING_QUEUE_MS = 10_000;
+
 /** The waiting tasks that are not suspected of having crashed a target; suspected ones get a trial. */
 function getRegularTasks(step: StepState): readonly number[] {
   const waiting = [...step.waiting];
@@ -92,6 +95,9 @@
   ): void {
     // In a full fleet this cheap check rules out most steps before the eligibility of each target is examined.
     const allowed = isStarved(step, this.#state.nowMs) ? inventoried : unpaused;
+    const { record } = step;
+    const crashedAtMs = this.#state.crashingQueues.get(record.queue.id) ?? Number.NEGATIVE_INFINITY;
+    record.isCrashLikely = this.#state.nowMs < crashedAtMs + CRASHING_QUEUE_MS;
     const fitting = allowed.filter((target) => isDemandFitting(step.charge, target.free));
     const candidates = fitting.length === 0 ? [] : this.#getCandidates(step, fitting);
     if (candidates.length > 0) {
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -57,6 +57,9 @@
   /** Whether it exceeds its team's rate and is scheduled after submissions that do not. */
   isExcess = false;
 
+  /** Whether targets crash under tasks of its queue at present, so that its tasks are kept apart from others. */
+  isCrashLikely = false;
+
   /** Version of the stored progress row; 0 when there is none. */
   progressVersion: number;
 
