A takeover knows the runs of targets that its predecessor had lost

Cause: the successor cannot tell what runs on a target that does not answer. Now a lost target's runs are reported in the progress rows within 0.1 s; a successor that finds as many reports as there were runs restores them and lets other work go on. A target that answers again is used once its reports are void in the store, so a report never misses a run. The test failed before. Reports of mere bystanders are no suspicion.

--- a/src/owner/crashEvidence.ts
+++ b/src/owner/crashEvidence.ts
@@ -47,6 +47,7 @@
   return crashes.some(
     (other) =>
       other !== crash &&
+      other.isDoubtful !== true &&
       other.suspectCount !== undefined &&
       Math.abs((other.ageMs ?? Number.POSITIVE_INFINITY) - ageMs) <= DELAY_TOLERANCE_MS,
   );
@@ -58,7 +59,9 @@
  * @returns true when it, and not another cause, crashes its targets
  */
 export function isGivenUp(crashes: readonly CrashReport[]): boolean {
-  const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed === true);
+  const confirmed = crashes.filter(
+    ({ isConfirmed, isUnlikely }) => isConfirmed === true && isUnlikely !== true,
+  );
   if (confirmed.length >= UNSEEN_CRASHES) return true;
   const soleCount = confirmed.filter(isSole).length;
   if (confirmed.length >= DOUBTFUL_CRASHES && soleCount >= ALIKE_CRASHES) return true;
--- a/src/owner/crashTracker.ts
+++ b/src/owner/crashTracker.ts
@@ -1,6 +1,7 @@
 /** Keeps the reports of crashed targets: who may have caused a crash, who is cleared and who is given up. */
 
 import { toTaskKey } from '../work/taskKeys';
+import { isBystanderReport } from '../work/stepProgress';
 import type { CrashReport } from '../work/stepProgress';
 import {
   countSuspects,
@@ -22,12 +23,20 @@
 /** Losses of targets without a recent start make crashes within this time before and after them doubtful. */
 const DOUBT_WINDOW_MS = 15_000;
 
+/** All runs of a target are reported once it has been lost for this long; most interruptions are shorter. */
+const REPORT_DELAY_MS = 100;
+
 /** A task and its step. */
 export interface TaskRef {
   readonly step: StepState;
   readonly index: number;
 }
 
+function isInTrial({ trial }: TargetState, { step, index }: TaskRef): boolean {
+  if (trial?.step !== step) return false;
+  return trial.placements.some((placement) => placement.index === index);
+}
+
 /** Records which tasks may have crashed their targets, durably and once for each crash. */
 export class CrashTracker {
   #state: OwnerState;
@@ -92,11 +101,56 @@
     answering.lostAtMs = undefined;
     answering.wasConnectionClosed = false;
     this.#unexplainedLosses.delete(answering.incarnation);
+    this.#voidReports(answering);
     this.#tasks.get(answering.incarnation)?.forEach((task) => {
       this.#checkAlive(answering, task, sentAtMs);
     });
   }
 
+  /**
+   * Reports all runs of a target that has been silent for some time. A later owner then knows what may run there
+   * and need not keep other work waiting until the target is back.
+   * @param lost - a target that does not respond
+   */
+  onStillLost(lost: TargetState): void {
+    const target = lost;
+    if (target.areRunsReported || target.lostAtMs === undefined) return;
+    if (this.#state.nowMs < target.lostAtMs + REPORT_DELAY_MS) return;
+    target.areRunsReported = true;
+    // A run of a task that is done, or of an ended submission, is being stopped and is not started again.
+    const runs = [...target.runs.values()].filter(
+      ({ step, index }) => step.record.outcome === undefined && !step.progress.isTaskDone(index),
+    );
+    runs.forEach(({ step, index, run }) => {
+      const { incarnation } = target;
+      const crashes = step.progress.crashes.get(index) ?? [];
+      const known = crashes.find((crash) => crash.incarnation === incarnation);
+      const added = { incarnation, recordedAtMs: this.#state.wallMs, isUnlikely: true };
+      this.#setReport({ step, index }, { ...(known ?? added), run, runCount: runs.length });
+    });
+  }
+
+  /**
+   * Gets the runs that a former owner has reported for a target.
+   * @param target - a target that this owner has not polled yet
+   * @returns the tasks with their run numbers, or undefined when not all of them are known
+   */
+  getReportedRuns(
+    target: TargetState,
+  ): readonly (TaskRef & { readonly run: number })[] | undefined {
+    const reports = [...(this.#tasks.get(target.incarnation) ?? [])].flatMap(({ step, index }) => {
+      const crashes = step.progress.crashes.get(index) ?? [];
+      const crash = crashes.find(({ incarnation }) => incarnation === target.incarnation);
+      return crash?.run === undefined ? [] : [{ step, index, run: crash.run, crash }];
+    });
+    const isComplete =
+      reports.length > 0 &&
+      reports.every(
+        ({ step, index, crash }) => crash.runCount === reports.length && step.waiting.has(index),
+      );
+    return isComplete ? reports : undefined;
+  }
+
   /**
    * Handles the end of a target incarnation, other than a planned one.
    * @param target - the target; its runs have not been released yet
@@ -185,7 +239,7 @@
       const likelihood = isUnlikelyCause(run, suspects) ? { isUnlikely: true } : {};
       this.#setReport(
         { step, index },
-        { incarnation, recordedAtMs, suspectCount, ageMs, ...likelihood },
+        { incarnation, recordedAtMs, suspectCount, ageMs, run: run.run, ...likelihood },
       );
       return { task, ageMs, ...likelihood };
     });
@@ -226,20 +280,28 @@
       .forEach(({ incarnation }) => {
         this.#tasks.get(incarnation)?.forEach((other) => {
           const isSame = other.step === step && (step.isGang || other.index === index);
-          if (!isSame) this.removeReport(other, incarnation);
+          if (!isSame) this.#exonerate(other, incarnation);
         });
       });
   }
 
+  /** While the incarnation may be alive, the report still tells a later owner what may run there. */
+  #exonerate(task: TaskRef, incarnation: string): void {
+    const crashes = task.step.progress.crashes.get(task.index) ?? [];
+    const crash = crashes.find((known) => known.incarnation === incarnation);
+    if (crash === undefined) return;
+    if (crash.isConfirmed === true) this.removeReport(task, incarnation);
+    else this.#setReport(task, { ...crash, isUnlikely: true });
+  }
+
   /** An answer proves that the incarnation is alive, unless the task's trial there has just begun or is due. */
   #checkAlive(target: TargetState, task: TaskRef, sentAtMs: number): void {
     const { step, index } = task;
-    const { trial } = target;
-    if (trial?.step !== step || !trial.placements.some((placement) => placement.index === index)) {
+    if (!isInTrial(target, task)) {
       this.removeReport(task, target.incarnation);
       return;
     }
-    const { run } = trial;
+    const run = target.trial?.run;
     if (run === undefined) return;
     const taskKey = toTaskKey(step.key, index);
     const tried = target.runs.get(toRunKey(taskKey, run));
@@ -261,6 +323,10 @@
       const crashes = step.progress.crashes.get(index) ?? [];
       const crash = crashes.find((known) => known.incarnation === incarnation);
       if (crash === undefined || step.record.outcome !== undefined) return false;
+      if (isBystanderReport(crash)) {
+        this.removeReport({ step, index }, incarnation);
+        return false;
+      }
       if (crash.isConfirmed !== true) {
         step.progress.setCrash(index, {
           ...crash,
@@ -288,6 +354,25 @@
     return this.#unexplainedLosses.size > 0;
   }
 
+  /** The target is used again once no stored report tells a later owner that it holds only the reported runs. */
+  #voidReports(answering: TargetState): void {
+    const target = answering;
+    if (!target.areRunsReported) return;
+    target.areRunsReported = false;
+    const tasks = [...(this.#tasks.get(target.incarnation) ?? [])];
+    tasks.forEach((task) => {
+      const crashes = task.step.progress.crashes.get(task.index) ?? [];
+      const crash = crashes.find(({ incarnation }) => incarnation === target.incarnation);
+      if (crash !== undefined && isInTrial(target, task))
+        this.#setReport(task, { ...crash, run: undefined, runCount: undefined });
+      else this.removeReport(task, target.incarnation);
+    });
+    target.voidedReports = tasks.map(({ step: { record } }) => ({
+      record,
+      change: record.changeCount,
+    }));
+  }
+
   #removeReports(incarnation: string): void {
     this.#tasks.get(incarnation)?.forEach((task) => this.removeReport(task, incarnation));
     this.#tasks.delete(incarnation);
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -35,10 +35,16 @@
 /**
  * Checks whether the runs of a target are known, so that its free capacity can be relied on.
  * @param target - the target
- * @returns true when it has listed its runs, responds, and has no runs of unknown demand
+ * @returns true when it has listed its runs, responds, has no runs of unknown demand, and no stored report tells a
+ *   later owner otherwise
  */
 export function isInventoryKnown(target: TargetState): boolean {
-  return target.isContacted && target.isResponding && target.orphanRuns.size === 0;
+  const areReportsVoid = target.voidedReports.every(
+    ({ record, change }) => record.durableChangeCount >= change,
+  );
+  return (
+    target.isContacted && target.isResponding && target.orphanRuns.size === 0 && areReportsVoid
+  );
 }
 
 function runsFiller(target: TargetState): boolean {
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -222,6 +222,36 @@
     return run;
   }
 
+  /**
+   * Restores the runs of a target that a former owner had lost contact with, if it has reported all of them. The
+   * target then counts as silent, and work that cannot run there need not wait for it.
+   * @param restored - a target that has just been registered
+   * @returns false when its runs are not known
+   */
+  tryRestoreRuns(restored: TargetState): boolean {
+    const target = restored;
+    const reported = this.crashTracker.getReportedRuns(target);
+    if (reported === undefined) return false;
+    const { nowMs, unresolvedUntilMs } = this.#state;
+    reported.forEach(({ step, index, run: number }) => {
+      const run = RunManager.#createRun(step, index, target, number, nowMs);
+      run.phase = 'running';
+      run.confirmedAtMs = nowMs;
+      this.#chargeRun(run, target);
+    });
+    target.isContacted = true;
+    target.isResponding = false;
+    target.lostAtMs = nowMs;
+    target.wasConnectionClosed = true;
+    target.areRunsReported = true;
+    target.formerLeaseEndsAtMs = unresolvedUntilMs;
+    this.#state.log('runs of a lost target are known from its former owner', {
+      targetId: target.id,
+      runCount: reported.length,
+    });
+    return true;
+  }
+
   /**
    * Applies the end of a run to its task.
    * @param step - the step
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -76,6 +76,15 @@
   /** Whether its host closed or refused a connection since contact was lost, as after the end of the process. */
   wasConnectionClosed = false;
 
+  /** Whether all runs have been reported since contact was lost. */
+  areRunsReported = false;
+
+  /** Changes that have to be durable before anything is started here, because reports about its runs are void. */
+  voidedReports: readonly { readonly record: SubmissionRecord; readonly change: number }[] = [];
+
+  /** When a lease granted by a former owner has ended, on the owner's steady clock; undefined without such runs. */
+  formerLeaseEndsAtMs: number | undefined;
+
   /** The trial of a suspected task for which no other run is started here. */
   trial: Trial | undefined;
 
@@ -231,6 +240,8 @@
    */
   isLeaseExpired(steadyMs: number): boolean {
     const lowerBoundMs = this.clock.getLowerBoundMs(steadyMs);
+    if (lowerBoundMs === undefined && this.formerLeaseEndsAtMs !== undefined)
+      return steadyMs > this.formerLeaseEndsAtMs;
     return lowerBoundMs !== undefined && lowerBoundMs > this.#leaseUntilMs + LEASE_EXPIRY_MARGIN_MS;
   }
 
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -56,7 +56,8 @@
     const mayHoldFormerRuns = this.#state.steadyMs < this.#state.unresolvedUntilMs;
     const target = new TargetState(entry);
     this.#state.targets.set(entry.id, target);
-    if (mayHoldFormerRuns && known === undefined) this.#state.unresolvedTargets.add(entry.id);
+    if (mayHoldFormerRuns && known === undefined && !this.#runManager.tryRestoreRuns(target))
+      this.#state.unresolvedTargets.add(entry.id);
     this.#state.log('target registered', {
       targetId: entry.id,
       address: entry.address,
@@ -93,6 +94,7 @@
   check(): void {
     const { nowMs, steadyMs } = this.#state;
     [...this.#state.targets.values()].forEach((target) => {
+      if (!target.isResponding) this.#runManager.crashTracker.onStillLost(target);
       target.runs.forEach((run) => {
         const isRepeatDue =
           run.phase === 'stopping' &&
--- a/src/owner/trialPlanner.ts
+++ b/src/owner/trialPlanner.ts
@@ -11,7 +11,7 @@
 import type { TaskDemand } from '../work/types';
 import type { Candidate } from './candidates';
 import { compareSuspicion, CRASH_DELAY_MS, isLikelyCause } from './crashEvidence';
-import type { CrashTracker } from './crashTracker';
+import type { CrashTracker, TaskRef } from './crashTracker';
 import { placeGang } from './gangPlacement';
 import type { CrashReport } from '../work/stepProgress';
 import type { OwnerState } from './ownerState';
@@ -128,8 +128,11 @@
       MIN_RESERVED_COUNT,
       Math.ceil(this.#state.targets.size * MAX_RESERVED_FRACTION),
     );
-    suspected.forEach((step) => {
-      TrialPlanner.#getSuspects(step).forEach((index) => {
+    const getReports = ({ step, index }: TaskRef) => step.progress.crashes.get(index) ?? [];
+    suspected
+      .flatMap((step) => TrialPlanner.#getSuspects(step))
+      .sort((left, right) => compareSuspicion(getReports(left), getReports(right)))
+      .forEach(({ step, index }) => {
         const trials = [...this.#getTrials()];
         const reservedCount = trials.reduce((sum, { placements }) => sum + placements.length, 0);
         if (reservedCount >= maxReserved && !step.isGang) return;
@@ -141,16 +144,14 @@
         );
         if (!isPlanned) this.#reserveFor(step, index, input);
       });
-    });
   }
 
-  /** The suspected tasks that wait, those with most reports first; for a gang, one stands for all. */
-  static #getSuspects(step: StepState): readonly number[] {
+  /** The suspected tasks that wait; for a gang, one stands for all. */
+  static #getSuspects(step: StepState): readonly TaskRef[] {
     const waiting = [...step.waiting].filter((index) => step.progress.isSuspect(index));
-    const getReports = (index: number) => step.progress.crashes.get(index) ?? [];
-    waiting.sort((left, right) => compareSuspicion(getReports(left), getReports(right)));
-    if (!step.isGang) return waiting;
-    return step.waiting.size === step.spec.taskCount ? waiting.slice(0, 1) : [];
+    const isWhole = step.waiting.size === step.spec.taskCount;
+    if (step.isGang && !isWhole) return [];
+    return waiting.slice(0, step.isGang ? 1 : waiting.length).map((index) => ({ step, index }));
   }
 
   #reserveFor(step: StepState, index: number, input: TrialPlannerInput): void {
@@ -252,6 +253,7 @@
         run,
         targetId: target.id,
         runCount: target.runs.size,
+        reservedForMs: Math.round(this.#state.nowMs - trial.reservedAtMs),
         reportCount: step.progress.crashes.get(index)?.length ?? 0,
       });
       const ticket = candidates.get(target.id)?.ticket;
--- a/src/work/stepProgress.ts
+++ b/src/work/stepProgress.ts
@@ -21,12 +21,25 @@
   readonly suspectCount?: number | undefined;
   /** Age of the task's run when the loss was noticed. */
   readonly ageMs?: number | undefined;
+  /** Number of the run that was lost; undefined for a trial that has not started. */
+  readonly run?: number | undefined;
+  /** Number of runs that the incarnation held; with as many reports, a later owner knows all of them. */
+  readonly runCount?: number | undefined;
   /** Whether other tasks had been started there later, so that one report alone is no reason for a trial. */
   readonly isUnlikely?: boolean | undefined;
   /** Whether targets without recent starts were lost around the same time, so that the task need not be the cause. */
   readonly isDoubtful?: boolean | undefined;
 }
 
+/**
+ * Checks whether a report only tells what ran on a lost target.
+ * @param crash - the report
+ * @returns true when the task had been started long before the loss
+ */
+export function isBystanderReport({ isUnlikely, ageMs }: CrashReport): boolean {
+  return isUnlikely === true && ageMs === undefined;
+}
+
 /** Stored form of a step's progress; empty fields are omitted. */
 export interface StoredStepProgress {
   /** Tasks that are done, as ranges. */
@@ -123,7 +136,7 @@
    * @returns true when a target has probably crashed because of it, so that it is started only in a trial
    */
   isSuspect(index: number): boolean {
-    const crashes = this.#crashes.get(index) ?? [];
+    const crashes = (this.#crashes.get(index) ?? []).filter((crash) => !isBystanderReport(crash));
     return crashes.length > 1 || crashes.some(({ isUnlikely }) => isUnlikely !== true);
   }
 
--- a/src/work/storedProgress.ts
+++ b/src/work/storedProgress.ts
@@ -11,6 +11,8 @@
   isConfirmed: z.boolean().optional(),
   suspectCount: z.int().optional(),
   ageMs: z.number().optional(),
+  run: z.int().optional(),
+  runCount: z.int().optional(),
   isUnlikely: z.boolean().optional(),
   isDoubtful: z.boolean().optional(),
 });
--- a/tests/crashingTasks.test.ts
+++ b/tests/crashingTasks.test.ts
@@ -201,3 +201,37 @@
     expect(problems).toEqual([]);
   });
 });
+
+describe('a takeover while targets are lost', () => {
+  /** Two lost targets hold runs; other tasks of the same submissions wait for capacity. */
+  function loseTargets(lose: (world: OwnerWorld, targetId: TargetId) => void): OwnerWorld {
+    const world = createWorld();
+    for (let number = 1; number <= 12; number += 1)
+      world.submit(createSubmission(number, [{ taskCount: 8, estimateMs: 1_500 }]));
+    world.run(700);
+    lose(world, 'target-0' as TargetId);
+    lose(world, 'target-1' as TargetId);
+    world.run(1_200);
+    world.takeOver(true);
+    return world;
+  }
+
+  test('does not keep the waiting tasks until the targets are back', () => {
+    const world = loseTargets((lossy, targetId) => lossy.crashProcess(targetId, 6_000));
+    const { startCount } = world;
+    world.run(1_500);
+    expect(world.startCount).toBeGreaterThan(startCount);
+    world.run(30_000);
+    for (let number = 1; number <= 12; number += 1)
+      expect(world.getState(toSubmissionId(number))).toBe('succeeded');
+    expect(world.broken).toEqual([]);
+  });
+
+  test('does not start again what a target that was only cut off still runs', () => {
+    const world = loseTargets((lossy, targetId) => lossy.partition(targetId, 3_000));
+    world.run(30_000);
+    for (let number = 1; number <= 12; number += 1)
+      expect(world.getState(toSubmissionId(number))).toBe('succeeded');
+    expect(world.broken).toEqual([]);
+  });
+});
