--- a/standins/fakeTarget.ts
+++ b/standins/fakeTarget.ts
@@ -19,6 +19,9 @@
 const STOP_DURATION_MS = 100;
 const GANG_START_TIMEOUT_MS = 3_000;
 
+/** Time in which a start that was sent before a change of capacity arrives. */
+const CAPACITY_GRACE_MS = 50;
+
 /** A run on the target. */
 export interface FakeRun {
   readonly taskKey: TaskKey;
@@ -61,6 +64,8 @@
 
   #highestFence = 0;
 
+  #formerCapacities: TaskDemand[] = [];
+
   #leaseUntilMs = 0;
 
   /** Sequence numbers of ends that were listed when the lease expired; later acknowledgements are not reported. */
@@ -79,7 +84,7 @@
 
   constructor(
     readonly id: TargetId,
-    public capacity: TaskDemand,
+    private currentCapacity: TaskDemand,
     readonly time: TimeSource,
     readonly events: FakeTargetEvents,
     /** Rate of the target's clock relative to the time source. */
@@ -102,6 +107,24 @@
     };
   }
 
+  /** Capacity as registered. */
+  get capacity(): TaskDemand {
+    return this.currentCapacity;
+  }
+
+  /** Changes the capacity while the target runs. A start that is on its way counts against the former one. */
+  setCapacity(capacity: TaskDemand): void {
+    const former = this.currentCapacity;
+    this.currentCapacity = capacity;
+    this.#formerCapacities.push(former);
+    this.time.after(CAPACITY_GRACE_MS, () => this.#formerCapacities.shift());
+  }
+
+  /** The capacities that a start may have been decided for. */
+  get countedCapacities(): readonly TaskDemand[] {
+    return [this.currentCapacity, ...this.#formerCapacities];
+  }
+
   get clockMs(): number {
     return Math.floor((this.time.nowMs - this.#incarnationStartMs) * this.clockRate);
   }
