A successor believes a later run of a task over a reported one, and reports end with the lease

Found while reading the change: reports of a lost target outlived its lease, so a later owner took its runs for running and stopped the runs that had been started elsewhere since.

The reports now lose what they tell of runs when the lease ends, and a run with a higher number on a target that answers replaces a restored one: a former owner starts a task again only once the earlier run has ended.

--- a/src/owner/crashTracker.ts
+++ b/src/owner/crashTracker.ts
@@ -123,13 +123,22 @@
     );
     runs.forEach(({ step, index, run }) => {
       const { incarnation } = target;
-      const crashes = step.progress.crashes.get(index) ?? [];
-      const known = crashes.find((crash) => crash.incarnation === incarnation);
+      const known = CrashTracker.#getReport({ step, index }, incarnation);
       const added = { incarnation, recordedAtMs: this.#state.wallMs, isUnlikely: true };
       this.#setReport({ step, index }, { ...(known ?? added), run, runCount: runs.length });
     });
   }
 
+  /**
+   * Handles the end of a target's lease: its runs have ended, so a later owner must not take them for running.
+   * @param target - a target that still does not answer
+   */
+  onLeaseExpired(target: TargetState): void {
+    [...(this.#tasks.get(target.incarnation) ?? [])].forEach((task) =>
+      this.#forgetRun(task, target.incarnation),
+    );
+  }
+
   /**
    * Gets the runs that a former owner has reported for a target.
    * @param target - a target that this owner has not polled yet
@@ -139,8 +148,7 @@
     target: TargetState,
   ): readonly (TaskRef & { readonly run: number })[] | undefined {
     const reports = [...(this.#tasks.get(target.incarnation) ?? [])].flatMap(({ step, index }) => {
-      const crashes = step.progress.crashes.get(index) ?? [];
-      const crash = crashes.find(({ incarnation }) => incarnation === target.incarnation);
+      const crash = CrashTracker.#getReport({ step, index }, target.incarnation);
       return crash?.run === undefined ? [] : [{ step, index, run: crash.run, crash }];
     });
     const isComplete =
@@ -273,7 +281,7 @@
    */
   #exonerateOthers({ step, index }: TaskRef, latestIncarnation: string): void {
     const crashes = step.progress.crashes.get(index) ?? [];
-    const latest = crashes.find(({ incarnation }) => incarnation === latestIncarnation);
+    const latest = CrashTracker.#getReport({ step, index }, latestIncarnation);
     if (latest === undefined || !isSole(latest)) return;
     crashes
       .filter(({ incarnation }) => incarnation !== latestIncarnation)
@@ -287,8 +295,7 @@
 
   /** While the incarnation may be alive, the report still tells a later owner what may run there. */
   #exonerate(task: TaskRef, incarnation: string): void {
-    const crashes = task.step.progress.crashes.get(task.index) ?? [];
-    const crash = crashes.find((known) => known.incarnation === incarnation);
+    const crash = CrashTracker.#getReport(task, incarnation);
     if (crash === undefined) return;
     if (crash.isConfirmed === true) this.removeReport(task, incarnation);
     else this.#setReport(task, { ...crash, isUnlikely: true });
@@ -320,8 +327,7 @@
     this.#tasks.delete(incarnation);
     const isDoubtful = this.#isDoubtful();
     return tasks.filter(({ step, index }) => {
-      const crashes = step.progress.crashes.get(index) ?? [];
-      const crash = crashes.find((known) => known.incarnation === incarnation);
+      const crash = CrashTracker.#getReport({ step, index }, incarnation);
       if (crash === undefined || step.record.outcome !== undefined) return false;
       if (isBystanderReport(crash)) {
         this.removeReport({ step, index }, incarnation);
@@ -361,10 +367,7 @@
     target.areRunsReported = false;
     const tasks = [...(this.#tasks.get(target.incarnation) ?? [])];
     tasks.forEach((task) => {
-      const crashes = task.step.progress.crashes.get(task.index) ?? [];
-      const crash = crashes.find(({ incarnation }) => incarnation === target.incarnation);
-      if (crash !== undefined && isInTrial(target, task))
-        this.#setReport(task, { ...crash, run: undefined, runCount: undefined });
+      if (isInTrial(target, task)) this.#forgetRun(task, target.incarnation);
       else this.removeReport(task, target.incarnation);
     });
     target.voidedReports = tasks.map(({ step: { record } }) => ({
@@ -373,6 +376,19 @@
     }));
   }
 
+  /** Keeps the suspicion of a report, but not what it tells of a run. */
+  #forgetRun(task: TaskRef, incarnation: string): void {
+    const crash = CrashTracker.#getReport(task, incarnation);
+    if (crash === undefined) return;
+    if (isBystanderReport(crash)) this.removeReport(task, incarnation);
+    else this.#setReport(task, { ...crash, run: undefined, runCount: undefined });
+  }
+
+  static #getReport({ step, index }: TaskRef, incarnation: string): CrashReport | undefined {
+    const crashes = step.progress.crashes.get(index) ?? [];
+    return crashes.find((crash) => crash.incarnation === incarnation);
+  }
+
   #removeReports(incarnation: string): void {
     this.#tasks.get(incarnation)?.forEach((task) => this.removeReport(task, incarnation));
     this.#tasks.delete(incarnation);
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -231,6 +231,7 @@
     // A response that was overtaken by another may list a run whose end has been processed.
     if (endedAtMs !== undefined && sentAtMs <= endedAtMs) return true;
     const hasNotEnded = endedAtMs === undefined;
+    if (task !== undefined && hasNotEnded) this.#releaseSupersededRuns(task, entry.run);
     if (task !== undefined && hasNotEnded && InventoryReconciler.#isRunNeeded(task)) {
       this.#runManager.adopt(task.step, task.index, target, entry);
       return true;
@@ -247,6 +248,18 @@
     return false;
   }
 
+  /**
+   * A former owner starts a task again only once its earlier run has ended, so a later run on a target that answers
+   * proves that an earlier one on a lost target, known from the former owner's report, is over.
+   */
+  #releaseSupersededRuns({ step, index }: TaskReference, laterRun: number): void {
+    (step.runs.get(index) ?? []).forEach((run) => {
+      const holder = this.#state.targets.get(run.targetId);
+      const isRestored = holder?.formerLeaseEndsAtMs !== undefined && !holder.isResponding;
+      if (isRestored && run.run < laterRun) this.#runManager.release(run);
+    });
+  }
+
   static #isRunNeeded({ step, index }: TaskReference): boolean {
     const { record, progress } = step;
     if (record.outcome !== undefined || record.isCancelled || progress.isTaskDone(index)) {
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -104,6 +104,7 @@
         if (run.phase === 'running') this.#stopIfStalled(target, run);
       });
       if (!target.isResponding && target.isLeaseExpired(steadyMs) && target.runs.size > 0) {
+        this.#runManager.crashTracker.onLeaseExpired(target);
         this.#runManager.releaseAll(target, 'its lease has expired');
       }
       if (!target.isListed && this.#canRemove(target)) {
--- a/tests/crashingTasks.test.ts
+++ b/tests/crashingTasks.test.ts
@@ -235,3 +235,17 @@
     expect(world.broken).toEqual([]);
   });
 });
+
+test('a successor does not stop work that was started again after the lease of a lost target had ended', () => {
+  const world = createWorld();
+  world.submit(createSubmission(1, [{ taskCount: 12, estimateMs: 20_000 }]));
+  world.run(1_000);
+  world.partition('target-0' as TargetId, 30_000);
+  world.partition('target-1' as TargetId, 30_000);
+  world.run(8_000);
+  world.takeOver();
+  world.run(60_000);
+  expect(world.stoppedTaskKeys).toEqual([]);
+  expect(world.getState(toSubmissionId(1))).toBe('succeeded');
+  expect(world.broken).toEqual([]);
+});
