--- a/src/owner/crashEvidence.ts
+++ b/src/owner/crashEvidence.ts
@@ -22,12 +22,15 @@
 /** Crashes that suffice when they were alike: a task that crashes its targets does so after the same time. */
 const ALIKE_CRASHES = 2;
 
-/** Crashes, two of them with the task alone, that suffice although other targets were lost at the time. */
+/** Crashes, two alike ones with the task alone, that suffice although other targets were lost at the time. */
 const DOUBTFUL_CRASHES = 3;
 
-/** Crashes that suffice although no owner has seen how they came about. */
+/** Crashes, two alike ones with the task alone in one, that suffice although no owner has seen the others. */
 const UNSEEN_CRASHES = 4;
 
+/** Crashes that suffice in any case. */
+const MAX_CRASHES = 5;
+
 /** Difference between the delays of two crashes by the same task, as an owner sees them. */
 const DELAY_TOLERANCE_MS = 25;
 
@@ -39,18 +42,16 @@
   return crash.suspectCount === 1;
 }
 
-/** Checks whether a task crashed a target alone, as long after its start as it had crashed another one. */
-function isAlikeAnother(crash: CrashReport, crashes: readonly CrashReport[]): boolean {
-  const { ageMs, isDoubtful } = crash;
-  if (!isSole(crash) || isDoubtful === true || ageMs === undefined || ageMs > CRASH_DELAY_MS)
-    return false;
-  return crashes.some(
-    (other) =>
-      other !== crash &&
-      other.isDoubtful !== true &&
-      other.suspectCount !== undefined &&
-      Math.abs((other.ageMs ?? Number.POSITIVE_INFINITY) - ageMs) <= DELAY_TOLERANCE_MS,
-  );
+/** Checks whether a task crashed two targets after the same time, the first of them alone. */
+function isAlike(crash: CrashReport, other: CrashReport): boolean {
+  if (crash === other || !isSole(crash) || other.suspectCount === undefined) return false;
+  const ageMs = crash.ageMs ?? Number.POSITIVE_INFINITY;
+  const otherAgeMs = other.ageMs ?? Number.POSITIVE_INFINITY;
+  return ageMs <= CRASH_DELAY_MS && Math.abs(otherAgeMs - ageMs) <= DELAY_TOLERANCE_MS;
+}
+
+function hasAlikePair(crashes: readonly CrashReport[]): boolean {
+  return crashes.some((crash) => crashes.some((other) => isAlike(crash, other)));
 }
 
 /**
@@ -62,12 +63,12 @@
   const confirmed = crashes.filter(
     ({ isConfirmed, isUnlikely }) => isConfirmed === true && isUnlikely !== true,
   );
-  if (confirmed.length >= UNSEEN_CRASHES) return true;
-  const soleCount = confirmed.filter(isSole).length;
-  if (confirmed.length >= DOUBTFUL_CRASHES && soleCount >= ALIKE_CRASHES) return true;
-  return (
-    confirmed.length >= ALIKE_CRASHES && confirmed.some((crash) => isAlikeAnother(crash, confirmed))
-  );
+  const { length } = confirmed;
+  if (length >= MAX_CRASHES) return true;
+  if (length >= UNSEEN_CRASHES && hasAlikePair(confirmed)) return true;
+  if (length >= DOUBTFUL_CRASHES && hasAlikePair(confirmed.filter(isSole))) return true;
+  const clear = confirmed.filter(({ isDoubtful }) => isDoubtful !== true);
+  return length >= ALIKE_CRASHES && hasAlikePair(clear);
 }
 
 /** A start without an answer may be carried out at any time until its stop is confirmed. */
--- a/src/owner/trialPlanner.ts
+++ b/src/owner/trialPlanner.ts
@@ -212,7 +212,13 @@
       nowMs < trial.reservedAtMs + MAX_RESERVATION_MS &&
       this.#state.ready.has(step) &&
       placements.every(({ index }) => step.waiting.has(index)) &&
-      targets.every((target) => candidates.has(target.id) && isInventoryKnown(target));
+      targets.every(
+        (target) =>
+          // A target that has restarted since the reservation is another incarnation.
+          this.#state.targets.get(target.id) === target &&
+          candidates.has(target.id) &&
+          isInventoryKnown(target),
+      );
     if (!isPossible) {
       this.#cancel(trial);
       return;
