Logs: starts and lost runs name the incarnation, and which runs a lost target never listed

Calls for starts and stops and their answers carry the incarnation that they were meant for, as polls did. The owner's log could not tell whether a run that it released had ever been listed by its target, nor for which process its start was meant.

--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -316,18 +316,20 @@
         return;
       }
       case 'startRun': {
-        const { targetId, taskKey, run } = effect;
+        const { targetId, incarnationStartMs, taskKey, run } = effect;
         const sentAtMs = clock.nowMs();
         this.#dispatchResult(targets.start(effect, this.#isTooLate), (result) => ({
-          ...{ kind: 'startAnswered' as const, targetId, taskKey, run, sentAtMs, result },
+          ...{ kind: 'startAnswered' as const, targetId, incarnationStartMs },
+          ...{ taskKey, run, sentAtMs, result },
         }));
         return;
       }
       case 'stopRun': {
-        const { targetId, taskKey, run } = effect;
+        const { targetId, incarnationStartMs, taskKey, run } = effect;
         const sentAtMs = clock.nowMs();
         this.#dispatchResult(targets.stop(effect, this.#isTooLate), (result) => ({
-          ...{ kind: 'stopAnswered' as const, targetId, taskKey, run, sentAtMs, result },
+          ...{ kind: 'stopAnswered' as const, targetId, incarnationStartMs },
+          ...{ taskKey, run, sentAtMs, result },
         }));
         return;
       }
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -272,6 +272,7 @@
 
   #updateRun(run: Run, entry: RunningEntry): void {
     const { nowMs } = this.#state;
+    run.isListed = true;
     if (run.phase === 'starting' || run.phase === 'unconfirmed') {
       run.phase = 'running';
       run.confirmedAtMs = nowMs;
--- a/src/owner/run.ts
+++ b/src/owner/run.ts
@@ -18,6 +18,8 @@
   readonly targetId: TargetId;
   readonly charge: TaskDemand;
   phase: RunPhase;
+  /** Whether the incarnation that the run is charged to has listed it; only this proves where the run takes place. */
+  isListed: boolean;
   /** When the start was sent, on the owner's clock; for an adopted run, when it was first reported. */
   readonly sentAtMs: number;
   /** When the target confirmed the run; a later poll that does not list the run proves that it ended. */
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -95,6 +95,7 @@
       kind: 'startRun',
       targetId: target.id,
       address: target.entry.address,
+      incarnationStartMs: target.entry.incarnationStartMs,
       taskKey,
       run,
       payload: step.record.submission.spec.payload,
@@ -115,6 +116,7 @@
       task: taskKey,
       run,
       targetId: target.id,
+      bornAtMs: target.entry.incarnationStartMs,
       waitedMs: Math.round(waitedMs),
       freeCpuMillis: target.free.cpuMillis,
     });
@@ -176,6 +178,7 @@
       kind: 'stopRun',
       targetId: target.id,
       address: target.entry.address,
+      incarnationStartMs: target.entry.incarnationStartMs,
       taskKey,
       run,
       fence: this.#state.epoch,
@@ -215,6 +218,7 @@
     const run = RunManager.#createRun(step, index, target, entry.run, nowMs);
     run.phase = 'running';
     run.confirmedAtMs = nowMs;
+    run.isListed = true;
     run.percent = entry.percent;
     run.checkpoint = entry.checkpoint;
     this.#chargeRun(run, target);
@@ -304,7 +308,13 @@
       this.#state.log('runs lost with their target', {
         targetId: target.id,
         reason,
+        bornAtMs: target.entry.incarnationStartMs,
         tasks: runs.map(({ taskKey }) => taskKey),
+        unlisted: runs
+          .filter(({ isListed }) => !isListed)
+          .map(({ taskKey, run, phase, sentAtMs }) => ({
+            ...{ task: taskKey, run, phase, ageMs: Math.round(this.#state.nowMs - sentAtMs) },
+          })),
       });
       this.#state.count('runs_lost', runs.length);
     }
@@ -324,7 +334,11 @@
     this.releaseAll(target, reason);
     if (this.#state.targets.get(target.id) === target) this.#state.targets.delete(target.id);
     this.#state.unresolvedTargets.delete(target.id);
-    this.#state.log('target gone', { targetId: target.id, reason });
+    this.#state.log('target gone', {
+      targetId: target.id,
+      bornAtMs: target.entry.incarnationStartMs,
+      reason,
+    });
     this.giveUp(givenUp);
   }
 
@@ -425,6 +439,7 @@
       targetId: target.id,
       charge: step.charge,
       phase: 'starting',
+      isListed: false,
       sentAtMs: nowMs,
       confirmedAtMs: undefined,
       stopSentAtMs: 0,
@@ -452,6 +467,7 @@
       task: run.taskKey,
       run: run.run,
       targetId: target.id,
+      bornAtMs: target.entry.incarnationStartMs,
       failure,
     });
     this.#state.count(`starts_${failure.kind}`);
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -174,6 +174,8 @@
     | {
         readonly kind: 'startAnswered';
         readonly targetId: TargetId;
+        /** The incarnation that the start was meant for; another one may have carried it out. */
+        readonly incarnationStartMs: number;
         readonly taskKey: TaskKey;
         readonly run: number;
         readonly sentAtMs: number;
@@ -182,6 +184,8 @@
     | {
         readonly kind: 'stopAnswered';
         readonly targetId: TargetId;
+        /** The incarnation that the stop was meant for. */
+        readonly incarnationStartMs: number;
         readonly taskKey: TaskKey;
         readonly run: number;
         readonly sentAtMs: number;
@@ -225,6 +229,7 @@
       readonly kind: 'startRun';
       readonly targetId: TargetId;
       readonly address: string;
+      readonly incarnationStartMs: number;
       readonly taskKey: TaskKey;
       readonly run: number;
       readonly payload: string;
@@ -239,6 +244,7 @@
       readonly kind: 'stopRun';
       readonly targetId: TargetId;
       readonly address: string;
+      readonly incarnationStartMs: number;
       readonly taskKey: TaskKey;
       readonly run: number;
       readonly fence: Epoch;
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -230,12 +230,12 @@
     if (this.#owner !== undefined) this.#dispatch(this.#owner, { kind: 'cancelled', submissionId });
   }
 
-  /** A target loses power and restarts as a new incarnation with the same id. */
-  crash(targetId: TargetId, downMs: number): void {
+  /** A target loses power and restarts as a new incarnation with the same id, which the registry may tell late. */
+  crash(targetId: TargetId, downMs: number, registryDelayMs = 0): void {
     const target = this.targets.get(targetId);
     if (target === undefined) return;
     target.crash();
-    this.time.after(downMs, () => this.#restart(target));
+    this.time.after(downMs, () => this.#restart(target, registryDelayMs));
   }
 
   /** The process of a target ends and starts again as a new incarnation. */
@@ -246,9 +246,10 @@
     this.time.after(downMs, () => this.#restart(target));
   }
 
-  #restart(target: FakeTarget): void {
+  #restart(target: FakeTarget, registryDelayMs = 0): void {
     target.restart();
-    this.#register(target);
+    if (registryDelayMs === 0) this.#register(target);
+    else this.time.after(registryDelayMs, () => this.#register(target));
   }
 
   #register({ entry }: FakeTarget): void {
@@ -308,16 +309,18 @@
         return;
       }
       case 'startRun': {
-        const { taskKey, run } = effect;
-        const reply = { kind: 'startAnswered', targetId, taskKey, run, sentAtMs };
+        const { incarnationStartMs, taskKey, run } = effect;
+        const call = { targetId, incarnationStartMs, taskKey, run, sentAtMs };
+        const reply = { kind: 'startAnswered', ...call };
         this.#call(owner, effect.timeoutMs, reply, target, (to, answer) =>
           answer(to.start(effect)),
         );
         return;
       }
       case 'stopRun': {
-        const { taskKey, run } = effect;
-        const reply = { kind: 'stopAnswered', targetId, taskKey, run, sentAtMs };
+        const { incarnationStartMs, taskKey, run } = effect;
+        const call = { targetId, incarnationStartMs, taskKey, run, sentAtMs };
+        const reply = { kind: 'stopAnswered', ...call };
         this.#call(owner, effect.timeoutMs, reply, target, (to, answer) => answer(to.stop(effect)));
         return;
       }
