A node that has not read the member list is no majority

A restarted node that claimed ownership and then lost the store kept its authority without end: with an unread, empty list one node alone counted as the majority that confirms it. An empty list confirms nothing now; the store still does. Test: formerAuthority, failed before.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -260,7 +260,9 @@
       link.close();
       this.#updateLanes();
     });
-    const isMajority = (this.#followers.count + 1) * 2 > this.#members.members.length;
+    const { length: memberCount } = this.#members.members;
+    // A list that has not been read says nothing about who the others follow.
+    const isMajority = memberCount > 0 && (this.#followers.count + 1) * 2 > memberCount;
     if (!isMajority) return;
     const { epoch } = this.#ownership.core;
     this.#ownership.dispatch({
