A feed that is behind does not take back the operator state that another node reported

Rows older than the adopted state no longer change which data centres are closed.

Test: formerAuthority, failed before.

--- a/src/node/operatorFollower.ts
+++ b/src/node/operatorFollower.ts
@@ -72,8 +72,7 @@
     if (event.kind === 'snapshot') {
       this.#rows.clear();
       event.rows.forEach((row) => this.#applyRow(row));
-      const versions = event.rows.map(({ version }) => version);
-      this.#publishRows(Math.max(0, ...versions));
+      this.#publishRows(event.version);
       return;
     }
     event.changes.forEach((change) => {
@@ -102,10 +101,16 @@
   }
 
   #publishRows(changeVersion: number): void {
+    // The feed may be behind what another node has reported; its rows must not take that back.
+    if (changeVersion < this.#snapshot.changeVersion) {
+      const { closedDataCentreIds } = this.#snapshot.operator;
+      this.#publish(this.#snapshot.changeVersion, closedDataCentreIds, 'store');
+      return;
+    }
     const closed = [...this.#rows.values()].flatMap((row) =>
       row.kind === 'closedDataCentre' ? [row.dataCentreId] : [],
     );
-    this.#publish(Math.max(changeVersion, this.#snapshot.changeVersion), closed, 'store');
+    this.#publish(changeVersion, closed, 'store');
   }
 
   #publish(
