A submission has begun once a target has confirmed a start, not when one is sent

Callers saw 'running', and operators too few waiting submissions (MIXED), while starts were refused, not sent or unanswered; the flag was stored with the next write too.

--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -241,6 +241,7 @@
   setListed(listed: Run): void {
     const run = listed;
     run.isListed = true;
+    run.step.record.hasBegun = true;
     if (run.formerIncarnation !== undefined) {
       // The run did not take place on the incarnation that ended, so it cannot have been the cause.
       this.crashTracker.removeReport(run, run.formerIncarnation);
@@ -395,7 +396,6 @@
     target.addRun(run);
     run.step.addRun(run);
     this.#state.teamUsage.add(record.submission.teamId, run.charge, 1);
-    record.hasBegun = true;
     this.updateReadiness(run.step);
   }
 
--- a/src/owner/runResponses.ts
+++ b/src/owner/runResponses.ts
@@ -42,6 +42,7 @@
     const target = this.#state.targets.get(event.targetId);
     const run = target?.runs.get(toRunKey(event.taskKey, event.run));
     if (target === undefined || run === undefined) return;
+    if (E.isRight(event.result)) run.step.record.hasBegun = true;
     if (event.incarnationStartMs !== target.entry.incarnationStartMs) {
       this.#onFormerStartAnswered(run, target, event);
       return;
