A second row of a submission does not free what a former owner may be running

Only submissions that were not loaded are freed by their row's version. Test: formerIncarnations, failed before.

--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -96,7 +96,7 @@
     this.#planner = new Planner(this.#state, this.#runManager);
     this.#poller = new TargetPoller(this.#state);
     this.#adviceDispatcher = new AdviceDispatcher(this.#state);
-    loaded.forEach((submission) => this.#tryAddRecord(submission, true));
+    loaded.forEach((submission) => this.#tryAddRecord(submission, true, true));
   }
 
   /** The fencing token of all requests. */
@@ -400,7 +400,8 @@
     const isUnknownToFormer = rowVersion > this.#state.lastFormerVersion;
     const known = this.#state.records.get(submission.id);
     if (known !== undefined) {
-      if (isUnknownToFormer) this.#releaseUnseen(known);
+      // Another row of a loaded submission may lie in a second part; its version says nothing about the first one.
+      if (isUnknownToFormer && !known.isLoaded) this.#releaseUnseen(known);
       return;
     }
     const record = this.#tryAddRecord(
@@ -441,10 +442,14 @@
   }
 
   /** A submission that cannot be represented is left out, so that it cannot stop the others. */
-  #tryAddRecord(loaded: LoadedSubmission, mayHaveBegun: boolean): SubmissionRecord | undefined {
+  #tryAddRecord(
+    loaded: LoadedSubmission,
+    mayHaveBegun: boolean,
+    isLoaded = false,
+  ): SubmissionRecord | undefined {
     let record: SubmissionRecord | undefined;
     try {
-      record = new SubmissionRecord(loaded, mayHaveBegun);
+      record = new SubmissionRecord(loaded, mayHaveBegun, isLoaded);
       this.#addRecord(record);
       return record;
     } catch (error) {
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -51,6 +51,9 @@
 
   hasBegun: boolean;
 
+  /** Whether its row was read at the takeover, so that a former owner may have started it. */
+  readonly isLoaded: boolean;
+
   /** The task that was given up because targets crashed under it. */
   givenUpTask: string | undefined;
 
@@ -72,8 +75,10 @@
   /**
    * @param loaded - the submission as accepted or loaded
    * @param mayRunUnseen - whether a former owner may have started tasks of it that no target has listed yet
+   * @param isLoaded - whether its row was read at the takeover
    */
-  constructor(loaded: LoadedSubmission, mayRunUnseen: boolean) {
+  constructor(loaded: LoadedSubmission, mayRunUnseen: boolean, isLoaded = false) {
+    this.isLoaded = isLoaded;
     this.submission = loaded.submission;
     this.queue = loaded.submission.queue;
     const { steps } = loaded.submission.spec;
