Leases and start deadlines are granted from the lower bound of the elapsed time

After a forward step of its wall clock an owner granted a lease that was longer by the step, while its successor relies on 5 s: it started the tasks of a silent target again while they still ran there (TWICE). The steady clock is used for what others rely on; after a suspension leases are shorter until the next answer, which is safe. Test: formerIncarnations, failed before.

--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -73,12 +73,12 @@
     run: number,
     ticket: Ticket | undefined,
   ): void {
-    const { nowMs, epoch } = this.#state;
+    const { nowMs, steadyMs, epoch } = this.#state;
     const taskKey = toTaskKey(step.key, index);
     const started = RunManager.#createRun(step, index, target, run, { nowMs, fence: epoch });
     this.#chargeRun(started, target);
     step.lastStartAtMs = nowMs;
-    const notAfterMs = Math.ceil((target.clock.getUpperBoundMs(nowMs) ?? 0) + START_DEADLINE_MS);
+    const notAfterMs = Math.ceil((target.clock.getLeaseBaseMs(steadyMs) ?? 0) + START_DEADLINE_MS);
     target.extendLease(notAfterMs);
     const checkpoint = step.getCheckpoint(index);
     this.#state.emit({
--- a/src/owner/targetClock.ts
+++ b/src/owner/targetClock.ts
@@ -53,12 +53,14 @@
   }
 
   /**
-   * @param nowMs - current time on the owner's clock
-   * @returns the upper bound of the target's clock, or undefined without a sample
+   * Estimates the clock for the expiry of a lease. A lower bound of the elapsed time is used, as a later owner relies on
+   * the length of the leases of an owner whose clock was set forward.
+   * @param steadyMs - lower bound of the owner's elapsed time
+   * @returns the estimate, or undefined without a sample
    */
-  getUpperBoundMs(nowMs: number): number | undefined {
+  getLeaseBaseMs(steadyMs: number): number | undefined {
     if (this.#sample === undefined) return undefined;
-    return this.#sample.clockMs + (nowMs - this.#sample.sentAtMs);
+    return this.#sample.clockMs + Math.max(0, steadyMs - this.#sample.receivedSteadyMs);
   }
 
   /**
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -105,12 +105,12 @@
   }
 
   #send(target: TargetState, waitMs: number, isProbe: boolean): void {
-    const { nowMs, epoch } = this.#state;
-    const upperBoundMs = target.clock.getUpperBoundMs(nowMs);
+    const { nowMs, steadyMs, epoch } = this.#state;
+    const baseMs = target.clock.getLeaseBaseMs(steadyMs);
     // The lease of a target that does not respond is not renewed, so that its expiry can be relied on.
     const isNeeded = target.runs.size > 0 || target.unacknowledgedEndCount > 0;
-    const isRenewed = target.isResponding && upperBoundMs !== undefined && isNeeded;
-    const leaseUntilMs = isRenewed ? Math.ceil(upperBoundMs + LEASE_MS) : undefined;
+    const isRenewed = target.isResponding && baseMs !== undefined && isNeeded;
+    const leaseUntilMs = isRenewed ? Math.ceil(baseMs + LEASE_MS) : undefined;
     if (leaseUntilMs !== undefined) target.extendLease(leaseUntilMs);
     // After silence another incarnation may answer. Its ends have numbers of their own, and it would drop them.
     const mayBeOther = !target.isResponding || target.isVerificationDue || isProbe;
