The lease of an incarnation that replaced another one is the longest that targets grant

A poll for the former incarnation that the new one carries out late grants a lease on a clock that starts anew, up to the longest one. The owner counted its own 5 s only and started the tasks of the silent target again (TWICE). Test: formerIncarnations, failed before.

--- a/src/owner/incarnations.ts
+++ b/src/owner/incarnations.ts
@@ -52,6 +52,8 @@
     const givenUp = this.#runManager.crashTracker.onCrashed(former);
     const unlisted = [...former.runs.values()].filter(({ isListed }) => !isListed);
     const target = new TargetState(entry);
+    // A call for the former incarnation may grant any lease on the clock of the new one.
+    target.inheritedLeaseEndsAtMs = this.#state.steadyMs + this.#state.maxInheritedLeaseMs;
     unlisted.forEach((run) => this.#moveRun(run, former, target));
     this.#state.targets.set(entry.id, target);
     this.releaseAll(former, reason);
@@ -144,10 +146,7 @@
     target.addRun(run);
   }
 
-  #onStartsInDoubt(former: TargetState, inDoubt: TargetState, runs: readonly Run[]): void {
-    const target = inDoubt;
-    // A call for the former incarnation may have granted any lease on the clock of the new one.
-    target.inheritedLeaseEndsAtMs = this.#state.steadyMs + this.#state.maxInheritedLeaseMs;
+  #onStartsInDoubt(former: TargetState, target: TargetState, runs: readonly Run[]): void {
     this.#state.count('starts_in_doubt', runs.length);
     this.#state.log('starts in doubt, as their target has restarted', {
       targetId: target.id,
