An earlier registry entry of an incarnation is ignored, and one without a start time ends nothing

Entries carry the platform's counter of changes now. A target whose registration names no start time is known by the one in its first answer. Test: formerIncarnations; the draining case fails without the check.

--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -7,6 +7,9 @@
  */
 export const LEASE_MS = 5_000;
 
+/** Start time of an incarnation whose registration does not name it; its first answer does. */
+export const UNKNOWN_INCARNATION_MS = 0;
+
 /** Longest lease that a target grants where the settings name none. */
 export const DEFAULT_MAX_LEASE_MS = 10_000;
 
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -2,7 +2,11 @@
 
 import * as E from 'fp-ts/Either';
 import { tryParseTaskKey } from '../work/taskKeys';
-import { POLL_RETRY_DELAY_MS, UNREAD_SUBMISSION_POLL_INTERVAL_MS } from './constants';
+import {
+  POLL_RETRY_DELAY_MS,
+  UNKNOWN_INCARNATION_MS,
+  UNREAD_SUBMISSION_POLL_INTERVAL_MS,
+} from './constants';
 import type { OwnerState } from './ownerState';
 import type { Incarnations } from './incarnations';
 import { toRunKey } from './run';
@@ -79,12 +83,14 @@
 
   /** The registry may tell of the new incarnation later; until then nothing is started there. */
   #replace(former: TargetState, incarnationStartMs: number): TargetState {
-    const registered = this.#state.latestEntries.get(former.id);
-    const isRegistered = registered?.incarnationStartMs === incarnationStartMs;
-    const entry = isRegistered ? registered : { ...former.entry, incarnationStartMs };
+    const latest = this.#state.latestEntries.get(former.id);
+    const isNamed = latest?.incarnationStartMs === incarnationStartMs;
+    const registered =
+      isNamed || latest?.incarnationStartMs === UNKNOWN_INCARNATION_MS ? latest : undefined;
+    const entry = { ...(registered ?? former.entry), incarnationStartMs };
     const reason = 'another incarnation has answered a poll';
     const target = this.#incarnations.replace(former, entry, reason);
-    target.isListed = isRegistered;
+    target.isListed = registered !== undefined;
     return target;
   }
 
--- a/src/owner/targetClock.ts
+++ b/src/owner/targetClock.ts
@@ -53,8 +53,8 @@
   }
 
   /**
-   * Estimates the clock for the expiry of a lease. A lower bound of the elapsed time is used, as a later owner relies on
-   * the length of the leases of an owner whose clock was set forward.
+   * Estimates the clock for the expiry of a lease. A lower bound of the elapsed time is used, as a later owner relies
+   * on the length of the leases of an owner whose clock was set forward.
    * @param steadyMs - lower bound of the owner's elapsed time
    * @returns the estimate, or undefined without a sample
    */
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -48,6 +48,10 @@
    * @param entry - the registry entry
    */
   onTargetChanged(entry: TargetEntry): void {
+    const latest = this.#state.latestEntries.get(entry.id);
+    const isSame = latest?.incarnationStartMs === entry.incarnationStartMs;
+    // The registry may go back; a target that drains must not be used again.
+    if (isSame && entry.revision < latest.revision) return;
     this.#state.latestEntries.set(entry.id, entry);
     const known = this.#state.targets.get(entry.id);
     if (known !== undefined && known.entry.incarnationStartMs === entry.incarnationStartMs) {
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -34,6 +34,8 @@
   readonly isDraining: boolean;
   /** Start time of the target in Unix milliseconds; distinguishes incarnations that share an id. */
   readonly incarnationStartMs: number;
+  /** Counts the entries of an incarnation; an entry with a lower number is an earlier one. */
+  readonly revision: number;
 }
 
 /** A run that a target reports as running. */
--- a/standins/fakeTarget.ts
+++ b/standins/fakeTarget.ts
@@ -77,6 +77,8 @@
 
   #incarnationStartMs: number;
 
+  #revision = 0;
+
   isUp = true;
 
   /** While the target is down: its host refuses connections, as the process alone has ended. */
@@ -104,6 +106,7 @@
       rack: `r-${this.id.at(-1)}`,
       isDraining: false,
       incarnationStartMs: this.#incarnationStartMs,
+      revision: this.#revision,
     };
   }
 
@@ -115,6 +118,7 @@
   /** Changes the capacity while the target runs. A start that is on its way counts against the former one. */
   setCapacity(capacity: TaskDemand): void {
     const former = this.currentCapacity;
+    this.#revision += 1;
     this.currentCapacity = capacity;
     this.#formerCapacities.push(former);
     this.time.after(CAPACITY_GRACE_MS, () => this.#formerCapacities.shift());
@@ -149,6 +153,7 @@
     this.runs.clear();
     this.#endedEntries = [];
     this.#sequence = 0;
+    this.#revision = 0;
     this.#highestFence = 0;
     this.#leaseUntilMs = 0;
     this.#highestClosedRuns.clear();
--- a/tests/formerIncarnations.test.ts
+++ b/tests/formerIncarnations.test.ts
@@ -134,11 +134,11 @@
 
   #nowMs = 0;
 
-  constructor(entry: TargetEntry) {
+  constructor(entry: TargetEntry, answeringStartMs = entry.incarnationStartMs) {
     this.dispatch({ kind: 'targetsListed', entries: [entry] });
     this.dispatch({ kind: 'tick' });
     const inventory: Inventory = {
-      ...{ clockMs: 1_000, incarnationStartMs: entry.incarnationStartMs },
+      ...{ clockMs: 1_000, incarnationStartMs: answeringStartMs },
       ...{ running: [], ended: [] },
     };
     const { id: targetId, incarnationStartMs } = entry;
@@ -217,3 +217,19 @@
   );
   expect(owner.core.dump()).toMatchObject({ targets: [{ id: TARGET, runCount: 1 }] });
 });
+
+// Draining goes on; an entry of before must not bring starts back to the target.
+test('a registry entry that goes back does not end the draining of its target', () => {
+  const owner = createOwner();
+  [{ ...ROW, state: 'draining', seq: 5 }, ROW]
+    .flatMap(decodeEntries)
+    .forEach((entry) => owner.dispatch({ kind: 'targetChanged', entry }));
+  expect(owner.core.dump()).toMatchObject({ targets: [{ id: TARGET, isDraining: true }] });
+});
+
+test('a target is used although its registration names no start time', () => {
+  const [entry] = decodeEntries({ ...ROW, born: undefined });
+  if (entry === undefined) throw new Error('the entry is malformed');
+  const owner = new OneTargetOwner(entry, 17);
+  expect(owner.submit()).toMatchObject({ targetId: TARGET, incarnationStartMs: 17 });
+});
