--- a/standins/fakeTarget.ts
+++ b/standins/fakeTarget.ts
@@ -45,7 +45,7 @@
   /** Called before a start takes effect; returns the behaviour of the run. */
   onStart(target: FakeTarget, call: StartCall): RunPlan;
   onEnd(target: FakeTarget, run: FakeRun, how: EndKind): void;
-  onAcknowledged(target: FakeTarget, entry: EndedEntry): void;
+  onAcknowledged(target: FakeTarget, entry: EndedEntry, call: PollCall): void;
 }
 
 interface PendingPoll {
@@ -68,6 +68,8 @@
 
   #leaseUntilMs = 0;
 
+  #maxLeaseMs = Number.POSITIVE_INFINITY;
+
   /** Sequence numbers of ends that were listed when the lease expired; later acknowledgements are not reported. */
   #sequencesEndedBeforeExpiry = new Set<number>();
 
@@ -125,6 +127,11 @@
     return [this.currentCapacity, ...this.#formerCapacities];
   }
 
+  /** Sets the longest time for which a lease is granted; longer ones are shortened. */
+  setMaxLease(maxLeaseMs: number): void {
+    this.#maxLeaseMs = maxLeaseMs;
+  }
+
   get clockMs(): number {
     return Math.floor((this.time.nowMs - this.#incarnationStartMs) * this.clockRate);
   }
@@ -207,7 +214,7 @@
     this.#endedEntries
       .filter(({ sequence }) => sequence <= call.acknowledgedSequence)
       .filter(({ sequence }) => !this.#sequencesEndedBeforeExpiry.has(sequence))
-      .forEach((entry) => this.events.onAcknowledged(this, entry));
+      .forEach((entry) => this.events.onAcknowledged(this, entry, call));
     this.#endedEntries = this.#endedEntries.filter(
       ({ sequence }) => sequence > call.acknowledgedSequence,
     );
@@ -261,7 +268,8 @@
     return undefined;
   }
 
-  #extendLease(untilMs: number): void {
+  #extendLease(requestedUntilMs: number): void {
+    const untilMs = Math.min(requestedUntilMs, this.clockMs + this.#maxLeaseMs);
     this.#leaseUntilMs = Math.max(this.#leaseUntilMs, untilMs);
     const incarnationStartMs = this.#incarnationStartMs;
     this.time.after((untilMs - this.clockMs) / this.clockRate + 1, () => {
--- a/tests/support/ownerSubmissions.ts
+++ b/tests/support/ownerSubmissions.ts
@@ -1,11 +1,18 @@
 /** Submissions for simulations of the owner. */
 
+import { toConfigVersion } from '../../src/types/ids';
 import type { SubmissionId, TeamId } from '../../src/types/ids';
-import type { StepSpec, Submission } from '../../src/work/types';
+import type { OperatorState, StepSpec, Submission, Team } from '../../src/work/types';
 
 /** Wall clock at the start of each simulation, in Unix milliseconds. */
 export const WALL_START_MS = 1_700_000_000_000;
 
+/** Creates the operator's decisions, which set only the teams. */
+export function createOperator(teams: readonly Team[]): OperatorState {
+  const config = { version: toConfigVersion(1), queues: [], services: [], teams, maxBodyBytes: 1 };
+  return { closedDataCentreIds: [], config };
+}
+
 /** Gets the id of the submission with a given number. */
 export function toSubmissionId(number: number): SubmissionId {
   return number.toString(16).padStart(16, '0') as SubmissionId;
--- /dev/null
+++ b/tests/support/registryModel.ts
@@ -0,0 +1,79 @@
+/** Model of the targets' registry, whose changes reach an owner late and at times out of date. */
+
+import type { TargetEntry } from '../../src/owner/types';
+import type { TargetId } from '../../src/types/ids';
+import type { VirtualTime } from './virtualTime';
+
+/** A change of the registry as an owner receives it. */
+export type RegistryEvent =
+  | { readonly kind: 'targetChanged'; readonly entry: TargetEntry }
+  | { readonly kind: 'targetRemoved'; readonly targetId: TargetId }
+  | { readonly kind: 'targetsListed'; readonly entries: readonly TargetEntry[] };
+
+/** Keeps the rows that targets have written, and those of their former incarnations. */
+export class RegistryModel {
+  #time: VirtualTime;
+
+  #deliver: (event: RegistryEvent) => void;
+
+  #rows = new Map<TargetId, TargetEntry>();
+
+  #newest = new Map<TargetId, TargetEntry>();
+
+  #former = new Map<TargetId, TargetEntry>();
+
+  constructor(time: VirtualTime, deliver: (event: RegistryEvent) => void) {
+    this.#time = time;
+    this.#deliver = deliver;
+  }
+
+  /** The rows as a reader finds them now. */
+  get entries(): readonly TargetEntry[] {
+    return [...this.#rows.values()];
+  }
+
+  /** A target writes its row. */
+  put(entry: TargetEntry): void {
+    const newest = this.#newest.get(entry.id);
+    if (newest !== undefined && newest.incarnationStartMs > entry.incarnationStartMs) return;
+    if (newest !== undefined && newest.incarnationStartMs !== entry.incarnationStartMs)
+      this.#former.set(entry.id, newest);
+    this.#newest.set(entry.id, entry);
+    this.#set(entry);
+  }
+
+  /** The row of the former incarnation replaces that of a target for a while, as after a late write. */
+  goBack(targetId: TargetId, durationMs: number): void {
+    const former = this.#former.get(targetId);
+    if (former === undefined) return;
+    this.#set(former);
+    this.#time.after(durationMs, () => this.#restore(targetId));
+  }
+
+  /** The row of a target is missing for a while. */
+  remove(targetId: TargetId, durationMs: number): void {
+    if (!this.#rows.delete(targetId)) return;
+    this.#deliver({ kind: 'targetRemoved', targetId });
+    this.#time.after(durationMs, () => this.#restore(targetId));
+  }
+
+  /** Lists all targets, those that have restarted with the rows of their former incarnations for a while. */
+  listFormer(durationMs: number): void {
+    this.#former.forEach((entry) => this.#rows.set(entry.id, entry));
+    this.#deliver({ kind: 'targetsListed', entries: this.entries });
+    this.#time.after(durationMs, () => {
+      this.#newest.forEach((entry) => this.#rows.set(entry.id, entry));
+      this.#deliver({ kind: 'targetsListed', entries: this.entries });
+    });
+  }
+
+  #restore(targetId: TargetId): void {
+    const newest = this.#newest.get(targetId);
+    if (newest !== undefined) this.#set(newest);
+  }
+
+  #set(entry: TargetEntry): void {
+    this.#rows.set(entry.id, entry);
+    this.#deliver({ kind: 'targetChanged', entry });
+  }
+}
