--- a/tests/restartDoubt.test.ts
+++ b/tests/restartDoubt.test.ts
@@ -201,16 +201,17 @@
   });
 });
 
-describe('a target whose registration goes back to a former incarnation', () => {
-  function createRestarted(): Scenario {
-    const scenario = new Scenario();
-    scenario.world.targets.forEach(({ id }) => scenario.world.crashProcess(id, 50));
-    scenario.world.run(500);
-    scenario.submit(1, PLAIN);
-    scenario.world.run(300);
-    return scenario;
-  }
+/** Runs a task on a target whose registration has a former incarnation. */
+function createRestarted(): Scenario {
+  const scenario = new Scenario();
+  scenario.world.targets.forEach(({ id }) => scenario.world.crashProcess(id, 50));
+  scenario.world.run(500);
+  scenario.submit(1, PLAIN);
+  scenario.world.run(300);
+  return scenario;
+}
 
+describe('a target whose registration goes back to a former incarnation', () => {
   // An older entry is no restart of the incarnation that runs.
   test('keeps its runs after a late write', () => {
     const scenario = createRestarted();
@@ -230,6 +231,19 @@
   });
 });
 
+describe('a target that a new owner polls for the first time', () => {
+  // The lease that the former owner has granted is still valid.
+  test('keeps its runs when one of two polls is lost', () => {
+    const scenario = createRestarted();
+    scenario.fates = { '2 poll': [{ isSilent: true }] };
+    scenario.world.takeOver();
+    scenario.world.run(100);
+    scenario.world.registry?.goBack(TARGET, 300);
+    scenario.world.run(10_000);
+    scenario.expectSuccess();
+  });
+});
+
 describe('a task whose start is in doubt', () => {
   // A request that was never written settles the doubt.
   test('starts again at once when the request was not written', () => {
@@ -243,6 +257,21 @@
     scenario.expectSuccess();
   });
 
+  // One start can have crashed one incarnation at most, not each that its doubt outlives.
+  test('is not given up when its target restarts again and again', () => {
+    const scenario = new Scenario();
+    const silent = Array.from({ length: 30 }, () => ({ isSilent: true }));
+    scenario.fates = { '1 startRun': silent, '1 poll': silent, '1 stopRun': silent };
+    scenario.submit(1, PLAIN);
+    for (let restart = 0; restart < 7; restart += 1) {
+      scenario.world.crash(TARGET, 20);
+      scenario.world.run(200);
+    }
+    scenario.fates = {};
+    scenario.world.run(15_000);
+    scenario.expectSuccess();
+  });
+
   // The process that the request was written to has ended, and with it a late order.
   test('starts again soon when the request was lost with the former incarnation', () => {
     const scenario = new Scenario();
--- a/tests/support/restartHistories.ts
+++ b/tests/support/restartHistories.ts
@@ -15,7 +15,13 @@
 
 const TARGET_COUNT = 9;
 const ACTION_COUNT = 24;
-const CALM_MS = 25_000;
+
+/** Late requests have been performed by then. */
+const MIN_CALM_MS = 14_000;
+
+/** By then all work is done, also that of a team that keeps within its limit. */
+const MAX_CALM_MS = 70_000;
+
 const CHECK_INTERVAL_MS = 50;
 
 /** A task that could run may be without a run for this long (LOST). */
@@ -35,6 +41,10 @@
 
 const STANDING_ESTIMATE_MS = 100_000;
 
+function isStanding({ policy }: StepSpec): boolean {
+  return policy.kind === 'standing';
+}
+
 /** Draws the steps of a submission. */
 function drawSteps(policy: PolicyName, random: Random): Partial<StepSpec>[] {
   const taskCount = 1 + random.nextInt(4);
@@ -105,7 +115,9 @@
   /** When all injected faults have ended. */
   #faultsEndAtMs = 0;
 
-  #idleSinceMs = new Map<TaskKey, number>();
+  #rowMissingUntilMs = 0;
+
+  #idleSinceMs: ReadonlyMap<TaskKey, number> = new Map();
 
   constructor(seed: number) {
     this.#random = new Random(seed);
@@ -132,7 +144,8 @@
     }
     this.#isCalm = true;
     world.run(Math.max(0, this.#faultsEndAtMs - world.time.nowMs));
-    for (let elapsedMs = 0; elapsedMs < CALM_MS; elapsedMs += CHECK_INTERVAL_MS) {
+    const calmSinceMs = world.time.nowMs;
+    while (this.#isUnfinished(world.time.nowMs - calmSinceMs)) {
       world.run(CHECK_INTERVAL_MS);
       this.#checkWaitingTasks();
     }
@@ -140,6 +153,18 @@
     return world;
   }
 
+  #isUnfinished(calmMs: number): boolean {
+    if (calmMs < MIN_CALM_MS) return true;
+    const isOpen = this.#submissions.some(
+      ({ id, spec }) => !spec.steps.some(isStanding) && this.#isOpen(id),
+    );
+    return isOpen && calmMs < MAX_CALM_MS;
+  }
+
+  #isOpen(submissionId: SubmissionId): boolean {
+    return ['pending', 'running'].includes(this.world.getState(submissionId));
+  }
+
   #submit(policy: PolicyName, number: number): void {
     const teamId = this.#random.nextInt(2) === 0 ? 'team-a' : LIMITED_TEAM.id;
     const submission = createSubmission(number, drawSteps(policy, this.#random), { teamId });
@@ -160,15 +185,14 @@
         this.#restart(targetId);
         break;
       case 4:
-        this.#extendFaults(600);
+        this.#extendFaults(800);
         this.world.registry?.goBack(targetId, random.nextInt(500));
         break;
       case 5:
-        this.#extendFaults(1_600);
-        this.world.registry?.remove(targetId, random.nextInt(1_500));
+        this.#removeRow(targetId, random.nextInt(1_500));
         break;
       case 6:
-        this.#extendFaults(600);
+        this.#extendFaults(800);
         this.world.registry?.listFormer(random.nextInt(500));
         break;
       case 7:
@@ -186,9 +210,17 @@
     this.#faultsEndAtMs = Math.max(this.#faultsEndAtMs, this.world.time.nowMs + durationMs);
   }
 
+  #removeRow(targetId: TargetId, durationMs: number): void {
+    this.#extendFaults(durationMs + 300);
+    this.#rowMissingUntilMs = Math.max(this.#rowMissingUntilMs, this.world.time.nowMs + durationMs);
+    this.world.registry?.remove(targetId, durationMs);
+  }
+
+  /** An owner knows only the targets that it finds in the registry, so none takes over while a row is missing. */
   #takeOver(): void {
     const isFormerAlive = this.#random.nextInt(3) > 0;
     const suspensionMs = this.#random.nextInt(2) * this.#random.nextInt(OWNER_AUTHORITY_MS);
+    if (this.world.time.nowMs <= this.#rowMissingUntilMs) return;
     this.#extendFaults(isFormerAlive ? OWNER_AUTHORITY_MS : 0);
     this.world.takeOver(isFormerAlive, suspensionMs);
   }
@@ -232,24 +264,31 @@
 
   #checkWaitingTasks(): void {
     const { nowMs } = this.world.time;
-    this.#getTasksDue().forEach(({ taskKey, step, submission }) => {
-      const isRunning = [...this.world.targets.values()].some(({ runs }) => runs.has(taskKey));
-      const isWaiting = !isRunning && this.#hasCapacity(submission, step);
-      const sinceMs = this.#idleSinceMs.get(taskKey) ?? nowMs;
-      if (isWaiting) this.#idleSinceMs.set(taskKey, sinceMs);
-      else this.#idleSinceMs.delete(taskKey);
-      if (!isWaiting || nowMs - sinceMs <= MAX_IDLE_MS) return;
+    const running = new Set(
+      [...this.world.targets.values()].flatMap(({ runs }) => [...runs.keys()]),
+    );
+    const waiting = this.#getTasksDue().filter(
+      ({ taskKey, step, submission }) =>
+        !running.has(taskKey) && this.#hasCapacity(submission, step),
+    );
+    const idleSinceMs = new Map(
+      waiting.map(({ taskKey }) => [taskKey, this.#idleSinceMs.get(taskKey) ?? nowMs]),
+    );
+    this.#idleSinceMs = idleSinceMs;
+    waiting.forEach(({ taskKey, step, submission }) => {
+      const sinceMs = idleSinceMs.get(taskKey) ?? nowMs;
+      if (nowMs - sinceMs <= MAX_IDLE_MS) return;
       if (this.#isSuspected(taskKey) && !this.#isOverdue(submission, step)) return;
       this.world.reportViolation('LOST', `${taskKey} has no run since ${Math.round(sinceMs)} ms`);
-      this.#idleSinceMs.set(taskKey, Number.POSITIVE_INFINITY);
+      idleSinceMs.set(taskKey, Number.POSITIVE_INFINITY);
     });
   }
 
   /** Suspected tasks are started one by one, but not all of a submission wait for long. */
-  #isOverdue({ id }: Submission, { policy }: StepSpec): boolean {
+  #isOverdue({ id }: Submission, step: StepSpec): boolean {
     const dueAtMs = this.#faultsEndAtMs + SUSPECT_GRACE_MS + MAX_IDLE_MS;
     if (this.world.time.nowMs < dueAtMs) return false;
-    return policy.kind === 'standing' || this.#getUsed(new Set([id])).cpuMillis === 0;
+    return isStanding(step) || this.#getUsed(new Set([id])).cpuMillis === 0;
   }
 
   #isSuspected(taskKey: TaskKey): boolean {
@@ -262,15 +301,14 @@
   /** The owner may know of an end that its target did not live to see acknowledged. */
   #isDone(submissionId: SubmissionId, taskKey: TaskKey): boolean {
     const [, occurrence, step, index] = taskKey.split('.');
-    const progress = this.world.store.get(submissionId)?.value.steps?.[`${occurrence}.${step}`];
-    return parseRanges(progress?.done ?? '').has(Number(index));
+    const stored = this.world.store.get(submissionId)?.value;
+    const done = stored?.steps?.[`${occurrence}.${step}`]?.done ?? '';
+    return stored?.outcome !== undefined || parseRanges(done).has(Number(index));
   }
 
   /** Tasks of open submissions whose turn has come and that have not ended as done. */
   #getTasksDue(): readonly DueTask[] {
-    const open = this.#submissions.filter(({ id }) =>
-      ['pending', 'running'].includes(this.world.getState(id)),
-    );
+    const open = this.#submissions.filter(({ id }) => this.#isOpen(id));
     return open.flatMap((submission) => {
       const { steps } = submission.spec;
       const getKeys = (index: number) =>
@@ -319,9 +357,13 @@
   #checkOutcomes(): void {
     this.#submissions.forEach(({ id, spec }) => {
       const state = this.world.getState(id);
-      const isStanding = spec.steps.some(({ policy }) => policy.kind === 'standing');
-      if (isStanding ? state !== 'running' : !['succeeded', 'failed'].includes(state))
+      if (
+        spec.steps.some(isStanding) ? state !== 'running' : !['succeeded', 'failed'].includes(state)
+      )
         this.world.reportViolation('LOST', `submission ${id} is ${state} at the end`);
+      const givenUpTask = this.world.store.get(id)?.value.givenUpTask;
+      if (givenUpTask !== undefined)
+        this.world.reportViolation('LOST', `${givenUpTask} was given up without cause`);
     });
   }
 }
