--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -52,6 +52,9 @@
 /** Decay per response of the slowest response time; it is forgotten over about 50 responses. */
 export const RESPONSE_TIME_DECAY_FACTOR = 0.97;
 
+/** A call without an answer may still be carried out this much later. */
+export const MAX_CALL_DELAY_MS = 12_000;
+
 /** Timeout of a stop. */
 export const STOP_TIMEOUT_MS = 700;
 
--- a/src/owner/crashEvidence.ts
+++ b/src/owner/crashEvidence.ts
@@ -92,9 +92,10 @@
   const earliestLossMs = isClosedInFlight
     ? Math.max(answeredAtMs, nowMs - CLOSE_DETECTION_MS)
     : answeredAtMs;
-  return [...target.runs.values()].filter(
-    (run) => mayBeginAtAnyTime(run) || run.sentAtMs >= earliestLossMs - CRASH_DELAY_MS,
-  );
+  // A start can end one incarnation at the most, and one that has moved was suspected of the end of the first.
+  return [...target.runs.values()]
+    .filter(({ formerIncarnations }) => formerIncarnations.length === 0)
+    .filter((run) => mayBeginAtAnyTime(run) || run.sentAtMs >= earliestLossMs - CRASH_DELAY_MS);
 }
 
 /**
--- a/src/owner/incarnations.ts
+++ b/src/owner/incarnations.ts
@@ -3,10 +3,11 @@
  *
  * Calls are addressed by the target's id, which outlives a restart. A restart therefore ends what the former
  * incarnation has listed, but not a start that was only sent or answered: the new incarnation may have carried it out,
- * or may still do so. Such a start stays charged to the target until the new incarnation has listed it or has confirmed
- * its stop.
+ * or may still do so. Such a start stays charged to the target until the new incarnation has listed it or refused it,
+ * its stop is confirmed, or the longest lease that it can have taken has ended.
  */
 
+import { MAX_CALL_DELAY_MS, MAX_START_TIMEOUT_MS } from './constants';
 import type { OwnerState } from './ownerState';
 import type { Run } from './run';
 import type { RunManager } from './runManager';
@@ -51,12 +52,13 @@
   replace(former: TargetState, entry: TargetEntry, reason: string): TargetState {
     const givenUp = this.#runManager.crashTracker.onCrashed(former);
     const unlisted = [...former.runs.values()].filter(({ isListed }) => !isListed);
-    const target = new TargetState(entry);
+    const target = new TargetState(entry, former);
     // A call for the former incarnation may grant any lease on the clock of the new one.
     target.inheritedLeaseEndsAtMs = this.#state.steadyMs + this.#state.maxInheritedLeaseMs;
+    target.formerCallsEndAtMs = this.#state.steadyMs + MAX_START_TIMEOUT_MS + MAX_CALL_DELAY_MS;
     unlisted.forEach((run) => this.#moveRun(run, former, target));
     this.#state.targets.set(entry.id, target);
-    this.releaseAll(former, reason);
+    this.releaseRuns(former, [...former.runs.values()], reason);
     this.#state.log('target gone', {
       targetId: former.id,
       bornAtMs: former.entry.incarnationStartMs,
@@ -69,12 +71,12 @@
   }
 
   /**
-   * Releases all runs of a target that is gone or whose lease has expired.
+   * Releases runs of a target that is gone or whose lease has expired.
    * @param target - the target
+   * @param runs - the runs that can no longer take place
    * @param reason - for the log
    */
-  releaseAll(target: TargetState, reason: string): void {
-    const runs = [...target.runs.values()];
+  releaseRuns(target: TargetState, runs: readonly Run[], reason: string): void {
     if (runs.length > 0) {
       this.#state.log('runs lost with their target', {
         targetId: target.id,
@@ -87,7 +89,7 @@
     }
     runs.forEach((run) => {
       target.removeRun(run.key);
-      this.#runManager.release(run);
+      this.#runManager.release(run, reason);
     });
     runs.forEach((run) =>
       this.#runManager.stopGangMembers(run.step, run.run, 'a gang member was lost'),
@@ -105,7 +107,7 @@
       isEndKnown || target.wasConnectionClosed
         ? this.#runManager.crashTracker.onCrashed(target)
         : [];
-    this.releaseAll(target, reason);
+    this.releaseRuns(target, [...target.runs.values()], reason);
     if (this.#state.targets.get(target.id) === target) this.#state.targets.delete(target.id);
     this.#state.unresolvedTargets.delete(target.id);
     this.#state.log('target gone', {
@@ -131,9 +133,19 @@
       bornAtMs: entry.incarnationStartMs,
       isDraining: entry.isDraining,
     });
+    this.#verifyFormerHolders(entry);
     this.#runManager.giveUp(this.#runManager.crashTracker.onRegistered(target));
   }
 
+  /** An address has one holder, so targets that were registered there before may be gone. */
+  #verifyFormerHolders({ id, address, incarnationStartMs }: TargetEntry): void {
+    this.#state.targets.forEach((other) => {
+      const isEarlier = other.entry.incarnationStartMs < incarnationStartMs;
+      if (other.id !== id && other.entry.address === address && isEarlier)
+        other.requestVerification(this.#state.nowMs);
+    });
+  }
+
   #moveRun(moved: Run, former: TargetState, target: TargetState): void {
     const run = moved;
     former.removeRun(run.key);
@@ -141,7 +153,7 @@
     run.confirmedAtMs = undefined;
     run.stopConfirmedAtMs = undefined;
     run.stopSentAtMs = 0;
-    run.formerIncarnation ??= former.incarnation;
+    run.formerIncarnations = [...run.formerIncarnations, former.incarnation];
     run.doubtSinceMs ??= this.#state.nowMs;
     target.addRun(run);
   }
@@ -158,7 +170,10 @@
 
   #describe(runs: readonly Run[]): readonly object[] {
     return runs.map(({ taskKey, run, phase, sentAtMs }) => ({
-      ...{ task: taskKey, run, phase, ageMs: Math.round(this.#state.nowMs - sentAtMs) },
+      task: taskKey,
+      run,
+      phase,
+      ageMs: Math.round(this.#state.nowMs - sentAtMs),
     }));
   }
 }
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -78,6 +78,7 @@
       this.#reconcile(this.#replace(target, incarnationStartMs), inventory, event.sentAtMs);
       return;
     }
+    if (!event.isProbe) target.setAcknowledgementConfirmed();
     this.#reconcile(target, inventory, event.sentAtMs);
   }
 
@@ -85,12 +86,11 @@
   #replace(former: TargetState, incarnationStartMs: number): TargetState {
     const latest = this.#state.latestEntries.get(former.id);
     const isNamed = latest?.incarnationStartMs === incarnationStartMs;
-    const registered =
-      isNamed || latest?.incarnationStartMs === UNKNOWN_INCARNATION_MS ? latest : undefined;
-    const entry = { ...(registered ?? former.entry), incarnationStartMs };
+    const wasUnknown = former.entry.incarnationStartMs === UNKNOWN_INCARNATION_MS;
+    const entry = { ...(isNamed ? latest : former.entry), incarnationStartMs };
     const reason = 'another incarnation has answered a poll';
     const target = this.#incarnations.replace(former, entry, reason);
-    target.isListed = registered !== undefined;
+    target.isListed = isNamed || (wasUnknown && former.isListed);
     return target;
   }
 
@@ -137,6 +137,8 @@
     }
     target.clock.addSample(inventory.clockMs, sentAtMs, this.#state);
     target.isVerificationDue = false;
+    if (this.#state.steadyMs <= (target.formerCallsEndAtMs ?? 0))
+      target.inheritedLeaseEndsAtMs = this.#state.steadyMs + this.#state.maxInheritedLeaseMs;
     target.isResponding = true;
     target.lastAnsweredAtMs = nowMs;
     // Ends are acknowledged in order, so an end of an unread submission defers all later ones.
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -2,7 +2,12 @@
 
 import type { Epoch, QueueId, SubmissionId, TargetId } from '../types/ids';
 import type { OperatorState } from '../work/types';
-import { LEASE_EXPIRY_MARGIN_MS, MAX_CLOCK_DRIFT, MAX_START_TIMEOUT_MS } from './constants';
+import {
+  LEASE_EXPIRY_MARGIN_MS,
+  MAX_CALL_DELAY_MS,
+  MAX_CLOCK_DRIFT,
+  MAX_START_TIMEOUT_MS,
+} from './constants';
 import { ResponseTimes } from './responseTimes';
 import { ProgressWriter } from './progressWriter';
 import type { StepState } from './stepState';
@@ -70,6 +75,9 @@
   /** How long a start that was meant for a former incarnation can hold a lease on a silent one. */
   readonly maxInheritedLeaseMs: number;
 
+  /** How long after its sending an unlisted start can hold a lease on a target that is silent but registered. */
+  readonly maxUnlistedMs: number;
+
   /** True after a change that may allow a task to start. */
   isPlanDue = true;
 
@@ -83,6 +91,7 @@
   ) {
     this.maxInheritedLeaseMs =
       MAX_START_TIMEOUT_MS + maxLeaseMs * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_MS;
+    this.maxUnlistedMs = MAX_CALL_DELAY_MS + this.maxInheritedLeaseMs;
   }
 
   /**
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -43,7 +43,11 @@
     ({ record, change }) => record.durableChangeCount >= change,
   );
   return (
-    target.isContacted && target.isResponding && target.orphanRuns.size === 0 && areReportsVoid
+    target.isContacted &&
+    target.isResponding &&
+    !target.isVerificationDue &&
+    target.orphanRuns.size === 0 &&
+    areReportsVoid
   );
 }
 
--- a/src/owner/run.ts
+++ b/src/owner/run.ts
@@ -22,10 +22,12 @@
   phase: RunPhase;
   /** Whether the incarnation that the run is charged to has listed it; only this proves where the run takes place. */
   isListed: boolean;
-  /** The incarnation that the start was meant for, if it was replaced before it had listed the run. */
-  formerIncarnation: string | undefined;
+  /** Incarnations that the run was charged to and that were replaced before they had listed it. */
+  formerIncarnations: readonly string[];
   /** Since when it is not known whether the start takes place; undefined once that is settled. */
   doubtSinceMs: number | undefined;
+  /** When the start was sent, on the owner's steady clock. */
+  readonly sentSteadyMs: number;
   /** When the start was sent, on the owner's clock; for an adopted run, when it was first reported. */
   readonly sentAtMs: number;
   /** When the target confirmed the run; a later poll that does not list the run proves that it ended. */
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -3,7 +3,7 @@
 import type { Checkpoint, Ticket } from '../types/ids';
 import { toTaskKey } from '../work/taskKeys';
 import type { EndKind } from '../work/types';
-import { RUN_NUMBERS_PER_EPOCH, START_DEADLINE_MS, STOP_TIMEOUT_MS } from './constants';
+import { LEASE_MS, RUN_NUMBERS_PER_EPOCH, START_DEADLINE_MS, STOP_TIMEOUT_MS } from './constants';
 import { CrashTracker } from './crashTracker';
 import type { TaskRef } from './crashTracker';
 import type { OwnerState } from './ownerState';
@@ -12,7 +12,10 @@
 import type { StepState } from './stepState';
 import type { SubmissionOutcome, SubmissionRecord } from './submissionRecord';
 import type { TargetState } from './targetState';
-import type { RunningEntry } from './types';
+import type { ClockReadings, RunningEntry } from './types';
+
+/** When a run was started, and with which fencing token. */
+type RunOrigin = Pick<ClockReadings, 'nowMs' | 'steadyMs'> & Pick<Run, 'fence'>;
 
 /** Manages the lifecycle of runs. */
 export class RunManager {
@@ -75,10 +78,21 @@
   ): void {
     const { nowMs, steadyMs, epoch } = this.#state;
     const taskKey = toTaskKey(step.key, index);
-    const started = RunManager.#createRun(step, index, target, run, { nowMs, fence: epoch });
+    const started = RunManager.#createRun(step, index, target, run, {
+      nowMs,
+      steadyMs,
+      fence: epoch,
+    });
     this.#chargeRun(started, target);
     step.lastStartAtMs = nowMs;
-    const notAfterMs = Math.ceil((target.clock.getLeaseBaseMs(steadyMs) ?? 0) + START_DEADLINE_MS);
+    const { clock } = target;
+    // After a suspension the steady clock is behind, but a start must not get a longer lease than a poll grants.
+    const notAfterMs = Math.ceil(
+      Math.min(
+        (clock.getUpperBoundMs(nowMs) ?? 0) + START_DEADLINE_MS,
+        (clock.getLeaseBaseMs(steadyMs) ?? 0) + LEASE_MS,
+      ),
+    );
     target.extendLease(notAfterMs);
     const checkpoint = step.getCheckpoint(index);
     this.#state.emit({
@@ -163,8 +177,9 @@
    * @returns the run
    */
   adopt(step: StepState, index: number, target: TargetState, entry: RunningEntry): Run {
-    const { nowMs, epoch } = this.#state;
-    const run = RunManager.#createRun(step, index, target, entry.run, { nowMs, fence: epoch });
+    const { nowMs, steadyMs, epoch } = this.#state;
+    const origin = { nowMs, steadyMs, fence: epoch };
+    const run = RunManager.#createRun(step, index, target, entry.run, origin);
     run.phase = 'running';
     run.confirmedAtMs = nowMs;
     run.isListed = true;
@@ -172,6 +187,9 @@
     run.checkpoint = entry.checkpoint;
     this.#chargeRun(run, target);
     step.record.hasBegun = true;
+    // This owner has granted no lease yet, and that of the former one ends by then.
+    const baseMs = target.clock.getLeaseBaseMs(steadyMs);
+    if (baseMs !== undefined) target.extendLease(baseMs + LEASE_MS);
     return run;
   }
 
@@ -185,9 +203,10 @@
     const target = restored;
     const reported = this.crashTracker.getReportedRuns(target);
     if (reported === undefined) return false;
-    const { nowMs, unresolvedUntilMs } = this.#state;
+    const { nowMs, steadyMs, unresolvedUntilMs } = this.#state;
     reported.forEach(({ step, index, run: number }) => {
-      const run = RunManager.#createRun(step, index, target, number, { nowMs, fence: undefined });
+      const origin = { nowMs, steadyMs, fence: undefined };
+      const run = RunManager.#createRun(step, index, target, number, origin);
       run.phase = 'running';
       run.confirmedAtMs = nowMs;
       this.#chargeRun(run, target);
@@ -242,20 +261,21 @@
     const run = listed;
     run.isListed = true;
     run.step.record.hasBegun = true;
-    if (run.formerIncarnation !== undefined) {
-      // The run did not take place on the incarnation that ended, so it cannot have been the cause.
-      this.crashTracker.removeReport(run, run.formerIncarnation);
-      run.formerIncarnation = undefined;
-    }
+    // The run did not take place on the incarnations that ended, so it cannot have been the cause.
+    run.formerIncarnations.forEach((incarnation) =>
+      this.crashTracker.removeReport(run, incarnation),
+    );
+    run.formerIncarnations = [];
     this.#settle(run, 'the target has listed it');
   }
 
   /**
    * Removes a run that no longer exists and frees its demand.
    * @param run - the run
+   * @param reason - why it no longer exists, for the log
    */
-  release(run: Run): void {
-    this.#settle(run, 'it cannot take place any more');
+  release(run: Run, reason = 'it cannot take place any more'): void {
+    this.#settle(run, reason);
     this.#state.targets.get(run.targetId)?.removeRun(run.key);
     run.step.removeRun(run, this.#state.nowMs);
     this.#state.teamUsage.add(run.step.record.submission.teamId, run.charge, -1);
@@ -348,7 +368,7 @@
     index: number,
     target: TargetState,
     run: number,
-    { nowMs, fence }: { readonly nowMs: number; readonly fence: Run['fence'] },
+    { nowMs, steadyMs, fence }: RunOrigin,
   ): Run {
     const taskKey = toTaskKey(step.key, index);
     return {
@@ -362,8 +382,9 @@
       fence,
       phase: 'starting',
       isListed: false,
-      formerIncarnation: undefined,
+      formerIncarnations: [],
       doubtSinceMs: undefined,
+      sentSteadyMs: steadyMs,
       sentAtMs: nowMs,
       confirmedAtMs: undefined,
       stopSentAtMs: 0,
--- a/src/owner/runResponses.ts
+++ b/src/owner/runResponses.ts
@@ -136,9 +136,13 @@
         target.nextPollAtMs = Math.min(target.nextPollAtMs, nowMs);
         break;
       case 'otherLife':
+        if (!run.isListed) this.#releaseNotStarted(run, target.incarnation);
         this.#incarnations.remove(target, 'another target responds at its address', true);
         return;
       case 'late':
+        // The target's clock is not known well enough for the deadline.
+        target.requestVerification(nowMs);
+        break;
       case 'staleRun':
         break;
       default:
--- a/src/owner/targetClock.ts
+++ b/src/owner/targetClock.ts
@@ -63,6 +63,15 @@
     return this.#sample.clockMs + Math.max(0, steadyMs - this.#sample.receivedSteadyMs);
   }
 
+  /**
+   * @param nowMs - current time on the owner's clock
+   * @returns the upper bound of the target's clock, or undefined without a sample
+   */
+  getUpperBoundMs(nowMs: number): number | undefined {
+    if (this.#sample === undefined) return undefined;
+    return this.#sample.clockMs + (nowMs - this.#sample.sentAtMs);
+  }
+
   /**
    * @param steadyMs - lower bound of the owner's elapsed time
    * @returns the lower bound of the target's clock, or undefined without a sample
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -46,7 +46,8 @@
     }
     const isBusy = target.runs.size > 0 || target.orphanRuns.size > 0;
     if (isBusy || hasUnwrittenEnds(target)) this.#pollBusyTarget(target);
-    else if (target.unacknowledgedEndCount > 0) this.#pollIdleTarget(target);
+    else if (target.unacknowledgedEndCount > 0 || target.isAcknowledgementPending)
+      this.#pollIdleTarget(target);
     else if (!target.isResponding) this.#poll(target, 0);
   }
 
@@ -112,10 +113,14 @@
     const isRenewed = target.isResponding && baseMs !== undefined && isNeeded;
     const leaseUntilMs = isRenewed ? Math.ceil(baseMs + LEASE_MS) : undefined;
     if (leaseUntilMs !== undefined) target.extendLease(leaseUntilMs);
-    // After silence another incarnation may answer. Its ends have numbers of their own, and it would drop them.
+    // Another incarnation may answer. Its ends have numbers of their own, and it would drop them: so nothing is
+    // acknowledged again once that is confirmed, nor after silence.
     const mayBeOther = !target.isResponding || target.isVerificationDue || isProbe;
-    const acknowledgedSequence = mayBeOther ? 0 : target.acknowledgeableSequence;
+    const dueSequence = target.acknowledgeableSequence;
+    const isDue = !mayBeOther && dueSequence > target.confirmedAcknowledgement;
+    const acknowledgedSequence = isDue ? dueSequence : 0;
     target.setAcknowledged(acknowledgedSequence);
+    if (!isProbe) target.sentAcknowledgement = acknowledgedSequence;
     this.#state.emit({
       kind: 'poll',
       targetId: target.id,
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -52,6 +52,9 @@
 
   #leaseUntilMs = 0;
 
+  /** Start times of the incarnations that it has replaced. */
+  #formerStartsMs: readonly number[];
+
   #failedSubmissions = new Set<SubmissionId>();
 
   #quarantineMs = INITIAL_QUARANTINE_MS;
@@ -88,6 +91,9 @@
    */
   inheritedLeaseEndsAtMs: number | undefined;
 
+  /** Until when calls for the incarnation that it has replaced may still grant leases, on the owner's steady clock. */
+  formerCallsEndAtMs: number | undefined;
+
   /** A poll has to tell which incarnation is alive, as the registry or an answer has shown another one. */
   isVerificationDue = false;
 
@@ -121,14 +127,31 @@
   /** Ends up to this sequence number have been acknowledged. */
   acknowledgedSequence = 0;
 
+  /** The acknowledgement in the pending poll, and the highest one in a poll that was answered. */
+  sentAcknowledgement = 0;
+
+  confirmedAcknowledgement = 0;
+
   /** Moving average of run durations relative to the mean of their steps; 1 for an average target. */
   slowdown = 1;
 
   /**
    * @param entry - the registration
+   * @param former - the incarnation that it replaces
    */
-  constructor(entry: TargetEntry) {
+  constructor(entry: TargetEntry, former: TargetState | undefined = undefined) {
     this.#entry = entry;
+    this.#formerStartsMs =
+      former === undefined ? [] : [...former.#formerStartsMs, former.entry.incarnationStartMs];
+  }
+
+  /**
+   * Checks whether a registration is that of an incarnation which has ended.
+   * @param entry - the registration
+   * @returns true when this incarnation, or one before it, has taken its place
+   */
+  hasReplaced(entry: TargetEntry): boolean {
+    return this.#formerStartsMs.includes(entry.incarnationStartMs);
   }
 
   get id(): TargetId {
@@ -296,6 +319,19 @@
     return last?.sequence ?? this.acknowledgedSequence;
   }
 
+  /** Records that the pending poll was answered. */
+  setAcknowledgementConfirmed(): void {
+    this.confirmedAcknowledgement = Math.max(
+      this.confirmedAcknowledgement,
+      this.sentAcknowledgement,
+    );
+  }
+
+  /** Whether no answered poll has carried the latest acknowledgement. */
+  get isAcknowledgementPending(): boolean {
+    return this.acknowledgedSequence > this.confirmedAcknowledgement;
+  }
+
   /**
    * Records an acknowledgement.
    * @param sequence - ends up to this sequence number are acknowledged
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -1,7 +1,7 @@
 /** Maintains the table of targets from the registry, and detects lost targets and stalled runs. */
 
 import type { TargetId } from '../types/ids';
-import { STOP_RETRY_DELAY_MS, STALL_TIMEOUT_MS } from './constants';
+import { STALL_TIMEOUT_MS, STOP_RETRY_DELAY_MS, UNKNOWN_INCARNATION_MS } from './constants';
 import type { Incarnations } from './incarnations';
 import type { OwnerState } from './ownerState';
 import type { Run } from './run';
@@ -48,31 +48,41 @@
    * @param entry - the registry entry
    */
   onTargetChanged(entry: TargetEntry): void {
+    const known = this.#state.targets.get(entry.id);
     const latest = this.#state.latestEntries.get(entry.id);
-    const isSame = latest?.incarnationStartMs === entry.incarnationStartMs;
     // The registry may go back; a target that drains must not be used again.
-    if (isSame && entry.revision < latest.revision) return;
-    this.#state.latestEntries.set(entry.id, entry);
-    const known = this.#state.targets.get(entry.id);
-    if (known !== undefined && known.entry.incarnationStartMs === entry.incarnationStartMs) {
-      if (known.entry.isDraining !== entry.isDraining) {
-        this.#state.log('target drains', { targetId: entry.id, isDraining: entry.isDraining });
-      }
-      known.setEntry(entry);
-      this.#state.isPlanDue = true;
-      return;
-    }
-    if (known === undefined) {
-      this.#incarnations.register(entry);
+    if (TargetTable.#isEarlier(entry, latest) || TargetTable.#isEarlier(entry, known?.entry)) {
+      if (known !== undefined) known.isListed = true;
       return;
     }
-    if (entry.incarnationStartMs > known.entry.incarnationStartMs) {
+    const namesIncarnation = entry.incarnationStartMs !== UNKNOWN_INCARNATION_MS;
+    if (known === undefined || namesIncarnation) this.#state.latestEntries.set(entry.id, entry);
+    if (known === undefined) this.#incarnations.register(entry);
+    else if (known.entry.incarnationStartMs === entry.incarnationStartMs)
+      this.#onSameIncarnation(known, entry);
+    else if (entry.incarnationStartMs > known.entry.incarnationStartMs && !known.hasReplaced(entry))
       this.#incarnations.replace(known, entry, 'the target has restarted');
-      return;
+    else this.#onFormerIncarnation(known, entry);
+  }
+
+  static #isEarlier(entry: TargetEntry, other: TargetEntry | undefined): boolean {
+    return (
+      entry.incarnationStartMs === other?.incarnationStartMs && entry.revision < other.revision
+    );
+  }
+
+  #onSameIncarnation(known: TargetState, entry: TargetEntry): void {
+    if (known.entry.isDraining !== entry.isDraining) {
+      this.#state.log('target drains', { targetId: entry.id, isDraining: entry.isDraining });
     }
-    // The registry may go back, and start times follow clocks that may be set back: a poll tells which one is alive.
+    known.setEntry(entry);
+    this.#state.isPlanDue = true;
+  }
+
+  /** The registry may go back, and start times follow clocks that may be set back: a poll tells which one is alive. */
+  #onFormerIncarnation(known: TargetState, entry: TargetEntry): void {
     this.#state.count('registry_entries_outdated');
-    this.#state.log('registry shows an earlier incarnation; the target is polled', {
+    this.#state.log('registry shows another start time that is not later; the target is polled', {
       targetId: entry.id,
       bornAtMs: known.entry.incarnationStartMs,
       registeredBornAtMs: entry.incarnationStartMs,
@@ -117,16 +127,37 @@
         if (isRepeatDue) this.#runManager.stop(run, 'repeated');
         if (run.phase === 'running') this.#stopIfStalled(target, run);
       });
-      if (!target.isResponding && target.isLeaseExpired(steadyMs) && target.runs.size > 0) {
-        this.#runManager.crashTracker.onLeaseExpired(target);
-        this.#incarnations.releaseAll(target, 'its lease has expired');
-      }
+      if (!target.isResponding && target.isLeaseExpired(steadyMs)) this.#releaseExpired(target);
       if (!target.isListed && this.#canRemove(target)) {
         this.#incarnations.remove(target, 'the target has left the registry', false);
       }
     });
   }
 
+  /**
+   * A start that the target has neither answered nor listed may have taken its lease on the clock of a later
+   * incarnation. The registry would show one that is alive, so it is released once the target has left the registry, or
+   * after the longest lease.
+   */
+  #releaseExpired(target: TargetState): void {
+    const { steadyMs, maxUnlistedMs } = this.#state;
+    const runs = [...target.runs.values()].filter(
+      ({ isListed, confirmedAtMs, sentSteadyMs }) =>
+        isListed ||
+        confirmedAtMs !== undefined ||
+        !target.isListed ||
+        steadyMs > sentSteadyMs + maxUnlistedMs,
+    );
+    if (runs.length > 0) {
+      this.#runManager.crashTracker.onLeaseExpired(target);
+      this.#incarnations.releaseRuns(target, runs, 'its lease has expired');
+    }
+    const latest = this.#state.latestEntries.get(target.id);
+    const isOther = latest?.incarnationStartMs !== target.entry.incarnationStartMs;
+    if (latest !== undefined && isOther && target.runs.size === 0 && !target.hasReplaced(latest))
+      this.#incarnations.replace(target, latest, 'it is silent and another one is registered');
+  }
+
   /** Stops a run without progress, so that its task is started elsewhere. */
   #stopIfStalled(target: TargetState, run: Run): void {
     // Progress is known only from polls, so time without a successful poll does not count.
@@ -139,8 +170,10 @@
 
   /** Checks whether an unregistered target can be removed; it is kept while it may still run something. */
   #canRemove(target: TargetState): boolean {
-    if (target.runs.size > 0) return false;
-    if (!target.isContacted) return this.#state.steadyMs > this.#state.unresolvedUntilMs;
+    const { steadyMs } = this.#state;
+    if (target.runs.size > 0 || steadyMs <= (target.inheritedLeaseEndsAtMs ?? 0)) return false;
+    if (target.orphanRuns.size > 0 && !target.isLeaseExpired(steadyMs)) return false;
+    if (!target.isContacted) return steadyMs > this.#state.unresolvedUntilMs;
     return !target.isResponding || target.unacknowledgedEndCount === 0;
   }
 }
