--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -178,7 +178,7 @@
         runCount: target.runs.size,
         isContacted: target.isContacted,
         isResponding: target.isResponding,
-        isListed: target.isListed,
+        isListed: target.isRegistered,
         isDraining: target.entry.isDraining,
         isSuspect: target.isSuspect,
         trialOf: target.trial?.step.key,
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -90,7 +90,7 @@
     const entry = { ...(isNamed ? latest : former.entry), incarnationStartMs };
     const reason = 'another incarnation has answered a poll';
     const target = this.#incarnations.replace(former, entry, reason);
-    target.isListed = isNamed || (wasUnknown && former.isListed);
+    target.isRegistered = isNamed || (wasUnknown && former.isRegistered);
     return target;
   }
 
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -24,7 +24,7 @@
  */
 export function isTargetEligible(state: OwnerState, step: StepState, target: TargetState): boolean {
   const { entry } = target;
-  if (!target.isListed || entry.isDraining) return false;
+  if (!target.isRegistered || entry.isDraining) return false;
   if (entry.serviceName !== step.record.queue.serviceName) return false;
   if (state.operator.closedDataCentreIds.includes(entry.dataCentreId)) return false;
   const { requiredLabel } = step.spec;
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -101,7 +101,7 @@
   trial: Trial | undefined;
 
   /** The target is in the registry. */
-  isListed = true;
+  isRegistered = true;
 
   /** When the pending poll was sent; undefined when none is pending. */
   pollSentAtMs: number | undefined;
@@ -213,7 +213,7 @@
    */
   setEntry(entry: TargetEntry): void {
     this.#entry = entry;
-    this.isListed = true;
+    this.isRegistered = true;
   }
 
   /**
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -52,7 +52,7 @@
     const latest = this.#state.latestEntries.get(entry.id);
     // The registry may go back; a target that drains must not be used again.
     if (TargetTable.#isEarlier(entry, latest) || TargetTable.#isEarlier(entry, known?.entry)) {
-      if (known !== undefined) known.isListed = true;
+      if (known !== undefined) known.isRegistered = true;
       return;
     }
     const namesIncarnation = entry.incarnationStartMs !== UNKNOWN_INCARNATION_MS;
@@ -99,7 +99,7 @@
     this.#state.latestEntries.delete(targetId);
     const target = this.#state.targets.get(targetId);
     if (target === undefined) return;
-    target.isListed = false;
+    target.isRegistered = false;
     this.#state.log('target left the registry', { targetId, runCount: target.runs.size });
   }
 
@@ -128,7 +128,7 @@
         if (run.phase === 'running') this.#stopIfStalled(target, run);
       });
       if (!target.isResponding && target.isLeaseExpired(steadyMs)) this.#releaseExpired(target);
-      if (!target.isListed && this.#canRemove(target)) {
+      if (!target.isRegistered && this.#canRemove(target)) {
         this.#incarnations.remove(target, 'the target has left the registry', false);
       }
     });
@@ -145,7 +145,7 @@
       ({ isListed, confirmedAtMs, sentSteadyMs }) =>
         isListed ||
         confirmedAtMs !== undefined ||
-        !target.isListed ||
+        !target.isRegistered ||
         steadyMs > sentSteadyMs + maxUnlistedMs,
     );
     if (runs.length > 0) {
--- a/tests/staleRegistrations.test.ts
+++ b/tests/staleRegistrations.test.ts
@@ -209,3 +209,29 @@
   runUntil(12_000);
   expect(refusedCount).toBeLessThanOrEqual(2);
 });
+
+// The stop was meant for the incarnation that ended, so the next one may still carry the start out.
+test('a stop that the former incarnation has answered settles no start on the next one', () => {
+  const owner = new OneTargetOwner();
+  owner.answerPoll(1_700, 1_700);
+  const submitted = { kind: 'submitted', submission: createSubmission(1, [{}]) };
+  const [start] = [submitted, { kind: 'tick' }]
+    .flatMap((event) => owner.dispatch(event))
+    .flatMap((effect) => (effect.kind === 'startRun' ? [effect] : []));
+  if (start === undefined) throw new Error('nothing was started');
+  owner.dispatch({
+    kind: 'targetChanged',
+    entry: { ...ENTRY, incarnationStartMs: 1_900, revision: 0 },
+  });
+  owner.answerPoll(1_900, 1_900);
+  const call = { targetId: TARGET, taskKey: start.taskKey, run: start.run, sentAtMs: 40 };
+  const result = E.right({ clockMs: 1_050 });
+  owner.dispatch({ kind: 'stopAnswered', ...call, incarnationStartMs: 1_700, result });
+  owner.dispatch({ kind: 'tick' });
+  owner.answerPoll(1_900, 1_900);
+  expect(owner.core.dump()).toMatchObject({ targets: [{ runCount: 1 }] });
+  owner.dispatch({ kind: 'stopAnswered', ...call, incarnationStartMs: 1_900, result });
+  owner.dispatch({ kind: 'tick' });
+  owner.answerPoll(1_900, 1_900);
+  expect(owner.core.dump()).toMatchObject({ targets: [{ startsInDoubt: [] }] });
+});
