--- a/tests/staleRegistrations.test.ts
+++ b/tests/staleRegistrations.test.ts
@@ -1,6 +1,7 @@
 /** Guards against targets and runs that are lost to, or misjudged by, an owner after a restart or a suspension. */
 
 import * as E from 'fp-ts/Either';
+import type { StartCall } from '../src/node/ports';
 import { UNKNOWN_INCARNATION_MS } from '../src/owner/constants';
 import { OwnerCore } from '../src/owner/core';
 import type { OwnerEffect, OwnerEvent, RunningEntry, TargetEntry } from '../src/owner/types';
@@ -63,6 +64,17 @@
     return effects;
   }
 
+  /** Submits one task to the target, which has answered a poll, and returns its start. */
+  start(): StartCall {
+    this.answerPoll(ENTRY.incarnationStartMs, ENTRY.incarnationStartMs);
+    const submitted = { kind: 'submitted', submission: createSubmission(1, [{}]) };
+    const [start] = [submitted, { kind: 'tick' }]
+      .flatMap((event) => this.dispatch(event))
+      .flatMap((effect) => (effect.kind === 'startRun' ? [effect] : []));
+    if (start === undefined) throw new Error('nothing was started');
+    return start;
+  }
+
   static #getClocks(nowMs: number) {
     return { nowMs, wallMs: WALL_START_MS + nowMs, steadyMs: nowMs };
   }
@@ -213,12 +225,7 @@
 // The stop was meant for the incarnation that ended, so the next one may still carry the start out.
 test('a stop that the former incarnation has answered settles no start on the next one', () => {
   const owner = new OneTargetOwner();
-  owner.answerPoll(1_700, 1_700);
-  const submitted = { kind: 'submitted', submission: createSubmission(1, [{}]) };
-  const [start] = [submitted, { kind: 'tick' }]
-    .flatMap((event) => owner.dispatch(event))
-    .flatMap((effect) => (effect.kind === 'startRun' ? [effect] : []));
-  if (start === undefined) throw new Error('nothing was started');
+  const start = owner.start();
   owner.dispatch({
     kind: 'targetChanged',
     entry: { ...ENTRY, incarnationStartMs: 1_900, revision: 0 },
@@ -235,3 +242,31 @@
   owner.answerPoll(1_900, 1_900);
   expect(owner.core.dump()).toMatchObject({ targets: [{ startsInDoubt: [] }] });
 });
+
+test('a stop that was confirmed before the restart is sent again to the next incarnation', () => {
+  const owner = new OneTargetOwner();
+  const { taskKey, run } = owner.start();
+  const call = { targetId: TARGET, taskKey, run, incarnationStartMs: 1_700, sentAtMs: 40 };
+  const lost = E.left({ kind: 'lost', detail: 'timeout' });
+  owner.dispatch({ kind: 'startAnswered', ...call, result: lost });
+  owner.answerPoll(1_700, 1_700);
+  owner.dispatch({ kind: 'stopAnswered', ...call, result: E.right({ clockMs: 1_060 }) });
+  const entry = { ...ENTRY, incarnationStartMs: 1_900, revision: 0 };
+  owner.dispatch({ kind: 'targetChanged', entry });
+  owner.dispatch({ kind: 'tick' });
+  owner.answerPoll(1_900, 1_900);
+  expect(owner.core.dump()).toMatchObject({ targets: [{ runCount: 1 }] });
+  const stops = owner.tickUnanswered(1_000).filter(({ kind }) => kind === 'stopRun');
+  expect(stops).toContainEqual(expect.objectContaining({ incarnationStartMs: 1_900, run }));
+});
+
+// The clock of each incarnation starts anew, so a lower reading is that of a later one.
+test('a start that another clock has answered stays in doubt until a poll lists it', () => {
+  const owner = new OneTargetOwner();
+  const { taskKey, run } = owner.start();
+  const call = { targetId: TARGET, taskKey, run, incarnationStartMs: 1_700, sentAtMs: 40 };
+  owner.dispatch({ kind: 'startAnswered', ...call, result: E.right({ clockMs: 5 }) });
+  expect(owner.core.dump()).toMatchObject({ targets: [{ startsInDoubt: [{ run }] }] });
+  owner.answerPoll(1_700, 1_900, [{ taskKey, run, checkpoint: undefined, percent: 10 }]);
+  expect(owner.core.dump()).toMatchObject({ targets: [{ runCount: 1, startsInDoubt: [] }] });
+});
