An earlier registry entry of a former incarnation does not register its successor

A poll-found incarnation counted as registered, with the kind and capacity of the former one, when the registry repeated an earlier entry of that. Test: staleRegistrations, failed before.

--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -52,7 +52,7 @@
     const latest = this.#state.latestEntries.get(entry.id);
     // The registry may go back; a target that drains must not be used again.
     if (TargetTable.#isEarlier(entry, latest) || TargetTable.#isEarlier(entry, known?.entry)) {
-      if (known !== undefined) known.isRegistered = true;
+      if (known?.entry.incarnationStartMs === entry.incarnationStartMs) known.isRegistered = true;
       return;
     }
     const namesIncarnation = entry.incarnationStartMs !== UNKNOWN_INCARNATION_MS;
--- a/tests/staleRegistrations.test.ts
+++ b/tests/staleRegistrations.test.ts
@@ -270,3 +270,12 @@
   owner.answerPoll(1_700, 1_900, [{ taskKey, run, checkpoint: undefined, percent: 10 }]);
   expect(owner.core.dump()).toMatchObject({ targets: [{ runCount: 1, startsInDoubt: [] }] });
 });
+
+// Its kind and capacity are not known before its own registration.
+test('an earlier entry of the former incarnation does not register the one that a poll has found', () => {
+  const owner = new OneTargetOwner();
+  owner.dispatch({ kind: 'targetChanged', entry: { ...ENTRY, revision: 5 } });
+  owner.answerPoll(1_700, 1_900);
+  owner.dispatch({ kind: 'targetChanged', entry: ENTRY });
+  expect(owner.core.dump()).toMatchObject({ targets: [{ isListed: false }] });
+});
