--- a/tests/ownerHost.test.ts
+++ b/tests/ownerHost.test.ts
@@ -87,13 +87,16 @@
     { changeVersion: 1, operator: { config: undefined, closedDataCentreIds: [] } },
   );
   await host.start();
-  await waitForTicks();
-  expect(polls).toHaveLength(1);
-  expect(polls[0]?.isTooLate()).toBe(false);
-  isAuthorized = false;
-  expect(polls[0]?.isTooLate()).toBe(true);
-  isAuthorized = true;
-  host.stop();
+  try {
+    await waitForTicks();
+    expect(polls).toHaveLength(1);
+    expect(polls[0]?.isTooLate()).toBe(false);
+    isAuthorized = false;
+    expect(polls[0]?.isTooLate()).toBe(true);
+    isAuthorized = true;
+  } finally {
+    host.stop();
+  }
   expect(polls[0]?.isTooLate()).toBe(true);
 });
 
@@ -121,10 +124,13 @@
     { changeVersion: 1, operator: { config: undefined, closedDataCentreIds: [] } },
   );
   await host.start();
-  await waitForTicks();
-  expect(polls.map(({ isTooLate }) => isTooLate())).toEqual([false]);
-  deliver();
-  await waitForPolls(polls, 2);
-  expect(polls.map(({ isTooLate }) => isTooLate())).toEqual([true, false]);
-  host.stop();
+  try {
+    await waitForTicks();
+    expect(polls.map(({ isTooLate }) => isTooLate())).toEqual([false]);
+    deliver();
+    await waitForPolls(polls, 2);
+    expect(polls.map(({ isTooLate }) => isTooLate())).toEqual([true, false]);
+  } finally {
+    host.stop();
+  }
 });
