--- a/tests/staleRegistrations.test.ts
+++ b/tests/staleRegistrations.test.ts
@@ -174,53 +174,56 @@
 });
 
 // The lower bound of the elapsed time misses the suspension, so the start deadline lies in the target's past.
-test('a start that a target refuses as late, after the owner was suspended, is not repeated in a loop', () => {
-  const core = new OwnerCore(toEpoch(1), [], { nowMs: 0, wallMs: WALL_START_MS, steadyMs: 0 });
-  let nowMs = 0;
-  let lagMs = 0;
-  let pending: { readonly atMs: number; readonly event: object }[] = [];
-  let refusedCount = 0;
-  const dispatch = (event: object): void => {
-    const clocks = { nowMs, wallMs: WALL_START_MS + nowMs, steadyMs: nowMs - lagMs };
-    core.reduce({ ...event, ...clocks } as OwnerEvent).forEach((effect) => {
-      if (effect.kind !== 'poll' && effect.kind !== 'startRun') return;
-      const call = { targetId: TARGET, incarnationStartMs: 1_700, sentAtMs: nowMs };
-      if (effect.kind === 'poll') {
-        const { isProbe, waitMs } = effect;
-        const atMs = nowMs + waitMs + 2;
-        const inventory = { clockMs: atMs, incarnationStartMs: 1_700, running: [], ended: [] };
-        const result = E.right(inventory);
-        pending.push({ atMs, event: { kind: 'pollAnswered', ...call, isProbe, result } });
-        return;
+test.each([1_600, 7_000])(
+  'a start that a target refuses as late, after the owner was suspended, is not repeated in a loop (%i ms)',
+  (suspendedMs) => {
+    const core = new OwnerCore(toEpoch(1), [], { nowMs: 0, wallMs: WALL_START_MS, steadyMs: 0 });
+    let nowMs = 0;
+    let lagMs = 0;
+    let pending: { readonly atMs: number; readonly event: object }[] = [];
+    let refusedCount = 0;
+    const dispatch = (event: object): void => {
+      const clocks = { nowMs, wallMs: WALL_START_MS + nowMs, steadyMs: nowMs - lagMs };
+      core.reduce({ ...event, ...clocks } as OwnerEvent).forEach((effect) => {
+        if (effect.kind !== 'poll' && effect.kind !== 'startRun') return;
+        const call = { targetId: TARGET, incarnationStartMs: 1_700, sentAtMs: nowMs };
+        if (effect.kind === 'poll') {
+          const { isProbe, waitMs } = effect;
+          const atMs = nowMs + waitMs + 2;
+          const inventory = { clockMs: atMs, incarnationStartMs: 1_700, running: [], ended: [] };
+          const result = E.right(inventory);
+          pending.push({ atMs, event: { kind: 'pollAnswered', ...call, isProbe, result } });
+          return;
+        }
+        const isLate = effect.notAfterMs <= nowMs;
+        if (isLate) refusedCount += 1;
+        const result = isLate ? E.left({ kind: 'late' }) : E.right({ clockMs: nowMs });
+        const { taskKey, run } = effect;
+        const answer = { kind: 'startAnswered', ...call, taskKey, run, result };
+        pending.push({ atMs: nowMs + 2, event: answer });
+      });
+    };
+    const takeDue = () => {
+      const due = pending.filter(({ atMs }) => atMs <= nowMs);
+      pending = pending.filter(({ atMs }) => atMs > nowMs);
+      return due;
+    };
+    const runUntil = (untilMs: number): void => {
+      for (; nowMs < untilMs; nowMs += 1) {
+        const due = takeDue();
+        due.forEach(({ event }) => dispatch(event));
+        if (nowMs % 10 === 0) dispatch({ kind: 'tick' });
       }
-      const isLate = effect.notAfterMs <= nowMs;
-      if (isLate) refusedCount += 1;
-      const result = isLate ? E.left({ kind: 'late' }) : E.right({ clockMs: nowMs });
-      const { taskKey, run } = effect;
-      const answer = { kind: 'startAnswered', ...call, taskKey, run, result };
-      pending.push({ atMs: nowMs + 2, event: answer });
-    });
-  };
-  const takeDue = () => {
-    const due = pending.filter(({ atMs }) => atMs <= nowMs);
-    pending = pending.filter(({ atMs }) => atMs > nowMs);
-    return due;
-  };
-  const runUntil = (untilMs: number): void => {
-    for (; nowMs < untilMs; nowMs += 1) {
-      const due = takeDue();
-      due.forEach(({ event }) => dispatch(event));
-      if (nowMs % 10 === 0) dispatch({ kind: 'tick' });
-    }
-  };
-  dispatch({ kind: 'targetsListed', entries: [ENTRY] });
-  runUntil(1_000);
-  lagMs = 1_600;
-  runUntil(10_000);
-  dispatch({ kind: 'submitted', submission: createSubmission(1, [{}]) });
-  runUntil(12_000);
-  expect(refusedCount).toBeLessThanOrEqual(2);
-});
+    };
+    dispatch({ kind: 'targetsListed', entries: [ENTRY] });
+    runUntil(1_000);
+    lagMs = suspendedMs;
+    runUntil(10_000);
+    dispatch({ kind: 'submitted', submission: createSubmission(1, [{}]) });
+    runUntil(12_000);
+    expect(refusedCount).toBeLessThanOrEqual(2);
+  },
+);
 
 // The stop was meant for the incarnation that ended, so the next one may still carry the start out.
 test('a stop that the former incarnation has answered settles no start on the next one', () => {
