Log lines of runs cannot push out changes of state, and dropped lines are not built

Lines are classed by message; changes of state have a reserve and a bound per message; dropped lines are reported once a second with counts by message.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,6 +12,7 @@
 import { decision } from './decision';
 import { durability } from './durability';
 import { footprint } from './footprint';
+import { logging } from './logging';
 import { overload } from './overload';
 import { owner } from './owner';
 import { packing } from './packing';
@@ -29,6 +30,7 @@
   decision,
   durability,
   footprint,
+  logging,
   overload,
   owner,
   packing,
--- a/src/observe/logStream.ts
+++ b/src/observe/logStream.ts
@@ -2,25 +2,23 @@
 
 import { write } from 'node:fs';
 import { Writable } from 'node:stream';
+import { LogBudget } from './logBudget';
+import type { DroppedLines, LogLevel } from './logBudget';
 
 const STDOUT_FD = 1;
 
 /** Lines are buffered this long, so that one system call writes several. */
 const FLUSH_DELAY_MS = 50;
 
-/** Maximum number of lines written per second; a busy owner logs about 300. */
-const MAX_LINES_PER_SECOND = 1_000;
-
-/** Maximum size of buffered output; further lines are dropped while the reader is slow. */
-const MAX_PENDING_BYTES = 1_048_576;
-
-const SECOND_MS = 1_000;
-
 /** Error code of a write to a full pipe. */
 const WOULD_BLOCK_CODE = 'EAGAIN';
 
-/** Destination stream of a bunyan logger. */
+/** Destination stream of a bunyan logger, which asks it before it builds a line. */
 export class LogStream extends Writable {
+  #fd: number;
+
+  #budget = new LogBudget();
+
   #pendingLines: string[] = [];
 
   #pendingBytes = 0;
@@ -29,13 +27,12 @@
 
   #timer: NodeJS.Timeout | undefined;
 
-  #droppedCount = 0;
-
-  #windowStartMs = 0;
+  #failedWriteCount = 0;
 
-  #windowLineCount = 0;
-
-  constructor() {
+  /**
+   * @param fd - file descriptor that the lines are written to
+   */
+  constructor(fd = STDOUT_FD) {
     super({
       decodeStrings: false,
       write: (line: unknown, _encoding, callback) => {
@@ -43,19 +40,36 @@
         callback();
       },
     });
+    this.#fd = fd;
   }
 
   /** Number of lines dropped because of the rate limit or the buffer limit, plus the number of failed writes. */
   get droppedCount(): number {
-    return this.#droppedCount;
+    return this.#budget.droppedCount + this.#failedWriteCount;
   }
 
-  /** Buffers a line, which includes its line terminator, or drops it. */
+  /** Number of dropped lines that mark a change of state. */
+  get droppedChangeCount(): number {
+    return this.#budget.droppedChangeCount;
+  }
+
+  /**
+   * Decides whether a line may be written. Only such lines may be passed to the stream.
+   * @param level - its severity
+   * @param message - its message
+   * @returns false when it has to be dropped
+   */
+  tryTake(level: LogLevel, message: string): boolean {
+    return this.#budget.tryTake(level, message, Date.now(), this.#pendingBytes);
+  }
+
+  /** @returns the lines dropped since the last call, or undefined when there are none */
+  takeDropped(): DroppedLines | undefined {
+    return this.#budget.takeDropped();
+  }
+
+  /** Buffers a line, which includes its line terminator. */
   #enqueue(line: string): void {
-    if (!this.#isWithinLimits(line)) {
-      this.#droppedCount += 1;
-      return;
-    }
     this.#pendingLines.push(line);
     this.#pendingBytes += line.length;
     this.#timer ??= setTimeout(() => this.flush(), FLUSH_DELAY_MS);
@@ -74,29 +88,18 @@
 
   /** Retries partial writes, which occur when a pipe is almost full, so that no line is truncated. */
   #write(bytes: Buffer, batchBytes: number): void {
-    write(STDOUT_FD, bytes, 0, bytes.length, null, (error, writtenBytes) => {
+    write(this.#fd, bytes, 0, bytes.length, null, (error, writtenBytes) => {
       const remaining = bytes.subarray(error === null ? writtenBytes : 0);
       const hasFailed = error !== null && error.code !== WOULD_BLOCK_CODE;
       if (remaining.length > 0 && !hasFailed) {
         setTimeout(() => this.#write(remaining, batchBytes), FLUSH_DELAY_MS);
         return;
       }
-      if (hasFailed) this.#droppedCount += 1;
+      if (hasFailed) this.#failedWriteCount += 1;
       this.#isWriting = false;
       this.#pendingBytes -= batchBytes;
       if (this.#pendingLines.length > 0)
         this.#timer ??= setTimeout(() => this.flush(), FLUSH_DELAY_MS);
     });
   }
-
-  #isWithinLimits(line: string): boolean {
-    const nowMs = Date.now();
-    if (nowMs - this.#windowStartMs >= SECOND_MS) {
-      this.#windowStartMs = nowMs;
-      this.#windowLineCount = 0;
-    }
-    this.#windowLineCount += 1;
-    if (this.#windowLineCount > MAX_LINES_PER_SECOND) return false;
-    return this.#pendingBytes + line.length <= MAX_PENDING_BYTES;
-  }
 }
