Show how busy the owner is: event loop delay, processor share, time by kind of work

The lateness of the owner's tick gives the delay, so no timer is added. The time of its thread is counted by what it does: deciding by event, sending, store, log, measuring. New histogram first_start_wait; the wait of ready steps exists as start_wait_priority_N.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -286,6 +286,7 @@
       epoch,
       rowVersion,
       this.#operator.snapshot,
+      this.#self.processorMillis,
     );
     this.#updateLanes();
     this.#ownerHost.start().catch(throwRejection);
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -12,6 +12,7 @@
 import type { DistributiveOmit } from '../types/distributiveOmit';
 import { decodeSubmission } from '../work/submissionSchema';
 import type { OperatorSnapshot } from './operatorSnapshot';
+import { getEffectWork, OwnerLoad } from './ownerLoad';
 import { OwnerWrites } from './ownerWrites';
 import type { NodePorts, PollCall, StartCall, StopCall } from './ports';
 import {
@@ -43,6 +44,9 @@
 const VERSION_TIMEOUT_MS = 1_000;
 const VERSION_RETRY_DELAY_MS = 200;
 
+/** Processor capacity of a Vm of unknown size. */
+const DEFAULT_PROCESSOR_MILLIS = 1_000;
+
 /** Callbacks of the node that the host runs on. */
 export interface OwnerHostCallbacks {
   /** True while this node may act as the owner. */
@@ -86,6 +90,10 @@
 
   #pendingEvents: EventBody[] = [];
 
+  #load: OwnerLoad;
+
+  #callsInFlightCount = 0;
+
   /** Evaluated right before a call to a target is written; true cancels the call. */
   #isTooLate = () => this.#isStopped || !this.#callbacks.isAuthorized();
 
@@ -95,6 +103,7 @@
    * @param epoch - fencing token of every call to a target
    * @param rowVersion - version of the owner row, a precondition of every change of a progress row
    * @param operator - the operator state
+   * @param processorMillis - processor capacity of the Vm, in thousandths of a core
    */
   constructor(
     ports: NodePorts,
@@ -102,10 +111,18 @@
     epoch: Epoch,
     rowVersion: number,
     operator: OperatorSnapshot,
+    processorMillis = DEFAULT_PROCESSOR_MILLIS,
   ) {
     this.#ports = ports;
     this.#callbacks = callbacks;
     this.#epoch = epoch;
+    this.#load = new OwnerLoad({
+      ...{ logger: ports.logger, metrics: ports.metrics, epoch, processorMillis },
+      getBacklog: () => ({
+        callsInFlightCount: this.#callsInFlightCount,
+        readyStepCount: this.#core?.readyStepCount ?? 0,
+      }),
+    });
     this.#loader = new TakeoverLoader(ports);
     this.#writes = new OwnerWrites(ports.store, rowVersion);
     this.#operator = operator;
@@ -137,7 +154,7 @@
     this.#pendingEvents.forEach((event) => this.#dispatch(event));
     this.#pendingEvents = [];
     this.#follow(loaded);
-    this.#timer = setInterval(() => this.#dispatch({ kind: 'tick' }), TICK_INTERVAL_MS);
+    this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.#scheduleFormerOwnersEnd(OWNER_AUTHORITY_MS + FORMER_OWNER_MARGIN_MS);
     const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
     this.#ports.logger.info(
@@ -151,6 +168,7 @@
   stop(): void {
     this.#isStopped = true;
     clearInterval(this.#timer);
+    this.#load.stop();
     this.#followers.forEach((follower) => follower.stop());
   }
 
@@ -274,9 +292,20 @@
     else this.#dispatch(event);
   }
 
+  #tick(): void {
+    this.#load.onTick(TICK_INTERVAL_MS);
+    this.#dispatch({ kind: 'tick' });
+  }
+
   #dispatch(event: EventBody): void {
     if (this.#isStopped || this.#core === undefined) return;
-    this.#tryReduce(this.#core, event).forEach((effect) => this.#perform(effect));
+    this.#load.beginWork();
+    const effects = this.#tryReduce(this.#core, event);
+    this.#load.endWork(`decide_${event.kind}`);
+    effects.forEach((effect) => {
+      this.#perform(effect);
+      this.#load.endWork(getEffectWork(effect.kind));
+    });
   }
 
   /**
@@ -379,7 +408,9 @@
   }
 
   #dispatchResult<T>(call: Promise<T>, toEvent: (result: T) => EventBody | undefined): void {
+    this.#callsInFlightCount += 1;
     call.then((result) => {
+      this.#callsInFlightCount -= 1;
       const event = toEvent(result);
       if (event !== undefined) this.#dispatch(event);
     }, throwRejection);
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -1,4 +1,4 @@
-/** Counters and latency histograms of a process, exported as a dump or as a metrics page. */
+/** Counters, gauges and latency histograms of a process, exported as a dump or as a metrics page. */
 
 // The index of the package also loads its compressed encodings, which take 9 MB of memory and are not used.
 import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram';
@@ -35,10 +35,12 @@
   return histogram.getValueAtPercentile(percentile) / MICROS_PER_MS;
 }
 
-/** Counters and histograms by name. */
+/** Counters, gauges and histograms by name. */
 export class Metrics {
   #counters = new Map<string, number>();
 
+  #gauges = new Map<string, number>();
+
   #histograms = new Map<string, Int32Histogram>();
 
   /**
@@ -50,6 +52,15 @@
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + step);
   }
 
+  /**
+   * Sets a gauge.
+   * @param name - snake_case name without prefix
+   * @param value - its present value
+   */
+  set(name: string, value: number): void {
+    this.#gauges.set(name, value);
+  }
+
   /**
    * Records a duration in a histogram.
    * @param name - snake_case name without prefix
@@ -89,7 +100,10 @@
       `# TYPE hemlockway_${name}_total counter`,
       `hemlockway_${name}_total ${value}`,
     ]);
-    [...this.#histograms].forEach(([name, histogram]) => {
+    this.#gauges.forEach((value, name) => {
+      lines.push(`# TYPE hemlockway_${name} gauge`, `hemlockway_${name} ${value}`);
+    });
+    this.#histograms.forEach((histogram, name) => {
       lines.push(`# TYPE hemlockway_${name}_ms summary`);
       PERCENTILES.forEach((percentile) => {
         const value = getMs(histogram, percentile);
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -104,6 +104,11 @@
     return this.#state.epoch;
   }
 
+  /** Number of steps with tasks that wait for a start. */
+  get readyStepCount(): number {
+    return this.#state.ready.size;
+  }
+
   /**
    * Applies an event.
    * @param event - the event
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -110,11 +110,7 @@
       timeoutMs: this.#state.responseTimes.responseTimeoutMs,
     });
     const waitedMs = step.readyAtMs === undefined ? 0 : nowMs - step.readyAtMs;
-    this.#state.emit({
-      kind: 'record',
-      name: `start_wait_priority_${step.record.queue.priority}`,
-      durationMs: waitedMs,
-    });
+    this.#recordWaits(step, waitedMs);
     this.#state.log('run started', {
       submissionId: step.record.submission.id,
       task: taskKey,
@@ -126,6 +122,17 @@
     });
   }
 
+  /** Records how long a task has waited since its step was ready, and a submission until its first start. */
+  #recordWaits(step: StepState, waitedMs: number): void {
+    const { record } = step;
+    const name = `start_wait_priority_${record.queue.priority}`;
+    this.#state.emit({ kind: 'record', name, durationMs: waitedMs });
+    if (record.hasStarted || record.hasBegun) return;
+    record.hasStarted = true;
+    const durationMs = this.#state.wallMs - record.getReleasedAtMs(step.occurrence);
+    this.#state.emit({ kind: 'record', name: 'first_start_wait', durationMs });
+  }
+
   /**
    * Sends a stop. The run stays charged until its target reports the end.
    * @param run - the run
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -51,6 +51,9 @@
 
   hasBegun: boolean;
 
+  /** Whether this owner has sent a start of any of its tasks. */
+  hasStarted = false;
+
   /** Whether its row was read at the takeover, so that a former owner may have started it. */
   readonly isLoaded: boolean;
 
