Log how the owner learns of a cancellation, and what a takeover has read

'cancellation taken' names the way (notified, feed, loaded) and whether the submission is known, as the owner drops a cancellation of a submission that it does not know.

--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -11,6 +11,8 @@
 import type { Epoch, NodeId, StepKey, SubmissionId, TargetId } from '../types/ids';
 import type { DistributiveOmit } from '../types/distributiveOmit';
 import { decodeSubmission } from '../work/submissionSchema';
+import { CancellationLog } from './cancellationLog';
+import type { CancellationWay } from './cancellationLog';
 import type { OperatorSnapshot } from './operatorSnapshot';
 import { getEffectWork, OwnerLoad } from './ownerLoad';
 import { OwnerWrites } from './ownerWrites';
@@ -22,7 +24,7 @@
   SUBMISSION_PARTS,
   SUBMISSIONS_TABLE,
 } from './tables';
-import { TakeoverLoader } from './takeoverLoader';
+import { summarizeLoadedRows, TakeoverLoader } from './takeoverLoader';
 import type { LoadedRows } from './takeoverLoader';
 
 /** Interval of tick events; planning that was deferred resumes within it. */
@@ -88,7 +90,10 @@
 
   #laneIds: readonly NodeId[] = [];
 
-  #pendingEvents: EventBody[] = [];
+  /** Changes that arrive before the stored state is loaded. */
+  #pendingChanges: (() => void)[] = [];
+
+  #cancellationLog: CancellationLog;
 
   #load: OwnerLoad;
 
@@ -125,6 +130,7 @@
     });
     this.#loader = new TakeoverLoader(ports);
     this.#writes = new OwnerWrites(ports.store, rowVersion);
+    this.#cancellationLog = new CancellationLog(ports.logger, epoch);
     this.#operator = operator;
   }
 
@@ -151,14 +157,20 @@
       kind: 'targetsListed',
       entries: this.#loader.decodeTargetEntries(loaded.registry.rows),
     });
-    this.#pendingEvents.forEach((event) => this.#dispatch(event));
-    this.#pendingEvents = [];
+    this.#cancellationLog.logLoaded(submissions);
+    this.#pendingChanges.forEach((apply) => apply());
+    this.#pendingChanges = [];
     this.#follow(loaded);
     this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.#scheduleFormerOwnersEnd(OWNER_AUTHORITY_MS + FORMER_OWNER_MARGIN_MS);
     const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
     this.#ports.logger.info(
-      { epoch: this.#epoch, submissionCount: submissions.length, durationMs },
+      {
+        epoch: this.#epoch,
+        submissionCount: submissions.length,
+        ...summarizeLoadedRows(loaded),
+        durationMs,
+      },
       'takeover loaded',
     );
     this.#ports.metrics.record('takeover_load', durationMs);
@@ -203,18 +215,25 @@
       this.#ports.logger.warn({ reason: decoded.left }, 'cannot decode stored submission');
       return;
     }
-    this.#dispatchOrQueue({
-      ...{ kind: 'submitted', submission: decoded.right },
-      ...(rowVersion === undefined ? {} : { rowVersion }),
-    });
+    this.#whenLoaded(() =>
+      this.#dispatch({
+        ...{ kind: 'submitted', submission: decoded.right },
+        ...(rowVersion === undefined ? {} : { rowVersion }),
+      }),
+    );
   }
 
   /**
    * Applies a stored cancellation.
    * @param submissionId - the cancelled submission
+   * @param way - how it has become known
    */
-  cancel(submissionId: SubmissionId): void {
-    this.#dispatchOrQueue({ kind: 'cancelled', submissionId });
+  cancel(submissionId: SubmissionId, way: CancellationWay = 'notified'): void {
+    this.#whenLoaded(() => {
+      const view = this.#core?.getView(submissionId) ?? { kind: 'unknown' };
+      this.#cancellationLog.log(submissionId, way, view);
+      this.#dispatch({ kind: 'cancelled', submissionId });
+    });
   }
 
   /** Once no former owner may act any more, learns the version of the store at that time. */
@@ -254,7 +273,7 @@
       OwnerHost.#getRows(event).forEach((row) => this.submit(row.value, row.version));
     });
     follow({ ...accepted, table: CANCELS_TABLE }, loaded.cancels.version, (event) => {
-      OwnerHost.#getRows(event).forEach((row) => this.cancel(row.key as SubmissionId));
+      OwnerHost.#getRows(event).forEach((row) => this.cancel(row.key as SubmissionId, 'feed'));
     });
   }
 
@@ -287,9 +306,9 @@
     return { nowMs: clock.nowMs(), wallMs: clock.wallMs(), steadyMs: clock.steadyMs() };
   }
 
-  #dispatchOrQueue(event: EventBody): void {
-    if (this.#core === undefined) this.#pendingEvents.push(event);
-    else this.#dispatch(event);
+  #whenLoaded(apply: () => void): void {
+    if (this.#core === undefined) this.#pendingChanges.push(apply);
+    else apply();
   }
 
   #tick(): void {
--- a/src/node/takeoverLoader.ts
+++ b/src/node/takeoverLoader.ts
@@ -28,6 +28,27 @@
   readonly registry: PartSnapshot;
 }
 
+/**
+ * Counts the rows that a takeover has read.
+ * @param rows - the loaded rows
+ * @returns row counts and store versions by table, for the log
+ */
+export function summarizeLoadedRows(rows: LoadedRows): Readonly<Record<string, number>> {
+  const { submissions, cancels, progress, registry } = rows;
+  const submissionIds = new Set(submissions.rows.map(({ key }) => key));
+  return {
+    submissionRowCount: submissions.rows.length,
+    submissionsVersion: submissions.version,
+    cancelCount: cancels.rows.length,
+    cancelsVersion: cancels.version,
+    unmatchedCancelCount: cancels.rows.filter(({ key }) => !submissionIds.has(key)).length,
+    progressCount: progress.rows.length,
+    progressVersion: progress.version,
+    registryCount: registry.rows.length,
+    registryVersion: registry.version,
+  };
+}
+
 /** Reads the tables that a new owner needs. */
 export class TakeoverLoader {
   #ports: NodePorts;
