--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -11,7 +11,10 @@
 import type { Epoch, NodeId, StepKey, SubmissionId, TargetId } from '../types/ids';
 import type { DistributiveOmit } from '../types/distributiveOmit';
 import { decodeSubmission } from '../work/submissionSchema';
+import { CancellationLog } from './cancellationLog';
+import type { CancellationWay } from './cancellationLog';
 import type { OperatorSnapshot } from './operatorSnapshot';
+import { getEffectWork, OwnerLoad } from './ownerLoad';
 import { OwnerWrites } from './ownerWrites';
 import type { NodePorts, PollCall, StartCall, StopCall } from './ports';
 import {
@@ -21,7 +24,7 @@
   SUBMISSION_PARTS,
   SUBMISSIONS_TABLE,
 } from './tables';
-import { TakeoverLoader } from './takeoverLoader';
+import { summarizeLoadedRows, TakeoverLoader } from './takeoverLoader';
 import type { LoadedRows } from './takeoverLoader';
 
 /** Interval of tick events; planning that was deferred resumes within it. */
@@ -43,6 +46,9 @@
 const VERSION_TIMEOUT_MS = 1_000;
 const VERSION_RETRY_DELAY_MS = 200;
 
+/** Processor capacity of a Vm of unknown size. */
+const DEFAULT_PROCESSOR_MILLIS = 1_000;
+
 /** Callbacks of the node that the host runs on. */
 export interface OwnerHostCallbacks {
   /** True while this node may act as the owner. */
@@ -84,7 +90,14 @@
 
   #laneIds: readonly NodeId[] = [];
 
-  #pendingEvents: EventBody[] = [];
+  /** Changes that arrive before the stored state is loaded. */
+  #pendingChanges: (() => void)[] = [];
+
+  #cancellationLog: CancellationLog;
+
+  #load: OwnerLoad;
+
+  #callsInFlightCount = 0;
 
   /** Evaluated right before a call to a target is written; true cancels the call. */
   #isTooLate = () => this.#isStopped || !this.#callbacks.isAuthorized();
@@ -95,6 +108,7 @@
    * @param epoch - fencing token of every call to a target
    * @param rowVersion - version of the owner row, a precondition of every change of a progress row
    * @param operator - the operator state
+   * @param processorMillis - processor capacity of the Vm, in thousandths of a core
    */
   constructor(
     ports: NodePorts,
@@ -102,12 +116,21 @@
     epoch: Epoch,
     rowVersion: number,
     operator: OperatorSnapshot,
+    processorMillis = DEFAULT_PROCESSOR_MILLIS,
   ) {
     this.#ports = ports;
     this.#callbacks = callbacks;
     this.#epoch = epoch;
+    this.#load = new OwnerLoad({
+      ...{ logger: ports.logger, metrics: ports.metrics, epoch, processorMillis },
+      getBacklog: () => ({
+        callsInFlightCount: this.#callsInFlightCount,
+        readyStepCount: this.#core?.readyStepCount ?? 0,
+      }),
+    });
     this.#loader = new TakeoverLoader(ports);
     this.#writes = new OwnerWrites(ports.store, rowVersion);
+    this.#cancellationLog = new CancellationLog(ports.logger, epoch);
     this.#operator = operator;
   }
 
@@ -134,14 +157,20 @@
       kind: 'targetsListed',
       entries: this.#loader.decodeTargetEntries(loaded.registry.rows),
     });
-    this.#pendingEvents.forEach((event) => this.#dispatch(event));
-    this.#pendingEvents = [];
+    this.#cancellationLog.logLoaded(submissions);
+    this.#pendingChanges.forEach((apply) => apply());
+    this.#pendingChanges = [];
     this.#follow(loaded);
-    this.#timer = setInterval(() => this.#dispatch({ kind: 'tick' }), TICK_INTERVAL_MS);
+    this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.#scheduleFormerOwnersEnd(OWNER_AUTHORITY_MS + FORMER_OWNER_MARGIN_MS);
     const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
     this.#ports.logger.info(
-      { epoch: this.#epoch, submissionCount: submissions.length, durationMs },
+      {
+        epoch: this.#epoch,
+        submissionCount: submissions.length,
+        ...summarizeLoadedRows(loaded),
+        durationMs,
+      },
       'takeover loaded',
     );
     this.#ports.metrics.record('takeover_load', durationMs);
@@ -151,6 +180,7 @@
   stop(): void {
     this.#isStopped = true;
     clearInterval(this.#timer);
+    this.#load.stop();
     this.#followers.forEach((follower) => follower.stop());
   }
 
@@ -185,18 +215,25 @@
       this.#ports.logger.warn({ reason: decoded.left }, 'cannot decode stored submission');
       return;
     }
-    this.#dispatchOrQueue({
-      ...{ kind: 'submitted', submission: decoded.right },
-      ...(rowVersion === undefined ? {} : { rowVersion }),
-    });
+    this.#whenLoaded(() =>
+      this.#dispatch({
+        ...{ kind: 'submitted', submission: decoded.right },
+        ...(rowVersion === undefined ? {} : { rowVersion }),
+      }),
+    );
   }
 
   /**
    * Applies a stored cancellation.
    * @param submissionId - the cancelled submission
+   * @param way - how it has become known
    */
-  cancel(submissionId: SubmissionId): void {
-    this.#dispatchOrQueue({ kind: 'cancelled', submissionId });
+  cancel(submissionId: SubmissionId, way: CancellationWay = 'notified'): void {
+    this.#whenLoaded(() => {
+      const view = this.#core?.getView(submissionId) ?? { kind: 'unknown' };
+      this.#cancellationLog.log(submissionId, way, view);
+      this.#dispatch({ kind: 'cancelled', submissionId });
+    });
   }
 
   /** Once no former owner may act any more, learns the version of the store at that time. */
@@ -236,7 +273,7 @@
       OwnerHost.#getRows(event).forEach((row) => this.submit(row.value, row.version));
     });
     follow({ ...accepted, table: CANCELS_TABLE }, loaded.cancels.version, (event) => {
-      OwnerHost.#getRows(event).forEach((row) => this.cancel(row.key as SubmissionId));
+      OwnerHost.#getRows(event).forEach((row) => this.cancel(row.key as SubmissionId, 'feed'));
     });
   }
 
@@ -269,14 +306,25 @@
     return { nowMs: clock.nowMs(), wallMs: clock.wallMs(), steadyMs: clock.steadyMs() };
   }
 
-  #dispatchOrQueue(event: EventBody): void {
-    if (this.#core === undefined) this.#pendingEvents.push(event);
-    else this.#dispatch(event);
+  #whenLoaded(apply: () => void): void {
+    if (this.#core === undefined) this.#pendingChanges.push(apply);
+    else apply();
+  }
+
+  #tick(): void {
+    this.#load.onTick(TICK_INTERVAL_MS);
+    this.#dispatch({ kind: 'tick' });
   }
 
   #dispatch(event: EventBody): void {
     if (this.#isStopped || this.#core === undefined) return;
-    this.#tryReduce(this.#core, event).forEach((effect) => this.#perform(effect));
+    this.#load.beginWork();
+    const effects = this.#tryReduce(this.#core, event);
+    this.#load.endWork(`decide_${event.kind}`);
+    effects.forEach((effect) => {
+      this.#perform(effect);
+      this.#load.endWork(getEffectWork(effect.kind));
+    });
   }
 
   /**
@@ -379,7 +427,9 @@
   }
 
   #dispatchResult<T>(call: Promise<T>, toEvent: (result: T) => EventBody | undefined): void {
+    this.#callsInFlightCount += 1;
     call.then((result) => {
+      this.#callsInFlightCount -= 1;
       const event = toEvent(result);
       if (event !== undefined) this.#dispatch(event);
     }, throwRejection);
