Owner: a cancellation that arrives before its submission holds

Submissions and cancellations are read from different tables, and a takeover reads submissions first; a cancellation of an unknown submission was dropped, and the submission that was read later was run.

--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -3,7 +3,14 @@
 import * as E from 'fp-ts/Either';
 import { OWNER_AUTHORITY_MS } from '../owner/constants';
 import { OwnerCore } from '../owner/core';
-import type { Advice, AdviceFailure, ClockReadings, OwnerEffect, OwnerEvent } from '../owner/types';
+import type {
+  Advice,
+  AdviceFailure,
+  ClockReadings,
+  LoadedSubmission,
+  OwnerEffect,
+  OwnerEvent,
+} from '../owner/types';
 import { TableFollower } from '../store/tableFollower';
 import type { FollowedTable, FollowerEvent } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
@@ -153,6 +160,7 @@
     this.#core = new OwnerCore(this.#epoch, submissions, this.#getClockReadings(), maxLeaseMs);
     this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
     this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
+    this.#cancelUnread(loaded, submissions);
     this.#dispatch({
       kind: 'targetsListed',
       entries: this.#loader.decodeTargetEntries(loaded.registry.rows),
@@ -248,6 +256,15 @@
     }, delayMs).unref();
   }
 
+  /** The tables are read one after another, so that a cancellation may be read whose submission was not. */
+  #cancelUnread({ cancels }: LoadedRows, submissions: readonly LoadedSubmission[]): void {
+    const readIds = new Set<string>(submissions.map(({ submission }) => submission.id));
+    cancels.rows.forEach(({ key }) => {
+      if (!readIds.has(key))
+        this.#dispatch({ kind: 'cancelled', submissionId: key as SubmissionId });
+    });
+  }
+
   #restart(): void {
     if (this.#isStopped) return;
     this.start().catch(throwRejection);
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -13,6 +13,7 @@
   STOP_RETRY_DELAY_MS,
   UNREAD_SUBMISSION_GRACE_MS,
 } from './constants';
+import { EarlyCancellations } from './earlyCancellations';
 import { Incarnations } from './incarnations';
 import { InventoryReconciler } from './inventoryReconciler';
 import { TargetPoller } from './targetPoller';
@@ -63,6 +64,8 @@
 
   #adviceDispatcher: AdviceDispatcher;
 
+  #earlyCancellations = new EarlyCancellations();
+
   #nextCleanupAtMs = 0;
 
   #nextReplanAtMs = 0;
@@ -359,6 +362,7 @@
     const { nowMs, wallMs, records } = this.#state;
     if (nowMs < this.#nextCleanupAtMs) return;
     this.#nextCleanupAtMs = nowMs + CLEANUP_INTERVAL_MS;
+    this.#earlyCancellations.removeExpired(nowMs);
     const expired = [...records.values()].filter(
       (record) =>
         record.durableOutcome !== undefined && wallMs > record.outcomeAtMs + OUTCOME_RETENTION_MS,
@@ -409,14 +413,16 @@
       if (isUnknownToFormer && !known.isLoaded) this.#releaseUnseen(known);
       return;
     }
+    const isCancelled = this.#earlyCancellations.take(submission.id);
     const record = this.#tryAddRecord(
-      { submission, isCancelled: false, progress: undefined, progressVersion: 0 },
+      { submission, isCancelled, progress: undefined, progressVersion: 0 },
       this.#mayHaveBegun(submission.id) && !isUnknownToFormer,
     );
     if (record === undefined) return;
     this.#classifySubmission(record);
     this.#state.log('submission taken', {
       isExcess: record.isExcess,
+      isCancelled,
       submissionId: submission.id,
       queue: submission.queue.id,
       teamId: submission.teamId,
@@ -487,6 +493,7 @@
 
   #onCancelled(submissionId: SubmissionId): void {
     const record = this.#state.records.get(submissionId);
+    if (record === undefined) this.#earlyCancellations.add(submissionId, this.#state.nowMs);
     if (record === undefined || record.outcome !== undefined) return;
     record.isCancelled = true;
     this.#runManager.closeSubmission(record, 'cancelled');
