Store: a row that the store rejects keeps no other row from being stored

A transaction is rejected as a whole (400, 413) when one of its rows is too large. Rows of a rejected transaction are now sent one by one, and one that is rejected by itself is tried again every 5 s.

--- a/src/node/acceptance.ts
+++ b/src/node/acceptance.ts
@@ -85,6 +85,8 @@
   readonly timer: NodeJS.Timeout;
   /** An earlier attempt has an unknown outcome and may have stored the row. */
   mayBeStored: boolean;
+  /** A transaction that held it with others was rejected, so it is sent by itself. */
+  isSentAlone: boolean;
 }
 
 function toRowKey({ table, key }: Pick<RowPut, 'table' | 'key'>): string {
@@ -219,7 +221,7 @@
     }
     return new Promise((resolve) => {
       const row: PendingRow = {
-        ...{ put, expiresAtMs, mayBeStored },
+        ...{ put, expiresAtMs, mayBeStored, isSentAlone: false },
         resolve: (outcome) => {
           clearTimeout(row.timer);
           resolve(outcome);
@@ -288,6 +290,8 @@
       const key = toRowKey(row.put);
       const isFitting =
         batch.length < MAX_ROWS &&
+        !batch.some(({ isSentAlone }) => isSentAlone) &&
+        (batch.length === 0 || !row.isSentAlone) &&
         (batch.length === 0 || chars + row.put.value.length <= MAX_CHARS);
       // A transaction cannot create the same row twice.
       if (row.put.part !== part || !isFitting || keys.has(key)) {
@@ -322,6 +326,9 @@
       case 'notDone':
         this.#retry(batch, failure.detail);
         return;
+      case 'rejected':
+        this.#onRejected(batch, failure.detail);
+        return;
       case 'busy':
         this.#retry(batch, 'the store is busy');
         return;
@@ -346,6 +353,19 @@
     });
   }
 
+  /** One row that the store does not take must not keep the others from being stored. */
+  #onRejected(batch: readonly PendingRow[], detail: string): void {
+    if (batch.length === 1) {
+      batch.forEach((row) => AcceptanceWriter.#giveUp(row, `the store rejects the row: ${detail}`));
+      return;
+    }
+    batch.forEach((row) => {
+      const pending = row;
+      pending.isSentAlone = true;
+    });
+    this.#waiting.unshift(...batch);
+  }
+
   /** Retries rows before their deadline. A retry is safe, as a row is created only if it does not exist. */
   #retry(batch: readonly PendingRow[], detail: string): void {
     const nowMs = this.#clock.nowMs();
--- a/src/node/ownerWrites.ts
+++ b/src/node/ownerWrites.ts
@@ -7,6 +7,7 @@
 import type { OwnerEffect, WriteFailure } from '../owner/types';
 import type { RowStore, StoreFailure } from '../store/types';
 import type { SubmissionId } from '../types/ids';
+import type { StoredProgress } from '../work/storedProgress';
 import {
   CANCELS_TABLE,
   getSubmissionParts,
@@ -20,6 +21,22 @@
 /** Timeout of each transaction. */
 const WRITE_TIMEOUT_MS = 1_500;
 
+/** Maximum size of a stored progress; the store takes rows of up to 64 KB. */
+const MAX_PROGRESS_BYTES = 60_000;
+
+/** Leaves the checkpoints out of a progress that would be too large; they only save work. */
+function encodeProgress(progress: StoredProgress): string {
+  const text = JSON.stringify(progress);
+  if (Buffer.byteLength(text) <= MAX_PROGRESS_BYTES) return text;
+  const steps = Object.fromEntries(
+    Object.entries(progress.steps ?? {}).map(([name, step]) => [
+      name,
+      { ...step, checkpoints: undefined },
+    ]),
+  );
+  return JSON.stringify({ ...progress, steps });
+}
+
 /** Performs the writes of one epoch. */
 export class OwnerWrites {
   #store: RowStore;
@@ -55,7 +72,7 @@
         ],
         puts: effect.rows.map((row) => ({
           ...toAddress(row.submissionId),
-          value: JSON.stringify(row.value),
+          value: encodeProgress(row.value),
         })),
         removals: [],
       },
@@ -75,6 +92,7 @@
   }
 
   #toWriteFailure(failure: StoreFailure): WriteFailure {
+    if (failure.kind === 'rejected') return failure;
     if (failure.kind !== 'conflict') {
       return { kind: 'unavailable', detail: 'detail' in failure ? failure.detail : failure.kind };
     }
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -88,6 +88,9 @@
 /** Delay before a failed write is retried. */
 export const WRITE_RETRY_DELAY_MS = 200;
 
+/** Delay before a progress row that the store rejected by itself is written again. */
+export const REJECTED_WRITE_DELAY_MS = 5_000;
+
 /** The run numbers of an epoch start at the epoch multiplied by this. */
 export const RUN_NUMBERS_PER_EPOCH = 1_000;
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -501,7 +501,17 @@
 
   #onProgressWritten(event: Extract<OwnerEvent, { kind: 'progressWritten' }>): void {
     const outcome = this.#state.writer.onBatchWritten(event.batch, event.result, this.#state.nowMs);
+    if (outcome.kind === 'rejected') this.#onProgressRejected(outcome.record, outcome.detail);
     if (outcome.kind !== 'superseded') return;
     this.#state.emit({ kind: 'stepDown', reason: 'the owner row names another owner' });
   }
+
+  #onProgressRejected({ submission }: SubmissionRecord, detail: string): void {
+    this.#state.count('progress_rows_rejected');
+    this.#state.log(
+      'store rejects the progress of a submission; it is written again later, the others at once',
+      { submissionId: submission.id, detail },
+      'warn',
+    );
+  }
 }
--- a/src/owner/progressWriter.ts
+++ b/src/owner/progressWriter.ts
@@ -11,6 +11,7 @@
 import {
   MAX_WRITE_ROWS,
   MAX_WRITES_IN_FLIGHT,
+  REJECTED_WRITE_DELAY_MS,
   WRITE_BATCH_DELAY_MS,
   WRITE_RETRY_DELAY_MS,
 } from './constants';
@@ -26,7 +27,11 @@
 
 /** Result of a transaction. */
 export type WriteOutcome =
-  { readonly kind: 'committed' } | { readonly kind: 'retry' } | { readonly kind: 'superseded' };
+  | { readonly kind: 'committed' }
+  | { readonly kind: 'retry' }
+  | { readonly kind: 'superseded' }
+  /** The store does not take the progress of this submission. */
+  | { readonly kind: 'rejected'; readonly record: SubmissionRecord; readonly detail: string };
 
 /** Batches and schedules progress writes. */
 export class ProgressWriter {
@@ -40,6 +45,9 @@
   /** Submissions in those transactions; further changes of them wait for the outcome. */
   #inFlight = new Set<SubmissionRecord>();
 
+  /** Submissions from transactions that were rejected, with the time from which each is written by itself. */
+  #rejected = new Map<SubmissionRecord, number>();
+
   #batchNumber = 0;
 
   #retryAtMs = 0;
@@ -69,7 +77,7 @@
     if (this.#dirty.size === 0 || this.#batches.size >= MAX_WRITES_IN_FLIGHT) return undefined;
     if (nowMs < this.#retryAtMs || nowMs < this.#dirtySinceMs + WRITE_BATCH_DELAY_MS)
       return undefined;
-    const records = this.#takeRecords();
+    const records = this.#takeRejected(nowMs) ?? this.#takeRecords();
     if (records.length === 0) return undefined;
     this.#dirtySinceMs = nowMs;
     this.#batchNumber += 1;
@@ -90,11 +98,24 @@
 
   /** Takes the records of one transaction from the dirty ones, those with an outcome first. */
   #takeRecords(): SubmissionRecord[] {
-    const waiting = [...this.#dirty].filter((record) => !this.#inFlight.has(record));
+    const waiting = [...this.#dirty].filter(
+      (record) => !this.#inFlight.has(record) && !this.#rejected.has(record),
+    );
     const hasOutcome = ({ outcome }: SubmissionRecord) => outcome !== undefined;
     const ended = waiting.filter(hasOutcome);
     const unfinished = waiting.filter((record) => !hasOutcome(record));
-    const records = [...ended, ...unfinished].slice(0, MAX_WRITE_ROWS);
+    return this.#take([...ended, ...unfinished].slice(0, MAX_WRITE_ROWS));
+  }
+
+  /** Takes one of the records that are written by themselves; the other transaction goes on with the others. */
+  #takeRejected(nowMs: number): SubmissionRecord[] | undefined {
+    const rejected = [...this.#rejected];
+    if (rejected.some(([record]) => this.#inFlight.has(record))) return undefined;
+    const due = rejected.find(([record, dueAtMs]) => this.#dirty.has(record) && nowMs >= dueAtMs);
+    return due === undefined ? undefined : this.#take([due[0]]);
+  }
+
+  #take(records: SubmissionRecord[]): SubmissionRecord[] {
     records.forEach((record) => {
       this.#dirty.delete(record);
       this.#inFlight.add(record);
@@ -120,11 +141,13 @@
     items.forEach(({ record }) => this.#inFlight.delete(record));
     if (E.isRight(result)) {
       items.forEach((item) => ProgressWriter.#applyCommit(item, result.right));
+      items.forEach(({ record }) => this.#rejected.delete(record));
       return { kind: 'committed' };
     }
     items.forEach(({ record }) => this.#dirty.add(record));
     const failure = result.left;
     if (failure.kind === 'superseded') return { kind: 'superseded' };
+    if (failure.kind === 'rejected') return this.#onRejected(items, failure.detail, nowMs);
     if (failure.kind === 'unavailable') {
       this.#retryAtMs = nowMs + WRITE_RETRY_DELAY_MS;
       return { kind: 'retry' };
@@ -138,6 +161,17 @@
     return { kind: 'retry' };
   }
 
+  /** One submission whose progress the store does not take must not keep those of the others from being stored. */
+  #onRejected(items: readonly BatchItem[], detail: string, nowMs: number): WriteOutcome {
+    const [first] = items;
+    if (first !== undefined && items.length === 1) {
+      this.#rejected.set(first.record, nowMs + REJECTED_WRITE_DELAY_MS);
+      return { kind: 'rejected', record: first.record, detail };
+    }
+    items.forEach(({ record }) => this.#rejected.set(record, nowMs));
+    return { kind: 'retry' };
+  }
+
   static #applyCommit({ record, change, outcome }: BatchItem, version: number): void {
     record.progressVersion = version;
     record.durableChangeCount = change;
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -114,6 +114,8 @@
   | { readonly kind: 'superseded' }
   /** The stored versions differ from the expected ones. */
   | { readonly kind: 'conflict'; readonly versions: readonly ProgressVersion[] }
+  /** The store does not take these rows, however often they are sent. */
+  | { readonly kind: 'rejected'; readonly detail: string }
   | { readonly kind: 'unavailable'; readonly detail: string };
 
 /** Version of a stored progress row; 0 when the row does not exist. */
--- a/src/store/monitoredStore.ts
+++ b/src/store/monitoredStore.ts
@@ -14,12 +14,20 @@
   RowPage,
   RowStore,
   RowTransaction,
+  StoreFailure,
   StoreOutcome,
 } from './types';
 
 /** Called when the store becomes unreachable or reachable. */
 export type ReachabilityListener = (isReachable: boolean, detail: string) => void;
 
+/** Failures that the store has reported about the call, as opposed to itself. */
+const ANSWERED_FAILURES: ReadonlySet<StoreFailure['kind']> = new Set([
+  'conflict',
+  'historyLost',
+  'rejected',
+]);
+
 /** The store is unreachable when all calls have failed for this long. */
 const UNREACHABLE_AFTER_MS = 650;
 
@@ -148,8 +156,7 @@
   }
 
   #recordOutcome<T>(outcome: StoreOutcome<T>): void {
-    const isAnswered =
-      E.isRight(outcome) || outcome.left.kind === 'conflict' || outcome.left.kind === 'historyLost';
+    const isAnswered = E.isRight(outcome) || ANSWERED_FAILURES.has(outcome.left.kind);
     if (isAnswered) {
       if (!this.#isReachable) this.#listener(true, `after ${Math.round(this.unreachableForMs)} ms`);
       this.#isReachable = true;
--- a/src/store/types.ts
+++ b/src/store/types.ts
@@ -67,6 +67,8 @@
   | { readonly kind: 'conflict'; readonly rows: readonly StoredRow[] }
   /** The store refused the call or could not be reached; nothing was performed. */
   | { readonly kind: 'notDone'; readonly detail: string }
+  /** The store does not take a call with this content, however often it is sent; nothing was performed. */
+  | { readonly kind: 'rejected'; readonly detail: string }
   /** The store, or a part of a table, is overloaded; nothing was performed. */
   | { readonly kind: 'busy' }
   /** No usable answer: the call may have been performed or may be performed later. */
