Gate: the owner is told of a stored row until it has taken the notice

The gate had stored the cancellation, had no connection to the owner at that moment and told it nothing; the store went away, so the owner could not read the table. An accepted submission is held up in the same way. A node that was not the owner also answered such a notice as taken.

--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -15,6 +15,7 @@
 import type { AcceptanceWriter, AcceptOutcome } from './acceptance';
 import type { CallerAnswer, CallerCall } from './callerTypes';
 import { tryParseSubmissionId } from './router';
+import type { OwnerNotice } from './ownerNotifier';
 import type { RoutedCall, Router } from './router';
 import { CANCELS_TABLE, getSubmissionParts, SUBMISSIONS_TABLE } from './tables';
 
@@ -36,10 +37,8 @@
   getView(submissionId: SubmissionId): Promise<SubmissionView | undefined>;
   /** @returns the count, or undefined when no owner answered */
   getWaitingCount(queueId: QueueId): Promise<number | undefined>;
-  /** Notifies the owner of a stored submission. Best effort: the owner also polls the store. */
-  notifySubmitted(text: string): void;
-  /** Notifies the owner of a stored cancellation. Best effort: the owner also polls the store. */
-  notifyCancelled(submissionId: SubmissionId): void;
+  /** Tells the owner, now or later, of a stored submission or cancellation. */
+  notify(notice: OwnerNotice): void;
 }
 
 /** Dependencies of a gate. */
@@ -161,7 +160,8 @@
     const submission: Submission = { id, queue, teamId, acceptedAtMs, spec: spec.right };
     const text = encodeSubmission(submission);
     const outcome = await this.#ports.acceptance.write(SUBMISSIONS_TABLE, id, text);
-    if (outcome.kind === 'stored') this.#ports.owner.notifySubmitted(text);
+    if (outcome.kind === 'stored')
+      this.#ports.owner.notify({ kind: 'submitted', submissionId: id, text });
     return Gate.#toAnswer(outcome, { kind: 'accepted' });
   }
 
@@ -188,7 +188,7 @@
       if (!isStored) return { kind: 'noSubmission' };
     }
     const outcome = await this.#ports.acceptance.write(CANCELS_TABLE, submissionId, '');
-    if (outcome.kind === 'stored') this.#ports.owner.notifyCancelled(submissionId);
+    if (outcome.kind === 'stored') this.#ports.owner.notify({ kind: 'cancelled', submissionId });
     return Gate.#toAnswer(outcome, { kind: 'cancelled' });
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -17,6 +17,8 @@
 import { OperatorFollower } from './operatorFollower';
 import type { OperatorSnapshot } from './operatorSnapshot';
 import { OwnerHost } from './ownerHost';
+import { OwnerNotifier } from './ownerNotifier';
+import type { NotifiedOwner } from './ownerNotifier';
 import { OwnershipShell } from './ownershipShell';
 import type { NodePorts } from './ports';
 import { RelayedStore } from './relayedStore';
@@ -86,6 +88,8 @@
 
   #committers: CommitterLinks;
 
+  #notifier: OwnerNotifier;
+
   #ownerHost: OwnerHost | undefined;
 
   #followers = new FollowerTable();
@@ -157,14 +161,18 @@
       () => !this.#store.isReachable && !this.#ownership.isOwnerStoreReachable,
       this.#committers,
     );
+    this.#notifier = new OwnerNotifier({
+      ...{ logger: ports.logger, metrics: ports.metrics },
+      getOwner: () => this.#getNotifiedOwner(),
+      getNowMs: () => ports.clock.nowMs(),
+    });
     this.#gate = new Gate({
       ...this.#ports,
       acceptance: this.#acceptance,
       owner: {
         getView: (submissionId) => this.#getView(submissionId),
         getWaitingCount: (queueId) => this.#getWaitingCount(queueId),
-        notifySubmitted: (text) => this.#notifyOwner('submitted', { text }),
-        notifyCancelled: (submissionId) => this.#notifyOwner('cancelled', { submissionId }),
+        notify: (notice) => this.#notifier.notify(notice),
       },
     });
   }
@@ -252,6 +260,7 @@
 
   #tick(): void {
     this.#ownership.dispatch({ kind: 'tick' });
+    this.#notifier.check();
     if (this.#ownerHost === undefined) return;
     const nowMs = this.#ports.clock.nowMs();
     this.#tryHandOverToStronger(nowMs);
@@ -328,11 +337,11 @@
     return {
       heartbeat: (params, link) => this.#onHeartbeat(params, link),
       submitted: ({ text }) => {
-        this.#ownerHost?.submit(text);
+        this.#requireHost().submit(text);
         return {};
       },
       cancelled: ({ submissionId }) => {
-        this.#ownerHost?.cancel(submissionId);
+        this.#requireHost().cancel(submissionId);
         return {};
       },
       getView: ({ submissionId }) => this.#requireCore().getView(submissionId),
@@ -361,9 +370,14 @@
     };
   }
 
+  #requireHost(): OwnerHost {
+    if (this.#ownerHost === undefined) throw new Error('this node does not own the fleet');
+    return this.#ownerHost;
+  }
+
   #requireCore() {
-    const core = this.#ownerHost?.core;
-    if (core === undefined) throw new Error('this node does not own the fleet');
+    const { core } = this.#requireHost();
+    if (core === undefined) throw new Error('this node has not loaded the stored state yet');
     return core;
   }
 
@@ -482,14 +496,22 @@
     return this.#askOwner(askLocal, askRemote, waitedMs + OWNER_POLL_INTERVAL_MS);
   }
 
-  #notifyOwner<M extends 'submitted' | 'cancelled'>(method: M, params: PeerCalls[M]): void {
-    if (this.#ownerHost !== undefined) {
-      if ('text' in params) this.#ownerHost.submit(params.text);
-      else this.#ownerHost.cancel(params.submissionId);
-      return;
-    }
-    this.#ownership.link?.call(method, params, OWNER_TIMEOUT_MS).catch((error: unknown) => {
-      this.#ports.logger.info({ method, reason: String(error) }, 'cannot notify owner');
-    });
+  #getNotifiedOwner(): NotifiedOwner | undefined {
+    const host = this.#ownerHost;
+    const { link } = this.#ownership;
+    const { epoch } = this.#ownership.core;
+    if (host !== undefined) return { epoch, deliver: async (notice) => host.take(notice) };
+    if (link === undefined) return undefined;
+    return {
+      epoch,
+      deliver: async (notice) => {
+        if (notice.kind === 'submitted') {
+          await link.call('submitted', { text: notice.text }, OWNER_TIMEOUT_MS);
+        } else {
+          const { submissionId } = notice;
+          await link.call('cancelled', { submissionId }, OWNER_TIMEOUT_MS);
+        }
+      },
+    };
   }
 }
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -22,6 +22,7 @@
 import type { CancellationWay } from './cancellationLog';
 import type { OperatorSnapshot } from './operatorSnapshot';
 import { getEffectWork, OwnerLoad } from './ownerLoad';
+import type { OwnerNotice } from './ownerNotifier';
 import { OwnerWrites } from './ownerWrites';
 import type { NodePorts, PollCall, StartCall, StopCall } from './ports';
 import {
@@ -244,6 +245,15 @@
     });
   }
 
+  /**
+   * Applies what a gate reports.
+   * @param notice - a stored submission or cancellation
+   */
+  take(notice: OwnerNotice): void {
+    if (notice.kind === 'submitted') this.submit(notice.text);
+    else this.cancel(notice.submissionId);
+  }
+
   /** Once no former owner may act any more, learns the version of the store at that time. */
   #scheduleFormerOwnersEnd(delayMs: number): void {
     setTimeout(() => {
