Peer link: an address whose port is out of range is a failed connection

net.connect throws on such a port, inside a promise that callers expect never to reject: the process ended.

--- a/src/peer/peerLink.ts
+++ b/src/peer/peerLink.ts
@@ -13,6 +13,12 @@
 /** Limit of unsent bytes; a connection whose peer does not read fast enough is closed. */
 const MAX_UNSENT_BYTES = 8_388_608;
 
+const MAX_PORT = 65_535;
+
+function isPort(port: number): boolean {
+  return Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+}
+
 /** Callbacks of a connection. */
 export interface PeerLinkEvents {
   /** The connection has closed; no further message arrives. */
@@ -125,7 +131,9 @@
   events: PeerLinkEvents,
   timeoutMs: number,
 ): Promise<E.Either<string, PeerLink>> {
-  const [host = '', port = '0'] = address.split(':');
+  const [host = '', port = ''] = address.split(':');
+  // An attempt to connect to a port out of range throws.
+  if (!isPort(Number(port))) return Promise.resolve(E.left(`malformed address ${address}`));
   return new Promise((resolve) => {
     const socket = connect({ host, port: Number(port) });
     const timer = setTimeout(() => {
