Registry: nothing of an odd entry remains once the target writes again

Seen before: a target that was never used again (seq ahead, capacity 0), and its tasks started twice (later born, address of another target).

- Entries that go on counting below the latest one prove it foreign; a single late write still does not.
- An incarnation that has answered keeps its address until it is silent and its lease has expired.
An answer to a poll that was sent to another address is dropped.
- A later born ends what a target that answers has listed only when a poll finds it.
- The number of entries starts anew with an incarnation that a poll has found.
- An entry that causes an unexpected error is left out.

The simulated network now honours the address of a call, which it ignored; a call to another target is refused.

--- a/src/node/operatorFollower.ts
+++ b/src/node/operatorFollower.ts
@@ -1,6 +1,7 @@
 /** Tracks the operator state in the store, and takes newer states from other nodes. */
 
 import * as E from 'fp-ts/Either';
+import { OddRowLog } from '../observe/oddRowLog';
 import { TableFollower } from '../store/tableFollower';
 import type { FollowerEvent } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
@@ -19,6 +20,8 @@
 
   #onChanged: (snapshot: OperatorSnapshot) => void;
 
+  #oddRows: OddRowLog;
+
   #rows = new Map<string, OperatorRow>();
 
   #config: ClusterConfig | undefined;
@@ -34,6 +37,7 @@
    */
   constructor(ports: NodePorts, onChanged: (snapshot: OperatorSnapshot) => void) {
     this.#ports = ports;
+    this.#oddRows = new OddRowLog(ports.logger, ports.metrics);
     this.#onChanged = onChanged;
     const { table, part } = ports.operatorRows;
     this.#follower = new TableFollower(
@@ -85,9 +89,15 @@
   #applyRow(row: StoredRow): void {
     const decoded = this.#ports.operatorRows.decode(row);
     if (E.isLeft(decoded)) {
-      this.#ports.logger.warn({ key: row.key, reason: decoded.left }, 'cannot decode operator row');
+      this.#oddRows.add(
+        'operator_rows_malformed',
+        row.key,
+        decoded.left,
+        'cannot decode operator row; the one before it holds',
+      );
       return;
     }
+    this.#oddRows.clear(row.key);
     this.#rows.set(row.key, decoded.right);
     if (decoded.right.kind === 'config') this.#config = this.#getNewer(decoded.right.config);
   }
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -132,7 +132,7 @@
     this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
     this.#dispatch({
       kind: 'targetsListed',
-      entries: this.#loader.decodeTargetEntries(loaded.registry.rows),
+      ...this.#loader.decodeRegistry(loaded.registry.rows),
     });
     this.#pendingEvents.forEach((event) => this.#dispatch(event));
     this.#pendingEvents = [];
@@ -247,10 +247,7 @@
 
   #onRegistry(event: FollowerEvent): void {
     if (event.kind === 'snapshot') {
-      this.#dispatch({
-        kind: 'targetsListed',
-        entries: this.#loader.decodeTargetEntries(event.rows),
-      });
+      this.#dispatch({ kind: 'targetsListed', ...this.#loader.decodeRegistry(event.rows) });
       return;
     }
     event.changes.forEach((change) => {
@@ -259,8 +256,8 @@
         return;
       }
       this.#loader
-        .decodeTargetEntries([change.row])
-        .forEach((entry) => this.#dispatch({ kind: 'targetChanged', entry }));
+        .decodeRegistry([change.row])
+        .entries.forEach((entry) => this.#dispatch({ kind: 'targetChanged', entry }));
     });
   }
 
@@ -308,17 +305,11 @@
     const { targets, metrics, logger, clock } = this.#ports;
     switch (effect.kind) {
       case 'poll': {
-        const { targetId, incarnationStartMs, isProbe } = effect;
+        const { targetId, address, incarnationStartMs, isProbe } = effect;
         const sentAtMs = clock.nowMs();
         this.#dispatchResult(targets.poll(effect, this.#createTooLateCheck(effect)), (result) => ({
-          ...{
-            kind: 'pollAnswered' as const,
-            targetId,
-            incarnationStartMs,
-            isProbe,
-            sentAtMs,
-            result,
-          },
+          ...{ kind: 'pollAnswered' as const, targetId, address, incarnationStartMs },
+          ...{ isProbe, sentAtMs, result },
         }));
         return;
       }
--- a/src/node/ports.ts
+++ b/src/node/ports.ts
@@ -72,7 +72,12 @@
 export interface TargetRegistry {
   readonly table: string;
   readonly part: string;
-  decode(row: StoredRow): E.Either<string, TargetEntry>;
+  /**
+   * @param row - the entry
+   * @param wallMs - the time of day, against which start times are checked; by default that of the system
+   * @returns the target, or why the entry names none
+   */
+  decode(row: StoredRow, wallMs?: number): E.Either<string, TargetEntry>;
 }
 
 /** Dependencies of a node. */
--- a/src/node/takeoverLoader.ts
+++ b/src/node/takeoverLoader.ts
@@ -1,10 +1,12 @@
 /** Reads and decodes the stored state when a new owner takes over. */
 
 import * as E from 'fp-ts/Either';
+import { OddRowLog } from '../observe/oddRowLog';
 import type { LoadedSubmission, TargetEntry } from '../owner/types';
 import { mergeSnapshots, readPartSnapshot } from '../store/tableFollower';
 import type { PartSnapshot } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
+import type { TargetId } from '../types/ids';
 import { decodeProgress } from '../work/storedProgress';
 import type { StoredProgress } from '../work/storedProgress';
 import { decodeFinishedSubmission, decodeSubmission } from '../work/submissionSchema';
@@ -28,15 +30,25 @@
   readonly registry: PartSnapshot;
 }
 
+/** The decoded entries of the target registry. */
+export interface DecodedRegistry {
+  readonly entries: readonly TargetEntry[];
+  /** Targets whose entries cannot be decoded; each may be alive, and writes its entry again then. */
+  readonly unreadableIds: readonly TargetId[];
+}
+
 /** Reads the tables that a new owner needs. */
 export class TakeoverLoader {
   #ports: NodePorts;
 
+  #oddEntries: OddRowLog;
+
   /**
    * @param ports - store, registry and logger
    */
   constructor(ports: NodePorts) {
     this.#ports = ports;
+    this.#oddEntries = new OddRowLog(ports.logger, ports.metrics);
   }
 
   /** @returns all rows, or undefined when any read failed */
@@ -109,21 +121,29 @@
   }
 
   /**
-   * Decodes entries of the target registry. Entries that cannot be decoded, such as those of other
-   * writers, are counted, logged and skipped.
+   * Decodes entries of the target registry. Those that cannot be decoded, such as the ones of other writers, are
+   * counted and logged.
    * @param rows - the entries
-   * @returns the decoded targets
+   * @returns the decoded targets, and the ids of the other entries
    */
-  decodeTargetEntries(rows: readonly StoredRow[]): TargetEntry[] {
-    return rows.flatMap((row) => {
-      const decoded = this.#ports.registry.decode(row);
-      if (E.isRight(decoded)) return [decoded.right];
-      this.#ports.metrics.count('registry_malformed');
-      this.#ports.logger.warn(
-        { key: row.key, reason: decoded.left },
-        'cannot decode registry entry',
+  decodeRegistry(rows: readonly StoredRow[]): DecodedRegistry {
+    const entries: TargetEntry[] = [];
+    const unreadableIds: TargetId[] = [];
+    rows.forEach((row) => {
+      const decoded = this.#ports.registry.decode(row, this.#ports.clock.wallMs());
+      if (E.isRight(decoded)) {
+        this.#oddEntries.clear(row.key);
+        entries.push(decoded.right);
+        return;
+      }
+      unreadableIds.push(row.key as TargetId);
+      this.#oddEntries.add(
+        'registry_malformed',
+        row.key,
+        decoded.left,
+        'cannot decode registry entry; the one before it holds',
       );
-      return [];
     });
+    return { entries, unreadableIds };
   }
 }
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -10,6 +10,12 @@
 /** Start time of an incarnation whose registration does not name it; its first answer does. */
 export const UNKNOWN_INCARNATION_MS = 0;
 
+/**
+ * How long after a takeover the own entry of a target is waited for when the one that was read is that of another
+ * writer: two beats of a target and the time to read the second one.
+ */
+export const OWN_ENTRY_WAIT_MS = 4_000;
+
 /** Longest lease that a target grants where the settings name none. */
 export const DEFAULT_MAX_LEASE_MS = 10_000;
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -224,7 +224,7 @@
         this.#onOperatorChanged(event.operator);
         return;
       case 'targetsListed':
-        this.#targets.onTargetsListed(event.entries);
+        this.#targets.onTargetsListed(event.entries, event.unreadableIds);
         return;
       case 'targetChanged':
         this.#targets.onTargetChanged(event.entry);
--- a/src/owner/incarnations.ts
+++ b/src/owner/incarnations.ts
@@ -7,7 +7,8 @@
  * its stop is confirmed, or the longest lease that it can have taken has ended.
  */
 
-import { MAX_CALL_DELAY_MS, MAX_START_TIMEOUT_MS } from './constants';
+import type { TargetId } from '../types/ids';
+import { MAX_CALL_DELAY_MS, MAX_START_TIMEOUT_MS, OWN_ENTRY_WAIT_MS } from './constants';
 import type { OwnerState } from './ownerState';
 import type { Run } from './run';
 import type { RunManager } from './runManager';
@@ -20,6 +21,9 @@
 
   #runManager: RunManager;
 
+  /** Unknown targets that may hold runs of a former owner, with the end of the wait for their own entries. */
+  #awaitedUntilMs = new Map<TargetId, number>();
+
   /**
    * @param state - the shared state of the owner
    * @param runManager - releases and stops runs
@@ -118,6 +122,40 @@
     this.#runManager.giveUp(givenUp);
   }
 
+  /**
+   * Removes a target at whose address another one has answered. One that this owner has not contacted may be alive
+   * elsewhere, as the address may come from another writer.
+   * @param target - the target
+   * @returns false when the target is kept as one that does not answer, as a start may take place there
+   */
+  tryRemoveDisplaced(target: TargetState): boolean {
+    if (!target.isAddressProven && target.runs.size > 0) return false;
+    const mayBeElsewhere = !target.isAddressProven && target.isRegistered;
+    this.remove(target, 'another target responds at its address', true);
+    if (mayBeElsewhere) this.awaitOwnEntry(target.id);
+    return true;
+  }
+
+  /**
+   * Waits for the own entry of a target that this owner does not know otherwise, as it may hold runs of a former owner.
+   * @param targetId - the target, whose present entry is that of another writer
+   */
+  awaitOwnEntry(targetId: TargetId): void {
+    if (this.#state.targets.has(targetId) || !this.#mayHoldFormerRuns) return;
+    this.#state.unresolvedTargets.add(targetId);
+    this.#awaitedUntilMs.set(targetId, this.#state.steadyMs + OWN_ENTRY_WAIT_MS);
+  }
+
+  /** Ends the wait for entries that have not come. */
+  checkAwaited(): void {
+    this.#awaitedUntilMs.forEach((untilMs, targetId) => {
+      const isKnown = this.#state.targets.has(targetId);
+      if (!isKnown && this.#state.steadyMs < untilMs) return;
+      this.#awaitedUntilMs.delete(targetId);
+      if (!isKnown) this.#state.unresolvedTargets.delete(targetId);
+    });
+  }
+
   /** Whether a former owner's starts may still take place on an incarnation that has not seen this owner's fence. */
   get #mayHoldFormerRuns(): boolean {
     return this.#state.steadyMs < this.#state.unresolvedUntilMs;
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -62,6 +62,8 @@
     const target = this.#state.targets.get(event.targetId);
     if (target === undefined || target.entry.incarnationStartMs !== event.incarnationStartMs)
       return;
+    // The address has been changed since the poll was sent.
+    if ((event.address ?? target.entry.address) !== target.entry.address) return;
     if (event.isProbe) target.isProbeInFlight = false;
     else target.pollSentAtMs = undefined;
     if (E.isLeft(event.result)) {
@@ -87,7 +89,10 @@
     const latest = this.#state.latestEntries.get(former.id);
     const isNamed = latest?.incarnationStartMs === incarnationStartMs;
     const wasUnknown = former.entry.incarnationStartMs === UNKNOWN_INCARNATION_MS;
-    const entry = { ...(isNamed ? latest : former.entry), incarnationStartMs };
+    // The number of its entries starts anew, and it has answered at this address whatever the registry says.
+    const unnamed = { ...former.entry, revision: 0 };
+    const { address } = former.entry;
+    const entry = { ...(isNamed ? latest : unnamed), address, incarnationStartMs };
     const reason = 'another incarnation has answered a poll';
     const target = this.#incarnations.replace(former, entry, reason);
     target.isRegistered = isNamed || (wasUnknown && former.isRegistered);
@@ -100,10 +105,7 @@
       this.#runManager.stepDown(target);
       return;
     }
-    if (failure.kind === 'otherLife') {
-      this.#incarnations.remove(target, 'another target responds at its address', true);
-      return;
-    }
+    if (failure.kind === 'otherLife' && this.#incarnations.tryRemoveDisplaced(target)) return;
     if (target.isResponding) {
       this.#state.log(
         'target does not answer',
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -178,6 +178,16 @@
     return this.#orphanRuns;
   }
 
+  /** Whether the target has answered at its address, to this owner or to the one that reported its runs. */
+  get isAddressProven(): boolean {
+    return this.isContacted || this.lastAnsweredAtMs > 0;
+  }
+
+  /** Whether the target has listed one of its runs. */
+  get hasListedRuns(): boolean {
+    return [...this.#runs.values()].some(({ isListed }) => isListed);
+  }
+
   /** Total demand of all charged runs. */
   get used(): TaskDemand {
     return this.#used;
@@ -216,6 +226,16 @@
     this.isRegistered = true;
   }
 
+  /**
+   * Has the target polled at once after a change of its address; answers to earlier polls are not waited for.
+   * @param nowMs - current time on the owner's clock
+   */
+  restartPolls(nowMs: number): void {
+    this.pollSentAtMs = undefined;
+    this.isProbeInFlight = false;
+    this.nextPollAtMs = Math.min(this.nextPollAtMs, nowMs);
+  }
+
   /**
    * Adds a run and charges its demand.
    * @param run - the run
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -20,6 +20,9 @@
 
   #incarnations: Incarnations;
 
+  /** The last entry of each target that was taken for an earlier one. */
+  #setAside = new Map<TargetId, TargetEntry>();
+
   /**
    * @param state - the shared state of the owner
    * @param runManager - stops runs
@@ -34,51 +37,128 @@
   /**
    * Applies a snapshot of the registry.
    * @param entries - all registered targets
+   * @param unreadableIds - targets whose entries cannot be read; what was known of them holds
    */
-  onTargetsListed(entries: readonly TargetEntry[]): void {
-    const listed = new Set(entries.map(({ id }) => id));
+  onTargetsListed(entries: readonly TargetEntry[], unreadableIds: readonly TargetId[] = []): void {
+    const listed = new Set([...entries.map(({ id }) => id), ...unreadableIds]);
     entries.forEach((entry) => this.onTargetChanged(entry));
+    unreadableIds.forEach((targetId) => this.#incarnations.awaitOwnEntry(targetId));
     [...this.#state.targets.keys()].forEach((targetId) => {
       if (!listed.has(targetId)) this.onTargetRemoved(targetId);
     });
   }
 
   /**
-   * Applies a registration.
+   * Applies a registration. One that causes an unexpected error is left out, as each owner in turn reads it.
    * @param entry - the registry entry
    */
   onTargetChanged(entry: TargetEntry): void {
+    try {
+      this.#applyEntry(entry);
+    } catch (error) {
+      this.#state.count('registry_entries_unusable');
+      this.#state.log(
+        'registry entry caused an unexpected error; it is left out',
+        { targetId: entry.id, reason: String(error) },
+        'warn',
+      );
+    }
+  }
+
+  #applyEntry(entry: TargetEntry): void {
     const known = this.#state.targets.get(entry.id);
     const latest = this.#state.latestEntries.get(entry.id);
-    // The registry may go back; a target that drains must not be used again.
-    if (TargetTable.#isEarlier(entry, latest) || TargetTable.#isEarlier(entry, known?.entry)) {
+    const isEarlier =
+      TargetTable.#isEarlier(entry, latest) || TargetTable.#isEarlier(entry, known?.entry);
+    if (isEarlier && !this.#isCounting(entry)) {
+      this.#setAside.set(entry.id, entry);
       if (known?.entry.incarnationStartMs === entry.incarnationStartMs) known.isRegistered = true;
       return;
     }
+    this.#setAside.delete(entry.id);
     const namesIncarnation = entry.incarnationStartMs !== UNKNOWN_INCARNATION_MS;
     if (known === undefined || namesIncarnation) this.#state.latestEntries.set(entry.id, entry);
     if (known === undefined) this.#incarnations.register(entry);
     else if (known.entry.incarnationStartMs === entry.incarnationStartMs)
-      this.#onSameIncarnation(known, entry);
+      this.#onSameIncarnation(known, entry, latest);
     else if (entry.incarnationStartMs > known.entry.incarnationStartMs && !known.hasReplaced(entry))
-      this.#incarnations.replace(known, entry, 'the target has restarted');
+      this.#onLaterIncarnation(known, entry);
     else this.#onFormerIncarnation(known, entry);
   }
 
+  /**
+   * The registry may go back by a late write, and a target that drains must not be used again. But when the entries go
+   * on counting below the latest one, that one was not the target's own.
+   */
+  #isCounting(entry: TargetEntry): boolean {
+    const aside = this.#setAside.get(entry.id);
+    if (aside === undefined || !TargetTable.#isEarlier(aside, entry)) return false;
+    this.#state.count('registry_entries_foreign');
+    this.#state.log('registry entries go on below the latest one, which counts as foreign', {
+      targetId: entry.id,
+      revision: entry.revision,
+      latestRevision: this.#state.latestEntries.get(entry.id)?.revision,
+    });
+    return true;
+  }
+
   static #isEarlier(entry: TargetEntry, other: TargetEntry | undefined): boolean {
     return (
       entry.incarnationStartMs === other?.incarnationStartMs && entry.revision < other.revision
     );
   }
 
-  #onSameIncarnation(known: TargetState, entry: TargetEntry): void {
+  #onSameIncarnation(
+    known: TargetState,
+    entry: TargetEntry,
+    former: TargetEntry | undefined,
+  ): void {
+    const isMoved = known.entry.address !== entry.address;
+    const isNamed = entry.incarnationStartMs !== UNKNOWN_INCARNATION_MS;
+    if (isMoved && isNamed && known.isAddressProven) {
+      this.#onForeignAddress(known, entry, former);
+      return;
+    }
     if (known.entry.isDraining !== entry.isDraining) {
       this.#state.log('target drains', { targetId: entry.id, isDraining: entry.isDraining });
     }
     known.setEntry(entry);
+    if (isMoved && !known.isAddressProven) known.restartPolls(this.#state.nowMs);
     this.#state.isPlanDue = true;
   }
 
+  /** An incarnation does not move: one that has answered keeps its address until its lease has expired. */
+  #onForeignAddress(known: TargetState, entry: TargetEntry, former: TargetEntry | undefined): void {
+    this.#state.count('registry_entries_foreign');
+    // It takes the place of the next entries of the target only until they come.
+    this.#state.latestEntries.set(entry.id, { ...entry, revision: 0 });
+    known.requestVerification(this.#state.nowMs);
+    if (former?.address === entry.address) return;
+    this.#state.log(
+      'registry shows another address of a target that has answered; it is not used',
+      {
+        targetId: entry.id,
+        address: known.entry.address,
+        registeredAddress: entry.address,
+      },
+    );
+  }
+
+  /** What a target that answers has listed ends when a poll finds the other incarnation, whatever an entry says. */
+  #onLaterIncarnation(known: TargetState, entry: TargetEntry): void {
+    const listsRuns = known.orphanRuns.size > 0 || known.hasListedRuns;
+    if (!known.isContacted || !known.isResponding || !listsRuns) {
+      this.#incarnations.replace(known, entry, 'the target has restarted');
+      return;
+    }
+    this.#state.log('registry shows a later start of a target that answers; the target is polled', {
+      targetId: entry.id,
+      bornAtMs: known.entry.incarnationStartMs,
+      registeredBornAtMs: entry.incarnationStartMs,
+    });
+    known.requestVerification(this.#state.nowMs);
+  }
+
   /** The registry may go back, and start times follow clocks that may be set back: a poll tells which one is alive. */
   #onFormerIncarnation(known: TargetState, entry: TargetEntry): void {
     this.#state.count('registry_entries_outdated');
@@ -88,6 +168,11 @@
       registeredBornAtMs: entry.incarnationStartMs,
     });
     known.requestVerification(this.#state.nowMs);
+    // Whoever answers at the address that was written last tells its start time.
+    const isNamed = entry.incarnationStartMs !== UNKNOWN_INCARNATION_MS;
+    if (known.isAddressProven || !isNamed || known.entry.address === entry.address) return;
+    known.setEntry({ ...known.entry, address: entry.address });
+    known.restartPolls(this.#state.nowMs);
   }
 
   /**
@@ -117,6 +202,7 @@
   /** Handles expired leases and removed targets, repeats stops and stops stalled runs. */
   check(): void {
     const { nowMs, steadyMs } = this.#state;
+    this.#incarnations.checkAwaited();
     [...this.#state.targets.values()].forEach((target) => {
       if (!target.isResponding) this.#runManager.crashTracker.onStillLost(target);
       target.runs.forEach((run) => {
@@ -153,7 +239,9 @@
       this.#incarnations.releaseRuns(target, runs, 'its lease has expired');
     }
     const latest = this.#state.latestEntries.get(target.id);
-    const isOther = latest?.incarnationStartMs !== target.entry.incarnationStartMs;
+    const isOther =
+      latest?.incarnationStartMs !== target.entry.incarnationStartMs ||
+      latest.address !== target.entry.address;
     if (latest !== undefined && isOther && target.runs.size === 0 && !target.hasReplaced(latest))
       this.#incarnations.replace(target, latest, 'it is silent and another one is registered');
   }
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -152,7 +152,12 @@
   (
     | { readonly kind: 'tick' }
     | { readonly kind: 'operatorChanged'; readonly operator: OperatorState }
-    | { readonly kind: 'targetsListed'; readonly entries: readonly TargetEntry[] }
+    | {
+        readonly kind: 'targetsListed';
+        readonly entries: readonly TargetEntry[];
+        /** Targets whose entries cannot be read; what was known of them holds. */
+        readonly unreadableIds?: readonly TargetId[];
+      }
     | { readonly kind: 'targetChanged'; readonly entry: TargetEntry }
     | { readonly kind: 'targetRemoved'; readonly targetId: TargetId }
     | {
@@ -168,6 +173,8 @@
     | {
         readonly kind: 'pollAnswered';
         readonly targetId: TargetId;
+        /** Where the poll was sent; omitted when it is known to be the target's present address. */
+        readonly address?: string;
         readonly incarnationStartMs: number;
         readonly isProbe: boolean;
         readonly sentAtMs: number;
--- a/tests/support/networkModel.ts
+++ b/tests/support/networkModel.ts
@@ -68,6 +68,17 @@
   return core.isCurrentTarget?.(effect.targetId, effect.incarnationStartMs) ?? true;
 }
 
+/** A target refuses what is meant for another one that was believed to be at its address. */
+export function refuseForOthers(
+  targetId: TargetId,
+  perform: TargetCall['perform'],
+): TargetCall['perform'] {
+  return (target, answer) => {
+    if (target.id === targetId) perform(target, answer);
+    else answer(E.left({ kind: 'otherLife' }));
+  };
+}
+
 /** A connection, bound to the process that accepted it. */
 interface Connection {
   readonly target: FakeTarget;
--- a/tests/support/ownerSubmissions.ts
+++ b/tests/support/ownerSubmissions.ts
@@ -1,7 +1,10 @@
 /** Submissions for simulations of the owner. */
 
+import * as E from 'fp-ts/Either';
+import type { Advice } from '../../src/owner/types';
+import { getHash } from '../../src/types/hash';
 import { toConfigVersion } from '../../src/types/ids';
-import type { SubmissionId, TeamId } from '../../src/types/ids';
+import type { StepKey, SubmissionId, TargetId, TeamId, Ticket } from '../../src/types/ids';
 import type { OperatorState, StepSpec, Submission, Team } from '../../src/work/types';
 
 /** Wall clock at the start of each simulation, in Unix milliseconds. */
@@ -13,6 +16,16 @@
   return { closedDataCentreIds: [], config };
 }
 
+/** Approves six of ten targets for a step. */
+export function createAdvice(
+  stepKey: StepKey,
+  targetIds: readonly TargetId[],
+): E.Either<never, Advice> {
+  const approved = targetIds.filter((targetId) => getHash(`${stepKey}/${targetId}`) % 10 < 6);
+  const grants = approved.map((targetId) => ({ targetId, ticket: 'ticket' as Ticket }));
+  return E.right({ grants, validMs: 2_500 });
+}
+
 /** Gets the id of the submission with a given number. */
 export function toSubmissionId(number: number): SubmissionId {
   return number.toString(16).padStart(16, '0') as SubmissionId;
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -10,27 +10,26 @@
 import type { PollCall, StartCall } from '../../src/node/ports';
 import { Random } from '../../src/types/random';
 import { toEpoch } from '../../src/types/ids';
-import type { NodeId, SubmissionId, TargetId, TaskKey, Ticket } from '../../src/types/ids';
-import { getHash } from '../../src/types/hash';
+import type { NodeId, SubmissionId, TargetId, TaskKey } from '../../src/types/ids';
 import { tryParseTaskKey } from '../../src/work/taskKeys';
 import { addDemand, getChargedDemand, isDemandFitting, NO_DEMAND } from '../../src/work/types';
-import type { EndKind, StepSpec, Submission, TaskDemand, Team } from '../../src/work/types';
+import type { EndKind, StepSpec, Submission, TaskDemand } from '../../src/work/types';
 import { FakeTarget } from '../../standins/fakeTarget';
 import type { FakeRun, RunPlan } from '../../standins/fakeTarget';
 import { DirectNetwork } from './directNetwork';
-import { isStillCurrent, NetworkModel } from './networkModel';
-import type { Network, NetworkOptions, TargetCall } from './networkModel';
-import { createOperator, WALL_START_MS } from './ownerSubmissions';
+import { isStillCurrent, NetworkModel, refuseForOthers } from './networkModel';
+import type { Network, TargetCall } from './networkModel';
+import { createAdvice, createOperator, WALL_START_MS } from './ownerSubmissions';
 import { ProgressStore } from './progressStore';
 import { RegistryModel } from './registryModel';
 import type { RegistryEvent } from './registryModel';
 import { VirtualTime } from './virtualTime';
 
-import type { WorldFaults } from './worldFaults';
+import type { WorldOptions } from './worldFaults';
 
 export { createSubmission, toSubmissionId } from './ownerSubmissions';
 export { NO_FAULTS } from './worldFaults';
-export type { WorldFaults } from './worldFaults';
+export type { WorldFaults, WorldOptions } from './worldFaults';
 
 const TICK_INTERVAL_MS = 10;
 const STORE_LATENCY_MS = 4;
@@ -50,16 +49,6 @@
 /** With this many crashes a further start is the third one after three targets have crashed under the task. */
 const MAX_CRASHES_PER_TASK = 5;
 
-/** Options of a simulation. */
-export interface WorldOptions {
-  readonly seed: number;
-  readonly targetCount: number;
-  readonly faults: WorldFaults;
-  readonly teams?: readonly Team[];
-  /** Simulates connections and a registry that lags behind; without it both are immediate. */
-  readonly network?: NetworkOptions;
-}
-
 /** An owner; a former one goes on until it is rejected or its authority expires, which the host checks. */
 interface Owner {
   readonly core: OwnerCore;
@@ -125,6 +114,9 @@
 
   #owners: Owner[] = [];
 
+  /** What a new owner reads in the registry; by default the entries of all targets. */
+  registryListing: RegistryEvent | undefined;
+
   /** Connections to the targets, if they are simulated. */
   readonly network: NetworkModel | undefined;
 
@@ -216,7 +208,7 @@
     this.#dispatch(owner, { kind: 'operatorChanged', operator });
     this.#dispatch(owner, { kind: 'lanesChanged', nodeIds: ['n-1', 'n-2', 'n-3'] as NodeId[] });
     const entries = this.registry?.entries ?? [...this.targets.values()].map(({ entry }) => entry);
-    this.#dispatch(owner, { kind: 'targetsListed', entries });
+    this.#dispatch(owner, this.registryListing ?? { kind: 'targetsListed', entries });
     this.#tick(owner);
   }
 
@@ -297,6 +289,11 @@
     });
   }
 
+  /** The owner reads rows of the registry, which may be those of another writer. */
+  readRegistry(event: RegistryEvent): void {
+    if (this.#owner !== undefined) this.#dispatch(this.#owner, event);
+  }
+
   /** Changes the capacity of a running target, which its registration shows at once. */
   setCapacity(targetId: TargetId, capacity: TaskDemand): void {
     const target = this.targets.get(targetId);
@@ -347,7 +344,7 @@
     switch (effect.kind) {
       case 'poll': {
         const { isProbe } = effect;
-        const reply = { kind: 'pollAnswered', isProbe, sentAtMs };
+        const reply = { kind: 'pollAnswered', address: effect.address, isProbe, sentAtMs };
         this.#call(owner, effect, reply, (to, answer) => to.poll(effect, answer));
         return;
       }
@@ -386,11 +383,13 @@
     reply: object,
     perform: TargetCall['perform'],
   ): void {
-    const { targetId } = effect;
+    const { targetId, address } = effect;
     const incarnation =
       'incarnationStartMs' in effect ? { incarnationStartMs: effect.incarnationStartMs } : {};
+    // The address of a target is its id.
+    const target = this.targets.get(address as TargetId);
     this.#network.call({
-      ...{ epoch: owner.epoch, effect, target: this.targets.get(targetId), perform },
+      ...{ epoch: owner.epoch, effect, target, perform: refuseForOthers(targetId, perform) },
       getPauseMs: () => owner.suspendedUntilMs - this.time.nowMs,
       findObstacle: () => this.#findObstacle(owner, effect),
       onAnswered: (result) => this.#dispatch(owner, { ...reply, targetId, ...incarnation, result }),
@@ -407,10 +406,8 @@
 
   #advise(owner: Owner, effect: Extract<OwnerEffect, { kind: 'askAdvice' }>): void {
     const { laneId, stepKey, targetIds } = effect;
-    const approved = targetIds.filter((targetId) => getHash(`${stepKey}/${targetId}`) % 10 < 6);
-    const grants = approved.map((targetId) => ({ targetId, ticket: 'ticket' as Ticket }));
     const sentAtMs = this.time.nowMs + this.clockOffsetMs;
-    const result = E.right({ grants, validMs: 2_500 });
+    const result = createAdvice(stepKey, targetIds);
     this.time.after(30, () =>
       this.#dispatch(owner, { kind: 'advised', laneId, stepKey, targetIds, sentAtMs, result }),
     );
--- a/tests/support/registryModel.ts
+++ b/tests/support/registryModel.ts
@@ -8,7 +8,11 @@
 export type RegistryEvent =
   | { readonly kind: 'targetChanged'; readonly entry: TargetEntry }
   | { readonly kind: 'targetRemoved'; readonly targetId: TargetId }
-  | { readonly kind: 'targetsListed'; readonly entries: readonly TargetEntry[] };
+  | {
+      readonly kind: 'targetsListed';
+      readonly entries: readonly TargetEntry[];
+      readonly unreadableIds?: readonly TargetId[];
+    };
 
 /** Keeps the rows that targets have written, and those of their former incarnations. */
 export class RegistryModel {
--- a/tests/support/worldFaults.ts
+++ b/tests/support/worldFaults.ts
@@ -1,4 +1,7 @@
-/** Faults that simulations of the owner inject into calls and runs. */
+/** Options of simulations of the owner, and the faults that they inject into calls and runs. */
+
+import type { Team } from '../../src/work/types';
+import type { NetworkOptions } from './networkModel';
 
 /** Injected faults; each is the fraction of calls or runs that it affects. */
 export interface WorldFaults {
@@ -12,3 +15,13 @@
 
 /** No faults. */
 export const NO_FAULTS: WorldFaults = { lostAnswers: 0, lateCalls: 0, failedRuns: 0 };
+
+/** Options of a simulation. */
+export interface WorldOptions {
+  readonly seed: number;
+  readonly targetCount: number;
+  readonly faults: WorldFaults;
+  readonly teams?: readonly Team[];
+  /** Simulates connections and a registry that lags behind; without it both are immediate. */
+  readonly network?: NetworkOptions;
+}
