--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -164,7 +164,7 @@
     this.#cancelUnread(loaded, submissions);
     this.#dispatch({
       kind: 'targetsListed',
-      entries: this.#loader.decodeTargetEntries(loaded.registry.rows),
+      ...this.#loader.decodeRegistry(loaded.registry.rows),
     });
     this.#cancellationLog.logLoaded(submissions);
     this.#pendingChanges.forEach((apply) => apply());
@@ -311,10 +311,7 @@
 
   #onRegistry(event: FollowerEvent): void {
     if (event.kind === 'snapshot') {
-      this.#dispatch({
-        kind: 'targetsListed',
-        entries: this.#loader.decodeTargetEntries(event.rows),
-      });
+      this.#dispatch({ kind: 'targetsListed', ...this.#loader.decodeRegistry(event.rows) });
       return;
     }
     event.changes.forEach((change) => {
@@ -323,8 +320,8 @@
         return;
       }
       this.#loader
-        .decodeTargetEntries([change.row])
-        .forEach((entry) => this.#dispatch({ kind: 'targetChanged', entry }));
+        .decodeRegistry([change.row])
+        .entries.forEach((entry) => this.#dispatch({ kind: 'targetChanged', entry }));
     });
   }
 
@@ -383,17 +380,11 @@
     const { targets, metrics, logger, clock } = this.#ports;
     switch (effect.kind) {
       case 'poll': {
-        const { targetId, incarnationStartMs, isProbe } = effect;
+        const { targetId, address, incarnationStartMs, isProbe } = effect;
         const sentAtMs = clock.nowMs();
         this.#dispatchResult(targets.poll(effect, this.#createTooLateCheck(effect)), (result) => ({
-          ...{
-            kind: 'pollAnswered' as const,
-            targetId,
-            incarnationStartMs,
-            isProbe,
-            sentAtMs,
-            result,
-          },
+          ...{ kind: 'pollAnswered' as const, targetId, address, incarnationStartMs },
+          ...{ isProbe, sentAtMs, result },
         }));
         return;
       }
