--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -23,6 +23,7 @@
 } from './tables';
 import { TakeoverLoader } from './takeoverLoader';
 import type { LoadedRows } from './takeoverLoader';
+import { decodeTargetRecord } from './usedTargetRows';
 
 /** Interval of tick events; planning that was deferred resumes within it. */
 const TICK_INTERVAL_MS = 10;
@@ -107,7 +108,7 @@
     this.#callbacks = callbacks;
     this.#epoch = epoch;
     this.#loader = new TakeoverLoader(ports);
-    this.#writes = new OwnerWrites(ports.store, rowVersion);
+    this.#writes = new OwnerWrites(ports.store, epoch, rowVersion);
     this.#operator = operator;
   }
 
@@ -127,7 +128,10 @@
     }
     const submissions = this.#loader.decodeSubmissions(loaded);
     const { maxLeaseMs } = this.#ports.targets;
-    this.#core = new OwnerCore(this.#epoch, submissions, this.#getClockReadings(), maxLeaseMs);
+    const { usedTargets, ownership } = loaded;
+    const record = decodeTargetRecord(this.#epoch, usedTargets.rows, ownership.rows);
+    const clocks = this.#getClockReadings();
+    this.#core = new OwnerCore(this.#epoch, submissions, clocks, maxLeaseMs, record);
     this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
     this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
     this.#dispatch({
@@ -141,7 +145,10 @@
     this.#scheduleFormerOwnersEnd(OWNER_AUTHORITY_MS + FORMER_OWNER_MARGIN_MS);
     const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
     this.#ports.logger.info(
-      { epoch: this.#epoch, submissionCount: submissions.length, durationMs },
+      {
+        ...{ epoch: this.#epoch, submissionCount: submissions.length, durationMs },
+        ...{ recordedCount: record.targets.length, isRecordComplete: record.isComplete },
+      },
       'takeover loaded',
     );
     this.#ports.metrics.record('takeover_load', durationMs);
@@ -356,6 +363,11 @@
           ...{ kind: 'progressWritten' as const, batch: effect.batch, result },
         }));
         return;
+      case 'recordTargets':
+        this.#dispatchResult(this.#writes.recordTargets(effect), (result) => ({
+          ...{ kind: 'targetsRecorded' as const, result },
+        }));
+        return;
       case 'deleteSubmissions':
         this.#dispatchResult(this.#writes.deleteSubmissions(effect.submissionIds), (isDone) =>
           isDone ? { kind: 'submissionsDeleted', submissionIds: effect.submissionIds } : undefined,
--- a/src/node/ownerWrites.ts
+++ b/src/node/ownerWrites.ts
@@ -1,12 +1,12 @@
 /**
- * Store writes of the owner. Progress rows are written and deleted only while the owner row is
- * unchanged, which keeps a former owner from writing.
+ * Store writes of the owner. Progress rows and the record of used targets are written and deleted only while the
+ * owner row is unchanged, which keeps a former owner from writing.
  */
 
 import * as E from 'fp-ts/Either';
-import type { OwnerEffect, WriteFailure } from '../owner/types';
+import type { OwnerEffect, RecordFailure, WriteFailure } from '../owner/types';
 import type { RowStore, StoreFailure } from '../store/types';
-import type { SubmissionId } from '../types/ids';
+import type { Epoch, SubmissionId, TargetId } from '../types/ids';
 import {
   CANCELS_TABLE,
   getSubmissionParts,
@@ -14,8 +14,11 @@
   OWNER_PART,
   OWNERSHIP_TABLE,
   PROGRESS_TABLE,
+  RECORDED_KEY,
   SUBMISSIONS_TABLE,
+  USED_TARGETS_TABLE,
 } from './tables';
+import { encodeRecordedEpoch, encodeRecordedTarget } from './usedTargetRows';
 
 /** Timeout of each transaction. */
 const WRITE_TIMEOUT_MS = 1_500;
@@ -24,14 +27,18 @@
 export class OwnerWrites {
   #store: RowStore;
 
+  #epoch: Epoch;
+
   #rowVersion: number;
 
   /**
    * @param store - the store
+   * @param epoch - the epoch
    * @param rowVersion - version of the owner row
    */
-  constructor(store: RowStore, rowVersion: number) {
+  constructor(store: RowStore, epoch: Epoch, rowVersion: number) {
     this.#store = store;
+    this.#epoch = epoch;
     this.#rowVersion = rowVersion;
   }
 
@@ -65,6 +72,50 @@
     return E.left(this.#toWriteFailure(outcome.left));
   }
 
+  /**
+   * Changes the record of used targets in one transaction.
+   * @param effect - the rows with their expected versions
+   * @returns the new version of the rows, or the failure
+   */
+  async recordTargets(
+    effect: Extract<OwnerEffect, { kind: 'recordTargets' }>,
+  ): Promise<E.Either<RecordFailure, number>> {
+    const toAddress = (key: TargetId) => ({ table: USED_TARGETS_TABLE, part: OWNER_PART, key });
+    const declaration = {
+      ...{ table: OWNERSHIP_TABLE, part: OWNER_PART, key: RECORDED_KEY },
+      value: encodeRecordedEpoch(this.#epoch),
+    };
+    const outcome = await this.#store.transact(
+      {
+        conditions: [
+          this.#ownerCondition,
+          ...effect.puts.map(({ target, expectedVersion }) => ({
+            ...toAddress(target.id),
+            version: expectedVersion,
+          })),
+          ...effect.removals.map(({ targetId, version }) => ({ ...toAddress(targetId), version })),
+        ],
+        puts: [
+          ...effect.puts.map(({ target }) => ({
+            ...toAddress(target.id),
+            value: encodeRecordedTarget(target),
+          })),
+          ...(effect.isComplete ? [declaration] : []),
+        ],
+        removals: effect.removals.map(({ targetId }) => toAddress(targetId)),
+      },
+      WRITE_TIMEOUT_MS,
+    );
+    if (E.isRight(outcome)) return E.right(outcome.right.version);
+    const failure = this.#toWriteFailure(outcome.left);
+    if (failure.kind !== 'conflict') return E.left(failure);
+    const rows = outcome.left.kind === 'conflict' ? outcome.left.rows : [];
+    const versions = rows
+      .filter(({ table }) => table === USED_TARGETS_TABLE)
+      .map(({ key, version }) => ({ targetId: key as TargetId, version }));
+    return E.left({ kind: 'conflict', versions });
+  }
+
   get #ownerCondition() {
     return {
       table: OWNERSHIP_TABLE,
@@ -78,7 +129,9 @@
     if (failure.kind !== 'conflict') {
       return { kind: 'unavailable', detail: 'detail' in failure ? failure.detail : failure.kind };
     }
-    const owner = failure.rows.find(({ table }) => table === OWNERSHIP_TABLE);
+    const owner = failure.rows.find(
+      ({ table, key }) => table === OWNERSHIP_TABLE && key === OWNER_KEY,
+    );
     if (owner !== undefined && owner.version !== this.#rowVersion) return { kind: 'superseded' };
     return {
       kind: 'conflict',
--- a/src/node/tables.ts
+++ b/src/node/tables.ts
@@ -50,8 +50,14 @@
 export const OWNERSHIP_TABLE = 'ownership';
 export const MEMBERS_TABLE = 'members';
 
+/** Targets that owners use, by id; in {@link OWNER_PART}. */
+export const USED_TARGETS_TABLE = 'usedTargets';
+
 /** Key of the row that names the owner. */
 export const OWNER_KEY = 'fleet';
 
 /** Key of the alive row, which the owner rewrites periodically. */
 export const ALIVE_KEY = 'alive';
+
+/** Key of the row in the ownership table that names the last epoch for which the used targets are all recorded. */
+export const RECORDED_KEY = 'recorded';
--- a/src/node/takeoverLoader.ts
+++ b/src/node/takeoverLoader.ts
@@ -13,8 +13,10 @@
   SUBMISSION_PARTS,
   CANCELS_TABLE,
   OWNER_PART,
+  OWNERSHIP_TABLE,
   PROGRESS_TABLE,
   SUBMISSIONS_TABLE,
+  USED_TARGETS_TABLE,
 } from './tables';
 
 /** Timeout for reading one page. */
@@ -26,6 +28,8 @@
   readonly cancels: PartSnapshot;
   readonly progress: PartSnapshot;
   readonly registry: PartSnapshot;
+  readonly usedTargets: PartSnapshot;
+  readonly ownership: PartSnapshot;
 }
 
 /** Reads the tables that a new owner needs. */
@@ -46,20 +50,23 @@
       readPartSnapshot(store, table, part, LOAD_TIMEOUT_MS);
     const readParts = async (table: string) =>
       mergeSnapshots(await Promise.all(SUBMISSION_PARTS.map((part) => read(table, part))));
-    const [submissions, cancels, progress, targets] = await Promise.all([
+    const [submissions, cancels, progress, targets, usedTargets, ownership] = await Promise.all([
       readParts(SUBMISSIONS_TABLE),
       readParts(CANCELS_TABLE),
       read(PROGRESS_TABLE, OWNER_PART),
       read(registry.table, registry.part),
+      read(USED_TARGETS_TABLE, OWNER_PART),
+      read(OWNERSHIP_TABLE, OWNER_PART),
     ]);
-    const isComplete =
-      E.isRight(submissions) && E.isRight(cancels) && E.isRight(progress) && E.isRight(targets);
-    if (!isComplete) return undefined;
+    if (E.isLeft(submissions) || E.isLeft(cancels) || E.isLeft(progress)) return undefined;
+    if (E.isLeft(targets) || E.isLeft(usedTargets) || E.isLeft(ownership)) return undefined;
     return {
       submissions: submissions.right,
       cancels: cancels.right,
       progress: progress.right,
       registry: targets.right,
+      usedTargets: usedTargets.right,
+      ownership: ownership.right,
     };
   }
 
@@ -69,7 +76,11 @@
    * @param rows - the loaded rows
    * @returns the decoded submissions
    */
-  decodeSubmissions({ submissions, cancels, progress }: LoadedRows): LoadedSubmission[] {
+  decodeSubmissions({
+    submissions,
+    cancels,
+    progress,
+  }: Omit<LoadedRows, 'usedTargets' | 'ownership'>): LoadedSubmission[] {
     const cancelled = new Set(cancels.rows.map(({ key }) => key));
     const progressRows = new Map(progress.rows.map((row) => [row.key, row]));
     // A row may be in two parts, as the store did not answer for one of them when it was written.
--- /dev/null
+++ b/src/node/usedTargetRows.ts
@@ -0,0 +1,71 @@
+/** Decodes the stored record of the targets that owners use. */
+
+import * as z from 'zod';
+import { isRecordComplete } from '../owner/targetRecord';
+import type { RecordedTarget, StoredTargetRecord } from '../owner/types';
+import type { StoredRow } from '../store/types';
+import type { DataCentreId, Epoch, TargetId } from '../types/ids';
+import { tryParseJson } from '../types/json';
+import { RECORDED_KEY } from './tables';
+
+const recordedTargetSchema = z.object({
+  address: z.string(),
+  serviceNames: z.array(z.string()).min(1),
+  labels: z.array(z.string()),
+  dataCentreId: z.string(),
+  incarnationStartMs: z.int(),
+});
+
+const recordedSchema = z.object({ epoch: z.int() });
+
+/**
+ * Encodes a row of the record; the target's id is the key.
+ * @param target - the target
+ * @returns the value of the row
+ */
+export function encodeRecordedTarget(target: RecordedTarget): string {
+  const { address, serviceNames, labels, dataCentreId, incarnationStartMs } = target;
+  return JSON.stringify({ address, serviceNames, labels, dataCentreId, incarnationStartMs });
+}
+
+/**
+ * Encodes the row that declares the record complete.
+ * @param epoch - the epoch of the owner that declares it
+ * @returns the value of the row
+ */
+export function encodeRecordedEpoch(epoch: Epoch): string {
+  return JSON.stringify({ epoch });
+}
+
+function tryDecodeEpoch(row: StoredRow | undefined): Epoch | undefined {
+  const parsed = recordedSchema.safeParse(tryParseJson(row?.value ?? ''));
+  return parsed.success ? (parsed.data.epoch as Epoch) : undefined;
+}
+
+/**
+ * Decodes the record.
+ * @param epoch - the epoch of the owner that has read it
+ * @param rows - the rows of the targets
+ * @param ownershipRows - the rows of the ownership table, one of which declares the record complete
+ * @returns the record; it is not complete when a row cannot be decoded
+ */
+export function decodeTargetRecord(
+  epoch: Epoch,
+  rows: readonly StoredRow[],
+  ownershipRows: readonly StoredRow[],
+): StoredTargetRecord {
+  const targets = rows.flatMap(({ key, value, version }) => {
+    const parsed = recordedTargetSchema.safeParse(tryParseJson(value));
+    if (!parsed.success) return [];
+    const { dataCentreId, ...decoded } = parsed.data;
+    const target: RecordedTarget = {
+      ...decoded,
+      id: key as TargetId,
+      dataCentreId: dataCentreId as DataCentreId,
+    };
+    return [{ target, version }];
+  });
+  const completeEpoch = tryDecodeEpoch(ownershipRows.find(({ key }) => key === RECORDED_KEY));
+  const isComplete = targets.length === rows.length && isRecordComplete(epoch, completeEpoch);
+  return { isComplete, targets };
+}
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -21,14 +21,17 @@
 import { RunManager } from './runManager';
 import { RunResponses } from './runResponses';
 import { SubmissionRecord } from './submissionRecord';
+import { TargetRecorder } from './targetRecorder';
 import { TargetTable } from './targetTable';
 import type {
   LoadedSubmission,
   ClockReadings,
   OwnerEffect,
   OwnerEvent,
+  StoredTargetRecord,
   SubmissionView,
 } from './types';
+import { UnseenRuns } from './unseenRuns';
 
 /** Maximum submissions per deletion; finished ones are deleted once callers no longer query them. */
 const MAX_DELETE_BATCH = 25;
@@ -45,6 +48,9 @@
 /** Interval of planning passes that run without a preceding change. */
 const REPLAN_INTERVAL_MS = 200;
 
+/** Without a record, every registered target may hold runs of a former owner. */
+const NO_RECORD: StoredTargetRecord = { isComplete: false, targets: [] };
+
 /** Schedules the runs of the fleet, that is, of all targets. */
 export class OwnerCore {
   #state: OwnerState;
@@ -61,6 +67,10 @@
 
   #poller: TargetPoller;
 
+  #recorder: TargetRecorder;
+
+  #unseenRuns: UnseenRuns;
+
   #adviceDispatcher: AdviceDispatcher;
 
   #nextCleanupAtMs = 0;
@@ -76,14 +86,16 @@
    * @param loaded - all stored submissions
    * @param clocks - readings when ownership was acquired
    * @param maxLeaseMs - longest lease that a target grants, on its own clock
+   * @param record - the stored record of the targets that former owners used
    */
   constructor(
     epoch: Epoch,
     loaded: readonly LoadedSubmission[],
     clocks: ClockReadings,
     maxLeaseMs = DEFAULT_MAX_LEASE_MS,
+    record: StoredTargetRecord = NO_RECORD,
   ) {
-    this.#state = new OwnerState(epoch, maxLeaseMs);
+    this.#state = new OwnerState(epoch, maxLeaseMs, record);
     this.#state.setClocks(clocks);
     this.#state.unresolvedUntilMs =
       clocks.steadyMs + OWNER_AUTHORITY_MS + LEASE_MS * (1 + MAX_CLOCK_DRIFT) + STOP_RETRY_DELAY_MS;
@@ -95,6 +107,8 @@
     this.#reconciler = new InventoryReconciler(this.#state, this.#runManager, incarnations);
     this.#planner = new Planner(this.#state, this.#runManager);
     this.#poller = new TargetPoller(this.#state);
+    this.#recorder = new TargetRecorder(this.#state, incarnations, this.#runManager.crashTracker);
+    this.#unseenRuns = new UnseenRuns(this.#state);
     this.#adviceDispatcher = new AdviceDispatcher(this.#state);
     loaded.forEach((submission) => this.#tryAddRecord(submission, true, true));
   }
@@ -225,6 +239,7 @@
         return;
       case 'targetsListed':
         this.#targets.onTargetsListed(event.entries);
+        this.#recorder.addUnregistered();
         return;
       case 'targetChanged':
         this.#targets.onTargetChanged(event.entry);
@@ -236,7 +251,7 @@
         this.#onSubmitted(event.submission, event.rowVersion);
         return;
       case 'formerOwnersEnded':
-        this.#state.lastFormerVersion = event.storeVersion;
+        this.#unseenRuns.onFormerOwnersEnded(event.storeVersion);
         return;
       case 'cancelled':
         this.#onCancelled(event.submissionId);
@@ -259,6 +274,9 @@
       case 'progressWritten':
         this.#onProgressWritten(event);
         return;
+      case 'targetsRecorded':
+        this.#recorder.onRecorded(event);
+        return;
       case 'submissionsDeleted':
         event.submissionIds.forEach((id) => this.#state.records.delete(id));
         return;
@@ -278,6 +296,7 @@
       this.#nextPlanAtMs =
         nowMs + MIN_PLAN_INTERVAL_MS + this.#state.ready.size * PLAN_INTERVAL_PER_STEP_MS;
       this.#state.isPlanDue = false;
+      this.#recorder.refresh();
       this.#planner.plan();
       this.#adviceDispatcher.dispatch();
     }
@@ -299,7 +318,8 @@
   #onTick(): void {
     this.#openAllDueOccurrences();
     this.#targets.check();
-    this.#checkUnresolved();
+    this.#unseenRuns.check();
+    this.#recorder.write();
     this.#deleteExpiredSubmissions();
   }
 
@@ -319,37 +339,6 @@
     if (record.isComplete) this.#runManager.closeSubmission(record, 'succeeded');
   }
 
-  #checkUnresolved(): void {
-    const { unresolvedTargets, steadyMs, unresolvedUntilMs } = this.#state;
-    if (unresolvedTargets.size > 0 && steadyMs < unresolvedUntilMs) return;
-    if (unresolvedTargets.size > 0) {
-      this.#state.log(
-        'stopped waiting for targets that have not reported their runs',
-        { targetIds: [...unresolvedTargets] },
-        'warn',
-      );
-      unresolvedTargets.clear();
-    }
-    this.#clearUnseenRuns();
-  }
-
-  /** Every target has reported its runs, so a task that no target reports is not running. */
-  #clearUnseenRuns(): void {
-    if (this.#state.targets.size === 0 && this.#state.steadyMs < this.#state.unresolvedUntilMs)
-      return;
-    let clearedCount = 0;
-    this.#state.open.forEach((record) => {
-      [...record.steps].forEach((step) => {
-        if (!step.mayRunUnseen) return;
-        step.mayRunUnseen = false;
-        clearedCount += 1;
-      });
-    });
-    if (clearedCount === 0) return;
-    this.#state.isPlanDue = true;
-    this.#state.log('work of former owners is known', { stepCount: clearedCount });
-  }
-
   #deleteExpiredSubmissions(): void {
     const { nowMs, wallMs, records } = this.#state;
     if (nowMs < this.#nextCleanupAtMs) return;
@@ -397,18 +386,16 @@
   }
 
   #onSubmitted(submission: Submission, rowVersion = 0): void {
-    const isUnknownToFormer = rowVersion > this.#state.lastFormerVersion;
     const known = this.#state.records.get(submission.id);
     if (known !== undefined) {
-      // Another row of a loaded submission may lie in a second part; its version says nothing about the first one.
-      if (isUnknownToFormer && !known.isLoaded) this.#releaseUnseen(known);
+      this.#unseenRuns.onRowRead(known, rowVersion);
       return;
     }
-    const record = this.#tryAddRecord(
-      { submission, isCancelled: false, progress: undefined, progressVersion: 0 },
-      this.#mayHaveBegun(submission.id) && !isUnknownToFormer,
-    );
+    const mayRunUnseen = this.#unseenRuns.mayHaveBegun(submission.id);
+    const loaded = { submission, isCancelled: false, progress: undefined, progressVersion: 0 };
+    const record = this.#tryAddRecord(loaded, mayRunUnseen);
     if (record === undefined) return;
+    this.#unseenRuns.onRowRead(record, rowVersion);
     this.#classifySubmission(record);
     this.#state.log('submission taken', {
       isExcess: record.isExcess,
@@ -420,27 +407,6 @@
     });
   }
 
-  /** Lets the tasks of a submission start while targets have not reported their runs since the takeover. */
-  #releaseUnseen(record: SubmissionRecord): void {
-    record.clearUnseenRuns();
-    this.#state.isPlanDue = true;
-  }
-
-  /** A former owner that was not fenced off yet may have started a submission that this owner had not read. */
-  #mayHaveBegun(submissionId: SubmissionId): boolean {
-    const { unreadSubmissions, unresolvedTargets, targets } = this.#state;
-    const listingTargetIds = unreadSubmissions.get(submissionId);
-    unreadSubmissions.delete(submissionId);
-    listingTargetIds?.forEach((targetId) => {
-      const target = targets.get(targetId);
-      if (target === undefined) return;
-      target.isContacted = false;
-      target.nextPollAtMs = this.#state.nowMs;
-      unresolvedTargets.add(targetId);
-    });
-    return unresolvedTargets.size > 0;
-  }
-
   /** A submission that cannot be represented is left out, so that it cannot stop the others. */
   #tryAddRecord(
     loaded: LoadedSubmission,
--- a/src/owner/crashTracker.ts
+++ b/src/owner/crashTracker.ts
@@ -44,6 +44,9 @@
   /** Tasks with a report, by target incarnation. */
   #tasks = new Map<string, Set<TaskRef>>();
 
+  /** Incarnations whose runs the stored reports may name, also if they are being removed. */
+  #reportedIncarnations = new Set<string>();
+
   /** Times at which targets without a recent start were lost, by incarnation. */
   #unexplainedLosses = new Map<string, number>();
 
@@ -61,7 +64,7 @@
    */
   addStored(step: StepState): readonly TaskRef[] {
     return [...step.progress.crashes].flatMap(([index, crashes]) => {
-      crashes.forEach((crash) => this.#addTask(crash.incarnation, { step, index }));
+      crashes.forEach((crash) => this.#addTask(crash, { step, index }));
       return isGivenUp(crashes) ? [{ step, index }] : [];
     });
   }
@@ -159,6 +162,15 @@
     return isComplete ? reports : undefined;
   }
 
+  /**
+   * Checks whether a later owner may find reports that name the runs of an incarnation.
+   * @param incarnation - an incarnation, which may have ended
+   * @returns false when no report that this owner has read or written names any
+   */
+  mayBeReported(incarnation: string): boolean {
+    return this.#reportedIncarnations.has(incarnation);
+  }
+
   /**
    * Handles the end of a target incarnation, other than a planned one.
    * @param target - the target; its runs have not been released yet
@@ -397,12 +409,13 @@
   #setReport(task: TaskRef, crash: CrashReport): void {
     const { step, index } = task;
     if (step.progress.isTaskDone(index) || step.record.outcome !== undefined) return;
-    this.#addTask(crash.incarnation, task);
+    this.#addTask(crash, task);
     step.progress.setCrash(index, crash);
     this.#markDirty(step);
   }
 
-  #addTask(incarnation: string, task: TaskRef): void {
+  #addTask({ incarnation, run }: CrashReport, task: TaskRef): void {
+    if (run !== undefined) this.#reportedIncarnations.add(incarnation);
     const tasks = this.#tasks.get(incarnation) ?? new Set<TaskRef>();
     this.#tasks.set(incarnation, tasks);
     const isKnown = [...tasks].some(
--- a/src/owner/incarnations.ts
+++ b/src/owner/incarnations.ts
@@ -7,12 +7,14 @@
  * its stop is confirmed, or the longest lease that it can have taken has ended.
  */
 
+import type { TargetId } from '../types/ids';
 import { MAX_CALL_DELAY_MS, MAX_START_TIMEOUT_MS } from './constants';
 import type { OwnerState } from './ownerState';
 import type { Run } from './run';
 import type { RunManager } from './runManager';
+import { toTargetEntry } from './targetRecord';
 import { TargetState } from './targetState';
-import type { TargetEntry } from './types';
+import type { RecordedTarget, TargetEntry } from './types';
 
 /** Replaces and removes incarnations. */
 export class Incarnations {
@@ -37,11 +39,28 @@
   register(entry: TargetEntry): TargetState {
     const target = new TargetState(entry);
     this.#state.targets.set(entry.id, target);
-    const mayHoldFormerRuns = this.#mayHoldFormerRuns && !this.#runManager.tryRestoreRuns(target);
+    const mayHoldFormerRuns =
+      this.#mayHoldFormerRuns(entry.id) && !this.#runManager.tryRestoreRuns(target);
     this.#onRegistered(target, mayHoldFormerRuns);
     return target;
   }
 
+  /**
+   * Adds a target that a former owner has used and that is not in the registry.
+   * @param recorded - its row in the record
+   */
+  addRecorded(recorded: RecordedTarget): void {
+    const target = new TargetState(toTargetEntry(recorded));
+    target.isRegistered = false;
+    this.#state.targets.set(recorded.id, target);
+    if (!this.#runManager.tryRestoreRuns(target)) this.#state.unresolvedTargets.add(recorded.id);
+    this.#state.log('target is not registered; a former owner has used it', {
+      targetId: recorded.id,
+      address: recorded.address,
+      bornAtMs: recorded.incarnationStartMs,
+    });
+  }
+
   /**
    * Replaces an incarnation by a later one. Starts that the former one has never listed move to the new one.
    * @param former - the former incarnation
@@ -65,7 +84,7 @@
       reason,
     });
     if (unlisted.length > 0) this.#onStartsInDoubt(former, target, unlisted);
-    this.#onRegistered(target, this.#mayHoldFormerRuns);
+    this.#onRegistered(target, this.#mayHoldFormerRuns(entry.id));
     this.#runManager.giveUp(givenUp);
     return target;
   }
@@ -119,8 +138,9 @@
   }
 
   /** Whether a former owner's starts may still take place on an incarnation that has not seen this owner's fence. */
-  get #mayHoldFormerRuns(): boolean {
-    return this.#state.steadyMs < this.#state.unresolvedUntilMs;
+  #mayHoldFormerRuns(targetId: TargetId): boolean {
+    const { steadyMs, unresolvedUntilMs, record } = this.#state;
+    return steadyMs < unresolvedUntilMs && record.mayHoldFormerRuns(targetId);
   }
 
   #onRegistered(target: TargetState, mayHoldFormerRuns: boolean): void {
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -12,10 +12,11 @@
 import { ProgressWriter } from './progressWriter';
 import type { StepState } from './stepState';
 import type { SubmissionRecord } from './submissionRecord';
+import { TargetRecord } from './targetRecord';
 import type { TargetState } from './targetState';
 import { TeamRates } from './teamRates';
 import { TeamUsage } from './teamUsage';
-import type { ClockReadings, OwnerEffect, TargetEntry } from './types';
+import type { ClockReadings, OwnerEffect, StoredTargetRecord, TargetEntry } from './types';
 
 /** State of an owner during one epoch. */
 export class OwnerState {
@@ -42,6 +43,9 @@
 
   readonly responseTimes = new ResponseTimes();
 
+  /** The durable record of the targets that owners use. */
+  readonly record: TargetRecord;
+
   /** Targets on which a former owner may have started runs that have not been reported yet. */
   readonly unresolvedTargets = new Set<TargetId>();
 
@@ -84,11 +88,14 @@
   /**
    * @param epoch - the fencing token of all requests
    * @param maxLeaseMs - longest lease that a target grants, on its own clock
+   * @param stored - the record of targets
    */
   constructor(
     readonly epoch: Epoch,
     maxLeaseMs: number,
+    stored: StoredTargetRecord,
   ) {
+    this.record = new TargetRecord(stored);
     this.maxInheritedLeaseMs =
       MAX_START_TIMEOUT_MS + maxLeaseMs * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_MS;
     this.maxUnlistedMs = MAX_CALL_DELAY_MS + this.maxInheritedLeaseMs;
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -35,8 +35,8 @@
 /**
  * Checks whether the runs of a target are known, so that its free capacity can be relied on.
  * @param target - the target
- * @returns true when it has listed its runs, responds, has no runs of unknown demand, and no stored report tells a
- *   later owner otherwise
+ * @returns true when it has listed its runs, responds, has no runs of unknown demand, is recorded, and no stored report
+ *   tells a later owner otherwise
  */
 export function isInventoryKnown(target: TargetState): boolean {
   const areReportsVoid = target.voidedReports.every(
@@ -45,6 +45,7 @@
   return (
     target.isContacted &&
     target.isResponding &&
+    target.isRecorded &&
     !target.isVerificationDue &&
     target.orphanRuns.size === 0 &&
     areReportsVoid
--- /dev/null
+++ b/src/owner/targetRecord.ts
@@ -0,0 +1,171 @@
+/**
+ * The durable record of the targets that owners use. A target is recorded before anything is started on it, so that one
+ * that is not in the record cannot hold runs of a former owner, and one that has left the registry is still known.
+ */
+
+import { NO_DEMAND } from '../work/types';
+import type { Epoch, TargetId } from '../types/ids';
+import { toEpoch } from '../types/ids';
+import type {
+  RecordedTarget,
+  RecordRow,
+  RecordVersion,
+  StoredTargetRecord,
+  TargetEntry,
+} from './types';
+
+/**
+ * Checks whether the owners before an epoch have recorded all targets that may hold their runs.
+ * @param epoch - the epoch of the owner that has read the record
+ * @param completeEpoch - the last epoch whose owner has declared the record complete, if any
+ * @returns false when the owner before, or one whose runs may remain, kept no record
+ */
+export function isRecordComplete(epoch: Epoch, completeEpoch: Epoch | undefined): boolean {
+  return completeEpoch === toEpoch(epoch - 1) || epoch === 1;
+}
+
+/**
+ * Rebuilds the registration of a target that is not in the registry.
+ * @param recorded - its row
+ * @returns an entry with which it can be polled; it has no capacity, so nothing is placed there
+ */
+export function toTargetEntry(recorded: RecordedTarget): TargetEntry {
+  return {
+    id: recorded.id,
+    serviceName: recorded.serviceNames.at(-1) ?? '',
+    address: recorded.address,
+    dataCentreId: recorded.dataCentreId,
+    capacity: NO_DEMAND,
+    labels: recorded.labels,
+    rack: '',
+    isDraining: false,
+    incarnationStartMs: recorded.incarnationStartMs,
+    revision: 0,
+  };
+}
+
+/** Adds names to a list, in which the latest are last. */
+function mergeNames(kept: readonly string[], added: readonly string[]): readonly string[] {
+  return [...kept.filter((name) => !added.includes(name)), ...added];
+}
+
+/** The record as this owner has read and written it. */
+export class TargetRecord {
+  #rows = new Map<TargetId, RecordedTarget>();
+
+  /** Versions of all rows that may exist, which are preconditions of their changes. */
+  #versions = new Map<TargetId, number>();
+
+  #loadedIds: ReadonlySet<TargetId>;
+
+  /** Whether the former owners have recorded every target that they used. */
+  readonly isLoadedComplete: boolean;
+
+  /** The rows that the takeover has read. */
+  readonly loaded: readonly RecordedTarget[];
+
+  /**
+   * @param stored - the rows that the takeover has read
+   */
+  constructor(stored: StoredTargetRecord) {
+    this.isLoadedComplete = stored.isComplete;
+    this.loaded = stored.targets.map(({ target }) => target);
+    this.#loadedIds = new Set(this.loaded.map(({ id }) => id));
+    stored.targets.forEach(({ target, version }) => this.#setRow(target, version));
+  }
+
+  /**
+   * Checks whether a former owner may have started something on a target.
+   * @param targetId - the target
+   * @returns false when all former owners kept the record and none has recorded it
+   */
+  mayHoldFormerRuns(targetId: TargetId): boolean {
+    return !this.isLoadedComplete || this.#loadedIds.has(targetId);
+  }
+
+  /** Ids of all recorded targets. */
+  get ids(): readonly TargetId[] {
+    return [...this.#rows.keys()];
+  }
+
+  /**
+   * Looks up a row.
+   * @param targetId - the target
+   * @returns its row, if it is recorded
+   */
+  get(targetId: TargetId): RecordedTarget | undefined {
+    return this.#rows.get(targetId);
+  }
+
+  /**
+   * Looks up the version of a row.
+   * @param targetId - the target
+   * @returns the version, or 0 when there is no row as far as this owner knows
+   */
+  getVersion(targetId: TargetId): number {
+    return this.#versions.get(targetId) ?? 0;
+  }
+
+  /**
+   * Checks whether the record tells a later owner how to reach a target, and which tasks it may run.
+   * @param entry - the registration of the target
+   * @returns false when something may be started there only after a write
+   */
+  covers({ id, address, serviceName, labels }: TargetEntry): boolean {
+    const recorded = this.get(id);
+    if (recorded === undefined || recorded.address !== address) return false;
+    if (!recorded.serviceNames.includes(serviceName)) return false;
+    return labels.every((label) => recorded.labels.includes(label));
+  }
+
+  /**
+   * Creates the row of a target. Services and labels of earlier incarnations are kept, as their runs may remain.
+   * @param entry - the registration of the target
+   * @returns the row to write
+   */
+  createRow(entry: TargetEntry): RecordRow {
+    const former = this.get(entry.id);
+    const target = {
+      id: entry.id,
+      address: entry.address,
+      serviceNames: mergeNames(former?.serviceNames ?? [], [entry.serviceName]),
+      labels: mergeNames(former?.labels ?? [], entry.labels),
+      dataCentreId: entry.dataCentreId,
+      incarnationStartMs: entry.incarnationStartMs,
+    };
+    return { target, expectedVersion: this.getVersion(entry.id) };
+  }
+
+  /**
+   * Adopts written rows.
+   * @param rows - the rows
+   * @param version - their version
+   */
+  setWritten(rows: readonly RecordRow[], version: number): void {
+    rows.forEach(({ target }) => this.#setRow(target, version));
+  }
+
+  /**
+   * Relies no longer on rows that are or may have been removed.
+   * @param targetIds - the targets
+   */
+  setRemoved(targetIds: readonly TargetId[]): void {
+    targetIds.forEach((targetId) => this.#rows.delete(targetId));
+  }
+
+  /**
+   * Adopts the versions that a transaction has found, of rows whose content this owner does not know.
+   * @param versions - the versions
+   */
+  setVersions(versions: readonly RecordVersion[]): void {
+    versions.forEach(({ targetId, version }) => {
+      this.#versions.set(targetId, version);
+      this.#rows.delete(targetId);
+    });
+  }
+
+  #setRow(target: RecordedTarget, version: number): void {
+    this.#rows.set(target.id, target);
+    this.#versions.set(target.id, version);
+  }
+}
--- /dev/null
+++ b/src/owner/targetRecorder.ts
@@ -0,0 +1,205 @@
+/**
+ * Keeps the record of used targets up to date: a row is written before the first start on a target and removed once the
+ * target is silent or gone and holds nothing, so that no later owner waits for it.
+ */
+
+import * as E from 'fp-ts/Either';
+import type { TargetId } from '../types/ids';
+import { MAX_WRITE_ROWS, WRITE_RETRY_DELAY_MS } from './constants';
+import type { CrashTracker } from './crashTracker';
+import type { Incarnations } from './incarnations';
+import type { OwnerState } from './ownerState';
+import { toIncarnation } from './targetState';
+import type { TargetState } from './targetState';
+import type { OwnerEffect, OwnerEvent, RecordFailure, RecordVersion } from './types';
+
+type RecordTargetsEffect = Extract<OwnerEffect, { kind: 'recordTargets' }>;
+type TargetsRecordedEvent = Extract<OwnerEvent, { kind: 'targetsRecorded' }>;
+
+/** Delay after a failure before rows are removed, as a target cannot be used while the fate of its row is unknown. */
+const REMOVAL_RETRY_DELAY_MS = 10_000;
+
+/** A row is removed when its target has been silent or gone, and without runs, for this long. */
+const REMOVAL_DELAY_MS = 1_000;
+
+/** Writes the record. */
+export class TargetRecorder {
+  #state: OwnerState;
+
+  #incarnations: Incarnations;
+
+  #crashTracker: CrashTracker;
+
+  #isLoadedAdded = false;
+
+  #inFlight: RecordTargetsEffect | undefined;
+
+  /** Since when targets have been silent or gone without runs. */
+  #emptySinceMs = new Map<TargetId, number>();
+
+  #retryAtMs = 0;
+
+  #nextRemovalAtMs = 0;
+
+  #isDeclaredComplete = false;
+
+  /**
+   * @param state - the shared state of the owner
+   * @param incarnations - adds targets that are not registered
+   * @param crashTracker - knows which runs are reported
+   */
+  constructor(state: OwnerState, incarnations: Incarnations, crashTracker: CrashTracker) {
+    this.#state = state;
+    this.#incarnations = incarnations;
+    this.#crashTracker = crashTracker;
+  }
+
+  /** Adds the recorded targets that the first list of the registry does not name. */
+  addUnregistered(): void {
+    if (this.#isLoadedAdded) return;
+    this.#isLoadedAdded = true;
+    this.#state.record.loaded
+      .filter(({ id }) => !this.#state.targets.has(id))
+      .forEach((recorded) => this.#incarnations.addRecorded(recorded));
+  }
+
+  /** Determines on which targets something may be started. */
+  refresh(): void {
+    this.#state.targets.forEach((refreshed) => {
+      const target = refreshed;
+      target.isRecorded = this.#isRecorded(target);
+    });
+  }
+
+  /** Writes the changes that are due. */
+  write(): void {
+    const { nowMs, record } = this.#state;
+    this.#observeEmptyTargets();
+    if (this.#inFlight !== undefined || nowMs < this.#retryAtMs) return;
+    const puts = [...this.#state.targets.values()]
+      .filter((target) => TargetRecorder.#isWanted(target) && !this.#isRecorded(target))
+      .slice(0, MAX_WRITE_ROWS)
+      .map(({ entry }) => record.createRow(entry));
+    const removals = puts.length > 0 ? [] : this.#getRemovals();
+    const isComplete = !this.#isDeclaredComplete && this.#isComplete();
+    if (puts.length === 0 && removals.length === 0 && !isComplete) return;
+    this.#inFlight = { kind: 'recordTargets', puts, removals, isComplete };
+    this.#state.emit(this.#inFlight);
+  }
+
+  /**
+   * Handles the result of a transaction.
+   * @param event - the result
+   */
+  onRecorded({ result }: TargetsRecordedEvent): void {
+    const written = this.#inFlight;
+    this.#inFlight = undefined;
+    if (written === undefined) return;
+    // Until a later write nothing relies on a row whose removal may be performed.
+    this.#state.record.setRemoved(written.removals.map(({ targetId }) => targetId));
+    if (E.isLeft(result)) {
+      this.#onFailed(written, result.left);
+      return;
+    }
+    this.#state.record.setWritten(written.puts, result.right);
+    this.#state.record.setVersions(
+      written.removals.map(({ targetId }) => ({ targetId, version: 0 })),
+    );
+    written.removals.forEach(({ targetId }) => this.#emptySinceMs.delete(targetId));
+    if (written.isComplete) this.#isDeclaredComplete = true;
+    this.#state.isPlanDue = true;
+    this.#logWritten(written);
+    this.write();
+  }
+
+  #onFailed({ puts, removals }: RecordTargetsEffect, failure: RecordFailure): void {
+    if (failure.kind === 'superseded') {
+      this.#state.emit({ kind: 'stepDown', reason: 'the owner row names another owner' });
+      return;
+    }
+    if (failure.kind === 'conflict') this.#state.record.setVersions(failure.versions);
+    this.#retryAtMs = this.#state.nowMs + WRITE_RETRY_DELAY_MS;
+    this.#nextRemovalAtMs = this.#state.nowMs + REMOVAL_RETRY_DELAY_MS;
+    this.#state.count('target_record_failures');
+    this.#state.log(
+      'record of targets not written; targets that are not recorded wait',
+      {
+        failure,
+        targetIds: puts.map(({ target }) => target.id),
+        removedIds: removals.map(({ targetId }) => targetId),
+      },
+      'warn',
+    );
+  }
+
+  #logWritten({ puts, removals, isComplete }: RecordTargetsEffect): void {
+    this.#state.count('targets_recorded', puts.length);
+    this.#state.log('record of targets written', {
+      targetIds: puts.map(({ target }) => target.id),
+      removedIds: removals.map(({ targetId }) => targetId),
+      isComplete,
+    });
+  }
+
+  /**
+   * A row that is being removed does not count, nor does one of a former incarnation whose runs may be reported: a
+   * later owner would take these for all runs of the target.
+   */
+  #isRecorded({ id, entry }: TargetState): boolean {
+    const { record } = this.#state;
+    const recorded = record.get(id);
+    const isInRemoval = this.#inFlight?.removals.some(({ targetId }) => targetId === id) ?? false;
+    if (recorded === undefined || isInRemoval || !record.covers(entry)) return false;
+    if (recorded.incarnationStartMs === entry.incarnationStartMs) return true;
+    const incarnation = toIncarnation(recorded.address, recorded.incarnationStartMs);
+    return !this.#crashTracker.mayBeReported(incarnation);
+  }
+
+  /** A target that has listed its runs is recorded once it can be used, or when it holds runs. */
+  static #isWanted({ isContacted, isResponding, isRegistered, entry, runs }: TargetState): boolean {
+    if (!isContacted) return false;
+    return runs.size > 0 || (isResponding && isRegistered && !entry.isDraining);
+  }
+
+  #observeEmptyTargets(): void {
+    const { nowMs, record, targets } = this.#state;
+    record.ids.forEach((targetId) => {
+      const target = targets.get(targetId);
+      const isEmpty = target === undefined || this.#isEmpty(target);
+      if (!isEmpty) this.#emptySinceMs.delete(targetId);
+      else if (!this.#emptySinceMs.has(targetId)) this.#emptySinceMs.set(targetId, nowMs);
+    });
+  }
+
+  /** Whether a silent target holds nothing that a later owner would have to learn from it. */
+  #isEmpty(target: TargetState): boolean {
+    const { steadyMs } = this.#state;
+    if (target.isResponding || target.runs.size > 0 || !target.areAllEndsDurable) return false;
+    if (target.trial !== undefined || steadyMs <= (target.inheritedLeaseEndsAtMs ?? 0))
+      return false;
+    return target.orphanRuns.size === 0 || target.isLeaseExpired(steadyMs);
+  }
+
+  #getRemovals(): readonly RecordVersion[] {
+    const { nowMs, steadyMs, unresolvedUntilMs, record } = this.#state;
+    // Until then a former owner may use any target that is recorded.
+    if (steadyMs <= unresolvedUntilMs || nowMs < this.#nextRemovalAtMs) return [];
+    return record.ids
+      .filter((id) => nowMs > (this.#emptySinceMs.get(id) ?? nowMs) + REMOVAL_DELAY_MS)
+      .slice(0, MAX_WRITE_ROWS)
+      .map((targetId) => ({ targetId, version: record.getVersion(targetId) }));
+  }
+
+  /**
+   * A record that was complete at the takeover stays so. Otherwise it is complete once the leases of former owners have
+   * ended and every target with runs is recorded.
+   */
+  #isComplete(): boolean {
+    const { record, steadyMs, unresolvedUntilMs, targets } = this.#state;
+    if (record.isLoadedComplete) return true;
+    if (steadyMs <= unresolvedUntilMs) return false;
+    return [...targets.values()].every(
+      (target) => target.runs.size === 0 || this.#isRecorded(target),
+    );
+  }
+}
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -103,6 +103,9 @@
   /** The target is in the registry. */
   isRegistered = true;
 
+  /** The durable record tells a later owner that the target may hold runs. */
+  isRecorded = false;
+
   /** When the pending poll was sent; undefined when none is pending. */
   pollSentAtMs: number | undefined;
 
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -137,6 +137,47 @@
   readonly progressVersion: number;
 }
 
+/** A row of the record of targets that owners use; it outlives the registration. */
+export interface RecordedTarget {
+  readonly id: TargetId;
+  readonly address: string;
+  /** Services of its incarnations, the latest last. */
+  readonly serviceNames: readonly string[];
+  /** Labels of its incarnations. */
+  readonly labels: readonly string[];
+  readonly dataCentreId: DataCentreId;
+  /** Start time of the recorded incarnation; a later one needs a new row only if runs of this one are reported. */
+  readonly incarnationStartMs: number;
+}
+
+/** The record of targets as read by a new owner at takeover. */
+export interface StoredTargetRecord {
+  /** Whether it names every target that may hold runs of a former owner. */
+  readonly isComplete: boolean;
+  readonly targets: readonly { readonly target: RecordedTarget; readonly version: number }[];
+}
+
+/** Version of a row of the record; 0 when the row does not exist. */
+export interface RecordVersion {
+  readonly targetId: TargetId;
+  readonly version: number;
+}
+
+/** A row of the record to write. */
+export interface RecordRow {
+  readonly target: RecordedTarget;
+  readonly expectedVersion: number;
+}
+
+/** Reason why a change of the record was not committed. */
+export type RecordFailure =
+  /** Another node has become the owner. */
+  | { readonly kind: 'superseded' }
+  /** The stored versions differ from the expected ones. */
+  | { readonly kind: 'conflict'; readonly versions: readonly RecordVersion[] }
+  /** It may have been performed, or may be performed later while its conditions hold. */
+  | { readonly kind: 'unavailable'; readonly detail: string };
+
 /** Readings of the process's clocks at the time of an event. */
 export interface ClockReadings {
   /** Elapsed time of the process; jumps ahead after a suspension or a forward step of the system clock. */
@@ -206,6 +247,11 @@
         readonly batch: number;
         readonly result: E.Either<WriteFailure, number>;
       }
+    | {
+        readonly kind: 'targetsRecorded';
+        /** The version of the written rows. */
+        readonly result: E.Either<RecordFailure, number>;
+      }
     | { readonly kind: 'submissionsDeleted'; readonly submissionIds: readonly SubmissionId[] }
   );
 
@@ -264,6 +310,14 @@
       readonly batch: number;
       readonly rows: readonly ProgressRow[];
     }
+  /** Changes the record of used targets; one such transaction is in flight at a time. */
+  | {
+      readonly kind: 'recordTargets';
+      readonly puts: readonly RecordRow[];
+      readonly removals: readonly RecordVersion[];
+      /** Declares the record complete up to this owner's epoch. */
+      readonly isComplete: boolean;
+    }
   | { readonly kind: 'deleteSubmissions'; readonly submissionIds: readonly SubmissionId[] }
   /** Another node is the owner; this one must not act any further. */
   | { readonly kind: 'stepDown'; readonly reason: string }
--- a/standins/fakeTarget.ts
+++ b/standins/fakeTarget.ts
@@ -81,6 +81,9 @@
 
   #revision = 0;
 
+  /** Service that it registers for. */
+  serviceName = 'service';
+
   isUp = true;
 
   /** While the target is down: its host refuses connections, as the process alone has ended. */
@@ -100,7 +103,7 @@
   get entry(): TargetEntry {
     return {
       id: this.id,
-      serviceName: 'service',
+      serviceName: this.serviceName,
       address: this.id,
       dataCentreId: 'dc-a' as DataCentreId,
       capacity: this.capacity,
--- a/tests/containment.test.ts
+++ b/tests/containment.test.ts
@@ -239,7 +239,7 @@
     async (count) => {
       const store = new PartStore(count);
       fill(store);
-      const writes = new OwnerWrites(store as unknown as RowStore, 7);
+      const writes = new OwnerWrites(store as unknown as RowStore, toEpoch(1), 7);
       expect(await writes.deleteSubmissions(ids)).toBe(false);
       ids.forEach((id) => {
         const isReadAsNew =
@@ -252,7 +252,7 @@
   test('keeps the progress of a submission whose part does not answer', async () => {
     const store = new PartStore(100, 's1');
     fill(store);
-    const writes = new OwnerWrites(store as unknown as RowStore, 7);
+    const writes = new OwnerWrites(store as unknown as RowStore, toEpoch(1), 7);
     expect(await writes.deleteSubmissions(ids)).toBe(false);
     expect(store.rows.has(`progress/${ids[0]}`)).toBe(true);
   });
@@ -260,7 +260,7 @@
   test('removes all rows', async () => {
     const store = new PartStore(100);
     fill(store);
-    const writes = new OwnerWrites(store as unknown as RowStore, 7);
+    const writes = new OwnerWrites(store as unknown as RowStore, toEpoch(1), 7);
     expect(await writes.deleteSubmissions(ids)).toBe(true);
     expect(store.rows.size).toBe(0);
   });
--- a/tests/formerIncarnations.test.ts
+++ b/tests/formerIncarnations.test.ts
@@ -7,7 +7,7 @@
 import type { Inventory, OwnerEffect, OwnerEvent, TargetEntry } from '../src/owner/types';
 import { toEpoch } from '../src/types/ids';
 import type { TargetId } from '../src/types/ids';
-import { WALL_START_MS } from './support/ownerSubmissions';
+import { createRecord, WALL_START_MS } from './support/ownerSubmissions';
 import { createSubmission, NO_FAULTS, OwnerWorld, toSubmissionId } from './support/ownerWorld';
 
 const TARGET = 'target-0' as TargetId;
@@ -130,11 +130,13 @@
 
 /** An owner that has polled one target. */
 class OneTargetOwner {
-  readonly #core = new OwnerCore(toEpoch(1), [], OneTargetOwner.#getClocks(0));
+  readonly #core: OwnerCore;
 
   #nowMs = 0;
 
   constructor(entry: TargetEntry, answeringStartMs = entry.incarnationStartMs) {
+    const clocks = OneTargetOwner.#getClocks(0);
+    this.#core = new OwnerCore(toEpoch(1), [], clocks, undefined, createRecord([entry]));
     this.dispatch({ kind: 'targetsListed', entries: [entry] });
     this.dispatch({ kind: 'tick' });
     const inventory: Inventory = {
--- a/tests/restartDoubt.test.ts
+++ b/tests/restartDoubt.test.ts
@@ -300,3 +300,15 @@
     expect(violations).toEqual([]);
   });
 });
+
+describe('histories in which registrations lapse around takeovers', () => {
+  const policies: readonly PolicyName[] = ['plain', 'gang', 'standing', 'speculative'];
+
+  // The successor does not find targets that hold runs in the registry, and finds some that lead nowhere.
+  test.each(policies)('violate no guarantee and leave no task waiting: %s', (policy) => {
+    const violations = SEEDS.flatMap((seed) =>
+      runRestartHistory(policy, seed, true).broken.map((violation) => `seed ${seed}: ${violation}`),
+    );
+    expect(violations).toEqual([]);
+  });
+});
--- a/tests/staleRegistrations.test.ts
+++ b/tests/staleRegistrations.test.ts
@@ -7,7 +7,12 @@
 import type { OwnerEffect, OwnerEvent, RunningEntry, TargetEntry } from '../src/owner/types';
 import { toEpoch } from '../src/types/ids';
 import type { DataCentreId, TargetId } from '../src/types/ids';
-import { createSubmission, toSubmissionId, WALL_START_MS } from './support/ownerSubmissions';
+import {
+  createRecord,
+  createSubmission,
+  toSubmissionId,
+  WALL_START_MS,
+} from './support/ownerSubmissions';
 
 const TARGET = 'target-0' as TargetId;
 
@@ -20,7 +25,10 @@
 
 /** An owner of one target. */
 class OneTargetOwner {
-  readonly core = new OwnerCore(toEpoch(1), [], OneTargetOwner.#getClocks(0));
+  readonly core = new OwnerCore(
+    ...([toEpoch(1), [], OneTargetOwner.#getClocks(0)] as const),
+    ...([undefined, createRecord([ENTRY])] as const),
+  );
 
   #nowMs = 0;
 
@@ -177,7 +185,8 @@
 test.each([1_600, 7_000])(
   'a start that a target refuses as late, after the owner was suspended, is not repeated in a loop (%i ms)',
   (suspendedMs) => {
-    const core = new OwnerCore(toEpoch(1), [], { nowMs: 0, wallMs: WALL_START_MS, steadyMs: 0 });
+    const initial = { nowMs: 0, wallMs: WALL_START_MS, steadyMs: 0 };
+    const core = new OwnerCore(toEpoch(1), [], initial, undefined, createRecord([ENTRY]));
     let nowMs = 0;
     let lagMs = 0;
     let pending: { readonly atMs: number; readonly event: object }[] = [];
--- a/tests/support/ownerSubmissions.ts
+++ b/tests/support/ownerSubmissions.ts
@@ -1,5 +1,6 @@
 /** Submissions for simulations of the owner. */
 
+import type { StoredTargetRecord, TargetEntry } from '../../src/owner/types';
 import { toConfigVersion } from '../../src/types/ids';
 import type { SubmissionId, TeamId } from '../../src/types/ids';
 import type { OperatorState, StepSpec, Submission, Team } from '../../src/work/types';
@@ -72,3 +73,15 @@
     },
   };
 }
+
+/** Creates the record of targets that a former owner has used; it does not tell whether there were others. */
+export function createRecord(entries: readonly TargetEntry[]): StoredTargetRecord {
+  const targets = entries.map(({ id, address, serviceName, labels, ...entry }) => ({
+    target: {
+      ...{ id, address, labels, serviceNames: [serviceName] },
+      ...{ dataCentreId: entry.dataCentreId, incarnationStartMs: entry.incarnationStartMs },
+    },
+    version: 1,
+  }));
+  return { isComplete: false, targets };
+}
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -6,72 +6,55 @@
 import * as E from 'fp-ts/Either';
 import { OWNER_AUTHORITY_MS } from '../../src/owner/constants';
 import { OwnerCore } from '../../src/owner/core';
-import type { EndedEntry, LoadedSubmission, OwnerEffect, OwnerEvent } from '../../src/owner/types';
+import type {
+  EndedEntry,
+  LoadedSubmission,
+  OwnerEffect,
+  OwnerEvent,
+  RecordFailure,
+} from '../../src/owner/types';
 import type { PollCall, StartCall } from '../../src/node/ports';
 import { Random } from '../../src/types/random';
 import { toEpoch } from '../../src/types/ids';
-import type { NodeId, SubmissionId, TargetId, TaskKey, Ticket } from '../../src/types/ids';
-import { getHash } from '../../src/types/hash';
+import type { NodeId, SubmissionId, TargetId, TaskKey } from '../../src/types/ids';
 import { tryParseTaskKey } from '../../src/work/taskKeys';
-import { addDemand, getChargedDemand, isDemandFitting, NO_DEMAND } from '../../src/work/types';
-import type { EndKind, StepSpec, Submission, TaskDemand, Team } from '../../src/work/types';
+import { getChargedDemand } from '../../src/work/types';
+import type { EndKind, StepSpec, Submission, TaskDemand } from '../../src/work/types';
 import { FakeTarget } from '../../standins/fakeTarget';
 import type { FakeRun, RunPlan } from '../../standins/fakeTarget';
 import { DirectNetwork } from './directNetwork';
 import { isStillCurrent, NetworkModel } from './networkModel';
-import type { Network, NetworkOptions, TargetCall } from './networkModel';
+import type { Network, TargetCall } from './networkModel';
 import { createOperator, WALL_START_MS } from './ownerSubmissions';
 import { ProgressStore } from './progressStore';
+import { RecordStore } from './recordStore';
 import { RegistryModel } from './registryModel';
 import type { RegistryEvent } from './registryModel';
 import { VirtualTime } from './virtualTime';
-
-import type { WorldFaults } from './worldFaults';
+import {
+  endGang,
+  getAdvice,
+  getGangMembers,
+  getTotalDemand,
+  isWithinCapacity,
+} from './worldChecks';
+import {
+  TICK_INTERVAL_MS,
+  STORE_LATENCY_MS,
+  TARGET_CAPACITY,
+  FORMER_OWNER_START_MS,
+  CRASH_DELAY_MS,
+  CRASH_DOWN_MS,
+  MAX_LEASE_MS,
+  RECORD_SEED_OFFSET,
+  MAX_CRASHES_PER_TASK,
+} from './worldConstants';
+import type { Owner, WorldOptions } from './worldTypes';
 
 export { createSubmission, toSubmissionId } from './ownerSubmissions';
 export { NO_FAULTS } from './worldFaults';
 export type { WorldFaults } from './worldFaults';
 
-const TICK_INTERVAL_MS = 10;
-const STORE_LATENCY_MS = 4;
-
-/** Time in which a former owner starts a new submission. */
-const FORMER_OWNER_START_MS = 20;
-
-/** Time between the start of a crashing task and the end of its target's process. */
-const CRASH_DELAY_MS = 10;
-
-/** Time after which a crashed target is back. */
-const CRASH_DOWN_MS = 3_200;
-
-/** Longest lease that targets grant in simulations with connections. */
-const MAX_LEASE_MS = 10_000;
-
-/** With this many crashes a further start is the third one after three targets have crashed under the task. */
-const MAX_CRASHES_PER_TASK = 5;
-
-/** Options of a simulation. */
-export interface WorldOptions {
-  readonly seed: number;
-  readonly targetCount: number;
-  readonly faults: WorldFaults;
-  readonly teams?: readonly Team[];
-  /** Simulates connections and a registry that lags behind; without it both are immediate. */
-  readonly network?: NetworkOptions;
-}
-
-/** An owner; a former one goes on until it is rejected or its authority expires, which the host checks. */
-interface Owner {
-  readonly core: OwnerCore;
-  readonly epoch: number;
-  isStopped: boolean;
-  authorizedUntilMs: number;
-  /** Its process is suspended until then. */
-  suspendedUntilMs: number;
-  /** When it receives the last change of the registry; changes arrive in order. */
-  registryReadAtMs: number;
-}
-
 /** A simulated fleet with its owners, targets and store. */
 export class OwnerWorld {
   readonly time = new VirtualTime();
@@ -139,6 +122,9 @@
 
   readonly store = new ProgressStore();
 
+  /** The stored record of used targets. */
+  readonly recordStore: RecordStore;
+
   #done = new Set<TaskKey>();
 
   /** Tasks whose end `done` has been acknowledged. */
@@ -156,17 +142,11 @@
   constructor(options: WorldOptions) {
     this.#options = options;
     this.#random = new Random(options.seed);
+    this.recordStore = new RecordStore(this.time, options.seed + RECORD_SEED_OFFSET);
+    this.recordStore.lostAnswerFraction = options.faults.lostAnswers;
     for (let index = 0; index < options.targetCount; index += 1) {
       const id = `target-${index}` as TargetId;
-      const capacity = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 };
-      const rate = index % 2 === 0 ? 1 : 0.985;
-      const events = {
-        onStart: (target: FakeTarget, call: StartCall) => this.#onStart(target, call),
-        onEnd: (_target: FakeTarget, run: FakeRun, how: EndKind) => this.#onEnd(run, how),
-        onAcknowledged: (target: FakeTarget, row: EndedEntry, call: PollCall) =>
-          this.#onEndAcknowledged(target, row, call),
-      };
-      this.targets.set(id, new FakeTarget(id, capacity, this.time, events, rate));
+      this.targets.set(id, this.#createTarget(id, index % 2 === 0 ? 1 : 0.985));
     }
     const isCut = (targetId: TargetId) => this.#partitionedTargetIds.has(targetId);
     const { network } = options;
@@ -184,6 +164,36 @@
     this.time.runUntil(1_000);
   }
 
+  #createTarget(id: TargetId, clockRate: number, capacity = TARGET_CAPACITY): FakeTarget {
+    const events = {
+      onStart: (target: FakeTarget, call: StartCall) => this.#onStart(target, call),
+      onEnd: (_target: FakeTarget, run: FakeRun, how: EndKind) => this.#onEnd(run, how),
+      onAcknowledged: (target: FakeTarget, row: EndedEntry, call: PollCall) =>
+        this.#onEndAcknowledged(target, row, call),
+    };
+    return new FakeTarget(id, capacity, this.time, events, clockRate);
+  }
+
+  /** A target joins the registry; one that is not reachable answers no request. */
+  addTarget(
+    name: string,
+    { serviceName = 'service', isReachable = true, capacity = TARGET_CAPACITY } = {},
+  ): FakeTarget {
+    const id = name as TargetId;
+    const target = this.#createTarget(id, 1, capacity);
+    target.serviceName = serviceName;
+    if (!isReachable) this.#partitionedTargetIds.add(id);
+    if (this.network !== undefined) target.setMaxLease(MAX_LEASE_MS);
+    this.targets.set(id, target);
+    this.#register(target);
+    return target;
+  }
+
+  /** The registration of a target lapses. */
+  removeEntry(targetId: TargetId): void {
+    if (this.#owner !== undefined) this.#dispatch(this.#owner, { kind: 'targetRemoved', targetId });
+  }
+
   get core(): OwnerCore {
     if (this.#owner === undefined) throw new Error('no owner has taken over yet');
     return this.#owner.core;
@@ -205,7 +215,8 @@
     }));
     const { nowMs } = this.time;
     const clocks = { nowMs, wallMs: WALL_START_MS + nowMs, steadyMs: nowMs };
-    const core = new OwnerCore(toEpoch(this.#epoch), loaded, clocks);
+    const record = this.recordStore.load(this.#epoch);
+    const core = new OwnerCore(toEpoch(this.#epoch), loaded, clocks, undefined, record);
     const owner: Owner = {
       ...{ core, epoch: this.#epoch, isStopped: false, suspendedUntilMs: 0, registryReadAtMs: 0 },
       authorizedUntilMs: Number.POSITIVE_INFINITY,
@@ -369,6 +380,13 @@
       case 'writeProgress':
         this.#write(owner, effect);
         return;
+      case 'recordTargets':
+        this.recordStore.write(
+          ...([owner.epoch, effect] as const),
+          () => this.#findWriteObstacle(owner),
+          (result) => this.#dispatch(owner, { kind: 'targetsRecorded', result }),
+        );
+        return;
       case 'deleteSubmissions':
         this.deletedIds.push(...effect.submissionIds);
         break;
@@ -407,10 +425,8 @@
 
   #advise(owner: Owner, effect: Extract<OwnerEffect, { kind: 'askAdvice' }>): void {
     const { laneId, stepKey, targetIds } = effect;
-    const approved = targetIds.filter((targetId) => getHash(`${stepKey}/${targetId}`) % 10 < 6);
-    const grants = approved.map((targetId) => ({ targetId, ticket: 'ticket' as Ticket }));
     const sentAtMs = this.time.nowMs + this.clockOffsetMs;
-    const result = E.right({ grants, validMs: 2_500 });
+    const result = E.right(getAdvice(stepKey, targetIds));
     this.time.after(30, () =>
       this.#dispatch(owner, { kind: 'advised', laneId, stepKey, targetIds, sentAtMs, result }),
     );
@@ -422,12 +438,9 @@
         this.#dispatch(owner, { kind: 'progressWritten', batch: effect.batch, result }),
       );
     this.time.after(STORE_LATENCY_MS / 2, () => {
-      if (!this.isStoreAvailable) {
-        answer(E.left({ kind: 'unavailable', detail: 'store is down' }));
-        return;
-      }
-      if (owner.epoch !== this.#epoch) {
-        answer(E.left({ kind: 'superseded' }));
+      const obstacle = this.#findWriteObstacle(owner);
+      if (obstacle !== undefined) {
+        answer(E.left(obstacle));
         return;
       }
       const written = this.store.write(effect.rows);
@@ -439,6 +452,11 @@
     });
   }
 
+  #findWriteObstacle({ epoch }: Owner): RecordFailure | undefined {
+    if (!this.isStoreAvailable) return { kind: 'unavailable', detail: 'store is down' };
+    return epoch === this.#epoch ? undefined : { kind: 'superseded' };
+  }
+
   /** Gets the specification of a task's step. */
   getSpec(taskKey: TaskKey): StepSpec {
     return this.#getStep(taskKey).step;
@@ -466,7 +484,8 @@
     if (call.checkpoint !== undefined) this.resumedCount += 1;
     this.#lastStartAtMs.set(taskKey, this.time.nowMs);
     this.startCountByTask.set(taskKey, (this.startCountByTask.get(taskKey) ?? 0) + 1);
-    this.#checkCapacity(target, step, taskKey);
+    if (!isWithinCapacity(target, step, (key) => this.getSpec(key)))
+      this.reportViolation('LIMIT', taskKey);
     this.#checkDuplicateRun(taskKey, step);
     this.#checkStepOrder(submission, step, taskKey);
     this.#checkAttemptLimit(taskKey);
@@ -501,16 +520,6 @@
       this.reportViolation('BUDGET', `${taskKey} crashed target after target`);
   }
 
-  #checkCapacity(target: FakeTarget, step: StepSpec, taskKey: TaskKey): void {
-    const used = [...target.runs.keys()]
-      .map((key) => getChargedDemand(this.#getStep(key).step))
-      .reduce((sum, demand) => addDemand(sum, demand), NO_DEMAND);
-    const isWithin = target.countedCapacities.some((capacity) =>
-      isDemandFitting(getChargedDemand(step), addDemand(capacity, used, -1)),
-    );
-    if (!isWithin) this.reportViolation('LIMIT', taskKey);
-  }
-
   #checkDuplicateRun(taskKey: TaskKey, step: StepSpec): void {
     if (step.policy.kind === 'batch' && step.policy.isSpeculative) return;
     const isAlreadyRunning = [...this.targets.values()].some(
@@ -545,30 +554,23 @@
   #checkTeamLimit(submission: Submission, step: StepSpec, taskKey: TaskKey): void {
     const team = this.#options.teams?.find(({ id }) => id === submission.teamId);
     if (team === undefined) return;
-    const used = [...this.targets.values()]
-      .flatMap((target) => [...target.runs.keys()])
-      .map((key) => this.#getStep(key))
-      .filter((other) => other.submission.teamId === submission.teamId)
-      .reduce((sum, other) => addDemand(sum, getChargedDemand(other.step)), step.demand);
+    const others = [...this.targets.values()]
+      .flatMap(({ runs }) => [...runs.keys()].map((key) => this.#getStep(key)))
+      .filter((other) => other.submission.teamId === submission.teamId);
+    const used = getTotalDemand([
+      step.demand,
+      ...others.map((other) => getChargedDemand(other.step)),
+    ]);
     if (used.cpuMillis > team.limit.cpuMillis) this.reportViolation('QUOTA', taskKey);
   }
 
   #runGangIfComplete(taskKey: TaskKey, run: number): void {
     const { submission, step, stepIndex } = this.#getStep(taskKey);
-    const members = [...this.targets.values()].flatMap((target) =>
-      [...target.runs.values()]
-        .filter((other) => other.run === run)
-        .filter((other) => other.taskKey.startsWith(`${submission.id}.0.${stepIndex}.`))
-        .map((other) => ({ target, other })),
-    );
+    const prefix = `${submission.id}.0.${stepIndex}.`;
+    const members = getGangMembers(this.targets.values(), prefix, run);
     if (members.length < step.taskCount || members.some(({ other }) => other.isAtWork)) return;
     members.forEach(({ other }) => Object.assign(other, { isAtWork: true }));
-    this.time.after(step.estimateMs, () => {
-      const isComplete = members.every(
-        ({ target, other }) => target.runs.get(other.taskKey) === other,
-      );
-      members.forEach(({ target, other }) => target.endRun(other, isComplete ? 'done' : 'broken'));
-    });
+    this.time.after(step.estimateMs, () => endGang(members));
   }
 
   #onEndAcknowledged(target: FakeTarget, entry: EndedEntry, call: PollCall): void {
--- a/tests/support/restartHistories.ts
+++ b/tests/support/restartHistories.ts
@@ -24,6 +24,9 @@
 
 const CHECK_INTERVAL_MS = 50;
 
+/** Longest time for which a registration is missing around a takeover. */
+const MAX_LAPSE_MS = 4_000;
+
 /** A task that could run may be without a run for this long (LOST). */
 const MAX_IDLE_MS = 3_000;
 
@@ -108,6 +111,11 @@
 
   readonly #random: Random;
 
+  /** Draws of histories with lapsed registrations. */
+  readonly #lapseRandom: Random | undefined;
+
+  #unreachableCount = 0;
+
   #submissions: Submission[] = [];
 
   #isCalm = false;
@@ -119,8 +127,9 @@
 
   #idleSinceMs: ReadonlyMap<TaskKey, number> = new Map();
 
-  constructor(seed: number) {
+  constructor(seed: number, hasLapses: boolean) {
     this.#random = new Random(seed);
+    if (hasLapses) this.#lapseRandom = new Random(seed + 3_000_017);
     const networkRandom = new Random(seed + 1_000_003);
     this.world = new OwnerWorld({
       ...{ seed, targetCount: TARGET_COUNT, faults: { ...NO_FAULTS, failedRuns: 0.04 } },
@@ -216,15 +225,27 @@
     this.world.registry?.remove(targetId, durationMs);
   }
 
-  /** An owner knows only the targets that it finds in the registry, so none takes over while a row is missing. */
+  /** Histories without lapses are older than the record of used targets, and keep to what owners could know then. */
   #takeOver(): void {
     const isFormerAlive = this.#random.nextInt(3) > 0;
     const suspensionMs = this.#random.nextInt(2) * this.#random.nextInt(OWNER_AUTHORITY_MS);
-    if (this.world.time.nowMs <= this.#rowMissingUntilMs) return;
+    if (this.#lapseRandom !== undefined) this.#lapse(this.#lapseRandom);
+    else if (this.world.time.nowMs <= this.#rowMissingUntilMs) return;
     this.#extendFaults(isFormerAlive ? OWNER_AUTHORITY_MS : 0);
     this.world.takeOver(isFormerAlive, suspensionMs);
   }
 
+  /** Registrations are missing at a takeover, and one that leads nowhere is there instead. */
+  #lapse(random: Random): void {
+    const lapsed = [...this.world.targets.keys()].filter(() => random.nextInt(5) === 0);
+    lapsed.forEach((targetId) => this.#removeRow(targetId, random.nextInt(MAX_LAPSE_MS)));
+    if (random.nextInt(2) === 0) return;
+    this.#unreachableCount += 1;
+    const name = `nowhere-${this.#unreachableCount}`;
+    this.world.addTarget(name, { isReachable: false, capacity: NO_DEMAND });
+    this.world.run(random.nextInt(400));
+  }
+
   /** A third of the targets restart at nearly the same time, some of them again soon afterwards. */
   #restartMany(): void {
     const spreadMs = 1 + this.#random.nextInt(400);
@@ -369,6 +390,6 @@
 }
 
 /** Simulates the random history of a seed, then a calm period in which everything has to run or end. */
-export function runRestartHistory(policy: PolicyName, seed: number): OwnerWorld {
-  return new RestartHistory(seed).run(policy);
+export function runRestartHistory(policy: PolicyName, seed: number, hasLapses = false): OwnerWorld {
+  return new RestartHistory(seed, hasLapses).run(policy);
 }
--- /dev/null
+++ b/tests/support/worldChecks.ts
@@ -0,0 +1,57 @@
+/** What simulations of the owner compute about runs on fake targets. */
+
+import type { Advice } from '../../src/owner/types';
+import { getHash } from '../../src/types/hash';
+import type { StepKey, TargetId, TaskKey, Ticket } from '../../src/types/ids';
+import { addDemand, getChargedDemand, isDemandFitting, NO_DEMAND } from '../../src/work/types';
+import type { StepSpec, TaskDemand } from '../../src/work/types';
+import type { FakeRun, FakeTarget } from '../../standins/fakeTarget';
+
+/** A run and the target that holds it. */
+export interface HeldRun {
+  readonly target: FakeTarget;
+  readonly other: FakeRun;
+}
+
+/** Adds demands. */
+export function getTotalDemand(demands: readonly TaskDemand[]): TaskDemand {
+  return demands.reduce((sum, demand) => addDemand(sum, demand), NO_DEMAND);
+}
+
+/** Gets the answer of the advice service, which approves the same targets of a step each time. */
+export function getAdvice(stepKey: StepKey, targetIds: readonly TargetId[]): Advice {
+  const approved = targetIds.filter((targetId) => getHash(`${stepKey}/${targetId}`) % 10 < 6);
+  const grants = approved.map((targetId) => ({ targetId, ticket: 'ticket' as Ticket }));
+  return { grants, validMs: 2_500 };
+}
+
+/** Checks whether a target has room for a task beside its runs, in one of the capacities that count. */
+export function isWithinCapacity(
+  target: FakeTarget,
+  step: StepSpec,
+  getSpec: (taskKey: TaskKey) => StepSpec,
+): boolean {
+  const used = getTotalDemand([...target.runs.keys()].map((key) => getChargedDemand(getSpec(key))));
+  return target.countedCapacities.some((capacity) =>
+    isDemandFitting(getChargedDemand(step), addDemand(capacity, used, -1)),
+  );
+}
+
+/** Finds the members of a gang run. */
+export function getGangMembers(
+  targets: Iterable<FakeTarget>,
+  keyPrefix: string,
+  run: number,
+): readonly HeldRun[] {
+  return [...targets].flatMap((target) =>
+    [...target.runs.values()]
+      .filter((other) => other.run === run && other.taskKey.startsWith(keyPrefix))
+      .map((other) => ({ target, other })),
+  );
+}
+
+/** Ends a gang run, as broken when a member has been lost. */
+export function endGang(members: readonly HeldRun[]): void {
+  const isComplete = members.every(({ target, other }) => target.runs.get(other.taskKey) === other);
+  members.forEach(({ target, other }) => target.endRun(other, isComplete ? 'done' : 'broken'));
+}
--- /dev/null
+++ b/tests/support/worldConstants.ts
@@ -0,0 +1,26 @@
+/** Times and sizes of simulations of the owner. */
+
+import type { TaskDemand } from '../../src/work/types';
+
+export const TICK_INTERVAL_MS = 10;
+export const STORE_LATENCY_MS = 4;
+
+export const TARGET_CAPACITY: TaskDemand = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 };
+
+/** Time in which a former owner starts a new submission. */
+export const FORMER_OWNER_START_MS = 20;
+
+/** Time between the start of a crashing task and the end of its target's process. */
+export const CRASH_DELAY_MS = 10;
+
+/** Time after which a crashed target is back. */
+export const CRASH_DOWN_MS = 3_200;
+
+/** Longest lease that targets grant in simulations with connections. */
+export const MAX_LEASE_MS = 10_000;
+
+/** Keeps the faults of the record's transactions apart from the other draws. */
+export const RECORD_SEED_OFFSET = 2_000_003;
+
+/** With this many crashes a further start is the third one after three targets have crashed under the task. */
+export const MAX_CRASHES_PER_TASK = 5;
