Owner: the first row that was read tells whether a former owner can know a submission

Could be seen: a task started twice after a takeover (TWICE), when its submission lay in two parts of the store and both rows were read after the takeover; and a submission stored after the end of the former owners that waited for the leases, as its row was read just before that end was known.

Cause: the version of any later row released the tasks, and was compared only at the time of reading.

Now the version of the first row from the feed counts, and it is compared again when the end of the former owners' authority becomes known.

Evidence: two tests, which failed before: formerIncarnations "rows in two parts are read after the takeover", takeoverHold "the row is known first".

--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -54,6 +54,9 @@
   /** Whether its row was read at the takeover, so that a former owner may have started it. */
   readonly isLoaded: boolean;
 
+  /** Version of the first of its rows that this owner has read from the store since the takeover. */
+  firstRowVersion: number | undefined;
+
   /** The task that was given up because targets crashed under it. */
   givenUpTask: string | undefined;
 
--- a/src/owner/unseenRuns.ts
+++ b/src/owner/unseenRuns.ts
@@ -79,10 +79,10 @@
    * @param rowVersion - version of the row; 0 when a gate has announced the submission
    */
   onRowRead(submitted: SubmissionRecord, rowVersion: number): void {
-    // Another row of a loaded submission may lie in a second part; its version says nothing about the first one.
-    if (submitted.isLoaded || rowVersion <= this.#state.lastFormerVersion) return;
-    submitted.clearUnseenRuns();
-    this.#state.isPlanDue = true;
+    const record = submitted;
+    // Another row may lie in a second part, and its version says nothing about the first one.
+    if (rowVersion > 0) record.firstRowVersion ??= rowVersion;
+    this.#releaseIfLater(record);
   }
 
   /**
@@ -91,6 +91,13 @@
    */
   onFormerOwnersEnded(storeVersion: number): void {
     this.#state.lastFormerVersion = storeVersion;
+    this.#state.open.forEach((record) => this.#releaseIfLater(record));
+  }
+
+  #releaseIfLater(record: SubmissionRecord): void {
+    if (record.isLoaded || (record.firstRowVersion ?? 0) <= this.#state.lastFormerVersion) return;
+    record.clearUnseenRuns();
+    this.#state.isPlanDue = true;
   }
 
   /** The targets of the takeover are known by the first tick. */
--- a/tests/formerIncarnations.test.ts
+++ b/tests/formerIncarnations.test.ts
@@ -91,6 +91,24 @@
     expect(world.broken).toEqual([]);
   });
 
+  test('runs on a silent target, when its rows in two parts are read after the takeover', () => {
+    const world = createWorld();
+    const submission = createSubmission(1, [{ estimateMs: 20_000 }]);
+    world.onEffect = (epoch, effect) => {
+      if (epoch > 1 || effect.kind !== 'startRun') return;
+      world.time.after(5, () => world.partition(effect.targetId, 60_000));
+    };
+    world.submitDuringTakeover(submission, 10);
+    world.run(100);
+    world.submit(submission, 60);
+    world.run(2_200);
+    world.endFormerOwners(100);
+    world.submit(submission, 120);
+    world.run(1_500);
+    expect(world.startCount).toBe(1);
+    expect(world.broken).toEqual([]);
+  });
+
   test('runs on a silent target, when the clock of the former owner was set forward', () => {
     const world = createWorld();
     world.submit(createSubmission(1, [{ estimateMs: 25_000 }]));
--- a/tests/takeoverHold.test.ts
+++ b/tests/takeoverHold.test.ts
@@ -181,6 +181,26 @@
     expect([1, 2].map((number) => scenario.getStarts(number).length)).toEqual([1, 1]);
     scenario.expectSafe();
   });
+
+  // The version of the row and the end of the former owners' authority become known in either order.
+  test.each(['row', 'end'])(
+    'a submission stored after the former owners, when the %s is known first',
+    (first) => {
+      const scenario = Scenario.createAged();
+      const { world } = scenario;
+      world.submit(createSubmission(1, [LONG]));
+      world.run(100);
+      world.partition(scenario.getHolder(), 60_000);
+      world.takeOver();
+      world.run(2_200);
+      if (first === 'end') world.endFormerOwners(100);
+      world.submit(createSubmission(2, [{}]), 120);
+      if (first === 'row') world.endFormerOwners(100);
+      world.run(100);
+      expect([1, 2].map((number) => scenario.getStarts(number).length)).toEqual([1, 1]);
+      scenario.expectSafe();
+    },
+  );
 });
 
 describe('a takeover waits for', () => {
