Owner: one malformed row of the record costs one takeover, not all

Could be seen: with a row in usedTargets that cannot be decoded every takeover waits for every registered target, as nothing ever removes the row.

Now the owner replaces the row when it uses the target, or removes it once the leases of former owners have ended. The state dump shows isRecorded.

--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -148,6 +148,7 @@
       {
         ...{ epoch: this.#epoch, submissionCount: submissions.length, durationMs },
         ...{ recordedCount: record.targets.length, isRecordComplete: record.isComplete },
+        malformedTargetIds: record.malformed.map(({ targetId }) => targetId),
       },
       'takeover loaded',
     );
--- a/src/node/usedTargetRows.ts
+++ b/src/node/usedTargetRows.ts
@@ -2,7 +2,7 @@
 
 import * as z from 'zod';
 import { isRecordComplete } from '../owner/targetRecord';
-import type { RecordedTarget, StoredTargetRecord } from '../owner/types';
+import type { RecordedTarget, RecordVersion, StoredTargetRecord } from '../owner/types';
 import type { StoredRow } from '../store/types';
 import type { DataCentreId, Epoch, TargetId } from '../types/ids';
 import { tryParseJson } from '../types/json';
@@ -54,18 +54,20 @@
   rows: readonly StoredRow[],
   ownershipRows: readonly StoredRow[],
 ): StoredTargetRecord {
-  const targets = rows.flatMap(({ key, value, version }) => {
+  const targets: { readonly target: RecordedTarget; readonly version: number }[] = [];
+  const malformed: RecordVersion[] = [];
+  rows.forEach(({ key, value, version }) => {
+    const id = key as TargetId;
     const parsed = recordedTargetSchema.safeParse(tryParseJson(value));
-    if (!parsed.success) return [];
+    if (!parsed.success) {
+      malformed.push({ targetId: id, version });
+      return;
+    }
     const { dataCentreId, ...decoded } = parsed.data;
-    const target: RecordedTarget = {
-      ...decoded,
-      id: key as TargetId,
-      dataCentreId: dataCentreId as DataCentreId,
-    };
-    return [{ target, version }];
+    const target = { ...decoded, id, dataCentreId: dataCentreId as DataCentreId };
+    targets.push({ target, version });
   });
   const completeEpoch = tryDecodeEpoch(ownershipRows.find(({ key }) => key === RECORDED_KEY));
-  const isComplete = targets.length === rows.length && isRecordComplete(epoch, completeEpoch);
-  return { isComplete, targets };
+  const isComplete = malformed.length === 0 && isRecordComplete(epoch, completeEpoch);
+  return { isComplete, targets, malformed };
 }
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -49,7 +49,7 @@
 const REPLAN_INTERVAL_MS = 200;
 
 /** Without a record, every registered target may hold runs of a former owner. */
-const NO_RECORD: StoredTargetRecord = { isComplete: false, targets: [] };
+const NO_RECORD: StoredTargetRecord = { isComplete: false, targets: [], malformed: [] };
 
 /** Schedules the runs of the fleet, that is, of all targets. */
 export class OwnerCore {
@@ -193,6 +193,7 @@
         isContacted: target.isContacted,
         isResponding: target.isResponding,
         isListed: target.isRegistered,
+        isRecorded: target.isRecorded,
         isDraining: target.entry.isDraining,
         isSuspect: target.isSuspect,
         trialOf: target.trial?.step.key,
--- a/src/owner/targetRecord.ts
+++ b/src/owner/targetRecord.ts
@@ -56,6 +56,9 @@
   /** Versions of all rows that may exist, which are preconditions of their changes. */
   #versions = new Map<TargetId, number>();
 
+  /** Targets whose rows cannot be decoded. */
+  #malformedIds = new Set<TargetId>();
+
   #loadedIds: ReadonlySet<TargetId>;
 
   /** Whether the former owners have recorded every target that they used. */
@@ -72,6 +75,10 @@
     this.loaded = stored.targets.map(({ target }) => target);
     this.#loadedIds = new Set(this.loaded.map(({ id }) => id));
     stored.targets.forEach(({ target, version }) => this.#setRow(target, version));
+    stored.malformed.forEach(({ targetId, version }) => {
+      this.#malformedIds.add(targetId);
+      this.#versions.set(targetId, version);
+    });
   }
 
   /**
@@ -88,6 +95,11 @@
     return [...this.#rows.keys()];
   }
 
+  /** Targets whose rows cannot be decoded and have not been replaced; they tell a later owner nothing. */
+  get malformedIds(): readonly TargetId[] {
+    return [...this.#malformedIds];
+  }
+
   /**
    * Looks up a row.
    * @param targetId - the target
@@ -150,7 +162,10 @@
    * @param targetIds - the targets
    */
   setRemoved(targetIds: readonly TargetId[]): void {
-    targetIds.forEach((targetId) => this.#rows.delete(targetId));
+    targetIds.forEach((targetId) => {
+      this.#rows.delete(targetId);
+      this.#malformedIds.delete(targetId);
+    });
   }
 
   /**
@@ -166,6 +181,7 @@
 
   #setRow(target: RecordedTarget, version: number): void {
     this.#rows.set(target.id, target);
+    this.#malformedIds.delete(target.id);
     this.#versions.set(target.id, version);
   }
 }
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -184,8 +184,10 @@
     const { nowMs, steadyMs, unresolvedUntilMs, record } = this.#state;
     // Until then a former owner may use any target that is recorded.
     if (steadyMs <= unresolvedUntilMs || nowMs < this.#nextRemovalAtMs) return [];
-    return record.ids
-      .filter((id) => nowMs > (this.#emptySinceMs.get(id) ?? nowMs) + REMOVAL_DELAY_MS)
+    const emptyIds = record.ids.filter(
+      (id) => nowMs > (this.#emptySinceMs.get(id) ?? nowMs) + REMOVAL_DELAY_MS,
+    );
+    return [...record.malformedIds, ...emptyIds]
       .slice(0, MAX_WRITE_ROWS)
       .map((targetId) => ({ targetId, version: record.getVersion(targetId) }));
   }
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -155,6 +155,8 @@
   /** Whether it names every target that may hold runs of a former owner. */
   readonly isComplete: boolean;
   readonly targets: readonly { readonly target: RecordedTarget; readonly version: number }[];
+  /** Rows that cannot be decoded; with one of them the record is not complete. */
+  readonly malformed: readonly RecordVersion[];
 }
 
 /** Version of a row of the record; 0 when the row does not exist. */
--- a/tests/support/ownerSubmissions.ts
+++ b/tests/support/ownerSubmissions.ts
@@ -83,5 +83,5 @@
     },
     version: 1,
   }));
-  return { isComplete: false, targets };
+  return { isComplete: false, targets, malformed: [] };
 }
--- a/tests/support/recordStore.ts
+++ b/tests/support/recordStore.ts
@@ -34,6 +34,9 @@
 
   readonly rows = new Map<TargetId, { target: RecordedTarget; version: number }>();
 
+  /** Targets whose rows cannot be decoded. */
+  readonly malformedIds = new Set<TargetId>();
+
   /** Time until a transaction is performed, beyond the usual one. */
   extraDelayMs = 0;
 
@@ -49,8 +52,13 @@
 
   /** Reads the record for the owner of an epoch. */
   load(epoch: number): StoredTargetRecord {
-    const isComplete = isRecordComplete(toEpoch(epoch), this.#completeEpoch);
-    return { isComplete, targets: [...this.rows.values()] };
+    const isDeclared = isRecordComplete(toEpoch(epoch), this.#completeEpoch);
+    const rows = [...this.rows.values()];
+    const targets = rows.filter(({ target }) => !this.malformedIds.has(target.id));
+    const malformed = rows
+      .filter(({ target }) => this.malformedIds.has(target.id))
+      .map(({ target, version }) => ({ targetId: target.id, version }));
+    return { isComplete: isDeclared && malformed.length === 0, targets, malformed };
   }
 
   /** An owner that keeps no record leaves the rows of others as they are, and declares nothing. */
@@ -98,7 +106,10 @@
     }
     this.#version += 1;
     const version = this.#version;
-    puts.forEach(({ target }) => this.rows.set(target.id, { target, version }));
+    puts.forEach(({ target }) => {
+      this.rows.set(target.id, { target, version });
+      this.malformedIds.delete(target.id);
+    });
     removals.forEach(({ targetId }) => this.rows.delete(targetId));
     if (isComplete) this.#completeEpoch = epoch;
     return E.right(version);
--- a/tests/takeoverHold.test.ts
+++ b/tests/takeoverHold.test.ts
@@ -39,9 +39,12 @@
 
   readonly starts: SentStart[] = [];
 
+  #removalCount = 0;
+
   constructor() {
     const { world } = this;
     world.onEffect = (epoch, effect) => {
+      if (effect.kind === 'recordTargets') this.#removalCount += effect.removals.length;
       if (effect.kind !== 'startRun') return;
       const isRecorded = world.recordStore.rows.has(effect.targetId);
       this.starts.push({ atMs: world.time.nowMs, epoch, effect, isRecorded });
@@ -69,6 +72,15 @@
     }
   }
 
+  /** Lets time pass until a row is being removed. */
+  runUntilRemoval(): void {
+    const untilMs = this.world.time.nowMs + BOUND_MS;
+    while (this.#removalCount === 0) {
+      if (this.world.time.nowMs >= untilMs) throw new Error('no row is removed');
+      this.world.run(CHECK_INTERVAL_MS);
+    }
+  }
+
   getStarts(number: number): readonly SentStart[] {
     const isOf = (id: SubmissionId) => (start: SentStart) => start.effect.taskKey.startsWith(id);
     return this.starts.filter(isOf(toSubmissionId(number)));
@@ -268,6 +280,50 @@
     scenario.expectSafe();
   });
 
+  // It may name any target; the next takeover finds it replaced or removed.
+  test.each(['target-0', 'gone-1'])(
+    'every registered target after a malformed row of %s, once',
+    (name) => {
+      const scenario = Scenario.createAged();
+      const { world } = scenario;
+      world.addTarget('gone-1');
+      world.run(500);
+      world.targets.delete('gone-1' as TargetId);
+      world.recordStore.malformedIds.add(name as TargetId);
+      world.addTarget(NOWHERE, { isReachable: false });
+      world.takeOver();
+      world.submit(createSubmission(1, [{}]));
+      world.run(START_LIMIT_MS);
+      expect(scenario.getStarts(1)).toEqual([]);
+      world.run(BOUND_MS + 3_000);
+      world.takeOver();
+      world.submit(createSubmission(2, [{}]));
+      world.run(START_LIMIT_MS);
+      expect(scenario.getStarts(2)).toHaveLength(1);
+      scenario.expectSafe();
+    },
+  );
+
+  // It cannot tell what the target of which it does not know holds.
+  test('every registered target after an owner without a record and one that was replaced soon', () => {
+    const scenario = Scenario.createAged();
+    const { world } = scenario;
+    world.submit(createSubmission(1, [LONG]));
+    world.run(100);
+    const holder = scenario.getHolder();
+    world.recordStore.rows.delete(holder);
+    world.recordStore.forgetDeclaration();
+    world.partition(holder, 60_000);
+    world.takeOver();
+    world.run(1_000);
+    world.takeOver();
+    world.run(2_500);
+    expect(scenario.getStarts(1)).toHaveLength(1);
+    world.run(BOUND_MS);
+    expect(scenario.getStarts(1)).toHaveLength(2);
+    scenario.expectSafe();
+  });
+
   // Epochs in between may be those of owners that kept no record.
   test('every registered target when the record was declared complete before the last owner', () => {
     const scenario = Scenario.createAged();
@@ -337,8 +393,10 @@
       const holder = scenario.getHolder();
       recordStore.areAnswersLost = fault === 'lost answers';
       recordStore.extraDelayMs = fault === 'late transactions' ? 2_500 : 0;
-      world.partition(holder, 9_000);
-      world.run(9_500);
+      world.partition(holder, 60_000);
+      scenario.runUntilRemoval();
+      world.partition(holder, 0);
+      world.run(600);
       world.submit(createSubmission(2, [{ taskCount: 14, estimateMs: 3_000 }]));
       scenario.runChecked(3_500);
       recordStore.areAnswersLost = false;
--- a/tests/usedTargetRows.test.ts
+++ b/tests/usedTargetRows.test.ts
@@ -62,11 +62,14 @@
     expect(decodeTargetRecord(toEpoch(4), [STORED], [declare(3)])).toEqual({
       isComplete: true,
       targets: [{ target: TARGET, version: 5 }],
+      malformed: [],
     });
   });
 
   test('is complete and empty for the first owner', () => {
-    expect(decodeTargetRecord(toEpoch(1), [], [])).toEqual({ isComplete: true, targets: [] });
+    expect(decodeTargetRecord(toEpoch(1), [], [])).toEqual({
+      ...{ isComplete: true, targets: [], malformed: [] },
+    });
   });
 
   test.each([
@@ -78,6 +81,7 @@
     expect(decodeTargetRecord(toEpoch(4), rows, ownershipRows)).toEqual({
       isComplete: false,
       targets: [{ target: TARGET, version: 5 }],
+      malformed: rows.length > 1 ? [{ targetId: 'i-9', version: 5 }] : [],
     });
   });
 });
