--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -34,6 +34,7 @@
 } from './tables';
 import { summarizeLoadedRows, TakeoverLoader } from './takeoverLoader';
 import type { LoadedRows } from './takeoverLoader';
+import { decodeTargetRecord } from './usedTargetRows';
 
 /** Interval of tick events; planning that was deferred resumes within it. */
 const TICK_INTERVAL_MS = 10;
@@ -137,7 +138,7 @@
       }),
     });
     this.#loader = new TakeoverLoader(ports);
-    this.#writes = new OwnerWrites(ports.store, rowVersion);
+    this.#writes = new OwnerWrites(ports.store, epoch, rowVersion);
     this.#cancellationLog = new CancellationLog(ports.logger, epoch);
     this.#operator = operator;
   }
@@ -158,7 +159,10 @@
     }
     const submissions = this.#loader.decodeSubmissions(loaded);
     const { maxLeaseMs } = this.#ports.targets;
-    this.#core = new OwnerCore(this.#epoch, submissions, this.#getClockReadings(), maxLeaseMs);
+    const { usedTargets, ownership } = loaded;
+    const record = decodeTargetRecord(this.#epoch, usedTargets.rows, ownership.rows);
+    const clocks = this.#getClockReadings();
+    this.#core = new OwnerCore(this.#epoch, submissions, clocks, maxLeaseMs, record);
     this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
     this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
     this.#cancelUnread(loaded, submissions);
@@ -175,10 +179,10 @@
     const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
     this.#ports.logger.info(
       {
-        epoch: this.#epoch,
-        submissionCount: submissions.length,
+        ...{ epoch: this.#epoch, submissionCount: submissions.length, durationMs },
         ...summarizeLoadedRows(loaded),
-        durationMs,
+        ...{ recordedCount: record.targets.length, isRecordComplete: record.isComplete },
+        malformedTargetIds: record.malformed.map(({ targetId }) => targetId),
       },
       'takeover loaded',
     );
@@ -422,6 +426,11 @@
           ...{ kind: 'progressWritten' as const, batch: effect.batch, result },
         }));
         return;
+      case 'recordTargets':
+        this.#dispatchResult(this.#writes.recordTargets(effect), (result) => ({
+          ...{ kind: 'targetsRecorded' as const, result },
+        }));
+        return;
       case 'deleteSubmissions':
         this.#dispatchResult(this.#writes.deleteSubmissions(effect.submissionIds), (isDone) =>
           isDone ? { kind: 'submissionsDeleted', submissionIds: effect.submissionIds } : undefined,
--- a/src/node/ownerLoad.ts
+++ b/src/node/ownerLoad.ts
@@ -70,6 +70,7 @@
     case 'askAdvice':
       return 'send';
     case 'writeProgress':
+    case 'recordTargets':
     case 'deleteSubmissions':
       return 'store';
     case 'log':
--- a/tests/formerIncarnations.test.ts
+++ b/tests/formerIncarnations.test.ts
@@ -7,7 +7,7 @@
 import type { Inventory, OwnerEffect, OwnerEvent, TargetEntry } from '../src/owner/types';
 import { toEpoch } from '../src/types/ids';
 import type { TargetId } from '../src/types/ids';
-import { WALL_START_MS } from './support/ownerSubmissions';
+import { createRecord, WALL_START_MS } from './support/ownerSubmissions';
 import { createSubmission, NO_FAULTS, OwnerWorld, toSubmissionId } from './support/ownerWorld';
 
 const TARGET = 'target-0' as TargetId;
@@ -91,6 +91,24 @@
     expect(world.broken).toEqual([]);
   });
 
+  test('runs on a silent target, when its rows in two parts are read after the takeover', () => {
+    const world = createWorld();
+    const submission = createSubmission(1, [{ estimateMs: 20_000 }]);
+    world.onEffect = (epoch, effect) => {
+      if (epoch > 1 || effect.kind !== 'startRun') return;
+      world.time.after(5, () => world.partition(effect.targetId, 60_000));
+    };
+    world.submitDuringTakeover(submission, 10);
+    world.run(100);
+    world.submit(submission, 60);
+    world.run(2_200);
+    world.endFormerOwners(100);
+    world.submit(submission, 120);
+    world.run(1_500);
+    expect(world.startCount).toBe(1);
+    expect(world.broken).toEqual([]);
+  });
+
   test('runs on a silent target, when the clock of the former owner was set forward', () => {
     const world = createWorld();
     world.submit(createSubmission(1, [{ estimateMs: 25_000 }]));
@@ -130,11 +148,13 @@
 
 /** An owner that has polled one target. */
 class OneTargetOwner {
-  readonly #core = new OwnerCore(toEpoch(1), [], OneTargetOwner.#getClocks(0));
+  readonly #core: OwnerCore;
 
   #nowMs = 0;
 
   constructor(entry: TargetEntry, answeringStartMs = entry.incarnationStartMs) {
+    const clocks = OneTargetOwner.#getClocks(0);
+    this.#core = new OwnerCore(toEpoch(1), [], clocks, undefined, createRecord([entry]));
     this.dispatch({ kind: 'targetsListed', entries: [entry] });
     this.dispatch({ kind: 'tick' });
     const inventory: Inventory = {
--- a/tests/rejectedRows.test.ts
+++ b/tests/rejectedRows.test.ts
@@ -9,6 +9,7 @@
 import type { OwnerEffect } from '../src/owner/types';
 import type { RowTransaction, StoreFailure } from '../src/store/types';
 import { SuspendAwareClock } from '../src/types/clock';
+import { toEpoch } from '../src/types/ids';
 import type { SubmissionId } from '../src/types/ids';
 import { createSubmission, toSubmissionId } from './support/ownerWorld';
 
@@ -116,6 +117,7 @@
   const value = { steps: { '0.0': { done: '3-9', checkpoints } }, hasBegun: true };
   const writes = new OwnerWrites(
     store as unknown as ConstructorParameters<typeof OwnerWrites>[0],
+    toEpoch(1),
     1,
   );
   const rows = [{ submissionId: toSubmissionId(1), expectedVersion: 0, value }];
--- a/tests/support/ownerHostPorts.ts
+++ b/tests/support/ownerHostPorts.ts
@@ -46,7 +46,7 @@
   const stored = [REGISTRATION, ...rows];
   return {
     store: {
-      transact: createPending,
+      transact: () => Promise.resolve(E.right({ version: STORE_VERSION + 1 })),
       readRange: ({ table, part }) =>
         Promise.resolve(
           E.right({
--- a/tests/support/ownerSubmissions.ts
+++ b/tests/support/ownerSubmissions.ts
@@ -1,10 +1,8 @@
 /** Submissions for simulations of the owner. */
 
-import * as E from 'fp-ts/Either';
-import type { Advice } from '../../src/owner/types';
-import { getHash } from '../../src/types/hash';
+import type { StoredTargetRecord, TargetEntry } from '../../src/owner/types';
 import { toConfigVersion } from '../../src/types/ids';
-import type { StepKey, SubmissionId, TargetId, TeamId, Ticket } from '../../src/types/ids';
+import type { SubmissionId, TeamId } from '../../src/types/ids';
 import type { OperatorState, StepSpec, Submission, Team } from '../../src/work/types';
 
 /** Wall clock at the start of each simulation, in Unix milliseconds. */
@@ -16,16 +14,6 @@
   return { closedDataCentreIds: [], config };
 }
 
-/** Approves six of ten targets for a step. */
-export function createAdvice(
-  stepKey: StepKey,
-  targetIds: readonly TargetId[],
-): E.Either<never, Advice> {
-  const approved = targetIds.filter((targetId) => getHash(`${stepKey}/${targetId}`) % 10 < 6);
-  const grants = approved.map((targetId) => ({ targetId, ticket: 'ticket' as Ticket }));
-  return E.right({ grants, validMs: 2_500 });
-}
-
 /** Gets the id of the submission with a given number. */
 export function toSubmissionId(number: number): SubmissionId {
   return number.toString(16).padStart(16, '0') as SubmissionId;
@@ -85,3 +73,15 @@
     },
   };
 }
+
+/** Creates the record of targets that a former owner has used; it does not tell whether there were others. */
+export function createRecord(entries: readonly TargetEntry[]): StoredTargetRecord {
+  const targets = entries.map(({ id, address, serviceName, labels, ...entry }) => ({
+    target: {
+      ...{ id, address, labels, serviceNames: [serviceName] },
+      ...{ dataCentreId: entry.dataCentreId, incarnationStartMs: entry.incarnationStartMs },
+    },
+    version: 1,
+  }));
+  return { isComplete: false, targets, malformed: [] };
+}
