Bench: ownerLoad, the owner's process over real connections

The owner runs alone in a process with a probe; targets, store and other nodes share the process of the benchmark.

At 300 targets it breaks down: top of the profile there is garbage collection 17 %, connect 15 %, close 8 %, new Socket 4 %, errors with their stacks 10 %: calls time out, each time-out and each voided call closes connections.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -14,6 +14,7 @@
 import { footprint } from './footprint';
 import { overload } from './overload';
 import { owner } from './owner';
+import { ownerLoad } from './ownerLoad';
 import { packing } from './packing';
 import { plot } from './plot';
 import { recovery } from './recovery';
@@ -31,6 +32,7 @@
   footprint,
   overload,
   owner,
+  ownerLoad,
   packing,
   plot,
   recovery,
--- a/standins/fakeWorker.ts
+++ b/standins/fakeWorker.ts
@@ -65,6 +65,9 @@
 
   state: 'ready' | 'draining' = 'ready';
 
+  /** Number of polls received. */
+  pollCount = 0;
+
   constructor(id: string, store: FakeRowStore, events: FakeTargetEvents) {
     this.#store = store;
     this.target = new FakeTarget(id as TargetId, CAPACITY, systemTimeSource, events, 1);
@@ -74,13 +77,13 @@
   }
 
   /** Starts listening and registers periodically. */
-  async start(): Promise<void> {
+  async start(registrationIntervalMs = REGISTRATION_INTERVAL_MS): Promise<void> {
     await new Promise<void>((resolve) => {
       this.#server.listen(0, '127.0.0.1', resolve);
     });
     this.#address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
     this.register();
-    this.#registrationTimer = setInterval(() => this.register(), REGISTRATION_INTERVAL_MS);
+    this.#registrationTimer = setInterval(() => this.register(), registrationIntervalMs);
   }
 
   /** Writes the worker's row to the target registry. */
@@ -131,6 +134,7 @@
         this.#sendResult(response, this.target.stop(call as unknown as StopCall));
         return;
       case '/api/hold':
+        this.pollCount += 1;
         this.target.poll(call as unknown as PollCall, (result) =>
           this.#sendResult(
             response,
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -11,6 +11,7 @@
   ['standin-target', 'standins/targetMain.ts'],
   ['demo', 'demo/main.ts'],
   ['bench', 'bench/main.ts'],
+  ['owner-probe', 'bench/ownerProbe.ts'],
   ['soak', 'bench/soak.ts'],
 ]
   .filter(([, entry]) => existsSync(entry))
