--- a/bench/ownerLoad.ts
+++ b/bench/ownerLoad.ts
@@ -21,15 +21,17 @@
 import type { ProfileShares } from './profileShares';
 import type { Benchmark, Figure } from './types';
 
-/** Targets, and nodes that send heartbeats; the start rate is in proportion to the targets. */
+/**
+ * Targets, nodes that send heartbeats, and starts per second: in proportion to the targets, and last the load of the
+ * owner on the hardest day.
+ */
 const SIZES = [
-  { targetCount: 30, followerCount: 9 },
-  { targetCount: 100, followerCount: 32 },
-  { targetCount: 300, followerCount: 96 },
+  { targetCount: 30, followerCount: 9, startsPerSecond: 40 },
+  { targetCount: 100, followerCount: 32, startsPerSecond: 133 },
+  { targetCount: 300, followerCount: 96, startsPerSecond: 400 },
+  { targetCount: 300, followerCount: 96, startsPerSecond: 800 },
 ] as const;
 
-/** 800 starts per second on 300 targets. */
-const STARTS_PER_TARGET_PER_S = 800 / 300;
 const TASKS_PER_SUBMISSION = 10;
 const TASK_DURATION_MS = 3_000;
 const DEMAND = { cpuMillis: 500, memoryMb: 256, accelerators: 0 };
@@ -129,8 +131,7 @@
       );
     });
     const store = new StoreClient(this.#httpClient, storeAddress);
-    const perMs =
-      (this.#size.targetCount * STARTS_PER_TARGET_PER_S) / TASKS_PER_SUBMISSION / MS_PER_SECOND;
+    const perMs = this.#size.startsPerSecond / TASKS_PER_SUBMISSION / MS_PER_SECOND;
     const startedAtMs = performance.now();
     const submitDue = () => {
       const dueCount = (performance.now() - startedAtMs) * perMs;
@@ -252,7 +253,8 @@
     { name: 'resident', value: after.residentMb, unit: 'MB' },
     { name: 'heap in use', value: after.heapUsedMb, unit: 'MB' },
   ];
-  return figures.map((figure) => ({ ...figure, name: `${size.targetCount}: ${figure.name}` }));
+  const prefix = `${size.targetCount} targets, ${size.startsPerSecond}/s`;
+  return figures.map((figure) => ({ ...figure, name: `${prefix}: ${figure.name}` }));
 }
 
 function printTop({ functions, parts }: ProfileShares): void {
--- a/bench/profileShares.ts
+++ b/bench/profileShares.ts
@@ -33,6 +33,9 @@
 
 const GARBAGE_COLLECTION = '(garbage collector)';
 const IDLE = '(idle)';
+
+/** Function of the inspector in which the profile starts and stops. */
+const INSPECTOR_FUNCTION = 'dispatch';
 const RUNTIME_PART = 'runtime';
 
 /** Time of one function or part. */
@@ -108,6 +111,7 @@
     const node = nodes.get(id);
     if (node === undefined) return;
     const { functionName, url, lineNumber } = node.callFrame;
+    if (functionName === INSPECTOR_FUNCTION && url === '') return;
     const path = modules.getPath(url, lineNumber);
     const known = PARTS.find(([fragment]) => path.includes(fragment));
     const ownPart = functionName === GARBAGE_COLLECTION ? 'garbage collection' : known?.[1];
