Calls: a voided or late call no longer closes connections, and answers that are there count

The owner broke down above some load and stayed there: after a delay of its event loop all timers fired before the sockets were read, so answers that had arrived were lost; each time-out, also of a call that had not been written, replaced the pool of its target; each voided call closed an idle connection. - a written call times out only after the sockets have been read once more; - a call is voided by an exception of the handler, which undici takes without closing the connection, and not by its abort function; - only a written call that times out retires the pool: one that was not written has waited for written ones, which time out themselves; - the two errors are created once, without a stack for each call.

--- a/src/rpc/exchange.ts
+++ b/src/rpc/exchange.ts
@@ -35,6 +35,10 @@
   return Object.assign(new Error(message), { code });
 }
 
+/** Created once, because stack traces are expensive and thousands of calls may fail in a second. */
+const TOO_LATE_ERROR = createError(TOO_LATE_CODE, 'too late to be sent');
+const TIMEOUT_ERROR = createError(TIMEOUT_CODE, 'no answer within the time limit');
+
 /** Finds the content type in an array of alternating header names and values. */
 function getContentType(rawHeaders: readonly Buffer[]): string {
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
@@ -74,15 +78,15 @@
     this.#limits = limits;
     this.#resolve = resolve;
     const delayMs = Math.max(1, Math.ceil(limits.timeoutMs));
-    this.#timer = setTimeout(() => this.#onTimeout(), delayMs);
+    this.#timer = setTimeout(Exchange.#onTimer, delayMs, this);
   }
 
-  /** Called immediately before the request is written, with a function that aborts it. */
+  /**
+   * Called immediately before the request is written, with a function that aborts it. Throws to void the request:
+   * aborting it would also close the connection, although nothing was written to it.
+   */
   onConnect(abort: (error?: Error) => void): void {
-    if (this.#isSettled || this.#limits.isTooLate()) {
-      abort(createError(TOO_LATE_CODE, 'too late to be sent'));
-      return;
-    }
+    if (this.#isSettled || this.#limits.isTooLate()) throw TOO_LATE_ERROR;
     this.#abort = abort;
     this.#isWritten = true;
   }
@@ -111,10 +115,17 @@
     this.#settle({ kind: 'failed', error, isWritten: this.#isWritten });
   }
 
-  #onTimeout(): void {
-    const error = createError(TIMEOUT_CODE, 'no answer within the time limit');
-    if (this.#abort === undefined) this.onError(error);
-    else this.#abort(error);
+  /**
+   * Node.js runs timers before it reads from sockets. After a delay of the event loop the answer to a written request
+   * may already be there, so the sockets are read first.
+   */
+  static #onTimer(exchange: Exchange): void {
+    if (exchange.#isWritten) setImmediate(Exchange.#onTimeout, exchange);
+    else exchange.onError(TIMEOUT_ERROR);
+  }
+
+  static #onTimeout(exchange: Exchange): void {
+    if (!exchange.#isSettled) exchange.#abort?.(TIMEOUT_ERROR);
   }
 
   #settle(outcome: ExchangeOutcome): void {
--- a/src/rpc/httpClient.ts
+++ b/src/rpc/httpClient.ts
@@ -108,7 +108,7 @@
       return outcome;
     }
     const code = getCode(outcome.error);
-    if (code === TIMEOUT_CODE) this.#retirePool(call.address, pool);
+    if (code === TIMEOUT_CODE && outcome.isWritten) this.#retirePool(call.address, pool);
     if (outcome.isWritten && !isConnectFailure(outcome.error))
       return { kind: 'lost', isConnectionClosed: CLOSED_CODES.has(code), detail: code };
     return { kind: 'notSent', isRefused: code === 'ECONNREFUSED', detail: code };
@@ -167,7 +167,10 @@
     return pool;
   }
 
-  /** Replaces the pool of a peer after a time-out, because its open connections may be dead. */
+  /**
+   * Replaces the pool of a peer after a time-out of a written request, because its open connections may be dead. A
+   * request that timed out before that has waited for the requests on them, which time out themselves.
+   */
   #retirePool(address: string, pool: Pool): void {
     if (this.#pools.get(address) !== pool) return;
     this.#pools.delete(address);
