--- a/bench/ownerLoad.ts
+++ b/bench/ownerLoad.ts
@@ -34,7 +34,7 @@
 
 const TASKS_PER_SUBMISSION = 10;
 const TASK_DURATION_MS = 3_000;
-const DEMAND = { cpuMillis: 500, memoryMb: 256, accelerators: 0 };
+const DEMAND = { cpuMillis: 1_600, memoryMb: 256, accelerators: 0 };
 
 /** The first ends come after a task's duration; the compiler of Node.js needs some seconds as well. */
 const WARM_UP_MS = 6_000;
--- a/src/rpc/httpClient.ts
+++ b/src/rpc/httpClient.ts
@@ -7,6 +7,11 @@
 const KEEP_ALIVE_MS = 10_000;
 const DEFAULT_CONNECTIONS_PER_PEER = 64;
 
+/** Disables the timers of undici; each call has a timer of its own that covers the complete response. */
+const NO_TIMEOUT = 0;
+
+const isNeverTooLate = () => false;
+
 /** Result of an HTTP request. */
 export type HttpResult =
   | {
@@ -101,7 +106,7 @@
         headers: call.headers,
         body: call.method === 'GET' ? null : call.body,
       },
-      { timeoutMs: call.timeoutMs, isTooLate: call.isTooLate ?? (() => false) },
+      { timeoutMs: call.timeoutMs, isTooLate: call.isTooLate ?? isNeverTooLate },
     );
     if (outcome.kind === 'response') {
       this.#receivedBytes += outcome.body.length;
@@ -150,18 +155,19 @@
 
   /** Returns undefined for an address that no connection can be opened to. */
   #tryGetPool(address: string): Pool | undefined {
-    if (!URL.canParse(`http://${address}`)) return undefined;
-    return this.#getOrCreatePool(address);
-  }
-
-  #getOrCreatePool(address: string): Pool {
     const existing = this.#pools.get(address);
     if (existing !== undefined) return existing;
+    return URL.canParse(`http://${address}`) ? this.#createPool(address) : undefined;
+  }
+
+  #createPool(address: string): Pool {
     const pool = new Pool(`http://${address}`, {
       connect: { timeout: CONNECT_TIMEOUT_MS },
       keepAliveTimeout: KEEP_ALIVE_MS,
       connections: this.#connectionsPerPeer,
       pipelining: 1,
+      headersTimeout: NO_TIMEOUT,
+      bodyTimeout: NO_TIMEOUT,
     });
     this.#pools.set(address, pool);
     return pool;
