--- a/bench/main.ts
+++ b/bench/main.ts
@@ -15,6 +15,7 @@
 import { logging } from './logging';
 import { overload } from './overload';
 import { owner } from './owner';
+import { ownerLoad } from './ownerLoad';
 import { packing } from './packing';
 import { plot } from './plot';
 import { recovery } from './recovery';
@@ -33,6 +34,7 @@
   logging,
   overload,
   owner,
+  ownerLoad,
   packing,
   plot,
   recovery,
