--- a/bench/owner.ts
+++ b/bench/owner.ts
@@ -37,14 +37,12 @@
 }
 
 /** Collects how long tasks have waited for their start, in virtual time. */
-function collectWaits(world: OwnerWorld): number[] {
+function collectWaits(world: OwnerWorld): readonly number[] {
   const waits: number[] = [];
-  Object.assign(world, {
-    onEffect: (_epoch: number, effect: OwnerEffect) => {
-      if (effect.kind === 'record' && effect.name.startsWith('start_wait_'))
-        waits.push(effect.durationMs);
-    },
-  });
+  world.onEffect = (_epoch: number, effect: OwnerEffect) => {
+    if (effect.kind === 'record' && effect.name.startsWith('start_wait_'))
+      waits.push(effect.durationMs);
+  };
   return waits;
 }
 
--- a/src/owner/adviceChoice.ts
+++ b/src/owner/adviceChoice.ts
@@ -23,30 +23,45 @@
   readonly freeCpuMillis: number;
 }
 
+function getRatio(free: number, charge: number): number {
+  return charge > 0 ? free / charge : Number.POSITIVE_INFINITY;
+}
+
 function countFittingByDemand(charge: TaskDemand, free: TaskDemand): number {
-  const ratios = [
-    charge.cpuMillis > 0 ? free.cpuMillis / charge.cpuMillis : Number.POSITIVE_INFINITY,
-    charge.memoryMb > 0 ? free.memoryMb / charge.memoryMb : Number.POSITIVE_INFINITY,
-    charge.accelerators > 0 ? free.accelerators / charge.accelerators : Number.POSITIVE_INFINITY,
-  ];
-  return Math.max(0, Math.floor(Math.min(...ratios)));
+  if (charge.cpuMillis > 0 && free.cpuMillis < charge.cpuMillis) return 0;
+  const ratio = Math.min(
+    getRatio(free.cpuMillis, charge.cpuMillis),
+    getRatio(free.memoryMb, charge.memoryMb),
+    getRatio(free.accelerators, charge.accelerators),
+  );
+  return Math.max(0, Math.floor(ratio));
 }
 
 /** Number of waiting tasks of a step that fit on a target now. */
 function countFittingTasks(step: StepState, target: TargetState): number {
-  if (!isColocationAllowed(step, target)) return 0;
   const fittingCount = countFittingByDemand(step.charge, target.free);
+  if (fittingCount === 0 || !isColocationAllowed(step, target)) return 0;
   return Math.max(0, Math.min(fittingCount, getSpreadHeadroom(step, target), step.waiting.size));
 }
 
-/** Orders targets on which a task fits first, then approved targets, then by free processor capacity. */
-function compareRatedTargets(left: RatedTarget, right: RatedTarget): number {
-  const leftFits = Number(left.fittingTaskCount > 0);
-  const rightFits = Number(right.fittingTaskCount > 0);
-  if (leftFits !== rightFits) return rightFits - leftFits;
-  if (left.isApproved !== right.isApproved)
-    return Number(right.isApproved) - Number(left.isApproved);
-  return right.freeCpuMillis - left.freeCpuMillis;
+/** Groups of targets in the order in which they are named: those on which a task fits first, then approved ones. */
+const GROUP_COUNT = 4;
+
+function getGroup({ fittingTaskCount, isApproved }: RatedTarget): number {
+  return (fittingTaskCount > 0 ? 0 : 2) + (isApproved ? 0 : 1);
+}
+
+/** Selects the first targets by group and then by free processor capacity, and sorts only the groups that it needs. */
+function selectFirst(ratedTargets: readonly RatedTarget[], maxCount: number): RatedTarget[] {
+  const groups: RatedTarget[][] = Array.from({ length: GROUP_COUNT }, () => []);
+  ratedTargets.forEach((rated) => groups[getGroup(rated)]?.push(rated));
+  const selected: RatedTarget[] = [];
+  groups.forEach((group) => {
+    if (selected.length >= maxCount) return;
+    group.sort((left, right) => right.freeCpuMillis - left.freeCpuMillis);
+    selected.push(...group);
+  });
+  return selected.slice(0, maxCount);
 }
 
 /** Expected number of tasks that the targets can run, given the fraction of targets usually approved. */
@@ -81,38 +96,44 @@
   candidates: readonly TargetState[],
   costs: AdviceCosts,
 ): readonly TargetState[] {
-  const ratedTargets = candidates
-    .map((target) => ({
-      target,
-      fittingTaskCount: countFittingTasks(step, target),
-      isApproved: step.advice.isApproved(target.id),
-      freeCpuMillis: target.free.cpuMillis,
-    }))
-    .sort(compareRatedTargets);
+  const ratedTargets = candidates.map((target) => ({
+    target,
+    fittingTaskCount: countFittingTasks(step, target),
+    isApproved: step.advice.isApproved(target.id),
+    freeCpuMillis: target.free.cpuMillis,
+  }));
   const approved = ratedTargets.filter(
     ({ isApproved, fittingTaskCount }) => isApproved && fittingTaskCount > 0,
   );
   const isApprovedSufficient = getExpectedTaskCount(approved) >= step.waiting.size;
-  const selected = isApprovedSufficient ? approved : ratedTargets;
+  const selected = selectFirst(
+    isApprovedSufficient ? approved : ratedTargets,
+    ADVICE_MAX_TARGETS,
+  );
   return selected.slice(0, getMaxTargets(costs, step, selected)).map(({ target }) => target);
 }
 
 /**
  * Checks whether no target with a valid ticket has capacity while another candidate has.
  * @param step - a step with valid tickets
- * @param candidates - eligible targets that the service has not refused
+ * @param targets - targets that the step may use
+ * @param isCandidate - checks whether one of them is eligible and not refused by the service
  * @param nowMs - elapsed time of this process
  * @returns true when another call could provide usable tickets
  */
 export function isFurtherAdviceUseful(
   step: StepState,
-  candidates: readonly TargetState[],
+  targets: readonly TargetState[],
+  isCandidate: (target: TargetState) => boolean,
   nowMs: number,
 ): boolean {
-  const hasCapacity = (target: TargetState) => countFittingTasks(step, target) > 0;
-  const hasTicket = (target: TargetState) =>
-    step.advice.getTicket(target.id, target.entry.incarnationStartMs, nowMs) !== undefined;
-  // Few targets have tickets and the lookup is cheap, so this check decides most calls.
-  if (candidates.some((target) => hasTicket(target) && hasCapacity(target))) return false;
-  return candidates.some(hasCapacity);
+  let hasCapacity = false;
+  for (const target of targets) {
+    if (countFittingTasks(step, target) === 0 || !isCandidate(target)) continue;
+    const { entry } = target;
+    if (step.advice.getTicket(target.id, entry.incarnationStartMs, nowMs) !== undefined)
+      return false;
+    hasCapacity = true;
+  }
+  return hasCapacity;
 }
--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -6,6 +6,7 @@
 
 import * as E from 'fp-ts/Either';
 import type { NodeId, TargetId } from '../types/ids';
+import { isDemandFitting } from '../work/types';
 import type { AdviceCosts } from '../work/types';
 import {
   ADVICE_REFRESH_DELAY_MS,
@@ -18,7 +19,7 @@
 } from './constants';
 import { chooseTargetsToQuery, isFurtherAdviceUseful } from './adviceChoice';
 import type { OwnerState } from './ownerState';
-import { isTargetEligible } from './placement';
+import { Roominess } from './roominess';
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
@@ -45,6 +46,17 @@
   return costs.callMs + costs.perTargetMs * targetCount;
 }
 
+/** Checks whether the service may be asked about a target that the step may use. */
+function isCandidate(step: StepState, target: TargetState): boolean {
+  return isDemandFitting(step.charge, target.entry.capacity) && !step.advice.isRefused(target.id);
+}
+
+/** Checks whether a call about a single target is short; one about more takes longer. */
+function mayBeShort({ record }: StepState): boolean {
+  const costs = record.queue.advice;
+  return costs === undefined || getCallMs(costs, 1) <= SHORT_ADVICE_MS;
+}
+
 /** Assigns advice calls to lanes. */
 export class AdviceDispatcher {
   #state: OwnerState;
@@ -113,10 +125,12 @@
     const { nowMs } = this.#state;
     const idleLanes = this.#lanes.filter((lane) => !lane.isBusy && lane.notBeforeMs <= nowMs);
     if (idleLanes.length === 0) return;
+    this.#state.eligibleTargets.refresh(this.#state);
     const steps = sortSteps(this.#getStepsNeedingAdvice(), this.#state.wallMs);
     steps.forEach((step) => {
-      // Targets are chosen only while a lane is idle.
-      const request = idleLanes.length === 0 ? undefined : this.#createRequest(step);
+      // Targets are chosen only while a lane is idle that may take the call.
+      const isLaneIdle = idleLanes.some(({ isShortOnly }) => !isShortOnly || mayBeShort(step));
+      const request = isLaneIdle ? this.#createRequest(step) : undefined;
       if (request === undefined) return;
       const isShort = getCallMs(request.costs, request.targetIds.length) <= SHORT_ADVICE_MS;
       const position = idleLanes.findIndex((lane) => isShort === lane.isShortOnly);
@@ -144,26 +158,31 @@
   }
 
   #getStepsNeedingAdvice(): StepState[] {
-    const steps = [...this.#state.ready].filter((step) => this.#needsAdvice(step));
+    const roominess = new Roominess(() => true);
+    const steps = [...this.#state.ready].filter((step) => this.#needsAdvice(step, roominess));
     this.#state.open.forEach((record) => {
       if (record.queue.advice === undefined || record.submission.spec.steps.length < 2) return;
-      [...record.steps].forEach((step) => {
-        if (step.readyAtMs !== undefined || step.spec.after.length === 0) return;
-        if (this.#needsAdvice(step) && this.#isPrefetchDue(step)) steps.push(step);
-      });
+      for (const step of record.steps) {
+        if (step.readyAtMs !== undefined || step.spec.after.length === 0) continue;
+        if (this.#needsAdvice(step, roominess) && this.#isPrefetchDue(step)) steps.push(step);
+      }
     });
     return steps;
   }
 
-  #needsAdvice(step: StepState): boolean {
+  #needsAdvice(step: StepState, roominess: Roominess): boolean {
     const { record, advice, waiting, mayRunUnseen } = step;
     if (record.queue.advice === undefined || advice.isCallPending || mayRunUnseen) return false;
     if (waiting.size === 0) return false;
-    const { nowMs } = this.#state;
-    if (advice.getUsableTicketTargetIds(nowMs).length === 0) return true;
+    const { nowMs, eligibleTargets } = this.#state;
+    if (!advice.hasUsableTicket(nowMs)) return true;
     if (step.readyAtMs === undefined || nowMs < advice.lastCallAtMs + ADVICE_REFRESH_DELAY_MS)
       return false;
-    return isFurtherAdviceUseful(step, this.#getCandidates(step), nowMs);
+    const targets = eligibleTargets.get(step);
+    return (
+      roominess.mayFit(targets, step.charge) &&
+      isFurtherAdviceUseful(step, targets, (target) => isCandidate(step, target), nowMs)
+    );
   }
 
   #createRequest(step: StepState): AdviceRequest | undefined {
@@ -176,9 +195,7 @@
 
   /** Eligible targets of the step, without those that the service has refused. */
   #getCandidates(step: StepState): TargetState[] {
-    return [...this.#state.targets.values()].filter(
-      (target) => !step.advice.isRefused(target.id) && isTargetEligible(this.#state, step, target),
-    );
+    return this.#state.eligibleTargets.get(step).filter((target) => isCandidate(step, target));
   }
 
   /** Checks whether all dependencies of a step are expected to be done while a ticket requested now is valid. */
--- a/src/owner/candidates.ts
+++ b/src/owner/candidates.ts
@@ -79,3 +79,95 @@
   });
   return best;
 }
+
+/**
+ * The cost of each candidate for the tasks of a step, or of steps with the same placement class. Placing a task changes
+ * only the target that it is placed on, so the others keep their cost.
+ */
+export class CandidateCosts {
+  #step: StepState;
+
+  #candidates: readonly Candidate[];
+
+  #capacityView: CapacityView;
+
+  /** Undefined where no task of the step fits. */
+  #costs: (number | undefined)[];
+
+  #placeableCount = 0;
+
+  #positions: Map<TargetState, number> | undefined;
+
+  /**
+   * @param step - the step
+   * @param candidates - the targets on which its tasks may run
+   * @param capacityView - their free capacity
+   */
+  constructor(
+    step: StepState,
+    candidates: readonly Candidate[],
+    capacityView: CapacityView = CURRENT_CAPACITY,
+  ) {
+    this.#step = step;
+    this.#candidates = candidates;
+    this.#capacityView = capacityView;
+    this.#costs = candidates.map(({ target }) => this.#getCost(target));
+    this.#costs.forEach((cost) => {
+      if (cost !== undefined) this.#placeableCount += 1;
+    });
+  }
+
+  /** Whether no further task fits on any candidate. */
+  get isExhausted(): boolean {
+    return this.#placeableCount === 0;
+  }
+
+  /**
+   * Chooses the target of one task, the same as {@link chooseCandidate}.
+   * @param isCautious - whether suspect targets are excluded
+   * @param place - places the task on the candidate
+   * @returns false when the task fits on none
+   */
+  tryPlace(isCautious: boolean, place: (candidate: Candidate) => void): boolean {
+    if (this.isExhausted) return false;
+    let best = -1;
+    let bestCost = Number.POSITIVE_INFINITY;
+    this.#costs.forEach((cost, position) => {
+      if (cost === undefined || cost >= bestCost) return;
+      if (isCautious && this.#candidates[position]?.target.isSuspect === true) return;
+      best = position;
+      bestCost = cost;
+    });
+    const chosen = this.#candidates[best];
+    if (chosen === undefined) return false;
+    place(chosen);
+    this.#updateAt(best, chosen.target);
+    return true;
+  }
+
+  /**
+   * Follows a placement that was not made through this object.
+   * @param target - a target that now has less capacity
+   */
+  update(target: TargetState): void {
+    this.#positions ??= new Map(
+      this.#candidates.map((candidate, position) => [candidate.target, position]),
+    );
+    const position = this.#positions.get(target);
+    if (position !== undefined) this.#updateAt(position, target);
+  }
+
+  #updateAt(position: number, target: TargetState): void {
+    if (this.#costs[position] === undefined) return;
+    const cost = this.#getCost(target);
+    this.#costs[position] = cost;
+    if (cost === undefined) this.#placeableCount -= 1;
+  }
+
+  #getCost(target: TargetState): number | undefined {
+    const free = this.#capacityView.getFree(target);
+    if (!isPlaceable(this.#step, target, free, this.#capacityView.getPlacedCount(target)))
+      return undefined;
+    return getPlacementCost(this.#step, target, free);
+  }
+}
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -304,9 +304,10 @@
   }
 
   #openAllDueOccurrences(): void {
-    this.#state.open.forEach((record) => {
-      if (record.nextDueAtMs === undefined || record.nextDueAtMs > this.#state.wallMs) return;
-      this.#openDueOccurrences(record);
+    const { scheduled, open, wallMs } = this.#state;
+    scheduled.forEach((record) => {
+      if (!open.has(record) || record.nextDueAtMs === undefined) scheduled.delete(record);
+      else if (record.nextDueAtMs <= wallMs) this.#openDueOccurrences(record);
     });
   }
 
@@ -339,11 +340,11 @@
       return;
     let clearedCount = 0;
     this.#state.open.forEach((record) => {
-      [...record.steps].forEach((step) => {
-        if (!step.mayRunUnseen) return;
+      for (const step of record.steps) {
+        if (!step.mayRunUnseen) continue;
         step.mayRunUnseen = false;
         clearedCount += 1;
-      });
+      }
     });
     if (clearedCount === 0) return;
     this.#state.isPlanDue = true;
@@ -477,6 +478,7 @@
       return;
     }
     this.#state.open.add(record);
+    this.#state.scheduled.add(record);
     this.#openDueOccurrences(record);
   }
 
--- a/src/owner/gangPlacement.ts
+++ b/src/owner/gangPlacement.ts
@@ -3,7 +3,7 @@
 import type { TargetId } from '../types/ids';
 import { addDemand } from '../work/types';
 import type { TaskDemand } from '../work/types';
-import { chooseCandidate, isStarved, isLastAttempt } from './candidates';
+import { CandidateCosts, isStarved, isLastAttempt } from './candidates';
 import type { Candidate } from './candidates';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
@@ -27,13 +27,15 @@
     getPlacedCount: (target: TargetState) => counts.get(target.id) ?? 0,
   };
   const placements: MemberPlacement[] = [];
-  for (let index = 0; index < step.spec.taskCount; index += 1) {
-    const candidate = chooseCandidate(step, isCautious, candidates, capacityView);
-    if (candidate === undefined) return undefined;
+  const place = (candidate: Candidate) => {
     const { target } = candidate;
     free.set(target.id, addDemand(capacityView.getFree(target), step.charge, -1));
     counts.set(target.id, capacityView.getPlacedCount(target) + 1);
-    placements.push({ index, candidate });
+    placements.push({ index: placements.length, candidate });
+  };
+  const costs = new CandidateCosts(step, candidates, capacityView);
+  while (placements.length < step.spec.taskCount) {
+    if (!costs.tryPlace(isCautious, place)) return undefined;
   }
   return placements;
 }
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -141,6 +141,7 @@
       target.inheritedLeaseEndsAtMs = this.#state.steadyMs + this.#state.maxInheritedLeaseMs;
     target.isResponding = true;
     target.lastAnsweredAtMs = nowMs;
+    target.mayNeedStops = true;
     // Ends are acknowledged in order, so an end of an unread submission defers all later ones.
     const firstUnread = inventory.ended.findIndex((entry) =>
       this.#isSubmissionUnread(target, entry),
@@ -151,14 +152,14 @@
     const listed = new Set<RunKey>();
     const orphanRuns: RunKey[] = [];
     inventory.running.forEach((entry) => {
-      listed.add(toRunKey(entry.taskKey, entry.run));
+      const key = toRunKey(entry.taskKey, entry.run);
+      listed.add(key);
       if (this.#isSubmissionUnread(target, entry)) {
         isUnreadListed = true;
-        orphanRuns.push(toRunKey(entry.taskKey, entry.run));
+        orphanRuns.push(key);
         return;
       }
-      if (!this.#reconcileRunning(target, entry, sentAtMs))
-        orphanRuns.push(toRunKey(entry.taskKey, entry.run));
+      if (!this.#reconcileRunning(target, entry, key, sentAtMs)) orphanRuns.push(key);
     });
     target.setOrphanRuns(orphanRuns);
     [...target.runs.values()].forEach((run) => {
@@ -246,15 +247,20 @@
   }
 
   /** @returns false when the run is not needed or matches no task, and has to be stopped */
-  #reconcileRunning(target: TargetState, entry: RunningEntry, sentAtMs: number): boolean {
+  #reconcileRunning(
+    target: TargetState,
+    entry: RunningEntry,
+    key: RunKey,
+    sentAtMs: number,
+  ): boolean {
     const { nowMs } = this.#state;
-    const known = target.runs.get(toRunKey(entry.taskKey, entry.run));
+    const known = target.runs.get(key);
     if (known !== undefined) {
       this.#updateRun(known, entry);
       return true;
     }
     const task = this.#findTask(entry.taskKey);
-    const endedAtMs = task?.step.getEndedAtMs(toRunKey(entry.taskKey, entry.run));
+    const endedAtMs = task?.step.getEndedAtMs(key);
     // A response that was overtaken by another may list a run whose end has been processed.
     if (endedAtMs !== undefined && sentAtMs <= endedAtMs) return true;
     const hasNotEnded = endedAtMs === undefined;
@@ -263,7 +269,7 @@
       this.#runManager.adopt(task.step, task.index, target, entry);
       return true;
     }
-    if (!target.takeOrphanStop(toRunKey(entry.taskKey, entry.run), nowMs)) return false;
+    if (!target.takeOrphanStop(key, nowMs)) return false;
     this.#state.log('stopping unexpected run', {
       task: entry.taskKey,
       run: entry.run,
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -8,6 +8,7 @@
   MAX_CLOCK_DRIFT,
   MAX_START_TIMEOUT_MS,
 } from './constants';
+import { EligibleTargets } from './eligibleTargets';
 import { ResponseTimes } from './responseTimes';
 import { ProgressWriter } from './progressWriter';
 import type { StepState } from './stepState';
@@ -23,6 +24,9 @@
 
   readonly targets = new Map<TargetId, TargetState>();
 
+  /** Index of {@link OwnerState.targets}, refreshed before use. */
+  readonly eligibleTargets = new EligibleTargets();
+
   /** The latest registration of each target, which may be that of a former incarnation. */
   readonly latestEntries = new Map<TargetId, TargetEntry>();
 
@@ -31,6 +35,9 @@
   /** Submissions without an outcome. */
   readonly open = new Set<SubmissionRecord>();
 
+  /** The submissions among these with occurrences that are not due yet, and some that have ended or have none. */
+  readonly scheduled = new Set<SubmissionRecord>();
+
   /** Ready steps with waiting tasks. */
   readonly ready = new Set<StepState>();
 
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -15,6 +15,23 @@
 /** Cost per unit of relative slowdown: a target that takes twice the mean duration costs 1. */
 const SLOWDOWN_WEIGHT = 1;
 
+/**
+ * Checks whether new runs may be started on a target at all, regardless of its state and capacity.
+ * @param state - the owner's state
+ * @param target - the target
+ * @returns true when its registration and its data centre allow it
+ */
+export function isTargetInUse(
+  { operator }: Pick<OwnerState, 'operator'>,
+  { entry, isRegistered }: TargetState,
+): boolean {
+  return (
+    isRegistered &&
+    !entry.isDraining &&
+    !operator.closedDataCentreIds.includes(entry.dataCentreId)
+  );
+}
+
 /**
  * Checks whether a target could run tasks of a step, regardless of its free capacity.
  * @param state - the owner's state
@@ -24,9 +41,8 @@
  */
 export function isTargetEligible(state: OwnerState, step: StepState, target: TargetState): boolean {
   const { entry } = target;
-  if (!target.isRegistered || entry.isDraining) return false;
+  if (!isTargetInUse(state, target)) return false;
   if (entry.serviceName !== step.record.queue.serviceName) return false;
-  if (state.operator.closedDataCentreIds.includes(entry.dataCentreId)) return false;
   const { requiredLabel } = step.spec;
   if (requiredLabel !== '' && !entry.labels.includes(requiredLabel)) return false;
   return isDemandFitting(step.charge, entry.capacity);
@@ -39,31 +55,15 @@
  *   later owner otherwise
  */
 export function isInventoryKnown(target: TargetState): boolean {
-  const areReportsVoid = target.voidedReports.every(
-    ({ record, change }) => record.durableChangeCount >= change,
-  );
   return (
     target.isContacted &&
     target.isResponding &&
     !target.isVerificationDue &&
     target.orphanRuns.size === 0 &&
-    areReportsVoid
+    target.voidedReports.every(({ record, change }) => record.durableChangeCount >= change)
   );
 }
 
-function runsFiller(target: TargetState): boolean {
-  return [...target.runs.values()].some((run) => run.step.spec.isFiller);
-}
-
-function isLatencySensitive(step: StepState): boolean {
-  const { policy } = step.spec;
-  return policy.kind === 'standing' && policy.latencyTargetMs > 0;
-}
-
-function runsLatencySensitive(target: TargetState): boolean {
-  return [...target.runs.values()].some((run) => isLatencySensitive(run.step));
-}
-
 /**
  * Checks whether a step's tasks may share a target with its present runs. Filler tasks use spare processor
  * time and would raise the response times of latency-sensitive tasks.
@@ -72,8 +72,8 @@
  * @returns false when a filler and a latency-sensitive task would share the target
  */
 export function isColocationAllowed(step: StepState, target: TargetState): boolean {
-  if (step.spec.isFiller) return !runsLatencySensitive(target);
-  if (isLatencySensitive(step)) return !runsFiller(target);
+  if (step.spec.isFiller) return !target.runsLatencySensitive;
+  if (step.isLatencySensitive) return !target.runsFiller;
   return true;
 }
 
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -4,13 +4,14 @@
 import { addDemand, isDemandFitting, NO_DEMAND } from '../work/types';
 import type { TaskDemand } from '../work/types';
 import type { OwnerState } from './ownerState';
-import { chooseCandidate, isStarved, isLastAttempt } from './candidates';
+import { CandidateCosts, chooseCandidate, isStarved, isLastAttempt } from './candidates';
 import type { Candidate } from './candidates';
 import {
   SPECULATION_CHECK_INTERVAL_MS,
   MAX_PREEMPTING_TASKS,
   PREEMPTION_DELAY_MS,
 } from './constants';
+import { PassCosts } from './passCosts';
 import { findStragglers } from './stragglers';
 import { placeGang } from './gangPlacement';
 import {
@@ -19,8 +20,7 @@
   isTargetEligible,
   isInventoryKnown,
 } from './placement';
-import { choosePreemption, collectVictims, hasVictim } from './preemption';
-import type { ReservedDemand, VictimTable } from './preemption';
+import { PreemptionTable } from './preemption';
 import type { RunManager } from './runManager';
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
@@ -37,6 +37,10 @@
   return waiting.filter((index) => !step.progress.isSuspect(index));
 }
 
+function toCandidates(targets: readonly TargetState[]): readonly Candidate[] {
+  return targets.map((target) => ({ target, ticket: undefined }));
+}
+
 /** Decides which tasks start, where they run, and which runs are preempted for them. */
 export class Planner {
   #state: OwnerState;
@@ -45,9 +49,9 @@
 
   #unseenUsage = new Map<TeamId, TaskDemand>();
 
-  #reserved: ReservedDemand = new Map();
+  #preemptions = new PreemptionTable([], 0);
 
-  #victims: VictimTable = new Map();
+  #passCosts = new PassCosts();
 
   #nextSpeculationAtMs = 0;
 
@@ -66,45 +70,80 @@
   /** Runs one scheduling pass: starts every task that fits now. */
   plan(): void {
     const state = this.#state;
-    const known = [...state.targets.values()].filter(isInventoryKnown);
+    const known: TargetState[] = [];
+    state.targets.forEach((target) => {
+      target.isPlannable = isInventoryKnown(target);
+      if (target.isPlannable) known.push(target);
+    });
     if (known.length === 0) return;
-    const waiting = [...state.ready].filter((step) => !step.mayRunUnseen);
-    const steps = sortSteps(waiting, state.wallMs);
+    const steps = this.#getPlannableSteps();
     this.#unseenUsage = this.#getUnseenUsage();
     this.#planTrials(steps, known);
-    const inventoried = known.filter(({ trial }) => trial === undefined);
-    const unpaused = inventoried.filter((target) => target.pausedUntilMs <= state.nowMs);
-    this.#victims = collectVictims(inventoried, state.nowMs);
+    known.forEach((planned) => {
+      const target = planned;
+      target.isPlannable = target.trial === undefined;
+    });
+    if (steps.length > 0) this.#planSteps(steps, known);
+    if (state.nowMs < this.#nextSpeculationAtMs) return;
+    this.#nextSpeculationAtMs = state.nowMs + SPECULATION_CHECK_INTERVAL_MS;
+    this.#startSpeculativeCopies(known);
+  }
+
+  #getPlannableSteps(): readonly StepState[] {
+    const waiting: StepState[] = [];
+    this.#state.ready.forEach((step) => {
+      if (!step.mayRunUnseen) waiting.push(step);
+    });
+    return sortSteps(waiting, this.#state.wallMs);
+  }
+
+  #planSteps(steps: readonly StepState[], known: readonly TargetState[]): void {
+    const state = this.#state;
+    state.eligibleTargets.refresh(state);
+    this.#passCosts = new PassCosts();
+    this.#preemptions = new PreemptionTable(
+      known.filter(({ isPlannable }) => isPlannable),
+      state.nowMs,
+    );
     steps.forEach((step) => {
       try {
-        this.#planStep(step, inventoried, unpaused);
+        this.#planStep(step);
       } catch (error) {
         this.#setAside(step, error);
       }
     });
-    this.#reserved.clear();
-    if (state.nowMs < this.#nextSpeculationAtMs) return;
-    this.#nextSpeculationAtMs = state.nowMs + SPECULATION_CHECK_INTERVAL_MS;
-    this.#startSpeculativeCopies(unpaused);
   }
 
-  #planStep(
-    step: StepState,
-    inventoried: readonly TargetState[],
-    unpaused: readonly TargetState[],
-  ): void {
-    // In a full fleet this cheap check rules out most steps before the eligibility of each target is examined.
-    const allowed = isStarved(step, this.#state.nowMs) ? inventoried : unpaused;
+  #planStep(step: StepState): void {
     const { record } = step;
-    const crashedAtMs = this.#state.crashingQueues.get(record.queue.id) ?? Number.NEGATIVE_INFINITY;
-    record.isCrashLikely = this.#state.nowMs < crashedAtMs + CRASHING_QUEUE_MS;
-    const fitting = allowed.filter((target) => isDemandFitting(step.charge, target.free));
-    const candidates = fitting.length === 0 ? [] : this.#getCandidates(step, fitting);
-    if (candidates.length > 0) {
-      if (step.isGang) this.#startGang(step, candidates);
-      else this.#startTasks(step, candidates);
+    const { nowMs, crashingQueues } = this.#state;
+    const crashedAtMs = crashingQueues.get(record.queue.id) ?? Number.NEGATIVE_INFINITY;
+    record.isCrashLikely = nowMs < crashedAtMs + CRASHING_QUEUE_MS;
+    const isDesperate = isStarved(step, nowMs);
+    this.#placeStep(step, isDesperate);
+    this.#preemptFor(step, isDesperate);
+  }
+
+  #placeStep(step: StepState, isDesperate: boolean): void {
+    const targets = this.#state.eligibleTargets.get(step);
+    if (!this.#passCosts.mayFit(targets, step.charge)) return;
+    const getCandidates = () => this.#getFittingCandidates(step, isDesperate);
+    const { advice } = step.record.queue;
+    if (step.isGang) this.#startGang(step, getCandidates());
+    else if (advice !== undefined || step.spec.maxTasksPerTarget > 0)
+      this.#startTasks(step, new CandidateCosts(step, getCandidates()));
+    else {
+      const placementClass = `${step.placementClass}|${isDesperate}|${step.record.isCrashLikely}`;
+      const costs = this.#passCosts.get(step, targets, placementClass, getCandidates);
+      this.#startTasks(step, costs);
+      this.#passCosts.onStepPlaced(targets, costs);
     }
-    this.#preemptFor(step, allowed);
+  }
+
+  #getFittingCandidates(step: StepState, isDesperate: boolean): readonly Candidate[] {
+    return this.#getOpenCandidates(step, isDesperate, ({ free }) =>
+      isDemandFitting(step.charge, free),
+    );
   }
 
   /** A step that cannot be planned would end the ownership of each node in turn, so the others go on without it. */
@@ -134,14 +173,17 @@
   }
 
   /** Starts a second copy of stragglers where capacity is left (speculative execution). */
-  #startSpeculativeCopies(unpaused: readonly TargetState[]): void {
+  #startSpeculativeCopies(known: readonly TargetState[]): void {
     const { nowMs, targets, open: records } = this.#state;
+    const unpaused = known.filter(
+      ({ isPlannable, pausedUntilMs }) => isPlannable && pausedUntilMs <= nowMs,
+    );
     records.forEach((record) => {
-      [...record.steps].forEach((step) => {
+      for (const step of record.steps) {
         findStragglers(step, (run) => targets.get(run.targetId), nowMs).forEach((run) =>
           this.#startSpeculativeCopy(step, run.index, run.targetId, unpaused),
         );
-      });
+      }
     });
   }
 
@@ -163,14 +205,16 @@
   }
 
   /** Preempts runs of lower priority for tasks that have waited too long for capacity. */
-  #preemptFor(step: StepState, allowed: readonly TargetState[]): void {
+  #preemptFor(step: StepState, isDesperate: boolean): void {
     const { nowMs } = this.#state;
-    const waitedMs = nowMs - (step.readyAtMs ?? nowMs);
-    const { isExcess } = step.record;
+    if (step.isGang || step.record.isExcess) return;
+    if (nowMs - (step.readyAtMs ?? nowMs) < PREEMPTION_DELAY_MS) return;
+    if (!this.#preemptions.hasVictim(step)) return;
     const waitingCount = getRegularTasks(step).length;
-    if (step.isGang || isExcess || waitingCount === 0 || waitedMs < PREEMPTION_DELAY_MS) return;
-    if (!hasVictim(this.#victims, step)) return;
-    const targets = this.#getCandidates(step, allowed)
+    if (waitingCount === 0) return;
+    const targets = this.#getOpenCandidates(step, isDesperate, (target) =>
+      this.#preemptions.mayFit(step, target),
+    )
       .map(({ target }) => target)
       .filter((target) => isSpreadAllowed(step, target) && isColocationAllowed(step, target));
     let canContinue = targets.length > 0;
@@ -183,11 +227,10 @@
   }
 
   #preemptForOneTask(step: StepState, targets: readonly TargetState[]): boolean {
-    const chosen = choosePreemption(step, targets, this.#victims, this.#reserved);
+    const chosen = this.#preemptions.choose(step, targets);
     if (chosen === undefined) return false;
     const { target, victims } = chosen;
-    const reserved = this.#reserved.get(target.id) ?? NO_DEMAND;
-    this.#reserved.set(target.id, addDemand(reserved, step.charge));
+    this.#preemptions.reserve(target, step.charge);
     victims.forEach((run) => this.#runManager.stop(run, `preempted for ${step.key}`));
     if (victims.length > 0) this.#state.count('runs_preempted', victims.length);
     return true;
@@ -221,30 +264,58 @@
     return candidates;
   }
 
+  /**
+   * Gets the targets on which this pass may start tasks of a step. A step that needs tickets has them for few targets,
+   * so these are examined rather than all.
+   */
+  #getOpenCandidates(
+    step: StepState,
+    isDesperate: boolean,
+    isPossible: (target: TargetState) => boolean,
+  ): readonly Candidate[] {
+    const { nowMs, targets, eligibleTargets } = this.#state;
+    const needsTicket = step.record.queue.advice !== undefined;
+    const isOpen = (target: TargetState) =>
+      target.isPlannable &&
+      (isDesperate || target.pausedUntilMs <= nowMs) &&
+      isPossible(target) &&
+      isDemandFitting(step.charge, target.entry.capacity);
+    if (!needsTicket) return toCandidates(eligibleTargets.get(step).filter(isOpen));
+    const approved: TargetState[] = [];
+    step.advice.forEachUsableTicket(nowMs, (targetId) => {
+      const target = targets.get(targetId);
+      if (target !== undefined && isOpen(target)) approved.push(target);
+    });
+    approved.sort((left, right) => left.position - right.position);
+    return this.#getCandidates(step, approved);
+  }
+
   /**
    * Tasks of a step have the same demand, so once one cannot be placed the others cannot either. Tasks on
    * their last attempt are tracked separately, as they avoid suspect targets.
    */
-  #startTasks(step: StepState, candidates: readonly Candidate[]): void {
+  #startTasks(step: StepState, costs: CandidateCosts): void {
+    if (costs.isExhausted) return;
     let hasCapacity = true;
     let hasCapacityForLastAttempt = true;
     getRegularTasks(step).forEach((index) => {
       const isCautious = isLastAttempt(step, index) && !isStarved(step, this.#state.nowMs);
       if (!hasCapacity || (isCautious && !hasCapacityForLastAttempt)) return;
       if (!this.#isWithinTeamLimit(step, step.charge)) return;
-      const chosen = chooseCandidate(step, isCautious, candidates);
-      if (chosen === undefined) {
-        if (isCautious) hasCapacityForLastAttempt = false;
-        else hasCapacity = false;
-        return;
-      }
-      const run = this.#runManager.allocateRunNumber(step);
-      this.#runManager.start(step, index, chosen.target, run, chosen.ticket);
+      const isPlaced = costs.tryPlace(isCautious, ({ target, ticket }) => {
+        this.#passCosts.onPlaced(target);
+        const run = this.#runManager.allocateRunNumber(step);
+        this.#runManager.start(step, index, target, run, ticket);
+      });
+      if (isPlaced) return;
+      if (isCautious) hasCapacityForLastAttempt = false;
+      else hasCapacity = false;
     });
   }
 
   /** Starts all members of a gang at once, or none of them. */
   #startGang(step: StepState, candidates: readonly Candidate[]): void {
+    if (candidates.length === 0) return;
     if (getRegularTasks(step).length < step.spec.taskCount) return;
     const totalDemand = addDemand(NO_DEMAND, step.charge, step.spec.taskCount);
     if (!this.#isWithinTeamLimit(step, totalDemand)) return;
@@ -253,6 +324,7 @@
     if (placements === undefined) return;
     const run = this.#runManager.allocateRunNumber(step);
     placements.forEach(({ index, candidate }) => {
+      this.#passCosts.onPlaced(candidate.target);
       this.#runManager.start(step, index, candidate.target, run, candidate.ticket);
     });
   }
--- a/src/owner/preemption.ts
+++ b/src/owner/preemption.ts
@@ -4,7 +4,7 @@
  */
 
 import type { TargetId } from '../types/ids';
-import { addDemand, isDemandFitting } from '../work/types';
+import { addDemand, isDemandFitting, NO_DEMAND } from '../work/types';
 import type { TaskDemand } from '../work/types';
 import type { Run } from './run';
 import type { StepState } from './stepState';
@@ -23,9 +23,6 @@
   readonly victims: readonly Run[];
 }
 
-/** Demand of tasks for which capacity is being freed by preemption, by target. */
-export type ReservedDemand = Map<TargetId, TaskDemand>;
-
 function getLostWorkMs(run: Run, nowMs: number): number {
   return run.step.spec.hasCheckpoints ? RESTORE_COST_MS : nowMs - run.sentAtMs;
 }
@@ -37,58 +34,29 @@
   readonly lostWorkMs: number;
 }
 
-/** Preemptible runs by target, in ascending order of lost work. */
-export type VictimTable = ReadonlyMap<TargetId, readonly Victim[]>;
+const NO_VICTIMS: readonly Victim[] = [];
 
 function isPreemptible(run: Run, nowMs: number): boolean {
   const { policy, hasCheckpoints } = run.step.spec;
   if (run.phase !== 'running' || policy.kind !== 'batch') return false;
+  if (run.step.record.queue.priority <= 0) return false;
   return hasCheckpoints || getLostWorkMs(run, nowMs) <= MAX_LOST_WORK_MS;
 }
 
-/**
- * Collects the preemptible runs, once per scheduling pass.
- * @param targets - all targets with a known inventory
- * @param nowMs - elapsed time of this process
- * @returns the runs by target
- */
-export function collectVictims(targets: readonly TargetState[], nowMs: number): VictimTable {
-  const table = new Map<TargetId, readonly Victim[]>();
-  targets.forEach((target) => {
-    const victims = [...target.runs.values()]
-      .filter((run) => run.step.record.queue.priority > 0 && isPreemptible(run, nowMs))
-      .map((run) => ({
-        run,
-        priority: run.step.record.queue.priority,
-        lostWorkMs: getLostWorkMs(run, nowMs),
-      }))
-      .sort((left, right) => left.lostWorkMs - right.lostWorkMs);
-    if (victims.length > 0) table.set(target.id, victims);
+/** The preemptible runs of a target, in ascending order of lost work. */
+function collectVictims(target: TargetState, nowMs: number): readonly Victim[] {
+  const victims: Victim[] = [];
+  target.runs.forEach((run) => {
+    if (!isPreemptible(run, nowMs)) return;
+    const { priority } = run.step.record.queue;
+    victims.push({ run, priority, lostWorkMs: getLostWorkMs(run, nowMs) });
   });
-  return table;
+  return victims.sort((left, right) => left.lostWorkMs - right.lostWorkMs);
 }
 
-/**
- * Checks whether any run may be preempted for a step.
- * @param table - the preemptible runs
- * @param step - the step
- * @returns true when some run has a lower priority
- */
-export function hasVictim(table: VictimTable, step: StepState): boolean {
-  const { priority } = step.record.queue;
-  return [...table.values()].some((victims) =>
-    victims.some((victim) => victim.priority > priority),
-  );
-}
-
-/** Capacity that will be free and unreserved once every stop in progress has completed. */
-function getExpectedFree(target: TargetState, reserved: ReservedDemand): TaskDemand {
-  let expectedFree = target.free;
-  target.runs.forEach((run) => {
-    if (run.phase === 'stopping') expectedFree = addDemand(expectedFree, run.charge);
-  });
-  const reservedHere = reserved.get(target.id);
-  return reservedHere === undefined ? expectedFree : addDemand(expectedFree, reservedHere, -1);
+function isUsableVictim(victim: Victim, priority: number): boolean {
+  // A run preempted for an earlier task of this pass is no longer in the running phase.
+  return victim.priority > priority && victim.run.phase === 'running';
 }
 
 function chooseVictims(
@@ -101,8 +69,7 @@
   let free = expectedFree;
   eligible.forEach((victim) => {
     const isNeeded = !isDemandFitting(step.charge, free);
-    // A run preempted for an earlier task of this pass is no longer in the running phase.
-    if (!isNeeded || victim.priority <= priority || victim.run.phase !== 'running') return;
+    if (!isNeeded || !isUsableVictim(victim, priority)) return;
     victims.push(victim);
     free = addDemand(free, victim.run.charge);
   });
@@ -110,32 +77,141 @@
 }
 
 /**
- * Finds the preemption with the lowest cost, in processor time lost, that lets one task fit.
- * @param step - the task's step
- * @param targets - the targets on which it may run
- * @param table - the preemptible runs
- * @param reserved - demand for which capacity is already being freed
- * @returns the target and the runs to preempt there, or undefined when no preemption makes the task fit
+ * Preemptible runs during one scheduling pass. They are collected when the first step asks for them: until then the
+ * pass has only started runs, and those are not preemptible.
  */
-export function choosePreemption(
-  step: StepState,
-  targets: readonly TargetState[],
-  table: VictimTable,
-  reserved: ReservedDemand,
-): Preemption | undefined {
-  let best: Preemption | undefined;
-  let bestCost = Number.POSITIVE_INFINITY;
-  targets.forEach((target) => {
-    const expectedFree = getExpectedFree(target, reserved);
-    const victims = chooseVictims(step, table.get(target.id) ?? [], expectedFree);
-    if (victims === undefined) return;
-    const cost = victims.reduce(
-      (sum, { run, lostWorkMs }) => sum + run.charge.cpuMillis * lostWorkMs,
-      0,
+export class PreemptionTable {
+  #nowMs: number;
+
+  #targets: readonly TargetState[];
+
+  #victims: Map<TargetId, readonly Victim[]> | undefined;
+
+  /** Lowest urgency of any victim. */
+  #maxPriority = Number.NEGATIVE_INFINITY;
+
+  /** Demand of tasks for which capacity is being freed. */
+  #reserved = new Map<TargetId, TaskDemand>();
+
+  /**
+   * Upper bounds of what preemption can free for steps of {@link PreemptionTable.#boundPriority}. The pass only uses
+   * capacity up, and steps of one priority preempt no runs that the others could not.
+   */
+  #bounds = new Map<TargetId, TaskDemand>();
+
+  #boundPriority: number | undefined;
+
+  /**
+   * @param targets - all targets on which the pass may start runs
+   * @param nowMs - elapsed time of this process
+   */
+  constructor(targets: readonly TargetState[], nowMs: number) {
+    this.#targets = targets;
+    this.#nowMs = nowMs;
+  }
+
+  /**
+   * Checks whether any run may be preempted for a step.
+   * @param step - the step
+   * @returns true when some run has a lower priority
+   */
+  hasVictim(step: StepState): boolean {
+    if (this.#victims === undefined) this.#collect();
+    return this.#maxPriority > step.record.queue.priority;
+  }
+
+  /**
+   * Checks whether preemption on a target may make a task fit; a cheap check that rules out most targets.
+   * @param step - the step
+   * @param target - the target
+   * @returns false when not even the end of all runs of lower priority would
+   */
+  mayFit(step: StepState, target: TargetState): boolean {
+    const { priority } = step.record.queue;
+    if (priority !== this.#boundPriority) {
+      this.#boundPriority = priority;
+      this.#bounds.clear();
+    }
+    let bound = this.#bounds.get(target.id);
+    if (bound === undefined) {
+      bound = this.#getBound(target, priority);
+      this.#bounds.set(target.id, bound);
+    }
+    return isDemandFitting(step.charge, bound);
+  }
+
+  /**
+   * Finds the preemption with the lowest cost, in processor time lost, that lets one task fit.
+   * @param step - the task's step
+   * @param targets - the targets on which it may run
+   * @returns the target and the runs to preempt there, or undefined when no preemption makes the task fit
+   */
+  choose(step: StepState, targets: readonly TargetState[]): Preemption | undefined {
+    let best: Preemption | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    targets.forEach((target) => {
+      if (!this.mayFit(step, target)) return;
+      const victims = chooseVictims(
+        step,
+        this.#getVictims(target),
+        this.#getExpectedFree(target),
+      );
+      if (victims === undefined) {
+        this.#bounds.delete(target.id);
+        return;
+      }
+      const cost = victims.reduce(
+        (sum, { run, lostWorkMs }) => sum + run.charge.cpuMillis * lostWorkMs,
+        0,
+      );
+      if (cost >= bestCost) return;
+      best = { target, victims: victims.map(({ run }) => run) };
+      bestCost = cost;
+    });
+    return best;
+  }
+
+  /**
+   * Keeps the capacity that a preemption frees for the task that it was made for.
+   * @param target - the target
+   * @param charge - demand of the task
+   */
+  reserve(target: TargetState, charge: TaskDemand): void {
+    this.#reserved.set(target.id, addDemand(this.#reserved.get(target.id) ?? NO_DEMAND, charge));
+  }
+
+  #collect(): void {
+    const victims = new Map<TargetId, readonly Victim[]>();
+    this.#targets.forEach((target) => {
+      const ofTarget = collectVictims(target, this.#nowMs);
+      if (ofTarget.length === 0) return;
+      victims.set(target.id, ofTarget);
+      ofTarget.forEach(({ priority }) => {
+        this.#maxPriority = Math.max(this.#maxPriority, priority);
+      });
+    });
+    this.#victims = victims;
+  }
+
+  #getVictims(target: TargetState): readonly Victim[] {
+    return this.#victims?.get(target.id) ?? NO_VICTIMS;
+  }
+
+  /** Capacity that will be free and unreserved once every stop in progress has completed. */
+  #getExpectedFree(target: TargetState): TaskDemand {
+    let expectedFree = target.free;
+    target.runs.forEach((run) => {
+      if (run.phase === 'stopping') expectedFree = addDemand(expectedFree, run.charge);
+    });
+    const reservedHere = this.#reserved.get(target.id);
+    return reservedHere === undefined ? expectedFree : addDemand(expectedFree, reservedHere, -1);
+  }
+
+  #getBound(target: TargetState, priority: number): TaskDemand {
+    return this.#getVictims(target).reduce(
+      (sum, victim) =>
+        isUsableVictim(victim, priority) ? addDemand(sum, victim.run.charge) : sum,
+      this.#getExpectedFree(target),
     );
-    if (cost >= bestCost) return;
-    best = { target, victims: victims.map(({ run }) => run) };
-    bestCost = cost;
-  });
-  return best;
+  }
 }
--- a/src/owner/progressWriter.ts
+++ b/src/owner/progressWriter.ts
@@ -90,10 +90,14 @@
 
   /** Takes the records of one transaction from the dirty ones, those with an outcome first. */
   #takeRecords(): SubmissionRecord[] {
-    const waiting = [...this.#dirty].filter((record) => !this.#inFlight.has(record));
-    const hasOutcome = ({ outcome }: SubmissionRecord) => outcome !== undefined;
-    const ended = waiting.filter(hasOutcome);
-    const unfinished = waiting.filter((record) => !hasOutcome(record));
+    const ended: SubmissionRecord[] = [];
+    const unfinished: SubmissionRecord[] = [];
+    for (const record of this.#dirty) {
+      if (ended.length >= MAX_WRITE_ROWS) break;
+      if (this.#inFlight.has(record)) continue;
+      if (record.outcome !== undefined) ended.push(record);
+      else if (unfinished.length < MAX_WRITE_ROWS) unfinished.push(record);
+    }
     const records = [...ended, ...unfinished].slice(0, MAX_WRITE_ROWS);
     records.forEach((record) => {
       this.#dirty.delete(record);
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -145,6 +145,7 @@
       this.#state.count('runs_stopped');
     }
     run.phase = 'stopping';
+    target.mayNeedStops = true;
     this.sendStop(target, run.taskKey, run.run);
     run.stopSentAtMs = this.#state.nowMs;
   }
--- a/src/owner/stepAdvice.ts
+++ b/src/owner/stepAdvice.ts
@@ -18,6 +18,9 @@
 export class StepAdvice {
   #tickets = new Map<TargetId, HeldTicket>();
 
+  /** No ticket is valid after this time. */
+  #latestUsableUntilMs = Number.NEGATIVE_INFINITY;
+
   #approved = new Set<TargetId>();
 
   #refused = new Set<TargetId>();
@@ -45,6 +48,10 @@
     queriedTargetIds.forEach((targetId) => {
       if (!granted.has(targetId)) this.#refused.add(targetId);
     });
+    this.#latestUsableUntilMs = Math.max(
+      this.#latestUsableUntilMs,
+      usableUntilMs - TICKET_MARGIN_MS,
+    );
     grants.forEach(({ targetId, ticket }) => {
       this.#approved.add(targetId);
       this.#tickets.set(targetId, {
@@ -77,6 +84,30 @@
       .map(([targetId]) => targetId);
   }
 
+  /**
+   * @param nowMs - elapsed time of this process
+   * @returns true when there is a valid ticket
+   */
+  hasUsableTicket(nowMs: number): boolean {
+    if (this.#latestUsableUntilMs <= nowMs) return false;
+    for (const held of this.#tickets.values()) {
+      if (held.usableUntilMs > nowMs) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Visits the targets with valid tickets, which may be for former incarnations.
+   * @param nowMs - elapsed time of this process
+   * @param visit - called for each target
+   */
+  forEachUsableTicket(nowMs: number, visit: (targetId: TargetId) => void): void {
+    if (this.#latestUsableUntilMs <= nowMs) return;
+    this.#tickets.forEach((held, targetId) => {
+      if (held.usableUntilMs > nowMs) visit(targetId);
+    });
+  }
+
   /**
    * @param targetId - the target
    * @returns true when the service has refused the target for the step
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -9,12 +9,22 @@
 import { StepAdvice } from './stepAdvice';
 import type { SubmissionRecord } from './submissionRecord';
 
+function getPlacementClass(
+  { dataRack, isFiller, policy }: StepSpec,
+  { cpuMillis, memoryMb, accelerators }: TaskDemand,
+): string {
+  const latencyTargetMs = policy.kind === 'standing' ? policy.latencyTargetMs : 0;
+  return [cpuMillis, memoryMb, accelerators, isFiller, latencyTargetMs > 0, dataRack].join('|');
+}
+
 /** Waiting tasks, runs and advice of one step. */
 export class StepState {
   #waiting = new Set<number>();
 
   #runs = new Map<number, Run[]>();
 
+  #runCountByTarget = new Map<string, number>();
+
   #endedAtMs = new Map<RunKey, number>();
 
   #lastRunNumber = 0;
@@ -27,6 +37,12 @@
 
   readonly charge: TaskDemand;
 
+  /** Whether there is an upper bound of the response times of its tasks. */
+  readonly isLatencySensitive: boolean;
+
+  /** Names all properties of the tasks on which their placement depends, apart from a limit per target. */
+  readonly placementClass: string;
+
   readonly advice = new StepAdvice();
 
   /** Time since which all dependencies are done; undefined before that. */
@@ -54,6 +70,8 @@
   ) {
     this.key = toStepKey(record.submission.id, occurrence, number);
     this.charge = getChargedDemand(spec);
+    this.placementClass = getPlacementClass(spec, this.charge);
+    this.isLatencySensitive = spec.policy.kind === 'standing' && spec.policy.latencyTargetMs > 0;
     for (let index = 0; index < spec.taskCount; index += 1) {
       if (!progress.isTaskDone(index)) this.#waiting.add(index);
     }
@@ -133,6 +151,7 @@
     if (runs.includes(run)) return;
     runs.push(run);
     this.#runs.set(run.index, runs);
+    this.#runCountByTarget.set(run.targetId, this.countRunsOn(run.targetId) + 1);
   }
 
   /**
@@ -142,7 +161,9 @@
    */
   removeRun(run: Run, nowMs: number): void {
     this.#endedAtMs.set(run.key, nowMs);
-    const remaining = (this.#runs.get(run.index) ?? []).filter((other) => other !== run);
+    const runs = this.#runs.get(run.index) ?? [];
+    const remaining = runs.filter((other) => other !== run);
+    if (remaining.length < runs.length) this.#removeFromCount(run.targetId);
     if (remaining.length > 0) {
       this.#runs.set(run.index, remaining);
       return;
@@ -186,12 +207,12 @@
    * @returns the number of runs charged there
    */
   countRunsOn(targetId: string): number {
-    let count = 0;
-    this.#runs.forEach((runs) => {
-      runs.forEach((run) => {
-        if (run.targetId === targetId) count += 1;
-      });
-    });
-    return count;
+    return this.#runCountByTarget.get(targetId) ?? 0;
+  }
+
+  #removeFromCount(targetId: string): void {
+    const count = this.countRunsOn(targetId) - 1;
+    if (count > 0) this.#runCountByTarget.set(targetId, count);
+    else this.#runCountByTarget.delete(targetId);
   }
 }
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -8,12 +8,29 @@
   STOPPING_POLL_WAIT_MS,
 } from './constants';
 import type { OwnerState } from './ownerState';
+import type { Run } from './run';
 import type { TargetState } from './targetState';
 
 function hasUnwrittenEnds(target: TargetState): boolean {
   return target.unacknowledgedEndCount > 0 && !target.areAllEndsDurable;
 }
 
+function isUnconfirmed(run: Run): boolean {
+  if (run.phase === 'unconfirmed') return true;
+  return (
+    run.phase === 'stopping' &&
+    run.confirmedAtMs === undefined &&
+    run.stopConfirmedAtMs !== undefined
+  );
+}
+
+function hasUnconfirmedRun(target: TargetState): boolean {
+  for (const run of target.runs.values()) {
+    if (isUnconfirmed(run)) return true;
+  }
+  return false;
+}
+
 /** Polls targets. */
 export class TargetPoller {
   #state: OwnerState;
@@ -55,15 +72,8 @@
   #probeIfDue(target: TargetState): void {
     const { nowMs } = this.#state;
     if (target.isProbeInFlight || target.nextProbeAtMs > nowMs || !target.isResponding) return;
-    const hasUnconfirmedRun = [...target.runs.values()].some(
-      (run) =>
-        run.phase === 'unconfirmed' ||
-        (run.phase === 'stopping' &&
-          run.confirmedAtMs === undefined &&
-          run.stopConfirmedAtMs !== undefined),
-    );
     const isWanted =
-      hasUnconfirmedRun || target.isVerificationDue || target.trial?.run !== undefined;
+      target.isVerificationDue || target.trial?.run !== undefined || hasUnconfirmedRun(target);
     if (!isWanted) return;
     target.isProbeInFlight = true;
     target.nextProbeAtMs = nowMs + PROBE_INTERVAL_MS;
@@ -91,11 +101,13 @@
   }
 
   #getWaitMs(target: TargetState): number {
-    const phases = [...target.runs.values()].map((run) => run.phase);
-    if (phases.includes('unconfirmed')) return 0;
     if (!target.isResponding) return 0;
+    let isStopping = target.orphanRuns.size > 0;
+    for (const { phase } of target.runs.values()) {
+      if (phase === 'unconfirmed') return 0;
+      if (phase === 'stopping') isStopping = true;
+    }
     const waitMs = this.#state.responseTimes.getPollWaitMs(this.#state.nowMs);
-    const isStopping = phases.includes('stopping') || target.orphanRuns.size > 0;
     return isStopping ? Math.min(STOPPING_POLL_WAIT_MS, waitMs) : waitMs;
   }
 
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -48,6 +48,14 @@
 
   #used: TaskDemand = NO_DEMAND;
 
+  #free: TaskDemand;
+
+  #incarnation: string;
+
+  #fillerCount = 0;
+
+  #latencySensitiveCount = 0;
+
   #ends: UnacknowledgedEnd[] = [];
 
   #leaseUntilMs = 0;
@@ -100,6 +108,15 @@
   /** The trial of a suspected task for which no other run is started here. */
   trial: Trial | undefined;
 
+  /** Whether runs are being stopped, or an answer to a poll has not been searched for stalled runs yet. */
+  mayNeedStops = true;
+
+  /** Whether the planning pass in progress may start runs here, apart from a pause. */
+  isPlannable = false;
+
+  /** Its position in the table of targets, which decides between targets of equal cost. */
+  position = 0;
+
   /** The target is in the registry. */
   isRegistered = true;
 
@@ -141,6 +158,8 @@
    */
   constructor(entry: TargetEntry, former: TargetState | undefined = undefined) {
     this.#entry = entry;
+    this.#free = entry.capacity;
+    this.#incarnation = toIncarnation(entry.address, entry.incarnationStartMs);
     this.#formerStartsMs =
       former === undefined ? [] : [...former.#formerStartsMs, former.entry.incarnationStartMs];
   }
@@ -160,7 +179,7 @@
 
   /** Identifies the incarnation, also for a later owner: a new one at the address has another start time. */
   get incarnation(): string {
-    return toIncarnation(this.#entry.address, this.#entry.incarnationStartMs);
+    return this.#incarnation;
   }
 
   /** The latest registration. */
@@ -185,7 +204,17 @@
 
   /** Remaining capacity. */
   get free(): TaskDemand {
-    return addDemand(this.#entry.capacity, this.#used, -1);
+    return this.#free;
+  }
+
+  /** Whether it runs tasks that use only spare processor time. */
+  get runsFiller(): boolean {
+    return this.#fillerCount > 0;
+  }
+
+  /** Whether it runs tasks whose response times have an upper bound. */
+  get runsLatencySensitive(): boolean {
+    return this.#latencySensitiveCount > 0;
   }
 
   /** Latest lease expiry granted to any run, on the target's clock. */
@@ -213,7 +242,9 @@
    */
   setEntry(entry: TargetEntry): void {
     this.#entry = entry;
+    this.#incarnation = toIncarnation(entry.address, entry.incarnationStartMs);
     this.isRegistered = true;
+    this.#updateFree();
   }
 
   /**
@@ -224,6 +255,8 @@
     if (this.#runs.has(run.key)) return;
     this.#runs.set(run.key, run);
     this.#used = addDemand(this.#used, run.charge);
+    this.#countKinds(run, 1);
+    this.#updateFree();
   }
 
   /**
@@ -236,9 +269,20 @@
     if (run === undefined) return undefined;
     this.#runs.delete(key);
     this.#used = this.#runs.size === 0 ? NO_DEMAND : addDemand(this.#used, run.charge, -1);
+    this.#countKinds(run, -1);
+    this.#updateFree();
     return run;
   }
 
+  #countKinds({ step }: Run, change: 1 | -1): void {
+    if (step.spec.isFiller) this.#fillerCount += change;
+    if (step.isLatencySensitive) this.#latencySensitiveCount += change;
+  }
+
+  #updateFree(): void {
+    this.#free = addDemand(this.#entry.capacity, this.#used, -1);
+  }
+
   /**
    * Replaces the set of runs that match no task.
    * @param keys - the keys in the current inventory
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -116,17 +116,10 @@
 
   /** Handles expired leases and removed targets, repeats stops and stops stalled runs. */
   check(): void {
-    const { nowMs, steadyMs } = this.#state;
-    [...this.#state.targets.values()].forEach((target) => {
+    const { steadyMs } = this.#state;
+    this.#state.targets.forEach((target) => {
       if (!target.isResponding) this.#runManager.crashTracker.onStillLost(target);
-      target.runs.forEach((run) => {
-        const isRepeatDue =
-          run.phase === 'stopping' &&
-          run.stopConfirmedAtMs === undefined &&
-          nowMs > run.stopSentAtMs + STOP_RETRY_DELAY_MS;
-        if (isRepeatDue) this.#runManager.stop(run, 'repeated');
-        if (run.phase === 'running') this.#stopIfStalled(target, run);
-      });
+      if (target.mayNeedStops) this.#checkRuns(target);
       if (!target.isResponding && target.isLeaseExpired(steadyMs)) this.#releaseExpired(target);
       if (!target.isRegistered && this.#canRemove(target)) {
         this.#incarnations.remove(target, 'the target has left the registry', false);
@@ -134,6 +127,23 @@
     });
   }
 
+  /** Repeats stops and stops stalled runs; only an answer to a poll can show that another run has stalled. */
+  #checkRuns(checked: TargetState): void {
+    const target = checked;
+    const { nowMs } = this.#state;
+    let isStopping = false;
+    target.runs.forEach((run) => {
+      const isRepeatDue =
+        run.phase === 'stopping' &&
+        run.stopConfirmedAtMs === undefined &&
+        nowMs > run.stopSentAtMs + STOP_RETRY_DELAY_MS;
+      if (isRepeatDue) this.#runManager.stop(run, 'repeated');
+      if (run.phase === 'running') this.#stopIfStalled(target, run);
+      isStopping ||= run.phase === 'stopping';
+    });
+    target.mayNeedStops = isStopping;
+  }
+
   /**
    * A start that the target has neither answered nor listed may have taken its lease on the clock of a later
    * incarnation. The registry would show one that is alive, so it is released once the target has left the registry, or
--- a/src/work/stepProgress.ts
+++ b/src/work/stepProgress.ts
@@ -142,6 +142,7 @@
 
   /** Whether any task is a suspect. */
   get hasSuspect(): boolean {
+    if (this.#crashes.size === 0) return false;
     return [...this.#crashes.keys()].some((index) => this.isSuspect(index));
   }
 
