Owner: fewer loops over runs on ticks; a pass examines no target for a step without a ticket

Cause: on each tick the poller copied and searched the runs of each target with a pending poll, and all steps of all open submissions were searched for runs of former owners.

--- a/src/owner/adviceChoice.ts
+++ b/src/owner/adviceChoice.ts
@@ -51,15 +51,26 @@
   return (fittingTaskCount > 0 ? 0 : 2) + (isApproved ? 0 : 1);
 }
 
+/** Many targets have the same free capacity, so few amounts have to be sorted. */
+function sortByFreeCpu(ratedTargets: readonly RatedTarget[]): RatedTarget[] {
+  const byFreeCpu = new Map<number, RatedTarget[]>();
+  ratedTargets.forEach((rated) => {
+    const same = byFreeCpu.get(rated.freeCpuMillis);
+    if (same === undefined) byFreeCpu.set(rated.freeCpuMillis, [rated]);
+    else same.push(rated);
+  });
+  return [...byFreeCpu]
+    .sort(([left], [right]) => right - left)
+    .flatMap(([, withSameFreeCpu]) => withSameFreeCpu);
+}
+
 /** Selects the first targets by group and then by free processor capacity, and sorts only the groups that it needs. */
 function selectFirst(ratedTargets: readonly RatedTarget[], maxCount: number): RatedTarget[] {
   const groups: RatedTarget[][] = Array.from({ length: GROUP_COUNT }, () => []);
   ratedTargets.forEach((rated) => groups[getGroup(rated)]?.push(rated));
   const selected: RatedTarget[] = [];
   groups.forEach((group) => {
-    if (selected.length >= maxCount) return;
-    group.sort((left, right) => right.freeCpuMillis - left.freeCpuMillis);
-    selected.push(...group);
+    if (selected.length < maxCount) selected.push(...sortByFreeCpu(group));
   });
   return selected.slice(0, maxCount);
 }
--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -125,7 +125,6 @@
     const { nowMs } = this.#state;
     const idleLanes = this.#lanes.filter((lane) => !lane.isBusy && lane.notBeforeMs <= nowMs);
     if (idleLanes.length === 0) return;
-    this.#state.eligibleTargets.refresh(this.#state);
     const steps = sortSteps(this.#getStepsNeedingAdvice(), this.#state.wallMs);
     steps.forEach((step) => {
       // Targets are chosen only while a lane is idle that may take the call.
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -71,6 +71,9 @@
 
   #areTeamRatesSet = false;
 
+  /** Whether any step may have runs of a former owner that no target has listed yet. */
+  #mayHaveUnseenRuns = false;
+
   /**
    * @param epoch - the fencing token of all requests
    * @param loaded - all stored submissions
@@ -278,6 +281,7 @@
       this.#nextPlanAtMs =
         nowMs + MIN_PLAN_INTERVAL_MS + this.#state.ready.size * PLAN_INTERVAL_PER_STEP_MS;
       this.#state.isPlanDue = false;
+      this.#state.eligibleTargets.invalidate(this.#state);
       this.#planner.plan();
       this.#adviceDispatcher.dispatch();
     }
@@ -314,6 +318,7 @@
   #openDueOccurrences(record: SubmissionRecord): void {
     const steps = record.openDueOccurrences(this.#state.wallMs);
     steps.forEach((step) => {
+      if (step.mayRunUnseen) this.#mayHaveUnseenRuns = true;
       this.#runManager.updateReadiness(step);
       this.#runManager.giveUp(this.#runManager.crashTracker.addStored(step));
     });
@@ -338,6 +343,8 @@
   #clearUnseenRuns(): void {
     if (this.#state.targets.size === 0 && this.#state.steadyMs < this.#state.unresolvedUntilMs)
       return;
+    if (!this.#mayHaveUnseenRuns) return;
+    this.#mayHaveUnseenRuns = false;
     let clearedCount = 0;
     this.#state.open.forEach((record) => {
       for (const step of record.steps) {
--- a/src/owner/eligibleTargets.ts
+++ b/src/owner/eligibleTargets.ts
@@ -40,25 +40,19 @@
 
   #operator: OperatorState | undefined;
 
+  /** What has to be compared with the index before its next use. */
+  #source: EligibleTargetsSource | undefined;
+
   #inUse: readonly TargetState[] = [];
 
   #byService = new Map<string, Map<string, readonly TargetState[]>>();
 
   /**
-   * Follows changes of the registrations and of the operator's decisions.
+   * Has the next use follow changes of the registrations and of the operator's decisions.
    * @param source - the owner's state
    */
-  refresh(source: EligibleTargetsSource): void {
-    const { targets, operator } = source;
-    if (operator === this.#operator && isCurrent(targets, this.#registrations)) return;
-    this.#operator = operator;
-    this.#byService.clear();
-    this.#registrations = [...targets.values()].map((known, position) => {
-      const target = known;
-      target.position = position;
-      return { target, entry: target.entry, isRegistered: target.isRegistered };
-    });
-    this.#inUse = [...targets.values()].filter((target) => isTargetInUse(source, target));
+  invalidate(source: EligibleTargetsSource): void {
+    this.#source = source;
   }
 
   /**
@@ -68,6 +62,7 @@
    *   the same array for all steps with this service and label until the registrations change
    */
   get(step: StepState): readonly TargetState[] {
+    if (this.#source !== undefined) this.#refresh(this.#source);
     const { serviceName } = step.record.queue;
     const { requiredLabel } = step.spec;
     const byLabel = this.#byService.get(serviceName) ?? new Map<string, readonly TargetState[]>();
@@ -81,4 +76,18 @@
     this.#byService.set(serviceName, byLabel.set(requiredLabel, targets));
     return targets;
   }
+
+  #refresh(source: EligibleTargetsSource): void {
+    this.#source = undefined;
+    const { targets, operator } = source;
+    if (operator === this.#operator && isCurrent(targets, this.#registrations)) return;
+    this.#operator = operator;
+    this.#byService.clear();
+    this.#registrations = [...targets.values()].map((known, position) => {
+      const target = known;
+      target.position = position;
+      return { target, entry: target.entry, isRegistered: target.isRegistered };
+    });
+    this.#inUse = [...targets.values()].filter((target) => isTargetInUse(source, target));
+  }
 }
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -24,7 +24,7 @@
 
   readonly targets = new Map<TargetId, TargetState>();
 
-  /** Index of {@link OwnerState.targets}, refreshed before use. */
+  /** Index of {@link OwnerState.targets}, compared with it once per planning pass. */
   readonly eligibleTargets = new EligibleTargets();
 
   /** The latest registration of each target, which may be that of a former incarnation. */
--- a/src/owner/passCosts.ts
+++ b/src/owner/passCosts.ts
@@ -28,6 +28,9 @@
   /** Costs that have been found to be exhausted. */
   #exhausted = new Set<CandidateCosts>();
 
+  /** Whether tasks of a step of this pass found no place; before that no step is worth the check. */
+  isScarce = false;
+
   /**
    * Checks whether a task may fit on any of the targets, which rules out most steps in a full fleet.
    * @param targets - the targets, always the same array for the same targets
@@ -35,7 +38,7 @@
    * @returns false when it fits on none
    */
   mayFit(targets: readonly TargetState[], charge: TaskDemand): boolean {
-    return this.#roominess.mayFit(targets, charge);
+    return !this.isScarce || this.#roominess.mayFit(targets, charge);
   }
 
   /**
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -60,7 +60,8 @@
     target.isResponding &&
     !target.isVerificationDue &&
     target.orphanRuns.size === 0 &&
-    target.voidedReports.every(({ record, change }) => record.durableChangeCount >= change)
+    (target.voidedReports.length === 0 ||
+      target.voidedReports.every(({ record, change }) => record.durableChangeCount >= change))
   );
 }
 
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -71,18 +71,15 @@
   plan(): void {
     const state = this.#state;
     const known: TargetState[] = [];
-    state.targets.forEach((target) => {
+    for (const target of state.targets.values()) {
       target.isPlannable = isInventoryKnown(target);
       if (target.isPlannable) known.push(target);
-    });
+    }
     if (known.length === 0) return;
     const steps = this.#getPlannableSteps();
     this.#unseenUsage = this.#getUnseenUsage();
     this.#planTrials(steps, known);
-    known.forEach((planned) => {
-      const target = planned;
-      target.isPlannable = target.trial === undefined;
-    });
+    for (const target of known) target.isPlannable = target.trial === undefined;
     if (steps.length > 0) this.#planSteps(steps, known);
     if (state.nowMs < this.#nextSpeculationAtMs) return;
     this.#nextSpeculationAtMs = state.nowMs + SPECULATION_CHECK_INTERVAL_MS;
@@ -98,13 +95,8 @@
   }
 
   #planSteps(steps: readonly StepState[], known: readonly TargetState[]): void {
-    const state = this.#state;
-    state.eligibleTargets.refresh(state);
     this.#passCosts = new PassCosts();
-    this.#preemptions = new PreemptionTable(
-      known.filter(({ isPlannable }) => isPlannable),
-      state.nowMs,
-    );
+    this.#preemptions = new PreemptionTable(known, this.#state.nowMs);
     steps.forEach((step) => {
       try {
         this.#planStep(step);
@@ -125,10 +117,11 @@
   }
 
   #placeStep(step: StepState, isDesperate: boolean): void {
+    const { advice } = step.record.queue;
+    if (advice !== undefined && !step.advice.hasUsableTicket(this.#state.nowMs)) return;
     const targets = this.#state.eligibleTargets.get(step);
     if (!this.#passCosts.mayFit(targets, step.charge)) return;
     const getCandidates = () => this.#getFittingCandidates(step, isDesperate);
-    const { advice } = step.record.queue;
     if (step.isGang) this.#startGang(step, getCandidates());
     else if (advice !== undefined || step.spec.maxTasksPerTarget > 0)
       this.#startTasks(step, new CandidateCosts(step, getCandidates()));
@@ -138,6 +131,7 @@
       this.#startTasks(step, costs);
       this.#passCosts.onStepPlaced(targets, costs);
     }
+    if (step.waiting.size > 0) this.#passCosts.isScarce = true;
   }
 
   #getFittingCandidates(step: StepState, isDesperate: boolean): readonly Candidate[] {
--- a/src/owner/preemption.ts
+++ b/src/owner/preemption.ts
@@ -102,7 +102,7 @@
   #boundPriority: number | undefined;
 
   /**
-   * @param targets - all targets on which the pass may start runs
+   * @param targets - all targets, of which the pass may start runs on the plannable ones
    * @param nowMs - elapsed time of this process
    */
   constructor(targets: readonly TargetState[], nowMs: number) {
@@ -183,6 +183,7 @@
   #collect(): void {
     const victims = new Map<TargetId, readonly Victim[]>();
     this.#targets.forEach((target) => {
+      if (!target.isPlannable) return;
       const ofTarget = collectVictims(target, this.#nowMs);
       if (ofTarget.length === 0) return;
       victims.set(target.id, ofTarget);
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -146,6 +146,7 @@
     }
     run.phase = 'stopping';
     target.mayNeedStops = true;
+    target.mayHaveUnsettledRuns = true;
     this.sendStop(target, run.taskKey, run.run);
     run.stopSentAtMs = this.#state.nowMs;
   }
--- a/src/owner/runResponses.ts
+++ b/src/owner/runResponses.ts
@@ -85,8 +85,7 @@
   }
 
   /** Another incarnation has answered: the run is confirmed only once a poll has told which one, and listed it. */
-  #onForeignClock(inDoubt: Run, target: TargetState, clockMs: number): void {
-    const run = inDoubt;
+  #onForeignClock(run: Run, target: TargetState, clockMs: number): void {
     this.#state.count('answers_of_other_incarnation');
     this.#state.log('start answered with the clock of another incarnation; the target is polled', {
       task: run.taskKey,
@@ -95,7 +94,7 @@
       bornAtMs: target.entry.incarnationStartMs,
       clockMs,
     });
-    if (!run.isListed) this.#setInDoubt(run);
+    if (!run.isListed) this.#setInDoubt(run, target);
     target.requestVerification(this.#state.nowMs);
   }
 
@@ -120,7 +119,7 @@
         this.#runManager.stepDown(target);
         return;
       case 'lost':
-        if (!run.isListed) this.#setInDoubt(run);
+        if (!run.isListed) this.#setInDoubt(run, target);
         this.#state.responseTimes.addLoss(target.id, nowMs);
         target.nextPollAtMs = Math.min(target.nextPollAtMs, nowMs);
         return;
@@ -161,8 +160,10 @@
     this.#runManager.stopGangMembers(run.step, run.run, 'a gang member was not started');
   }
 
-  #setInDoubt(inDoubt: Run): void {
+  #setInDoubt(inDoubt: Run, holder: TargetState): void {
     const run = inDoubt;
+    const target = holder;
+    target.mayHaveUnsettledRuns = true;
     if (run.phase === 'starting') run.phase = 'unconfirmed';
     run.doubtSinceMs ??= this.#state.nowMs;
     this.#state.count('starts_in_doubt');
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -24,8 +24,12 @@
   );
 }
 
-function hasUnconfirmedRun(target: TargetState): boolean {
+function hasUnconfirmedRun(polled: TargetState): boolean {
+  const target = polled;
+  if (!target.mayHaveUnsettledRuns) return false;
+  target.mayHaveUnsettledRuns = false;
   for (const run of target.runs.values()) {
+    if (run.phase === 'unconfirmed' || run.phase === 'stopping') target.mayHaveUnsettledRuns = true;
     if (isUnconfirmed(run)) return true;
   }
   return false;
@@ -44,7 +48,7 @@
 
   /** Polls all targets that are due. */
   pollDueTargets(): void {
-    this.#state.targets.forEach((target) => this.pollIfDue(target));
+    for (const target of this.#state.targets.values()) this.pollIfDue(target);
   }
 
   /**
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -111,6 +111,9 @@
   /** Whether runs are being stopped, or an answer to a poll has not been searched for stalled runs yet. */
   mayNeedStops = true;
 
+  /** Whether runs may be unconfirmed or are being stopped. */
+  mayHaveUnsettledRuns = true;
+
   /** Whether the planning pass in progress may start runs here, apart from a pause. */
   isPlannable = false;
 
--- a/tests/ownerIndexes.test.ts
+++ b/tests/ownerIndexes.test.ts
@@ -222,7 +222,7 @@
             const closedDataCentreIds = kind === 'close' ? [dataCentreId] : [];
             state.operator = { config: undefined, closedDataCentreIds };
           }
-          index.refresh(state);
+          index.invalidate(state);
           steps.forEach((step) => {
             const expected = [...targets.values()].filter((known) =>
               isTargetEligible(state as OwnerState, step, known),
