Owner: ticks and passes visit only the targets that need attention

Cause: 100 ticks and 100 passes a second visited each target, mostly to find that nothing is due; the visits miss the processor's cache. Targets now enter sets themselves when a poll, a check or a look at their inventory may be due, and the sets are visited in the order of the table.

--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -281,7 +281,6 @@
       this.#nextPlanAtMs =
         nowMs + MIN_PLAN_INTERVAL_MS + this.#state.ready.size * PLAN_INTERVAL_PER_STEP_MS;
       this.#state.isPlanDue = false;
-      this.#state.eligibleTargets.invalidate(this.#state);
       this.#planner.plan();
       this.#adviceDispatcher.dispatch();
     }
--- a/src/owner/incarnations.ts
+++ b/src/owner/incarnations.ts
@@ -36,7 +36,7 @@
    */
   register(entry: TargetEntry): TargetState {
     const target = new TargetState(entry);
-    this.#state.targets.set(entry.id, target);
+    this.#state.addTarget(target);
     const mayHoldFormerRuns = this.#mayHoldFormerRuns && !this.#runManager.tryRestoreRuns(target);
     this.#onRegistered(target, mayHoldFormerRuns);
     return target;
@@ -57,7 +57,7 @@
     target.inheritedLeaseEndsAtMs = this.#state.steadyMs + this.#state.maxInheritedLeaseMs;
     target.formerCallsEndAtMs = this.#state.steadyMs + MAX_START_TIMEOUT_MS + MAX_CALL_DELAY_MS;
     unlisted.forEach((run) => this.#moveRun(run, former, target));
-    this.#state.targets.set(entry.id, target);
+    this.#state.addTarget(target);
     this.releaseRuns(former, [...former.runs.values()], reason);
     this.#state.log('target gone', {
       targetId: former.id,
@@ -108,7 +108,7 @@
         ? this.#runManager.crashTracker.onCrashed(target)
         : [];
     this.releaseRuns(target, [...target.runs.values()], reason);
-    if (this.#state.targets.get(target.id) === target) this.#state.targets.delete(target.id);
+    this.#state.removeTarget(target);
     this.#state.unresolvedTargets.delete(target.id);
     this.#state.log('target gone', {
       targetId: target.id,
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -14,6 +14,7 @@
 import type { StepState } from './stepState';
 import type { SubmissionRecord } from './submissionRecord';
 import type { TargetState } from './targetState';
+import { TargetWatch } from './targetWatch';
 import { TeamRates } from './teamRates';
 import { TeamUsage } from './teamUsage';
 import type { ClockReadings, OwnerEffect, TargetEntry } from './types';
@@ -22,10 +23,14 @@
 export class OwnerState {
   #effects: OwnerEffect[] = [];
 
-  readonly targets = new Map<TargetId, TargetState>();
+  #targets = new Map<TargetId, TargetState>();
 
-  /** Index of {@link OwnerState.targets}, compared with it once per planning pass. */
-  readonly eligibleTargets = new EligibleTargets();
+  #targetPosition = 0;
+
+  readonly watch = new TargetWatch();
+
+  /** Index of {@link OwnerState.targets}, which it follows. */
+  readonly eligibleTargets = new EligibleTargets(this);
 
   /** The latest registration of each target, which may be that of a former incarnation. */
   readonly latestEntries = new Map<TargetId, TargetEntry>();
@@ -101,6 +106,33 @@
     this.maxUnlistedMs = MAX_CALL_DELAY_MS + this.maxInheritedLeaseMs;
   }
 
+  /** The current incarnation of each target. */
+  get targets(): ReadonlyMap<TargetId, TargetState> {
+    return this.#targets;
+  }
+
+  /**
+   * Adds a target to the table, in the place of its former incarnation if that is there.
+   * @param target - the target
+   */
+  addTarget(target: TargetState): void {
+    const former = this.#targets.get(target.id);
+    former?.leave();
+    this.#targetPosition += 1;
+    target.join(this.watch, former?.position ?? this.#targetPosition);
+    this.#targets.set(target.id, target);
+  }
+
+  /**
+   * Removes a target from the table, unless another incarnation has taken its place.
+   * @param target - the target
+   */
+  removeTarget(target: TargetState): void {
+    if (this.#targets.get(target.id) !== target) return;
+    target.leave();
+    this.#targets.delete(target.id);
+  }
+
   /**
    * Sets the clocks.
    * @param clocks - readings at the time of the event
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -49,7 +49,7 @@
 
   #unseenUsage = new Map<TeamId, TaskDemand>();
 
-  #preemptions = new PreemptionTable([], 0);
+  #preemptions = new PreemptionTable(() => [], 0);
 
   #passCosts = new PassCosts();
 
@@ -70,20 +70,33 @@
   /** Runs one scheduling pass: starts every task that fits now. */
   plan(): void {
     const state = this.#state;
-    const known: TargetState[] = [];
-    for (const target of state.targets.values()) {
-      target.isPlannable = isInventoryKnown(target);
-      if (target.isPlannable) known.push(target);
-    }
-    if (known.length === 0) return;
+    const unusual = this.#findPlannable();
+    if (unusual.length === state.targets.size && !unusual.some(({ isPlannable }) => isPlannable))
+      return;
     const steps = this.#getPlannableSteps();
     this.#unseenUsage = this.#getUnseenUsage();
-    this.#planTrials(steps, known);
-    for (const target of known) target.isPlannable = target.trial === undefined;
-    if (steps.length > 0) this.#planSteps(steps, known);
+    this.#planTrials(steps);
+    for (const target of state.watch.unusual) {
+      if (target.trial !== undefined) target.isPlannable = false;
+    }
+    if (steps.length > 0) this.#planSteps(steps);
     if (state.nowMs < this.#nextSpeculationAtMs) return;
     this.#nextSpeculationAtMs = state.nowMs + SPECULATION_CHECK_INTERVAL_MS;
-    this.#startSpeculativeCopies(known);
+    this.#startSpeculativeCopies();
+  }
+
+  /** Finds out on which targets runs may be started; most of them need no attention. */
+  #findPlannable(): readonly TargetState[] {
+    const { watch } = this.#state;
+    for (const target of watch.unusual) {
+      target.isPlannable = isInventoryKnown(target);
+      if (target.isUsual) watch.unusual.delete(target);
+    }
+    return [...watch.unusual];
+  }
+
+  #getPlannableTargets(): readonly TargetState[] {
+    return [...this.#state.targets.values()].filter(({ isPlannable }) => isPlannable);
   }
 
   #getPlannableSteps(): readonly StepState[] {
@@ -94,9 +107,9 @@
     return sortSteps(waiting, this.#state.wallMs);
   }
 
-  #planSteps(steps: readonly StepState[], known: readonly TargetState[]): void {
+  #planSteps(steps: readonly StepState[]): void {
     this.#passCosts = new PassCosts();
-    this.#preemptions = new PreemptionTable(known, this.#state.nowMs);
+    this.#preemptions = new PreemptionTable(() => this.#getPlannableTargets(), this.#state.nowMs);
     steps.forEach((step) => {
       try {
         this.#planStep(step);
@@ -151,10 +164,10 @@
     );
   }
 
-  #planTrials(steps: readonly StepState[], targets: readonly TargetState[]): void {
+  #planTrials(steps: readonly StepState[]): void {
     this.#trialPlanner.plan({
       steps,
-      targets,
+      getTargets: () => this.#getPlannableTargets(),
       getCandidates: (step, allowed) => this.#getCandidates(step, allowed),
       isWithinTeamLimit: (step, taskCount) =>
         this.#isWithinTeamLimit(step, addDemand(NO_DEMAND, step.charge, taskCount)),
@@ -167,15 +180,12 @@
   }
 
   /** Starts a second copy of stragglers where capacity is left (speculative execution). */
-  #startSpeculativeCopies(known: readonly TargetState[]): void {
+  #startSpeculativeCopies(): void {
     const { nowMs, targets, open: records } = this.#state;
-    const unpaused = known.filter(
-      ({ isPlannable, pausedUntilMs }) => isPlannable && pausedUntilMs <= nowMs,
-    );
     records.forEach((record) => {
       for (const step of record.steps) {
         findStragglers(step, (run) => targets.get(run.targetId), nowMs).forEach((run) =>
-          this.#startSpeculativeCopy(step, run.index, run.targetId, unpaused),
+          this.#startSpeculativeCopy(step, run.index, run.targetId),
         );
       }
     });
@@ -185,11 +195,14 @@
     step: StepState,
     index: number,
     currentId: TargetId,
-    unpaused: readonly TargetState[],
   ): void {
+    const { nowMs } = this.#state;
     if (!this.#isWithinTeamLimit(step, step.charge)) return;
-    const alternatives = unpaused.filter(
-      (target) => target.id !== currentId && isDemandFitting(step.charge, target.free),
+    const alternatives = this.#getPlannableTargets().filter(
+      (target) =>
+        target.pausedUntilMs <= nowMs &&
+        target.id !== currentId &&
+        isDemandFitting(step.charge, target.free),
     );
     const chosen = chooseCandidate(step, false, this.#getCandidates(step, alternatives));
     if (chosen === undefined) return;
--- a/src/owner/preemption.ts
+++ b/src/owner/preemption.ts
@@ -83,7 +83,7 @@
 export class PreemptionTable {
   #nowMs: number;
 
-  #targets: readonly TargetState[];
+  #getTargets: () => readonly TargetState[];
 
   #victims: Map<TargetId, readonly Victim[]> | undefined;
 
@@ -102,11 +102,11 @@
   #boundPriority: number | undefined;
 
   /**
-   * @param targets - all targets, of which the pass may start runs on the plannable ones
+   * @param getTargets - gets the targets on which the pass may start runs
    * @param nowMs - elapsed time of this process
    */
-  constructor(targets: readonly TargetState[], nowMs: number) {
-    this.#targets = targets;
+  constructor(getTargets: () => readonly TargetState[], nowMs: number) {
+    this.#getTargets = getTargets;
     this.#nowMs = nowMs;
   }
 
@@ -182,8 +182,7 @@
 
   #collect(): void {
     const victims = new Map<TargetId, readonly Victim[]>();
-    this.#targets.forEach((target) => {
-      if (!target.isPlannable) return;
+    this.#getTargets().forEach((target) => {
       const ofTarget = collectVictims(target, this.#nowMs);
       if (ofTarget.length === 0) return;
       victims.set(target.id, ofTarget);
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -48,7 +48,7 @@
 
   /** Polls all targets that are due. */
   pollDueTargets(): void {
-    for (const target of this.#state.targets.values()) this.pollIfDue(target);
+    this.#state.watch.getPollable().forEach((target) => this.pollIfDue(target));
   }
 
   /**
@@ -70,6 +70,7 @@
     else if (target.unacknowledgedEndCount > 0 || target.isAcknowledgementPending)
       this.#pollIdleTarget(target);
     else if (!target.isResponding) this.#poll(target, 0);
+    else this.#state.watch.unpolled.delete(target);
   }
 
   /** Probes a target with unconfirmed runs or a trial while the regular poll waits for an end. */
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -14,9 +14,16 @@
 import type { Run, RunKey } from './run';
 import type { SubmissionRecord } from './submissionRecord';
 import { TargetClock } from './targetClock';
+import type { TargetWatch } from './targetWatch';
 import type { Trial } from './trial';
 import type { TargetEntry } from './types';
 
+/** A change that makes a report about the runs of a target void once it is durable. */
+interface VoidedReport {
+  readonly record: SubmissionRecord;
+  readonly change: number;
+}
+
 /** An end that the target reports until it is acknowledged. */
 interface UnacknowledgedEnd {
   readonly sequence: number;
@@ -56,6 +63,26 @@
 
   #latencySensitiveCount = 0;
 
+  #watch: TargetWatch | undefined;
+
+  #isContacted = false;
+
+  #isResponding = true;
+
+  #isVerificationDue = false;
+
+  #isRegistered = true;
+
+  #mayNeedStops = true;
+
+  #mayHaveUnsettledRuns = true;
+
+  #trial: Trial | undefined;
+
+  #voidedReports: readonly VoidedReport[] = [];
+
+  #pollSentAtMs: number | undefined;
+
   #ends: UnacknowledgedEnd[] = [];
 
   #leaseUntilMs = 0;
@@ -69,15 +96,9 @@
 
   readonly clock = new TargetClock();
 
-  /** The target has answered a poll in the current epoch. */
-  isContacted = false;
-
   /** The target reports runs of submissions that this owner has not read yet. */
   hasUnreadRuns = false;
 
-  /** The last poll or start was answered. */
-  isResponding = true;
-
   /** When the target last answered a poll or a start. */
   lastAnsweredAtMs = 0;
 
@@ -90,9 +111,6 @@
   /** Whether all runs have been reported since contact was lost. */
   areRunsReported = false;
 
-  /** Changes that have to be durable before anything is started here, because reports about its runs are void. */
-  voidedReports: readonly { readonly record: SubmissionRecord; readonly change: number }[] = [];
-
   /**
    * When a lease has ended that was granted by a former owner or by a call for a former incarnation, on the owner's
    * steady clock; undefined when this owner knows all leases of the target's runs.
@@ -102,30 +120,12 @@
   /** Until when calls for the incarnation that it has replaced may still grant leases, on the owner's steady clock. */
   formerCallsEndAtMs: number | undefined;
 
-  /** A poll has to tell which incarnation is alive, as the registry or an answer has shown another one. */
-  isVerificationDue = false;
-
-  /** The trial of a suspected task for which no other run is started here. */
-  trial: Trial | undefined;
-
-  /** Whether runs are being stopped, or an answer to a poll has not been searched for stalled runs yet. */
-  mayNeedStops = true;
-
-  /** Whether runs may be unconfirmed or are being stopped. */
-  mayHaveUnsettledRuns = true;
-
   /** Whether the planning pass in progress may start runs here, apart from a pause. */
   isPlannable = false;
 
   /** Its position in the table of targets, which decides between targets of equal cost. */
   position = 0;
 
-  /** The target is in the registry. */
-  isRegistered = true;
-
-  /** When the pending poll was sent; undefined when none is pending. */
-  pollSentAtMs: number | undefined;
-
   /** When the last poll was answered. */
   pollAnsweredAtMs: number | undefined;
 
@@ -185,6 +185,139 @@
     return this.#incarnation;
   }
 
+  /**
+   * Enters the table of targets.
+   * @param watch - where the target enters itself while it needs attention
+   * @param position - its position in the table
+   */
+  join(watch: TargetWatch, position: number): void {
+    this.#watch = watch;
+    this.position = position;
+    this.isPlannable = false;
+    watch.registrationCount += 1;
+    watch.unusual.add(this);
+    watch.unpolled.add(this);
+    watch.unchecked.add(this);
+  }
+
+  /** Leaves the table of targets. */
+  leave(): void {
+    this.#watch?.remove(this);
+    this.#watch = undefined;
+  }
+
+  /** Whether nothing about it needs attention, so that any work may be started on it. */
+  get isUsual(): boolean {
+    return (
+      this.#isContacted &&
+      this.#isResponding &&
+      !this.#isVerificationDue &&
+      this.#isRegistered &&
+      !this.#mayHaveUnsettledRuns &&
+      this.#trial === undefined &&
+      this.#voidedReports.length === 0 &&
+      this.#orphanRuns.size === 0
+    );
+  }
+
+  #setUnusual(isUnusual: boolean): void {
+    if (isUnusual) this.#watch?.unusual.add(this);
+  }
+
+  /** The target has answered a poll in the current epoch. */
+  get isContacted(): boolean {
+    return this.#isContacted;
+  }
+
+  set isContacted(isContacted: boolean) {
+    this.#isContacted = isContacted;
+    this.#setUnusual(!isContacted);
+  }
+
+  /** The last poll or start was answered. */
+  get isResponding(): boolean {
+    return this.#isResponding;
+  }
+
+  set isResponding(isResponding: boolean) {
+    this.#isResponding = isResponding;
+    this.#setUnusual(!isResponding);
+  }
+
+  /** A poll has to tell which incarnation is alive, as the registry or an answer has shown another one. */
+  get isVerificationDue(): boolean {
+    return this.#isVerificationDue;
+  }
+
+  set isVerificationDue(isDue: boolean) {
+    this.#isVerificationDue = isDue;
+    this.#setUnusual(isDue);
+  }
+
+  /** The target is in the registry. */
+  get isRegistered(): boolean {
+    return this.#isRegistered;
+  }
+
+  set isRegistered(isRegistered: boolean) {
+    if (this.#watch !== undefined && isRegistered !== this.#isRegistered)
+      this.#watch.registrationCount += 1;
+    this.#isRegistered = isRegistered;
+    this.#setUnusual(!isRegistered);
+  }
+
+  /** Whether runs are being stopped, or an answer to a poll has not been searched for stalled runs yet. */
+  get mayNeedStops(): boolean {
+    return this.#mayNeedStops;
+  }
+
+  set mayNeedStops(mayNeedStops: boolean) {
+    this.#mayNeedStops = mayNeedStops;
+    if (mayNeedStops) this.#watch?.unchecked.add(this);
+    else this.#watch?.unchecked.delete(this);
+  }
+
+  /** Whether runs may be unconfirmed or are being stopped. */
+  get mayHaveUnsettledRuns(): boolean {
+    return this.#mayHaveUnsettledRuns;
+  }
+
+  set mayHaveUnsettledRuns(mayHaveUnsettledRuns: boolean) {
+    this.#mayHaveUnsettledRuns = mayHaveUnsettledRuns;
+    this.#setUnusual(mayHaveUnsettledRuns);
+  }
+
+  /** The trial of a suspected task for which no other run is started here. */
+  get trial(): Trial | undefined {
+    return this.#trial;
+  }
+
+  set trial(trial: Trial | undefined) {
+    this.#trial = trial;
+    this.#setUnusual(trial !== undefined);
+  }
+
+  /** Changes that have to be durable before anything is started here, because reports about its runs are void. */
+  get voidedReports(): readonly VoidedReport[] {
+    return this.#voidedReports;
+  }
+
+  set voidedReports(voidedReports: readonly VoidedReport[]) {
+    this.#voidedReports = voidedReports;
+    this.#setUnusual(voidedReports.length > 0);
+  }
+
+  /** When the pending poll was sent; undefined when none is pending. */
+  get pollSentAtMs(): number | undefined {
+    return this.#pollSentAtMs;
+  }
+
+  set pollSentAtMs(pollSentAtMs: number | undefined) {
+    this.#pollSentAtMs = pollSentAtMs;
+    if (pollSentAtMs === undefined) this.#watch?.unpolled.add(this);
+    else this.#watch?.unpolled.delete(this);
+  }
+
   /** The latest registration. */
   get entry(): TargetEntry {
     return this.#entry;
@@ -247,6 +380,7 @@
     this.#entry = entry;
     this.#incarnation = toIncarnation(entry.address, entry.incarnationStartMs);
     this.isRegistered = true;
+    if (this.#watch !== undefined) this.#watch.registrationCount += 1;
     this.#updateFree();
   }
 
@@ -259,6 +393,7 @@
     this.#runs.set(run.key, run);
     this.#used = addDemand(this.#used, run.charge);
     this.#countKinds(run, 1);
+    if (this.#pollSentAtMs === undefined) this.#watch?.unpolled.add(this);
     this.#updateFree();
   }
 
@@ -292,6 +427,7 @@
    */
   setOrphanRuns(keys: readonly RunKey[]): void {
     this.#orphanRuns = new Set(keys);
+    this.#setUnusual(keys.length > 0);
     this.#orphanStopSentAtMs.forEach((_sentAtMs, key) => {
       if (!this.#orphanRuns.has(key)) this.#orphanStopSentAtMs.delete(key);
     });
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -117,7 +117,7 @@
   /** Handles expired leases and removed targets, repeats stops and stops stalled runs. */
   check(): void {
     const { steadyMs } = this.#state;
-    this.#state.targets.forEach((target) => {
+    this.#state.watch.getCheckable().forEach((target) => {
       if (!target.isResponding) this.#runManager.crashTracker.onStillLost(target);
       if (target.mayNeedStops) this.#checkRuns(target);
       if (!target.isResponding && target.isLeaseExpired(steadyMs)) this.#releaseExpired(target);
--- a/src/owner/trialPlanner.ts
+++ b/src/owner/trialPlanner.ts
@@ -47,7 +47,8 @@
 /** What the planner provides. */
 export interface TrialPlannerInput {
   readonly steps: readonly StepState[];
-  readonly targets: readonly TargetState[];
+  /** Gets the targets with a known inventory, at the beginning of a pass. */
+  getTargets(): readonly TargetState[];
   getCandidates(step: StepState, targets: readonly TargetState[]): Candidate[];
   isWithinTeamLimit(step: StepState, taskCount: number): boolean;
 }
@@ -111,7 +112,7 @@
 
   #getTrials(): ReadonlySet<Trial> {
     const trials = new Set<Trial>();
-    this.#state.targets.forEach(({ trial }) => {
+    this.#state.watch.getUnusual().forEach(({ trial }) => {
       if (trial !== undefined) trials.add(trial);
     });
     return trials;
@@ -156,7 +157,7 @@
 
   #reserveFor(step: StepState, index: number, input: TrialPlannerInput): void {
     const { nowMs } = this.#state;
-    const free = input.targets.filter(({ trial }) => trial === undefined);
+    const free = input.getTargets().filter(({ trial }) => trial === undefined);
     const candidates = input.getCandidates(step, free);
     const placements = step.isGang
       ? this.#placeGangMembers(step, candidates)
--- a/tests/ownerIndexes.test.ts
+++ b/tests/ownerIndexes.test.ts
@@ -4,17 +4,17 @@
 import { chooseTargetsToQuery, isFurtherAdviceUseful } from '../src/owner/adviceChoice';
 import { CandidateCosts, chooseCandidate } from '../src/owner/candidates';
 import type { Candidate } from '../src/owner/candidates';
-import { EligibleTargets } from '../src/owner/eligibleTargets';
 import { isTargetEligible } from '../src/owner/placement';
 import { PreemptionTable } from '../src/owner/preemption';
 import { PassCosts } from '../src/owner/passCosts';
 import { Roominess } from '../src/owner/roominess';
-import type { OwnerState } from '../src/owner/ownerState';
+import { OwnerState } from '../src/owner/ownerState';
 import type { TargetState } from '../src/owner/targetState';
 import type { RunPhase } from '../src/owner/types';
+import { toEpoch } from '../src/types/ids';
 import type { DataCentreId, SubmissionId, TargetId, Ticket } from '../src/types/ids';
 import { addDemand, isDemandFitting, NO_DEMAND } from '../src/work/types';
-import type { OperatorState, StepSpec, TaskDemand } from '../src/work/types';
+import type { StepSpec, TaskDemand } from '../src/work/types';
 import { addRun, createEntry, createStep, createTarget } from './support/ownerParts';
 import {
   choosePlainPreemption,
@@ -129,7 +129,7 @@
         (targets, drawnSteps) => {
           const plainVictims = collectPlainVictims(targets, NOW_MS);
           const plainReserved = new Map<TargetId, TaskDemand>();
-          const table = new PreemptionTable(targets, NOW_MS);
+          const table = new PreemptionTable(() => targets, NOW_MS);
           drawnSteps.forEach(({ spec, priority }) => {
             const step = createStep(spec, { priority });
             expect(table.hasVictim(step)).toBe(hasPlainVictim(plainVictims, step));
@@ -198,12 +198,9 @@
   test('holds the targets that an examination of each one would find, in the order of the table', () => {
     fc.assert(
       fc.property(fc.array(changeArbitrary, { maxLength: 40 }), (changes) => {
-        const targets = new Map<TargetId, TargetState>();
-        const state = { targets, operator: { config: undefined, closedDataCentreIds: [] } } as {
-          targets: Map<TargetId, TargetState>;
-          operator: OperatorState;
-        };
-        const index = new EligibleTargets();
+        const state = new OwnerState(toEpoch(1), 1_000);
+        const { targets } = state;
+        const index = state.eligibleTargets;
         const steps = ['service', 'other'].flatMap((serviceName) =>
           ['', 'a', 'b'].map((requiredLabel) => createStep({ requiredLabel }, {}, { serviceName })),
         );
@@ -213,28 +210,25 @@
             ...{ serviceName, labels: [label], isDraining, dataCentreId },
           });
           const target = targets.get(entry.id);
-          if (kind === 'add' || kind === 'replace')
-            targets.set(entry.id, createTarget(number, entry));
-          if (kind === 'remove') targets.delete(entry.id);
+          if (kind === 'add' || kind === 'replace') state.addTarget(createTarget(number, entry));
+          if (kind === 'remove' && target !== undefined) state.removeTarget(target);
           if (kind === 'unregister' && target !== undefined) target.isRegistered = false;
           if (kind === 'entry') target?.setEntry(entry);
           if (kind === 'close' || kind === 'open') {
             const closedDataCentreIds = kind === 'close' ? [dataCentreId] : [];
             state.operator = { config: undefined, closedDataCentreIds };
           }
-          index.invalidate(state);
           steps.forEach((step) => {
             const expected = [...targets.values()].filter((known) =>
-              isTargetEligible(state as OwnerState, step, known),
+              isTargetEligible(state, step, known),
             );
             const found = index.get(step);
             expect(found).toHaveLength(expected.length);
             expect(found.every((target, position) => target === expected[position])).toBe(true);
             expect(index.get(step)).toBe(index.get(step));
           });
-          expect([...targets.values()].map(({ position }) => position)).toEqual(
-            [...targets.keys()].map((_id, position) => position),
-          );
+          const positions = [...targets.values()].map(({ position }) => position);
+          expect(positions).toEqual([...positions].sort((left, right) => left - right));
         });
       }),
       { ...PROPERTY, numRuns: 100 },
