Owner: idle targets need no attention; submissions of several steps are kept apart

Cause: a target that had never been polled while busy stayed in the set of those that need attention, and each pass searched all open submissions for steps to fetch advice for in advance.

--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -159,8 +159,10 @@
   #getStepsNeedingAdvice(): StepState[] {
     const roominess = new Roominess(() => true);
     const steps = [...this.#state.ready].filter((step) => this.#needsAdvice(step, roominess));
-    this.#state.open.forEach((record) => {
-      if (record.queue.advice === undefined || record.submission.spec.steps.length < 2) return;
+    const { chained, open } = this.#state;
+    chained.forEach((record) => {
+      if (!open.has(record)) chained.delete(record);
+      if (!open.has(record) || record.queue.advice === undefined) return;
       for (const step of record.steps) {
         if (step.readyAtMs !== undefined || step.spec.after.length === 0) continue;
         if (this.#needsAdvice(step, roominess) && this.#isPrefetchDue(step)) steps.push(step);
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -485,6 +485,7 @@
     }
     this.#state.open.add(record);
     this.#state.scheduled.add(record);
+    if (submission.spec.steps.length > 1) this.#state.chained.add(record);
     this.#openDueOccurrences(record);
   }
 
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -154,7 +154,7 @@
     inventory.running.forEach((entry) => {
       const key = toRunKey(entry.taskKey, entry.run);
       listed.add(key);
-      if (this.#isSubmissionUnread(target, entry)) {
+      if (!target.runs.has(key) && this.#isSubmissionUnread(target, entry)) {
         isUnreadListed = true;
         orphanRuns.push(key);
         return;
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -43,6 +43,9 @@
   /** The submissions among these with occurrences that are not due yet, and some that have ended or have none. */
   readonly scheduled = new Set<SubmissionRecord>();
 
+  /** The submissions among these with several steps, and some that have ended. */
+  readonly chained = new Set<SubmissionRecord>();
+
   /** Ready steps with waiting tasks. */
   readonly ready = new Set<StepState>();
 
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -90,6 +90,7 @@
     const { watch } = this.#state;
     for (const target of watch.unusual) {
       target.isPlannable = isInventoryKnown(target);
+      target.checkUnsettledRuns();
       if (target.isUsual) watch.unusual.delete(target);
     }
     return [...watch.unusual];
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -24,12 +24,9 @@
   );
 }
 
-function hasUnconfirmedRun(polled: TargetState): boolean {
-  const target = polled;
+function hasUnconfirmedRun(target: TargetState): boolean {
   if (!target.mayHaveUnsettledRuns) return false;
-  target.mayHaveUnsettledRuns = false;
   for (const run of target.runs.values()) {
-    if (run.phase === 'unconfirmed' || run.phase === 'stopping') target.mayHaveUnsettledRuns = true;
     if (isUnconfirmed(run)) return true;
   }
   return false;
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -287,6 +287,14 @@
     this.#setUnusual(mayHaveUnsettledRuns);
   }
 
+  /** Finds out whether runs are unconfirmed or are being stopped. */
+  checkUnsettledRuns(): void {
+    this.#mayHaveUnsettledRuns = false;
+    for (const { phase } of this.#runs.values()) {
+      if (phase === 'unconfirmed' || phase === 'stopping') this.#mayHaveUnsettledRuns = true;
+    }
+  }
+
   /** The trial of a suspected task for which no other run is started here. */
   get trial(): Trial | undefined {
     return this.#trial;
