--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -19,7 +19,7 @@
 } from './constants';
 import { chooseTargetsToQuery, isFurtherAdviceUseful } from './adviceChoice';
 import type { OwnerState } from './ownerState';
-import { Roominess } from './roominess';
+import { RoomyTargets } from './roomyTargets';
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
@@ -157,21 +157,21 @@
   }
 
   #getStepsNeedingAdvice(): StepState[] {
-    const roominess = new Roominess(() => true);
-    const steps = [...this.#state.ready].filter((step) => this.#needsAdvice(step, roominess));
+    const roomyTargets = new RoomyTargets(() => true);
+    const steps = [...this.#state.ready].filter((step) => this.#needsAdvice(step, roomyTargets));
     const { chained, open } = this.#state;
     chained.forEach((record) => {
       if (!open.has(record)) chained.delete(record);
       if (!open.has(record) || record.queue.advice === undefined) return;
       for (const step of record.steps) {
         if (step.readyAtMs !== undefined || step.spec.after.length === 0) continue;
-        if (this.#needsAdvice(step, roominess) && this.#isPrefetchDue(step)) steps.push(step);
+        if (this.#needsAdvice(step, roomyTargets) && this.#isPrefetchDue(step)) steps.push(step);
       }
     });
     return steps;
   }
 
-  #needsAdvice(step: StepState, roominess: Roominess): boolean {
+  #needsAdvice(step: StepState, roomyTargets: RoomyTargets): boolean {
     const { record, advice, waiting, mayRunUnseen } = step;
     if (record.queue.advice === undefined || advice.isCallPending || mayRunUnseen) return false;
     if (waiting.size === 0) return false;
@@ -179,11 +179,8 @@
     if (!advice.hasUsableTicket(nowMs)) return true;
     if (step.readyAtMs === undefined || nowMs < advice.lastCallAtMs + ADVICE_REFRESH_DELAY_MS)
       return false;
-    const targets = eligibleTargets.get(step);
-    return (
-      roominess.mayFit(targets, step.charge) &&
-      isFurtherAdviceUseful(step, targets, (target) => isCandidate(step, target), nowMs)
-    );
+    const roomy = roomyTargets.get(eligibleTargets.get(step), step.charge);
+    return isFurtherAdviceUseful(step, roomy, (target) => isCandidate(step, target), nowMs);
   }
 
   #createRequest(step: StepState): AdviceRequest | undefined {
--- a/src/owner/passCosts.ts
+++ b/src/owner/passCosts.ts
@@ -6,7 +6,7 @@
 import type { TaskDemand } from '../work/types';
 import { CandidateCosts } from './candidates';
 import type { Candidate } from './candidates';
-import { Roominess } from './roominess';
+import { RoomyTargets } from './roomyTargets';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
 
@@ -18,27 +18,24 @@
 
 /** Shares costs among the steps of a pass. */
 export class PassCosts {
-  #roominess = new Roominess(({ isPlannable }) => isPlannable);
+  #roomyTargets = new RoomyTargets(({ isPlannable }) => isPlannable);
 
   /** By the targets that the steps may use, and then by placement class. */
   #byTargets = new Map<readonly TargetState[], Map<string, SharedCosts>>();
 
   #placed: TargetState[] = [];
 
-  /** Costs that have been found to be exhausted. */
-  #exhausted = new Set<CandidateCosts>();
-
-  /** Whether tasks of a step of this pass found no place; before that no step is worth the check. */
+  /** Whether tasks of a step of this pass found no place; before that the fleet is not examined for room. */
   isScarce = false;
 
   /**
-   * Checks whether a task may fit on any of the targets, which rules out most steps in a full fleet.
-   * @param targets - the targets, always the same array for the same targets
+   * Gets the targets that have to be examined for a step.
+   * @param targets - the targets that it may use, always the same array for the same targets
    * @param charge - its demand
-   * @returns false when it fits on none
+   * @returns all of them on which its tasks fit, and perhaps others, in the same order
    */
-  mayFit(targets: readonly TargetState[], charge: TaskDemand): boolean {
-    return !this.isScarce || this.#roominess.mayFit(targets, charge);
+  getRoomy(targets: readonly TargetState[], charge: TaskDemand): readonly TargetState[] {
+    return this.isScarce ? this.#roomyTargets.get(targets, charge) : targets;
   }
 
   /**
@@ -77,15 +74,4 @@
     }
     return shared.costs;
   }
-
-  /**
-   * Records that a step has been placed as far as possible.
-   * @param targets - the targets that it may use
-   * @param costs - the costs that it shares with others
-   */
-  onStepPlaced(targets: readonly TargetState[], costs: CandidateCosts): void {
-    if (!costs.isExhausted || this.#exhausted.has(costs)) return;
-    this.#exhausted.add(costs);
-    this.#roominess.onNotFitting(targets);
-  }
 }
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -134,22 +134,25 @@
     const { advice } = step.record.queue;
     if (advice !== undefined && !step.advice.hasUsableTicket(this.#state.nowMs)) return;
     const targets = this.#state.eligibleTargets.get(step);
-    if (!this.#passCosts.mayFit(targets, step.charge)) return;
-    const getCandidates = () => this.#getFittingCandidates(step, isDesperate);
+    const roomy = this.#passCosts.getRoomy(targets, step.charge);
+    if (roomy.length === 0) return;
+    const getCandidates = () => this.#getFittingCandidates(step, roomy, isDesperate);
     if (step.isGang) this.#startGang(step, getCandidates());
     else if (advice !== undefined || step.spec.maxTasksPerTarget > 0)
       this.#startTasks(step, new CandidateCosts(step, getCandidates()));
     else {
       const placementClass = `${step.placementClass}|${isDesperate}|${step.record.isCrashLikely}`;
-      const costs = this.#passCosts.get(step, targets, placementClass, getCandidates);
-      this.#startTasks(step, costs);
-      this.#passCosts.onStepPlaced(targets, costs);
+      this.#startTasks(step, this.#passCosts.get(step, targets, placementClass, getCandidates));
     }
     if (step.waiting.size > 0) this.#passCosts.isScarce = true;
   }
 
-  #getFittingCandidates(step: StepState, isDesperate: boolean): readonly Candidate[] {
-    return this.#getOpenCandidates(step, isDesperate, ({ free }) =>
+  #getFittingCandidates(
+    step: StepState,
+    roomy: readonly TargetState[],
+    isDesperate: boolean,
+  ): readonly Candidate[] {
+    return this.#getOpenCandidates(step, roomy, isDesperate, ({ free }) =>
       isDemandFitting(step.charge, free),
     );
   }
@@ -220,7 +223,8 @@
     if (!this.#preemptions.hasVictim(step)) return;
     const waitingCount = getRegularTasks(step).length;
     if (waitingCount === 0) return;
-    const targets = this.#getOpenCandidates(step, isDesperate, (target) =>
+    const usable = this.#state.eligibleTargets.get(step);
+    const targets = this.#getOpenCandidates(step, usable, isDesperate, (target) =>
       this.#preemptions.mayFit(step, target),
     )
       .map(({ target }) => target)
@@ -273,22 +277,24 @@
   }
 
   /**
-   * Gets the targets on which this pass may start tasks of a step. A step that needs tickets has them for few targets,
-   * so these are examined rather than all.
+   * Gets those of the usable targets on which this pass may start tasks of a step. A step that needs tickets has them
+   * for few targets, so these are examined if they are fewer.
    */
   #getOpenCandidates(
     step: StepState,
+    usable: readonly TargetState[],
     isDesperate: boolean,
     isPossible: (target: TargetState) => boolean,
   ): readonly Candidate[] {
-    const { nowMs, targets, eligibleTargets } = this.#state;
-    const needsTicket = step.record.queue.advice !== undefined;
+    const { nowMs, targets } = this.#state;
     const isOpen = (target: TargetState) =>
       target.isPlannable &&
       (isDesperate || target.pausedUntilMs <= nowMs) &&
       isPossible(target) &&
       isDemandFitting(step.charge, target.entry.capacity);
-    if (!needsTicket) return toCandidates(eligibleTargets.get(step).filter(isOpen));
+    if (step.record.queue.advice === undefined) return toCandidates(usable.filter(isOpen));
+    if (usable.length <= step.advice.ticketCount)
+      return this.#getCandidates(step, usable.filter(isOpen));
     const approved: TargetState[] = [];
     step.advice.forEachUsableTicket(nowMs, (targetId) => {
       const target = targets.get(targetId);
--- a/src/owner/stepAdvice.ts
+++ b/src/owner/stepAdvice.ts
@@ -84,6 +84,11 @@
       .map(([targetId]) => targetId);
   }
 
+  /** Number of tickets, some of which may have expired. */
+  get ticketCount(): number {
+    return this.#tickets.size;
+  }
+
   /**
    * @param nowMs - elapsed time of this process
    * @returns true when there is a valid ticket
--- a/tests/ownerIndexes.test.ts
+++ b/tests/ownerIndexes.test.ts
@@ -7,7 +7,7 @@
 import { isTargetEligible } from '../src/owner/placement';
 import { PreemptionTable } from '../src/owner/preemption';
 import { PassCosts } from '../src/owner/passCosts';
-import { Roominess } from '../src/owner/roominess';
+import { RoomyTargets } from '../src/owner/roomyTargets';
 import { OwnerState } from '../src/owner/ownerState';
 import type { TargetState } from '../src/owner/targetState';
 import type { RunPhase } from '../src/owner/types';
@@ -236,39 +236,34 @@
   });
 });
 
-describe('the largest free capacity', () => {
-  test('never rules out a step that fits on a target', () => {
+describe('the targets with room', () => {
+  test('include all on which a task fits, in their order, and none that is full for all', () => {
     fc.assert(
       fc.property(
         targetsArbitrary,
         fc.array(specArbitrary, { minLength: 1, maxLength: 10 }),
         (targets, specs) => {
-          const roominess = new Roominess(() => true);
+          const roomyTargets = new RoomyTargets(({ isPlannable }) => isPlannable);
           specs.forEach((spec) => {
             const step = createStep({ ...spec, taskCount: 1 });
-            const fitting = targets.find(({ free }) => isDemandFitting(step.charge, free));
-            if (fitting === undefined) {
-              roominess.onNotFitting(targets);
-              return;
-            }
-            expect(roominess.mayFit(targets, step.charge)).toBe(true);
-            addRun(step, 0, fitting);
+            const fitting = targets.filter(({ free }) => isDemandFitting(step.charge, free));
+            const roomy = roomyTargets.get(targets, step.charge);
+            expect(targets.filter((target) => roomy.includes(target))).toEqual([...roomy]);
+            expect(fitting.every((target) => roomy.includes(target))).toBe(true);
+            const [first] = fitting;
+            if (first !== undefined) addRun(step, 0, first);
           });
         },
       ),
       PROPERTY,
     );
-  });
-
-  test('rules out a step for which no resource is left', () => {
-    const roominess = new Roominess(({ isPlannable }) => isPlannable);
-    const targets = [createTarget(0), createTarget(1), createTarget(2)];
+    const full = [createTarget(0), createTarget(1), createTarget(2)];
     const large = { cpuMillis: 16_000, memoryMb: 1_024, accelerators: 0 };
-    expect(roominess.mayFit(targets, large)).toBe(true);
-    targets.slice(1).forEach((target) => addRun(createStep({ demand: large }), 0, target));
-    targets.slice(0, 1).forEach((target) => Object.assign(target, { isPlannable: false }));
-    roominess.onNotFitting(targets);
-    expect(roominess.mayFit(targets, large)).toBe(false);
+    const roomyTargets = new RoomyTargets(({ isPlannable }) => isPlannable);
+    full.slice(0, 1).forEach((target) => Object.assign(target, { isPlannable: false }));
+    expect(roomyTargets.get(full, large)).toHaveLength(2);
+    full.slice(1).forEach((target) => addRun(createStep({ demand: large }), 0, target));
+    expect(roomyTargets.get(full, large)).toHaveLength(0);
   });
 });
 
@@ -285,13 +280,9 @@
             const spec = { ...specs[number % specs.length], taskCount: 2, maxTasksPerTarget: 0 };
             const step = createStep(spec);
             const candidates = targets.map((target) => ({ target, ticket: undefined }));
-            const isFitting = ({ target }: Candidate) => isDemandFitting(step.charge, target.free);
-            const getCandidates = () => candidates.filter(isFitting);
+            const roomy = passCosts.getRoomy(targets, step.charge);
+            const getCandidates = () => candidates.filter(({ target }) => roomy.includes(target));
             const expected = chooseCandidate(step, isCautious, candidates);
-            if (!passCosts.mayFit(targets, step.charge)) {
-              expect(expected).toBeUndefined();
-              return;
-            }
             const costs = passCosts.get(step, targets, step.placementClass, getCandidates);
             let chosen: Candidate | undefined;
             costs.tryPlace(isCautious, (candidate) => {
@@ -300,7 +291,7 @@
               addRun(step, 0, candidate.target);
             });
             expect(chosen?.target).toBe(expected?.target);
-            passCosts.onStepPlaced(targets, costs);
+            passCosts.isScarce = true;
           });
         },
       ),
