--- a/bench/owner.ts
+++ b/bench/owner.ts
@@ -165,7 +165,8 @@
 /** The `owner` benchmark. */
 export const owner: Benchmark = {
   name: 'owner',
-  description: 'processor time of the owner by number of targets, at the design load and in a backlog',
+  description:
+    'processor time of the owner by number of targets, at the design load and in a backlog',
   run: async () => [
     ...TARGET_COUNTS.flatMap((targetCount) => measure(targetCount)),
     ...BACKLOG_TARGET_COUNTS.flatMap((targetCount) => measureBacklog(targetCount)),
--- a/src/owner/adviceChoice.ts
+++ b/src/owner/adviceChoice.ts
@@ -117,10 +117,7 @@
     ({ isApproved, fittingTaskCount }) => isApproved && fittingTaskCount > 0,
   );
   const isApprovedSufficient = getExpectedTaskCount(approved) >= step.waiting.size;
-  const selected = selectFirst(
-    isApprovedSufficient ? approved : ratedTargets,
-    ADVICE_MAX_TARGETS,
-  );
+  const selected = selectFirst(isApprovedSufficient ? approved : ratedTargets, ADVICE_MAX_TARGETS);
   return selected.slice(0, getMaxTargets(costs, step, selected)).map(({ target }) => target);
 }
 
--- a/src/owner/passCosts.ts
+++ b/src/owner/passCosts.ts
@@ -25,7 +25,7 @@
 
   #placed: TargetState[] = [];
 
-  /** Whether tasks of a step of this pass found no place; before that the fleet is not examined for room. */
+  /** Whether several steps may compete for room; a single one examines the targets itself. */
   isScarce = false;
 
   /**
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -26,9 +26,7 @@
   { entry, isRegistered }: TargetState,
 ): boolean {
   return (
-    isRegistered &&
-    !entry.isDraining &&
-    !operator.closedDataCentreIds.includes(entry.dataCentreId)
+    isRegistered && !entry.isDraining && !operator.closedDataCentreIds.includes(entry.dataCentreId)
   );
 }
 
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -110,6 +110,7 @@
 
   #planSteps(steps: readonly StepState[]): void {
     this.#passCosts = new PassCosts();
+    this.#passCosts.isScarce = steps.length > 1;
     this.#preemptions = new PreemptionTable(() => this.#getPlannableTargets(), this.#state.nowMs);
     steps.forEach((step) => {
       try {
@@ -144,7 +145,6 @@
       const placementClass = `${step.placementClass}|${isDesperate}|${step.record.isCrashLikely}`;
       this.#startTasks(step, this.#passCosts.get(step, targets, placementClass, getCandidates));
     }
-    if (step.waiting.size > 0) this.#passCosts.isScarce = true;
   }
 
   #getFittingCandidates(
@@ -195,11 +195,7 @@
     });
   }
 
-  #startSpeculativeCopy(
-    step: StepState,
-    index: number,
-    currentId: TargetId,
-  ): void {
+  #startSpeculativeCopy(step: StepState, index: number, currentId: TargetId): void {
     const { nowMs } = this.#state;
     if (!this.#isWithinTeamLimit(step, step.charge)) return;
     const alternatives = this.#getPlannableTargets().filter(
--- a/src/owner/preemption.ts
+++ b/src/owner/preemption.ts
@@ -151,11 +151,7 @@
     let bestCost = Number.POSITIVE_INFINITY;
     targets.forEach((target) => {
       if (!this.mayFit(step, target)) return;
-      const victims = chooseVictims(
-        step,
-        this.#getVictims(target),
-        this.#getExpectedFree(target),
-      );
+      const victims = chooseVictims(step, this.#getVictims(target), this.#getExpectedFree(target));
       if (victims === undefined) {
         this.#bounds.delete(target.id);
         return;
@@ -209,8 +205,7 @@
 
   #getBound(target: TargetState, priority: number): TaskDemand {
     return this.#getVictims(target).reduce(
-      (sum, victim) =>
-        isUsableVictim(victim, priority) ? addDemand(sum, victim.run.charge) : sum,
+      (sum, victim) => (isUsableVictim(victim, priority) ? addDemand(sum, victim.run.charge) : sum),
       this.#getExpectedFree(target),
     );
   }
--- a/tests/ownerIndexes.test.ts
+++ b/tests/ownerIndexes.test.ts
@@ -224,7 +224,7 @@
             );
             const found = index.get(step);
             expect(found).toHaveLength(expected.length);
-            expect(found.every((target, position) => target === expected[position])).toBe(true);
+            expect(found.every((known, position) => known === expected[position])).toBe(true);
             expect(index.get(step)).toBe(index.get(step));
           });
           const positions = [...targets.values()].map(({ position }) => position);
