--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -333,15 +333,17 @@
   }
 
   #openAllDueOccurrences(): void {
-    this.#state.open.forEach((record) => {
-      if (record.nextDueAtMs === undefined || record.nextDueAtMs > this.#state.wallMs) return;
-      this.#openDueOccurrences(record);
+    const { scheduled, open, wallMs } = this.#state;
+    scheduled.forEach((record) => {
+      if (!open.has(record) || record.nextDueAtMs === undefined) scheduled.delete(record);
+      else if (record.nextDueAtMs <= wallMs) this.#openDueOccurrences(record);
     });
   }
 
   #openDueOccurrences(record: SubmissionRecord): void {
     const steps = record.openDueOccurrences(this.#state.wallMs);
     steps.forEach((step) => {
+      this.#unseenRuns.onStepOpened(step);
       this.#runManager.updateReadiness(step);
       this.#runManager.giveUp(this.#runManager.crashTracker.addStored(step));
     });
@@ -454,6 +456,8 @@
       return;
     }
     this.#state.open.add(record);
+    this.#state.scheduled.add(record);
+    if (submission.spec.steps.length > 1) this.#state.chained.add(record);
     this.#openDueOccurrences(record);
   }
 
--- a/src/owner/incarnations.ts
+++ b/src/owner/incarnations.ts
@@ -41,7 +41,7 @@
    */
   register(entry: TargetEntry): TargetState {
     const target = new TargetState(entry);
-    this.#state.targets.set(entry.id, target);
+    this.#state.addTarget(target);
     const mayHoldFormerRuns =
       this.#mayHoldFormerRuns(entry.id) && !this.#runManager.tryRestoreRuns(target);
     this.#onRegistered(target, mayHoldFormerRuns);
@@ -55,7 +55,7 @@
   addRecorded(recorded: RecordedTarget): void {
     const target = new TargetState(toTargetEntry(recorded));
     target.isRegistered = false;
-    this.#state.targets.set(recorded.id, target);
+    this.#state.addTarget(target);
     if (!this.#runManager.tryRestoreRuns(target)) this.#state.unresolvedTargets.add(recorded.id);
     this.#state.log('target is not registered; a former owner has used it', {
       targetId: recorded.id,
@@ -79,7 +79,7 @@
     target.inheritedLeaseEndsAtMs = this.#state.steadyMs + this.#state.maxInheritedLeaseMs;
     target.formerCallsEndAtMs = this.#state.steadyMs + MAX_START_TIMEOUT_MS + MAX_CALL_DELAY_MS;
     unlisted.forEach((run) => this.#moveRun(run, former, target));
-    this.#state.targets.set(entry.id, target);
+    this.#state.addTarget(target);
     this.releaseRuns(former, [...former.runs.values()], reason);
     this.#state.log('target gone', {
       targetId: former.id,
@@ -130,7 +130,7 @@
         ? this.#runManager.crashTracker.onCrashed(target)
         : [];
     this.releaseRuns(target, [...target.runs.values()], reason);
-    if (this.#state.targets.get(target.id) === target) this.#state.targets.delete(target.id);
+    this.#state.removeTarget(target);
     this.#state.unresolvedTargets.delete(target.id);
     this.#state.log('target gone', {
       targetId: target.id,
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -8,12 +8,14 @@
   MAX_CLOCK_DRIFT,
   MAX_START_TIMEOUT_MS,
 } from './constants';
+import { EligibleTargets } from './eligibleTargets';
 import { ResponseTimes } from './responseTimes';
 import { ProgressWriter } from './progressWriter';
 import type { StepState } from './stepState';
 import type { SubmissionRecord } from './submissionRecord';
 import { TargetRecord } from './targetRecord';
 import type { TargetState } from './targetState';
+import { TargetWatch } from './targetWatch';
 import { TeamRates } from './teamRates';
 import { TeamUsage } from './teamUsage';
 import type { ClockReadings, OwnerEffect, StoredTargetRecord, TargetEntry } from './types';
@@ -22,7 +24,14 @@
 export class OwnerState {
   #effects: OwnerEffect[] = [];
 
-  readonly targets = new Map<TargetId, TargetState>();
+  #targets = new Map<TargetId, TargetState>();
+
+  #targetPosition = 0;
+
+  readonly watch = new TargetWatch();
+
+  /** Index of {@link OwnerState.targets}, which it follows. */
+  readonly eligibleTargets = new EligibleTargets(this);
 
   /** The latest registration of each target, which may be that of a former incarnation. */
   readonly latestEntries = new Map<TargetId, TargetEntry>();
@@ -32,6 +41,12 @@
   /** Submissions without an outcome. */
   readonly open = new Set<SubmissionRecord>();
 
+  /** The submissions among these with occurrences that are not due yet, and some that have ended or have none. */
+  readonly scheduled = new Set<SubmissionRecord>();
+
+  /** The submissions among these with several steps, and some that have ended. */
+  readonly chained = new Set<SubmissionRecord>();
+
   /** Ready steps with waiting tasks. */
   readonly ready = new Set<StepState>();
 
@@ -101,6 +116,33 @@
     this.maxUnlistedMs = MAX_CALL_DELAY_MS + this.maxInheritedLeaseMs;
   }
 
+  /** The current incarnation of each target. */
+  get targets(): ReadonlyMap<TargetId, TargetState> {
+    return this.#targets;
+  }
+
+  /**
+   * Adds a target to the table, in the place of its former incarnation if that is there.
+   * @param target - the target
+   */
+  addTarget(target: TargetState): void {
+    const former = this.#targets.get(target.id);
+    former?.leave();
+    this.#targetPosition += 1;
+    target.join(this.watch, former?.position ?? this.#targetPosition);
+    this.#targets.set(target.id, target);
+  }
+
+  /**
+   * Removes a target from the table, unless another incarnation has taken its place.
+   * @param target - the target
+   */
+  removeTarget(target: TargetState): void {
+    if (this.#targets.get(target.id) !== target) return;
+    target.leave();
+    this.#targets.delete(target.id);
+  }
+
   /**
    * Sets the clocks.
    * @param clocks - readings at the time of the event
--- a/src/owner/progressWriter.ts
+++ b/src/owner/progressWriter.ts
@@ -98,17 +98,20 @@
 
   /** Takes the records of one transaction from the dirty ones, those with an outcome first. */
   #takeRecords(): SubmissionRecord[] {
-    const waiting = [...this.#dirty].filter(
-      (record) => !this.#inFlight.has(record) && !this.#rejected.has(record),
-    );
-    const hasOutcome = ({ outcome }: SubmissionRecord) => outcome !== undefined;
-    const ended = waiting.filter(hasOutcome);
-    const unfinished = waiting.filter((record) => !hasOutcome(record));
+    const ended: SubmissionRecord[] = [];
+    const unfinished: SubmissionRecord[] = [];
+    for (const record of this.#dirty) {
+      if (ended.length >= MAX_WRITE_ROWS) break;
+      if (this.#inFlight.has(record) || this.#rejected.has(record)) continue;
+      if (record.outcome !== undefined) ended.push(record);
+      else if (unfinished.length < MAX_WRITE_ROWS) unfinished.push(record);
+    }
     return this.#take([...ended, ...unfinished].slice(0, MAX_WRITE_ROWS));
   }
 
   /** Takes one of the records that are written by themselves; the other transaction goes on with the others. */
   #takeRejected(nowMs: number): SubmissionRecord[] | undefined {
+    if (this.#rejected.size === 0) return undefined;
     const rejected = [...this.#rejected];
     if (rejected.some(([record]) => this.#inFlight.has(record))) return undefined;
     const due = rejected.find(([record, dueAtMs]) => this.#dirty.has(record) && nowMs >= dueAtMs);
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -152,6 +152,8 @@
       this.#state.count('runs_stopped');
     }
     run.phase = 'stopping';
+    target.mayNeedStops = true;
+    target.mayHaveUnsettledRuns = true;
     this.sendStop(target, run.taskKey, run.run);
     run.stopSentAtMs = this.#state.nowMs;
   }
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -22,6 +22,9 @@
 /** A row is removed when its target has been silent or gone, and without runs, for this long. */
 const REMOVAL_DELAY_MS = 1_000;
 
+/** Interval between checks for targets that have become empty. */
+const OBSERVE_INTERVAL_MS = 100;
+
 /** Writes the record. */
 export class TargetRecorder {
   #state: OwnerState;
@@ -43,6 +46,13 @@
 
   #isDeclaredComplete = false;
 
+  /** Whether rows have been written, or are being removed, since targets were last compared with the record. */
+  #isChanged = true;
+
+  #registrationCount = 0;
+
+  #nextObserveAtMs = 0;
+
   /**
    * @param state - the shared state of the owner
    * @param incarnations - adds targets that are not registered
@@ -65,18 +75,25 @@
 
   /** Determines on which targets something may be started. */
   refresh(): void {
-    this.#state.targets.forEach((refreshed) => {
-      const target = refreshed;
-      target.isRecorded = this.#isRecorded(target);
-    });
+    const { watch, targets } = this.#state;
+    const isChanged = this.#isChanged || watch.registrationCount !== this.#registrationCount;
+    this.#isChanged = false;
+    this.#registrationCount = watch.registrationCount;
+    // Targets that are not recorded are among the unusual ones.
+    const refreshedTargets = isChanged ? targets.values() : watch.getUnusual();
+    for (const target of refreshedTargets) target.isRecorded = this.#isRecorded(target);
   }
 
   /** Writes the changes that are due. */
   write(): void {
     const { nowMs, record } = this.#state;
-    this.#observeEmptyTargets();
+    if (nowMs >= this.#nextObserveAtMs) {
+      this.#nextObserveAtMs = nowMs + OBSERVE_INTERVAL_MS;
+      this.#observeEmptyTargets();
+    }
     if (this.#inFlight !== undefined || nowMs < this.#retryAtMs) return;
-    const puts = [...this.#state.targets.values()]
+    const puts = this.#state.watch
+      .getUnusual()
       .filter((target) => TargetRecorder.#isWanted(target) && !this.#isRecorded(target))
       .slice(0, MAX_WRITE_ROWS)
       .map(({ entry }) => record.createRow(entry));
@@ -84,6 +101,7 @@
     const isComplete = !this.#isDeclaredComplete && this.#isComplete();
     if (puts.length === 0 && removals.length === 0 && !isComplete) return;
     this.#inFlight = { kind: 'recordTargets', puts, removals, isComplete };
+    this.#isChanged = true;
     this.#state.emit(this.#inFlight);
   }
 
@@ -94,6 +112,7 @@
   onRecorded({ result }: TargetsRecordedEvent): void {
     const written = this.#inFlight;
     this.#inFlight = undefined;
+    this.#isChanged = true;
     if (written === undefined) return;
     // Until a later write nothing relies on a row whose removal may be performed.
     this.#state.record.setRemoved(written.removals.map(({ targetId }) => targetId));
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -14,15 +14,14 @@
 import type { Run, RunKey } from './run';
 import type { SubmissionRecord } from './submissionRecord';
 import { TargetClock } from './targetClock';
+import type { TargetWatch } from './targetWatch';
 import type { Trial } from './trial';
 import type { TargetEntry } from './types';
+import { UnacknowledgedEnds } from './unacknowledgedEnds';
 
-/** An end that the target reports until it is acknowledged. */
-interface UnacknowledgedEnd {
-  readonly sequence: number;
-  /** The submission whose progress must be durable before the acknowledgement, if any. */
-  readonly record: SubmissionRecord | undefined;
-  /** Change count of that submission after the end was applied. */
+/** A change that makes a report about the runs of a target void once it is durable. */
+interface VoidedReport {
+  readonly record: SubmissionRecord;
   readonly change: number;
 }
 
@@ -48,7 +47,37 @@
 
   #used: TaskDemand = NO_DEMAND;
 
-  #ends: UnacknowledgedEnd[] = [];
+  #free: TaskDemand;
+
+  #incarnation: string;
+
+  #fillerCount = 0;
+
+  #latencySensitiveCount = 0;
+
+  #watch: TargetWatch | undefined;
+
+  #isContacted = false;
+
+  #isResponding = true;
+
+  #isVerificationDue = false;
+
+  #isRegistered = true;
+
+  #isRecorded = false;
+
+  #mayNeedStops = true;
+
+  #mayHaveUnsettledRuns = true;
+
+  #trial: Trial | undefined;
+
+  #voidedReports: readonly VoidedReport[] = [];
+
+  #pollSentAtMs: number | undefined;
+
+  #ends = new UnacknowledgedEnds();
 
   #leaseUntilMs = 0;
 
@@ -61,15 +90,9 @@
 
   readonly clock = new TargetClock();
 
-  /** The target has answered a poll in the current epoch. */
-  isContacted = false;
-
   /** The target reports runs of submissions that this owner has not read yet. */
   hasUnreadRuns = false;
 
-  /** The last poll or start was answered. */
-  isResponding = true;
-
   /** When the target last answered a poll or a start. */
   lastAnsweredAtMs = 0;
 
@@ -82,9 +105,6 @@
   /** Whether all runs have been reported since contact was lost. */
   areRunsReported = false;
 
-  /** Changes that have to be durable before anything is started here, because reports about its runs are void. */
-  voidedReports: readonly { readonly record: SubmissionRecord; readonly change: number }[] = [];
-
   /**
    * When a lease has ended that was granted by a former owner or by a call for a former incarnation, on the owner's
    * steady clock; undefined when this owner knows all leases of the target's runs.
@@ -94,20 +114,11 @@
   /** Until when calls for the incarnation that it has replaced may still grant leases, on the owner's steady clock. */
   formerCallsEndAtMs: number | undefined;
 
-  /** A poll has to tell which incarnation is alive, as the registry or an answer has shown another one. */
-  isVerificationDue = false;
-
-  /** The trial of a suspected task for which no other run is started here. */
-  trial: Trial | undefined;
-
-  /** The target is in the registry. */
-  isRegistered = true;
-
-  /** The durable record tells a later owner that the target may hold runs. */
-  isRecorded = false;
+  /** Whether the planning pass in progress may start runs here, apart from a pause. */
+  isPlannable = false;
 
-  /** When the pending poll was sent; undefined when none is pending. */
-  pollSentAtMs: number | undefined;
+  /** Its position in the table of targets, which decides between targets of equal cost. */
+  position = 0;
 
   /** When the last poll was answered. */
   pollAnsweredAtMs: number | undefined;
@@ -144,6 +155,8 @@
    */
   constructor(entry: TargetEntry, former: TargetState | undefined = undefined) {
     this.#entry = entry;
+    this.#free = entry.capacity;
+    this.#incarnation = toIncarnation(entry.address, entry.incarnationStartMs);
     this.#formerStartsMs =
       former === undefined ? [] : [...former.#formerStartsMs, former.entry.incarnationStartMs];
   }
@@ -163,7 +176,159 @@
 
   /** Identifies the incarnation, also for a later owner: a new one at the address has another start time. */
   get incarnation(): string {
-    return toIncarnation(this.#entry.address, this.#entry.incarnationStartMs);
+    return this.#incarnation;
+  }
+
+  /**
+   * Enters the table of targets.
+   * @param watch - where the target enters itself while it needs attention
+   * @param position - its position in the table
+   */
+  join(watch: TargetWatch, position: number): void {
+    this.#watch = watch;
+    this.position = position;
+    this.isPlannable = false;
+    watch.registrationCount += 1;
+    watch.unusual.add(this);
+    watch.unpolled.add(this);
+    watch.unchecked.add(this);
+  }
+
+  /** Leaves the table of targets. */
+  leave(): void {
+    this.#watch?.remove(this);
+    this.#watch = undefined;
+  }
+
+  /** Whether nothing about it needs attention, so that any work may be started on it. */
+  get isUsual(): boolean {
+    return (
+      this.#isContacted &&
+      this.#isResponding &&
+      !this.#isVerificationDue &&
+      this.#isRegistered &&
+      this.#isRecorded &&
+      !this.#mayHaveUnsettledRuns &&
+      this.#trial === undefined &&
+      this.#voidedReports.length === 0 &&
+      this.#orphanRuns.size === 0
+    );
+  }
+
+  #setUnusual(isUnusual: boolean): void {
+    if (isUnusual) this.#watch?.unusual.add(this);
+  }
+
+  /** The target has answered a poll in the current epoch. */
+  get isContacted(): boolean {
+    return this.#isContacted;
+  }
+
+  set isContacted(isContacted: boolean) {
+    this.#isContacted = isContacted;
+    this.#setUnusual(!isContacted);
+  }
+
+  /** The last poll or start was answered. */
+  get isResponding(): boolean {
+    return this.#isResponding;
+  }
+
+  set isResponding(isResponding: boolean) {
+    this.#isResponding = isResponding;
+    this.#setUnusual(!isResponding);
+  }
+
+  /** A poll has to tell which incarnation is alive, as the registry or an answer has shown another one. */
+  get isVerificationDue(): boolean {
+    return this.#isVerificationDue;
+  }
+
+  set isVerificationDue(isDue: boolean) {
+    this.#isVerificationDue = isDue;
+    this.#setUnusual(isDue);
+  }
+
+  /** The target is in the registry. */
+  get isRegistered(): boolean {
+    return this.#isRegistered;
+  }
+
+  set isRegistered(isRegistered: boolean) {
+    if (this.#watch !== undefined && isRegistered !== this.#isRegistered)
+      this.#watch.registrationCount += 1;
+    this.#isRegistered = isRegistered;
+    this.#setUnusual(!isRegistered);
+  }
+
+  /** The durable record tells a later owner that the target may hold runs. */
+  get isRecorded(): boolean {
+    return this.#isRecorded;
+  }
+
+  set isRecorded(isRecorded: boolean) {
+    this.#isRecorded = isRecorded;
+    this.#setUnusual(!isRecorded);
+  }
+
+  /** Whether runs are being stopped, or an answer to a poll has not been searched for stalled runs yet. */
+  get mayNeedStops(): boolean {
+    return this.#mayNeedStops;
+  }
+
+  set mayNeedStops(mayNeedStops: boolean) {
+    this.#mayNeedStops = mayNeedStops;
+    if (mayNeedStops) this.#watch?.unchecked.add(this);
+    else this.#watch?.unchecked.delete(this);
+  }
+
+  /** Whether runs may be unconfirmed or are being stopped. */
+  get mayHaveUnsettledRuns(): boolean {
+    return this.#mayHaveUnsettledRuns;
+  }
+
+  set mayHaveUnsettledRuns(mayHaveUnsettledRuns: boolean) {
+    this.#mayHaveUnsettledRuns = mayHaveUnsettledRuns;
+    this.#setUnusual(mayHaveUnsettledRuns);
+  }
+
+  /** Finds out whether runs are unconfirmed or are being stopped. */
+  checkUnsettledRuns(): void {
+    this.#mayHaveUnsettledRuns = false;
+    for (const { phase } of this.#runs.values()) {
+      if (phase === 'unconfirmed' || phase === 'stopping') this.#mayHaveUnsettledRuns = true;
+    }
+  }
+
+  /** The trial of a suspected task for which no other run is started here. */
+  get trial(): Trial | undefined {
+    return this.#trial;
+  }
+
+  set trial(trial: Trial | undefined) {
+    this.#trial = trial;
+    this.#setUnusual(trial !== undefined);
+  }
+
+  /** Changes that have to be durable before anything is started here, because reports about its runs are void. */
+  get voidedReports(): readonly VoidedReport[] {
+    return this.#voidedReports;
+  }
+
+  set voidedReports(voidedReports: readonly VoidedReport[]) {
+    this.#voidedReports = voidedReports;
+    this.#setUnusual(voidedReports.length > 0);
+  }
+
+  /** When the pending poll was sent; undefined when none is pending. */
+  get pollSentAtMs(): number | undefined {
+    return this.#pollSentAtMs;
+  }
+
+  set pollSentAtMs(pollSentAtMs: number | undefined) {
+    this.#pollSentAtMs = pollSentAtMs;
+    if (pollSentAtMs === undefined) this.#watch?.unpolled.add(this);
+    else this.#watch?.unpolled.delete(this);
   }
 
   /** The latest registration. */
@@ -198,7 +363,17 @@
 
   /** Remaining capacity. */
   get free(): TaskDemand {
-    return addDemand(this.#entry.capacity, this.#used, -1);
+    return this.#free;
+  }
+
+  /** Whether it runs tasks that use only spare processor time. */
+  get runsFiller(): boolean {
+    return this.#fillerCount > 0;
+  }
+
+  /** Whether it runs tasks whose response times have an upper bound. */
+  get runsLatencySensitive(): boolean {
+    return this.#latencySensitiveCount > 0;
   }
 
   /** Latest lease expiry granted to any run, on the target's clock. */
@@ -208,7 +383,7 @@
 
   /** Number of reported ends that are not acknowledged yet. */
   get unacknowledgedEndCount(): number {
-    return this.#ends.length;
+    return this.#ends.count;
   }
 
   /**
@@ -226,7 +401,10 @@
    */
   setEntry(entry: TargetEntry): void {
     this.#entry = entry;
+    this.#incarnation = toIncarnation(entry.address, entry.incarnationStartMs);
     this.isRegistered = true;
+    if (this.#watch !== undefined) this.#watch.registrationCount += 1;
+    this.#updateFree();
   }
 
   /**
@@ -247,6 +425,9 @@
     if (this.#runs.has(run.key)) return;
     this.#runs.set(run.key, run);
     this.#used = addDemand(this.#used, run.charge);
+    this.#countKinds(run, 1);
+    if (this.#pollSentAtMs === undefined) this.#watch?.unpolled.add(this);
+    this.#updateFree();
   }
 
   /**
@@ -259,15 +440,27 @@
     if (run === undefined) return undefined;
     this.#runs.delete(key);
     this.#used = this.#runs.size === 0 ? NO_DEMAND : addDemand(this.#used, run.charge, -1);
+    this.#countKinds(run, -1);
+    this.#updateFree();
     return run;
   }
 
+  #countKinds({ step }: Run, change: 1 | -1): void {
+    if (step.spec.isFiller) this.#fillerCount += change;
+    if (step.isLatencySensitive) this.#latencySensitiveCount += change;
+  }
+
+  #updateFree(): void {
+    this.#free = addDemand(this.#entry.capacity, this.#used, -1);
+  }
+
   /**
    * Replaces the set of runs that match no task.
    * @param keys - the keys in the current inventory
    */
   setOrphanRuns(keys: readonly RunKey[]): void {
     this.#orphanRuns = new Set(keys);
+    this.#setUnusual(keys.length > 0);
     this.#orphanStopSentAtMs.forEach((_sentAtMs, key) => {
       if (!this.#orphanRuns.has(key)) this.#orphanStopSentAtMs.delete(key);
     });
@@ -314,7 +507,7 @@
    */
   addEnd(sequence: number, record: SubmissionRecord | undefined): void {
     if (this.isEndProcessed(sequence)) return;
-    this.#ends.push({ sequence, record, change: record?.changeCount ?? 0 });
+    this.#ends.add(sequence, record);
   }
 
   /**
@@ -322,24 +515,17 @@
    * @returns true when this end has been processed
    */
   isEndProcessed(sequence: number): boolean {
-    return sequence <= (this.#ends.at(-1)?.sequence ?? this.acknowledgedSequence);
+    return sequence <= (this.#ends.lastSequence ?? this.acknowledgedSequence);
   }
 
   /** True when all ends can be acknowledged without a further write. */
   get areAllEndsDurable(): boolean {
-    return this.#ends.every(
-      ({ record, change }) => (record?.durableChangeCount ?? change) >= change,
-    );
+    return this.#ends.areAllDurable;
   }
 
   /** Highest sequence number that can be acknowledged: all ends up to it are durable. */
   get acknowledgeableSequence(): number {
-    const firstPending = this.#ends.findIndex(
-      ({ record, change }) => record !== undefined && record.durableChangeCount < change,
-    );
-    if (firstPending === 0) return this.acknowledgedSequence;
-    const last = firstPending < 0 ? this.#ends.at(-1) : this.#ends[firstPending - 1];
-    return last?.sequence ?? this.acknowledgedSequence;
+    return this.#ends.durableSequence ?? this.acknowledgedSequence;
   }
 
   /** Records that the pending poll was answered. */
@@ -361,7 +547,7 @@
    */
   setAcknowledged(sequence: number): void {
     this.acknowledgedSequence = Math.max(this.acknowledgedSequence, sequence);
-    this.#ends = this.#ends.filter((end) => end.sequence > sequence);
+    this.#ends.remove(sequence);
   }
 
   /** Records a successful run, which ends the suspicion against the target. */
--- /dev/null
+++ b/src/owner/unacknowledgedEnds.ts
@@ -0,0 +1,58 @@
+/** Ends that a target reports until they are acknowledged, which waits until what they have changed is durable. */
+
+import type { SubmissionRecord } from './submissionRecord';
+
+interface UnacknowledgedEnd {
+  readonly sequence: number;
+  /** The submission whose progress must be durable before the acknowledgement, if any. */
+  readonly record: SubmissionRecord | undefined;
+  /** Change count of that submission after the end was applied. */
+  readonly change: number;
+}
+
+function isDurable({ record, change }: UnacknowledgedEnd): boolean {
+  return record === undefined || record.durableChangeCount >= change;
+}
+
+/** The unacknowledged ends of one target, in the order of their sequence numbers. */
+export class UnacknowledgedEnds {
+  #ends: UnacknowledgedEnd[] = [];
+
+  get count(): number {
+    return this.#ends.length;
+  }
+
+  /** Sequence number of the last end; undefined when there is none. */
+  get lastSequence(): number | undefined {
+    return this.#ends.at(-1)?.sequence;
+  }
+
+  /** Whether all ends can be acknowledged without a further write. */
+  get areAllDurable(): boolean {
+    return this.#ends.every(isDurable);
+  }
+
+  /** Sequence number up to which all ends are durable; undefined when not even the first one is, or there is none. */
+  get durableSequence(): number | undefined {
+    const firstPending = this.#ends.findIndex((end) => !isDurable(end));
+    const last = firstPending < 0 ? this.#ends.at(-1) : this.#ends[firstPending - 1];
+    return last?.sequence;
+  }
+
+  /**
+   * Adds an end.
+   * @param sequence - its sequence number
+   * @param record - the submission whose progress it changed, if any
+   */
+  add(sequence: number, record: SubmissionRecord | undefined): void {
+    this.#ends.push({ sequence, record, change: record?.changeCount ?? 0 });
+  }
+
+  /**
+   * Removes ends that have been acknowledged.
+   * @param sequence - ends up to this sequence number
+   */
+  remove(sequence: number): void {
+    this.#ends = this.#ends.filter((end) => end.sequence > sequence);
+  }
+}
--- a/src/owner/unseenRuns.ts
+++ b/src/owner/unseenRuns.ts
@@ -27,6 +27,9 @@
 
   #heldCount = 0;
 
+  /** Whether any step may be held back. */
+  #mayHold = false;
+
   /**
    * @param state - the shared state of the owner
    */
@@ -73,6 +76,14 @@
     return unresolvedTargets.size > 0;
   }
 
+  /**
+   * Handles a step whose occurrence is due.
+   * @param step - the step
+   */
+  onStepOpened(step: StepState): void {
+    if (step.mayRunUnseen) this.#mayHold = true;
+  }
+
   /**
    * Handles a row of a submission. One that was stored after the authority of former owners waits for nothing.
    * @param submitted - the submission
@@ -134,13 +145,14 @@
   }
 
   #releaseSteps(): void {
-    if (this.#isRegistryUnknown) return;
+    if (!this.#mayHold || this.#isRegistryUnknown) return;
     const unresolved = [...this.#state.unresolvedTargets].map((id) => this.#getTraits(id));
     const held = this.#getHeldSteps();
     const released = held.filter(
       (step) => !unresolved.some((traits) => UnseenRuns.#mayRunOn(step, traits)),
     );
     this.#heldCount = held.length - released.length;
+    this.#mayHold = this.#heldCount > 0;
     if (released.length === 0) return;
     released.forEach((step) => this.#releaseStep(step));
     this.#state.isPlanDue = true;
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -38,23 +38,12 @@
   getTotalDemand,
   isWithinCapacity,
 } from './worldChecks';
-import {
-  TICK_INTERVAL_MS,
-  STORE_LATENCY_MS,
-  TARGET_CAPACITY,
-  FORMER_OWNER_START_MS,
-  CRASH_DELAY_MS,
-  CRASH_DOWN_MS,
-  MAX_LEASE_MS,
-  RECORD_SEED_OFFSET,
-  MAX_CRASHES_PER_TASK,
-} from './worldConstants';
+import * as limits from './worldConstants';
 import type { WorldOptions } from './worldFaults';
 import type { Owner } from './worldTypes';
 
 export { createSubmission, toSubmissionId } from './ownerSubmissions';
-export { NO_FAULTS } from './worldFaults';
-export type { WorldFaults, WorldOptions } from './worldFaults';
+export { NO_FAULTS, type WorldFaults, type WorldOptions } from './worldFaults';
 
 /** A simulated fleet with its owners, targets and store. */
 export class OwnerWorld {
@@ -146,7 +135,7 @@
   constructor(options: WorldOptions) {
     this.#options = options;
     this.#random = new Random(options.seed);
-    this.recordStore = new RecordStore(this.time, options.seed + RECORD_SEED_OFFSET);
+    this.recordStore = new RecordStore(this.time, options.seed + limits.RECORD_SEED_OFFSET);
     this.recordStore.lostAnswerFraction = options.faults.lostAnswers;
     for (let index = 0; index < options.targetCount; index += 1) {
       const id = `target-${index}` as TargetId;
@@ -161,14 +150,14 @@
       this.#network = this.network;
       this.registry = new RegistryModel(this.time, (event) => this.#deliver(event));
       this.targets.forEach((target) => {
-        target.setMaxLease(MAX_LEASE_MS);
+        target.setMaxLease(limits.MAX_LEASE_MS);
         this.registry?.put(target.entry);
       });
     }
     this.time.runUntil(1_000);
   }
 
-  #createTarget(id: TargetId, clockRate: number, capacity = TARGET_CAPACITY): FakeTarget {
+  #createTarget(id: TargetId, clockRate: number, capacity = limits.TARGET_CAPACITY): FakeTarget {
     const events = {
       onStart: (target: FakeTarget, call: StartCall) => this.#onStart(target, call),
       onEnd: (_target: FakeTarget, run: FakeRun, how: EndKind) => this.#onEnd(run, how),
@@ -181,13 +170,13 @@
   /** A target joins the registry; one that is not reachable answers no request. */
   addTarget(
     name: string,
-    { serviceName = 'service', isReachable = true, capacity = TARGET_CAPACITY } = {},
+    { serviceName = 'service', isReachable = true, capacity = limits.TARGET_CAPACITY } = {},
   ): FakeTarget {
     const id = name as TargetId;
     const target = this.#createTarget(id, 1, capacity);
     target.serviceName = serviceName;
     if (!isReachable) this.#partitionedTargetIds.add(id);
-    if (this.network !== undefined) target.setMaxLease(MAX_LEASE_MS);
+    if (this.network !== undefined) target.setMaxLease(limits.MAX_LEASE_MS);
     this.targets.set(id, target);
     this.#register(target);
     return target;
@@ -243,7 +232,7 @@
   submitDuringTakeover(submission: Submission, feedDelayMs: number): void {
     if (this.#owner !== undefined) this.#dispatch(this.#owner, { kind: 'submitted', submission });
     this.#submissions.set(submission.id, submission);
-    this.run(FORMER_OWNER_START_MS);
+    this.run(limits.FORMER_OWNER_START_MS);
     this.#submissions.delete(submission.id);
     this.takeOver(true);
     this.#submissions.set(submission.id, submission);
@@ -342,7 +331,7 @@
   #tick(owner: Owner): void {
     if (owner.isStopped) return;
     this.#dispatch(owner, { kind: 'tick' });
-    this.time.after(TICK_INTERVAL_MS, () => this.#tick(owner));
+    this.time.after(limits.TICK_INTERVAL_MS, () => this.#tick(owner));
   }
 
   #dispatch(owner: Owner, event: object): void {
@@ -445,10 +434,10 @@
 
   #write(owner: Owner, effect: Extract<OwnerEffect, { kind: 'writeProgress' }>): void {
     const answer = (result: E.Either<unknown, unknown>) =>
-      this.time.after(STORE_LATENCY_MS / 2, () =>
+      this.time.after(limits.STORE_LATENCY_MS / 2, () =>
         this.#dispatch(owner, { kind: 'progressWritten', batch: effect.batch, result }),
       );
-    this.time.after(STORE_LATENCY_MS / 2, () => {
+    this.time.after(limits.STORE_LATENCY_MS / 2, () => {
       const obstacle = this.#findWriteObstacle(owner);
       if (obstacle !== undefined) {
         answer(E.left(obstacle));
@@ -509,7 +498,7 @@
     if (step.policy.kind === 'gang')
       this.time.after(0, () => this.#runGangIfComplete(taskKey, call.run));
     if (this.crashingTaskKeys.has(taskKey))
-      this.time.after(CRASH_DELAY_MS, () => this.#crashUnderTask(target, taskKey, call.run));
+      this.time.after(limits.CRASH_DELAY_MS, () => this.#crashUnderTask(target, taskKey, call.run));
     const fails = this.#random.nextFraction() < this.#options.faults.failedRuns;
     return {
       workMs: step.estimateMs * (0.5 + this.#random.nextFraction()),
@@ -522,12 +511,12 @@
     if (target.runs.get(taskKey)?.run !== run) return;
     this.bystanderCount += target.runs.size - 1;
     this.crashCountByTask.set(taskKey, (this.crashCountByTask.get(taskKey) ?? 0) + 1);
-    this.crashProcess(target.id, CRASH_DOWN_MS);
+    this.crashProcess(target.id, limits.CRASH_DOWN_MS);
   }
 
   /** A task that crashes its targets may be started twice more after three of them crashed under it. */
   #checkCrashBudget(taskKey: TaskKey): void {
-    if ((this.crashCountByTask.get(taskKey) ?? 0) >= MAX_CRASHES_PER_TASK)
+    if ((this.crashCountByTask.get(taskKey) ?? 0) >= limits.MAX_CRASHES_PER_TASK)
       this.reportViolation('BUDGET', `${taskKey} crashed target after target`);
   }
 
