Tests: single rules on odd entries

Each rule was removed in a scratch copy; a test fails without it, except without the bound on born, whose values the bound on seq rejects as well.

--- a/tests/oddRows.test.ts
+++ b/tests/oddRows.test.ts
@@ -158,6 +158,19 @@
     expect(E.isLeft(decoded) && decoded.left.length).toBeLessThanOrEqual(300);
   });
 
+  const WALL_MS = 1_800_000_000_000;
+  const DAY_MS = 86_400_000;
+  test.each([
+    ['born', { born: WALL_MS + 2 * DAY_MS }, false],
+    ['born', { born: WALL_MS + DAY_MS / 2 }, true],
+    ['seq', { born: WALL_MS - DAY_MS, seq: 3_000_000 }, false],
+    ['seq', { born: WALL_MS - DAY_MS, seq: 1_000_000 }, true],
+    ['seq', { born: WALL_MS, seq: Number.MAX_SAFE_INTEGER }, false],
+  ] as const)('are checked against the time of day: %s %j', (_field, odd, isSound) => {
+    const value = JSON.stringify({ ...ENTRY, ...odd });
+    expect(E.isRight(targetRegistry.decode(toRow('i-1', value), WALL_MS))).toBe(isSound);
+  });
+
   test('are reported to the owner, each logged once and counted', () => {
     const lines: string[] = [];
     const { loader, metrics } = createLoader(lines);
--- a/tests/staleRegistrations.test.ts
+++ b/tests/staleRegistrations.test.ts
@@ -282,3 +282,84 @@
   owner.dispatch({ kind: 'targetChanged', entry: ENTRY });
   expect(owner.core.dump()).toMatchObject({ targets: [{ isListed: false }] });
 });
+
+describe('an entry with another address', () => {
+  const address = '10.0.0.2:80';
+  const moved = { ...ENTRY, address, revision: 100 };
+
+  function getPolledAddresses(effects: readonly OwnerEffect[]): readonly string[] {
+    return effects.flatMap((effect) => (effect.kind === 'poll' ? [effect.address] : []));
+  }
+
+  test('of an incarnation that has answered holds back none of its own entries', () => {
+    const owner = new OneTargetOwner();
+    owner.answerPoll(1_700, 1_700);
+    owner.dispatch({ kind: 'targetChanged', entry: moved });
+    const draining = { ...ENTRY, isDraining: true, revision: 5 };
+    owner.dispatch({ kind: 'targetChanged', entry: draining });
+    expect(owner.core.dump()).toMatchObject({ targets: [{ isDraining: true }] });
+  });
+
+  test('is used once the target is silent and its lease has expired', () => {
+    const owner = new OneTargetOwner();
+    owner.start();
+    owner.dispatch({ kind: 'targetChanged', entry: moved });
+    expect(getPolledAddresses(owner.tickUnanswered(1_000))).not.toContain(address);
+    expect(getPolledAddresses(owner.tickUnanswered(30_000))).toContain(address);
+  });
+
+  test('is polled at once when the former one has not answered, whose answer then says nothing', () => {
+    const owner = new OneTargetOwner();
+    owner.dispatch({ kind: 'targetChanged', entry: moved });
+    expect(getPolledAddresses(owner.dispatch({ kind: 'tick' }))).toEqual([address]);
+    owner.dispatch({
+      ...{ kind: 'pollAnswered', targetId: TARGET, address: ENTRY.address },
+      ...{ incarnationStartMs: 1_700, isProbe: false, sentAtMs: 0 },
+      result: E.left({ kind: 'otherLife' }),
+    });
+    expect(owner.core.isCurrentTarget(TARGET, 1_700)).toBe(true);
+  });
+
+  test('and a later start leaves the incarnation that a poll finds where it has answered', () => {
+    const owner = new OneTargetOwner();
+    const { taskKey, run } = owner.start();
+    const running = [{ taskKey, run, checkpoint: undefined, percent: 10 }];
+    owner.answerPoll(1_700, 1_700, running);
+    owner.dispatch({ kind: 'targetChanged', entry: { ...moved, incarnationStartMs: 1_900 } });
+    expect(owner.core.isCurrentTarget(TARGET, 1_700)).toBe(true);
+    const effects = owner.answerPoll(1_700, 1_900, running);
+    expect(owner.core.isCurrentTarget(TARGET, 1_900)).toBe(true);
+    const registered = effects.find(
+      (effect) => effect.kind === 'log' && effect.message === 'target registered',
+    );
+    expect(registered).toMatchObject({ fields: { address: ENTRY.address, bornAtMs: 1_900 } });
+  });
+
+  test('at which another target answers does not settle a start that may still take place', () => {
+    const owner = new OneTargetOwner();
+    owner.start();
+    owner.dispatch({ kind: 'targetChanged', entry: { ...moved, incarnationStartMs: 1_900 } });
+    owner.dispatch({
+      ...{ kind: 'pollAnswered', targetId: TARGET, address, incarnationStartMs: 1_900 },
+      ...{ isProbe: false, sentAtMs: 0, result: E.left({ kind: 'otherLife' }) },
+    });
+    expect(owner.core.dump()).toMatchObject({ targets: [{ runCount: 1 }] });
+  });
+});
+
+test('a snapshot with an entry that cannot be read does not remove the target', () => {
+  const owner = new OneTargetOwner();
+  owner.answerPoll(1_700, 1_700);
+  owner.dispatch({ kind: 'targetsListed', entries: [], unreadableIds: [TARGET] });
+  expect(owner.core.dump()).toMatchObject({ targets: [{ isListed: true }] });
+});
+
+test('the entries of an incarnation that a poll has found are counted anew', () => {
+  const owner = new OneTargetOwner();
+  owner.answerPoll(1_700, 1_700);
+  owner.dispatch({ kind: 'targetChanged', entry: { ...ENTRY, isDraining: true, revision: 40 } });
+  owner.answerPoll(1_700, 1_900);
+  const registered = { ...ENTRY, incarnationStartMs: 1_900, revision: 1 };
+  owner.dispatch({ kind: 'targetChanged', entry: registered });
+  expect(owner.core.dump()).toMatchObject({ targets: [{ isListed: true, isDraining: false }] });
+});
