--- a/src/work/submissionSchema.ts
+++ b/src/work/submissionSchema.ts
@@ -6,6 +6,9 @@
 import type { QueueId, SubmissionId, TeamId } from '../types/ids';
 import type { Submission } from './types';
 
+/** Tasks of the largest step that an owner can hold in its memory; gates accept fewer. */
+const MAX_STORED_TASKS = 100_000;
+
 const demandSchema = z.object({
   cpuMillis: z.number(),
   memoryMb: z.number(),
@@ -23,7 +26,7 @@
 ]);
 
 const stepSchema = z.object({
-  taskCount: z.int().min(1),
+  taskCount: z.int().min(1).max(MAX_STORED_TASKS),
   demand: demandSchema,
   estimateMs: z.number(),
   after: z.array(z.int()),
--- a/tests/oddRows.test.ts
+++ b/tests/oddRows.test.ts
@@ -16,6 +16,8 @@
 import { OddRowLog } from '../src/observe/oddRowLog';
 import { openPeerLink } from '../src/peer/peerLink';
 import { HttpClient } from '../src/rpc/httpClient';
+import { decodeSubmission, encodeSubmission } from '../src/work/submissionSchema';
+import { createSubmission } from './support/ownerSubmissions';
 
 const ENTRY = {
   ...{ service: 'service', addr: '10.0.0.1:80', zone: 'zone', state: 'ready', born: 1, seq: 1 },
@@ -198,6 +200,14 @@
   });
 });
 
+test.each([Number.MAX_SAFE_INTEGER, 1_000_000_000, 1e308, 0, -1, 0.5])(
+  'a stored submission with %p tasks is left out',
+  (taskCount) => {
+    const stored = encodeSubmission(createSubmission(1, [{ taskCount }]));
+    expect(E.isLeft(decodeSubmission(stored))).toBe(true);
+  },
+);
+
 describe('the address of a node', () => {
   test.each(['127.0.0.1:99999', '127.0.0.1:0', '127.0.0.1:-1', '127.0.0.1:x', '127.0.0.1', ''])(
     '"%s" cannot be connected to, which does not end the process',
