--- a/tests/oddRows.test.ts
+++ b/tests/oddRows.test.ts
@@ -16,6 +16,8 @@
 import { OddRowLog } from '../src/observe/oddRowLog';
 import { openPeerLink } from '../src/peer/peerLink';
 import { HttpClient } from '../src/rpc/httpClient';
+import { decodeSubmission, encodeSubmission } from '../src/work/submissionSchema';
+import { createSubmission } from './support/ownerSubmissions';
 
 const ENTRY = {
   ...{ service: 'service', addr: '10.0.0.1:80', zone: 'zone', state: 'ready', born: 1, seq: 1 },
@@ -158,6 +160,19 @@
     expect(E.isLeft(decoded) && decoded.left.length).toBeLessThanOrEqual(300);
   });
 
+  const WALL_MS = 1_800_000_000_000;
+  const DAY_MS = 86_400_000;
+  test.each([
+    ['born', { born: WALL_MS + 2 * DAY_MS }, false],
+    ['born', { born: WALL_MS + DAY_MS / 2 }, true],
+    ['seq', { born: WALL_MS - DAY_MS, seq: 3_000_000 }, false],
+    ['seq', { born: WALL_MS - DAY_MS, seq: 1_000_000 }, true],
+    ['seq', { born: WALL_MS, seq: Number.MAX_SAFE_INTEGER }, false],
+  ] as const)('are checked against the time of day: %s %j', (_field, odd, isSound) => {
+    const value = JSON.stringify({ ...ENTRY, ...odd });
+    expect(E.isRight(targetRegistry.decode(toRow('i-1', value), WALL_MS))).toBe(isSound);
+  });
+
   test('are reported to the owner, each logged once and counted', () => {
     const lines: string[] = [];
     const { loader, metrics } = createLoader(lines);
@@ -185,6 +200,14 @@
   });
 });
 
+test.each([Number.MAX_SAFE_INTEGER, 1_000_000_000, 1e308, 0, -1, 0.5])(
+  'a stored submission with %p tasks is left out',
+  (taskCount) => {
+    const stored = encodeSubmission(createSubmission(1, [{ taskCount }]));
+    expect(E.isLeft(decodeSubmission(stored))).toBe(true);
+  },
+);
+
 describe('the address of a node', () => {
   test.each(['127.0.0.1:99999', '127.0.0.1:0', '127.0.0.1:-1', '127.0.0.1:x', '127.0.0.1', ''])(
     '"%s" cannot be connected to, which does not end the process',
