--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -44,7 +44,7 @@
 const MIN_PLAN_INTERVAL_MS = 8;
 
 /** Added to the interval for each waiting step, so that a long queue does not use the whole processor. */
-const PLAN_INTERVAL_PER_STEP_MS = 0.25;
+const PLAN_INTERVAL_PER_STEP_MS = 0.02;
 
 /** Interval of planning passes that run without a preceding change. */
 const REPLAN_INTERVAL_MS = 200;
