--- a/tests/formerAuthority.test.ts
+++ b/tests/formerAuthority.test.ts
@@ -13,6 +13,7 @@
 import type { RowChanges, RowStore, StoreOutcome } from '../src/store/types';
 import { SuspendAwareClock } from '../src/types/clock';
 import type { DataCentreId, NodeId } from '../src/types/ids';
+import { findFreePort } from './support/platformDeployment';
 
 const WORKER = {
   ...{ service: 'service', addr: '10.0.0.1:80', zone: 'zone', state: 'ready', born: 1 },
@@ -23,7 +24,6 @@
   value: JSON.stringify(WORKER),
 };
 
-const PEER_PORT = 25_931;
 const CHECK_MARGIN_MS = 600;
 
 /** Time in which a follower has read the snapshot and waits for changes. */
@@ -78,7 +78,7 @@
   const node = new ClusterNode(
     {
       nodeId: 'node-1' as NodeId,
-      ...{ host: '127.0.0.1', port: PEER_PORT, processorMillis: 1_000 },
+      ...{ host: '127.0.0.1', port: await findFreePort(), processorMillis: 1_000 },
     },
     createPorts(store, {
       maxLeaseMs: 10_000,
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -59,7 +59,8 @@
   });
 }
 
-async function findFreePort(): Promise<number> {
+/** Finds a port on which nothing listens at present. */
+export async function findFreePort(): Promise<number> {
   const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
   return (await isPortFree(port)) ? port : findFreePort();
 }
