Owner: the pause between planning passes is bounded; findings of the review

A pause of 0.25 ms for each waiting step grows without a bound, also by steps that only wait for advice, whose calls go out after a pass.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -337,12 +337,14 @@
     return {
       heartbeat: (params, link) => this.#onHeartbeat(params, link),
       submitted: ({ text }) => {
-        this.#requireHost().submit(text);
-        return {};
+        const host = this.#requireHost();
+        host.submit(text);
+        return { epoch: host.epoch };
       },
       cancelled: ({ submissionId }) => {
-        this.#requireHost().cancel(submissionId);
-        return {};
+        const host = this.#requireHost();
+        host.cancel(submissionId);
+        return { epoch: host.epoch };
       },
       getView: ({ submissionId }) => this.#requireCore().getView(submissionId),
       getWaiting: ({ queueId }) => ({ count: this.#requireCore().getWaitingCount(queueId) }),
@@ -500,17 +502,17 @@
     const host = this.#ownerHost;
     const { link } = this.#ownership;
     const { epoch } = this.#ownership.core;
-    if (host !== undefined) return { epoch, deliver: async (notice) => host.take(notice) };
+    if (host !== undefined)
+      return { epoch: host.epoch, deliver: async (notice) => host.take(notice) };
     if (link === undefined) return undefined;
     return {
       epoch,
       deliver: async (notice) => {
-        if (notice.kind === 'submitted') {
-          await link.call('submitted', { text: notice.text }, OWNER_TIMEOUT_MS);
-        } else {
-          const { submissionId } = notice;
-          await link.call('cancelled', { submissionId }, OWNER_TIMEOUT_MS);
-        }
+        const reply =
+          notice.kind === 'submitted'
+            ? await link.call('submitted', { text: notice.text }, OWNER_TIMEOUT_MS)
+            : await link.call('cancelled', { submissionId: notice.submissionId }, OWNER_TIMEOUT_MS);
+        return reply.epoch ?? epoch;
       },
     };
   }
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -143,6 +143,11 @@
     this.#operator = operator;
   }
 
+  /** The fencing token of this ownership. */
+  get epoch(): Epoch {
+    return this.#epoch;
+  }
+
   /** The scheduler; undefined until the stored state is loaded. */
   get core(): OwnerCore | undefined {
     return this.#core;
@@ -252,10 +257,12 @@
   /**
    * Applies what a gate reports.
    * @param notice - a stored submission or cancellation
+   * @returns the epoch of this ownership
    */
-  take(notice: OwnerNotice): void {
+  take(notice: OwnerNotice): Epoch {
     if (notice.kind === 'submitted') this.submit(notice.text);
     else this.cancel(notice.submissionId);
+    return this.#epoch;
   }
 
   /** Once no former owner may act any more, learns the version of the store at that time. */
--- a/src/node/ownerNotifier.ts
+++ b/src/node/ownerNotifier.ts
@@ -37,8 +37,11 @@
 /** The owner as this node knows it. */
 export interface NotifiedOwner {
   readonly epoch: Epoch;
-  /** Resolves when the owner has taken the notice; rejects when it has not, or may not have. */
-  deliver(notice: OwnerNotice): Promise<void>;
+  /**
+   * Resolves with the epoch of the owner that has taken the notice, which may be a former one; rejects when none has,
+   * or may not have.
+   */
+  deliver(notice: OwnerNotice): Promise<Epoch>;
 }
 
 /** Dependencies of the notifier. */
@@ -137,7 +140,7 @@
     this.#inFlightCount += 1;
     owner
       .deliver(pending.notice)
-      .then(() => this.#onDelivered(pending, owner.epoch))
+      .then((epoch) => this.#onDelivered(pending, epoch))
       .catch(() => this.#onFailed(pending, retryDelayMs))
       .finally(() => {
         this.#inFlightCount -= 1;
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -44,7 +44,10 @@
 const MIN_PLAN_INTERVAL_MS = 8;
 
 /** Added to the interval for each waiting step, so that a long queue does not use the whole processor. */
-const PLAN_INTERVAL_PER_STEP_MS = 0.02;
+const PLAN_INTERVAL_PER_STEP_MS = 0.25;
+
+/** Upper bound of that interval, as waiting steps get neither targets nor advice between passes. */
+const MAX_PLAN_INTERVAL_MS = 60;
 
 /** Interval of planning passes that run without a preceding change. */
 const REPLAN_INTERVAL_MS = 200;
@@ -302,8 +305,8 @@
       this.#state.isPlanDue = true;
     }
     if (this.#state.isPlanDue && nowMs >= this.#nextPlanAtMs) {
-      this.#nextPlanAtMs =
-        nowMs + MIN_PLAN_INTERVAL_MS + this.#state.ready.size * PLAN_INTERVAL_PER_STEP_MS;
+      const intervalMs = MIN_PLAN_INTERVAL_MS + this.#state.ready.size * PLAN_INTERVAL_PER_STEP_MS;
+      this.#nextPlanAtMs = nowMs + Math.min(intervalMs, MAX_PLAN_INTERVAL_MS);
       this.#state.isPlanDue = false;
       this.#recorder.refresh();
       this.#planner.plan();
@@ -453,6 +456,8 @@
     if (record.outcome !== undefined) {
       // A cancellation may be stored without the time of its outcome; retention then starts now.
       if (record.outcomeAtMs === 0) record.outcomeAtMs = this.#state.wallMs;
+      // Without a stored outcome, one whose cancellation is deleted before it would be read as new.
+      if (record.progressVersion === 0) this.#state.writer.markDirty(record, this.#state.nowMs);
       return;
     }
     this.#state.open.add(record);
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -11,6 +11,7 @@
   SLOWDOWN_SMOOTHING_FACTOR,
   STOP_RETRY_DELAY_MS,
 } from './constants';
+import { isUseDifferent } from './registrationUse';
 import type { Run, RunKey } from './run';
 import type { SubmissionRecord } from './submissionRecord';
 import { TargetClock } from './targetClock';
@@ -400,10 +401,11 @@
    * @param entry - the registration
    */
   setEntry(entry: TargetEntry): void {
+    const isUseChanged = isUseDifferent(this.#entry, entry);
     this.#entry = entry;
     this.#incarnation = toIncarnation(entry.address, entry.incarnationStartMs);
     this.isRegistered = true;
-    if (this.#watch !== undefined) this.#watch.registrationCount += 1;
+    if (this.#watch !== undefined && isUseChanged) this.#watch.registrationCount += 1;
     this.#updateFree();
   }
 
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -62,6 +62,12 @@
   resign: { readonly epoch: Epoch; readonly successorId: NodeId };
 }
 
+/** Answer of an owner that has taken a notice. */
+export interface NoticeReply {
+  /** Epoch of the owner; nodes of earlier builds do not report it. */
+  readonly epoch?: Epoch;
+}
+
 /** Results of the calls, by method. */
 export interface PeerReplies {
   heartbeat: {
@@ -73,8 +79,8 @@
     /** Whether the store answers the node late; nodes of earlier builds do not report it. */
     readonly isStoreSlow?: boolean;
   };
-  submitted: Record<string, never>;
-  cancelled: Record<string, never>;
+  submitted: NoticeReply;
+  cancelled: NoticeReply;
   getView: SubmissionView;
   getWaiting: { readonly count: number };
   getOperator: { readonly snapshot: OperatorSnapshot | null };
--- a/tests/ownerNotifier.test.ts
+++ b/tests/ownerNotifier.test.ts
@@ -49,6 +49,7 @@
       remainingFailures -= 1;
       if (remainingFailures >= 0) throw new Error('no answer');
       taken.push(notice);
+      return toEpoch(epoch);
     },
   };
   return { owner, taken };
@@ -88,6 +89,18 @@
     expect(next.taken).toEqual([createCancellation(1)]);
   });
 
+  test('that a former owner has taken is repeated, also when it seemed to be the present one', async () => {
+    const gate = new GateModel();
+    const former = createOwner(2);
+    gate.owner = { ...former.owner, epoch: toEpoch(3) };
+    gate.notifier.notify(createCancellation(1));
+    await gate.run(100);
+    const next = createOwner(3);
+    gate.owner = next.owner;
+    await gate.run(1_000);
+    expect(next.taken).toEqual([createCancellation(1)]);
+  });
+
   test('is given up after a while, so that a gate without an owner keeps a bounded number', async () => {
     const gate = new GateModel();
     for (let number = 1; number <= 3_000; number += 1)
