Node: heartbeats that wait in sockets are read before followers and the owner are checked

After a delay of the event loop over 0.9 s an owner dropped all its followers, and a node suspected its owner, although their heartbeats were waiting in the sockets: timers run before sockets are read.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -4,6 +4,8 @@
 import type { Advice, AdviceFailure, SubmissionView } from '../owner/types';
 import type { PeerHandlers, PeerLinkHandle, PeerCalls, PeerReplies } from '../peer/types';
 import { PeerServer } from '../peer/peerServer';
+import { startSocketFirstInterval } from '../rpc/socketFirstInterval';
+import type { SocketFirstInterval } from '../rpc/socketFirstInterval';
 import type { Committed, RowTransaction, StoreOutcome } from '../store/types';
 import { MonitoredStore } from '../store/monitoredStore';
 import type { Epoch, NodeId, QueueId, StepKey, SubmissionId, TargetId } from '../types/ids';
@@ -98,6 +100,8 @@
 
   #timers: NodeJS.Timeout[] = [];
 
+  #ticks: SocketFirstInterval | undefined;
+
   #isStopping = false;
 
   #isFetchingOperator = false;
@@ -188,7 +192,7 @@
     await this.#server.listen(this.#identity.host, this.#identity.port);
     this.#operator.start();
     this.#members.start();
-    this.#timers.push(setInterval(() => this.#tick(), TICK_INTERVAL_MS));
+    this.#ticks = startSocketFirstInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.#timers.push(setInterval(() => this.#ownership.sendHeartbeat(), HEARTBEAT_INTERVAL_MS));
     this.#ownership.dispatch({ kind: 'tick' });
   }
@@ -234,6 +238,7 @@
 
   /** Stops all timers, followers and connections. */
   stop(): void {
+    this.#ticks?.stop();
     this.#timers.forEach((timer) => clearInterval(timer));
     this.#operator.stop();
     this.#members.stop();
