--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -19,7 +19,7 @@
 import { OperatorFollower } from './operatorFollower';
 import type { OperatorSnapshot } from './operatorSnapshot';
 import { OwnerHost } from './ownerHost';
-import { OwnerNotifier } from './ownerNotifier';
+import { OwnerNotifier, toNotifiedOwner } from './ownerNotifier';
 import type { NotifiedOwner } from './ownerNotifier';
 import { OwnershipShell } from './ownershipShell';
 import type { NodePorts } from './ports';
@@ -509,16 +509,6 @@
     const { epoch } = this.#ownership.core;
     if (host !== undefined)
       return { epoch: host.epoch, deliver: async (notice) => host.take(notice) };
-    if (link === undefined) return undefined;
-    return {
-      epoch,
-      deliver: async (notice) => {
-        const reply =
-          notice.kind === 'submitted'
-            ? await link.call('submitted', { text: notice.text }, OWNER_TIMEOUT_MS)
-            : await link.call('cancelled', { submissionId: notice.submissionId }, OWNER_TIMEOUT_MS);
-        return reply.epoch ?? epoch;
-      },
-    };
+    return link === undefined ? undefined : toNotifiedOwner(link, epoch, OWNER_TIMEOUT_MS);
   }
 }
--- a/src/node/ownerNotifier.ts
+++ b/src/node/ownerNotifier.ts
@@ -7,6 +7,7 @@
 
 import type { Logger } from '../observe/logger';
 import type { Metrics } from '../observe/metrics';
+import type { PeerLinkHandle } from '../peer/types';
 import { assertNever } from '../types/debug';
 import type { Epoch, SubmissionId } from '../types/ids';
 
@@ -44,6 +45,31 @@
   deliver(notice: OwnerNotice): Promise<Epoch>;
 }
 
+/**
+ * Addresses the owner on another node.
+ * @param link - the connection to it
+ * @param epoch - the epoch that this node believes it to own
+ * @param timeoutMs - timeout of a notice
+ * @returns the owner
+ */
+export function toNotifiedOwner(
+  link: PeerLinkHandle,
+  epoch: Epoch,
+  timeoutMs: number,
+): NotifiedOwner {
+  return {
+    epoch,
+    deliver: async (notice) => {
+      const { submissionId } = notice;
+      const reply =
+        notice.kind === 'submitted'
+          ? await link.call('submitted', { text: notice.text }, timeoutMs)
+          : await link.call('cancelled', { submissionId }, timeoutMs);
+      return reply.epoch ?? epoch;
+    },
+  };
+}
+
 /** Dependencies of the notifier. */
 export interface NotifierPorts {
   /** @returns this node or the connected one, or undefined while no owner is known */
--- a/tests/lateCancellations.test.ts
+++ b/tests/lateCancellations.test.ts
@@ -1,16 +1,21 @@
 /** A cancellation that an owner learns of before the submission holds when the submission is read later. */
 
 import * as E from 'fp-ts/Either';
-import type { NodePorts, StartCall } from '../src/node/ports';
+import type { StartCall } from '../src/node/ports';
 import { CANCELS_TABLE, getSubmissionPart, SUBMISSIONS_TABLE } from '../src/node/tables';
 import type { RowStore, StoredRow } from '../src/store/types';
 import { encodeSubmission } from '../src/work/submissionSchema';
-import { createAuthorizedHost, createPending, createPorts } from './support/ownerHostPorts';
+import {
+  createAnsweringTargets,
+  createAuthorizedHost,
+  createPending,
+  createPorts,
+  delay,
+} from './support/ownerHostPorts';
 import { createSubmission, NO_FAULTS, OwnerWorld, toSubmissionId } from './support/ownerWorld';
 
 const FEED_VERSION = 9;
 const START_WAIT_MS = 400;
-const POLL_ANSWER_MS = 20;
 
 function createRow(table: string, value: string): StoredRow {
   const key = toSubmissionId(1);
@@ -28,29 +33,6 @@
   };
 }
 
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
-/** Answers polls, so that the target may take starts, and records those. */
-function createRecordingTargets(starts: StartCall[]): NodePorts['targets'] {
-  const inventory = { clockMs: 1, incarnationStartMs: 1, running: [], ended: [] };
-  return {
-    maxLeaseMs: 10_000,
-    poll: async () => {
-      await delay(POLL_ANSWER_MS);
-      return E.right(inventory);
-    },
-    start: (call) => {
-      starts.push(call);
-      return createPending();
-    },
-    stop: () => createPending(),
-  };
-}
-
 test('a submission that is announced after its cancellation starts nothing', () => {
   const world = new OwnerWorld({ seed: 1, targetCount: 4, faults: NO_FAULTS });
   world.takeOver();
@@ -83,7 +65,7 @@
       { demand: { cpuMillis: 1, memoryMb: 1, accelerators: 0 } },
     ]);
     const row = createRow(SUBMISSIONS_TABLE, encodeSubmission(submission));
-    const targets = createRecordingTargets(starts);
+    const targets = createAnsweringTargets(starts);
     const host = createAuthorizedHost(createPorts(cancelRows, createFeed(row), targets));
     await host.start();
     await delay(START_WAIT_MS);
--- a/tests/support/ownerHostPorts.ts
+++ b/tests/support/ownerHostPorts.ts
@@ -4,7 +4,7 @@
 import * as E from 'fp-ts/Either';
 import { operatorRows } from '../../platform/operatorRows';
 import { targetRegistry } from '../../platform/targetRegistry';
-import type { NodePorts } from '../../src/node/ports';
+import type { NodePorts, StartCall } from '../../src/node/ports';
 import { OwnerHost } from '../../src/node/ownerHost';
 import { createLogger } from '../../src/observe/logger';
 import { Metrics } from '../../src/observe/metrics';
@@ -14,6 +14,7 @@
 
 const CAPACITY = { cpu: 1_000, 'mem-mb': 100, gpu: 0 };
 const STORE_VERSION = 5;
+const POLL_ANSWER_MS = 20;
 
 /** The registration of the target. */
 export const REGISTRATION: StoredRow = {
@@ -31,6 +32,30 @@
   });
 }
 
+/** Waits. */
+export function delay(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
+/** Answers polls, so that the target may take starts, and records those. */
+export function createAnsweringTargets(starts: StartCall[]): NodePorts['targets'] {
+  const inventory = { clockMs: 1, incarnationStartMs: 1, running: [], ended: [] };
+  return {
+    maxLeaseMs: 10_000,
+    poll: async () => {
+      await delay(POLL_ANSWER_MS);
+      return E.right(inventory);
+    },
+    start: (call) => {
+      starts.push(call);
+      return createPending();
+    },
+    stop: createPending,
+  };
+}
+
 /**
  * Creates the ports of a host.
  * @param rows - stored rows besides the registration
--- a/tests/takeoverParts.test.ts
+++ b/tests/takeoverParts.test.ts
@@ -1,41 +1,24 @@
 /** A takeover while a part of the store does not answer. */
 
 import * as E from 'fp-ts/Either';
-import type { NodePorts, StartCall } from '../src/node/ports';
+import type { StartCall } from '../src/node/ports';
 import { getSubmissionPart, SUBMISSION_PARTS, SUBMISSIONS_TABLE } from '../src/node/tables';
 import type { RowStore, StoredRow } from '../src/store/types';
 import { encodeSubmission } from '../src/work/submissionSchema';
-import { createAuthorizedHost, createPending, createPorts } from './support/ownerHostPorts';
+import {
+  createAnsweringTargets,
+  createAuthorizedHost,
+  createPending,
+  createPorts,
+  delay,
+} from './support/ownerHostPorts';
 import { createSubmission, toSubmissionId } from './support/ownerWorld';
 
 /** By this time after a takeover the former rate of starts is to be back. */
 const MAX_TAKEOVER_MS = 2_000;
 
-const POLL_ANSWER_MS = 20;
 const DEMAND = { cpuMillis: 1, memoryMb: 1, accelerators: 0 };
 
-function delay(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
-function createTargets(starts: StartCall[]): NodePorts['targets'] {
-  const inventory = { clockMs: 1, incarnationStartMs: 1, running: [], ended: [] };
-  return {
-    maxLeaseMs: 10_000,
-    poll: async () => {
-      await delay(POLL_ANSWER_MS);
-      return E.right(inventory);
-    },
-    start: (call) => {
-      starts.push(call);
-      return createPending();
-    },
-    stop: () => createPending(),
-  };
-}
-
 /** Reads of the given part of the given table end without an answer. */
 function silence(readRange: RowStore['readRange'], silentPart: string): RowStore['readRange'] {
   return async (query, timeoutMs) => {
@@ -53,7 +36,7 @@
   const value = encodeSubmission(createSubmission(1, [{ demand: DEMAND }]));
   const row: StoredRow = { table: SUBMISSIONS_TABLE, part, key: id, version: 2, value };
   const starts: StartCall[] = [];
-  const ports = createPorts([row], createPending, createTargets(starts));
+  const ports = createPorts([row], createPending, createAnsweringTargets(starts));
   const readRange = silence(ports.store.readRange, silentPart);
   const host = createAuthorizedHost({ ...ports, store: { ...ports.store, readRange } });
   const started = host.start();
