--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -3,6 +3,9 @@
 import { performance } from 'node:perf_hooks';
 
 const MAX_PAGE_ROWS = 500;
+const MAX_ROW_BYTES = 65_536;
+const MAX_CALL_BYTES = 1_000_000;
+const MAX_ENTRIES = 100;
 const TRANSACTION_MS = 3;
 const READ_MS = 1;
 
@@ -67,7 +70,9 @@
     for await (const chunk of message) chunks.push(chunk);
     if (this.#isRefused(response)) return;
     if (url.pathname === '/api/rows-tx') {
-      await this.#transact(JSON.parse(Buffer.concat(chunks).toString('utf8')), response);
+      const body = Buffer.concat(chunks);
+      if (body.length > MAX_CALL_BYTES) this.#send(response, 400, {});
+      else await this.#transact(JSON.parse(body.toString('utf8')), response);
     } else if (url.pathname === '/api/rows-get') {
       await sleep(READ_MS);
       if (!this.#isRefused(response)) this.#get(url.searchParams, response);
@@ -90,7 +95,10 @@
   async #transact({ precondition = [], puts = [], remove = [] }, response) {
     const all = [...precondition, ...puts, ...remove];
     const parts = new Set(all.map(({ part = '' }) => part));
-    if (parts.size > 1 || all.length > 100) {
+    const isTooLarge = puts.some(
+      ({ value = '' }) => Buffer.from(value, 'base64').length > MAX_ROW_BYTES,
+    );
+    if (parts.size > 1 || all.length > MAX_ENTRIES || isTooLarge) {
       this.#send(response, 400, {});
       return;
     }
