--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -233,7 +233,7 @@
   }
 
   #lapse() {
-    if (this.runs.size > 0) this.#record.add('lease-lapsed', { worker: this.id });
+    this.#record.add('lease-lapsed', { worker: this.id });
     [...this.runs.keys()].forEach((key) => this.#end(key, 'lapsed'));
   }
 
