--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -35,8 +35,8 @@
     this.id = options.id;
   }
 
-  /** Begins a life: it holds and knows nothing of before. */
-  async start() {
+  /** Begins a life: it holds and knows nothing of before. Its first entry comes after the delay. */
+  async start(registerAfterMs = 0) {
     this.born = Date.now();
     this.bornAt = performance.now();
     this.seq = 0;
@@ -57,8 +57,12 @@
       this.#server.listen(this.#options.port, this.#options.host, resolve);
     });
     this.#record.add('worker-up', { worker: this.id, born: this.born });
-    this.register();
-    this.#beat = setInterval(() => this.register(), BEAT_MS);
+    const begin = () => {
+      this.register();
+      this.#beat = setInterval(() => this.register(), BEAT_MS);
+    };
+    if (registerAfterMs === 0) begin();
+    else setTimeout(begin, registerAfterMs);
   }
 
   /** The process ends: its runs end with it, and its host resets the connections. */
