--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -33,8 +33,8 @@
   ],
 });
 
-const createWorker = (service) => ({
-  ...{ id: `worker-${service}`, service, zone: 'zone', labels: ['a', `rack-${service}`] },
+const createWorker = (service, number) => ({
+  ...{ id: `${service}-${number}`, service, zone: 'zone', labels: ['a', `rack-${number}`] },
   capacity: { cpu: 64_000, 'mem-mb': 131_072, gpu: 0 },
   getPlan: ({ task }) => ({ workMs: task.startsWith(BUSY_ID) ? BUSY_MS : WORK_MS, how: 'done' }),
 });
@@ -43,7 +43,9 @@
   const { record } = deployment;
   await deployment.start({
     ...{ config: createConfig(3, 'desk-a'), nodeCount: 3 },
-    workers: SERVICES.map(createWorker),
+    workers: SERVICES.flatMap((service) =>
+      [1, 2, 3].map((number) => createWorker(service, number)),
+    ),
   });
   const submit = (id, count, workMs) => {
     const steps = [{ count, cpu: 5_000, 'mem-mb': 1_024, 'est-ms': workMs }];
@@ -54,7 +56,7 @@
       body: { spec: 'a plan', steps },
     });
   };
-  await submit(BUSY_ID, 12, BUSY_MS);
+  await submit(BUSY_ID, 36, BUSY_MS);
   await submit(ID, 8, WORK_MS);
   const change = async (version, service) => {
     await sleep(2_500);
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -43,7 +43,9 @@
   // The smaller worker is preferred, as the tasks leave less room there.
   await deployment.start({
     ...{ config: CONFIG, nodeCount: 3 },
-    workers: [createWorker(1, 32_000), createWorker(2, 64_000)],
+    workers: [1, 2, 3, 4, 5, 6, 7, 8].map((number) =>
+      createWorker(number, number === 1 ? 32_000 : 64_000),
+    ),
   });
   const [first] = deployment.workers;
   await sleep(FIRST_LIFE_MS);
