--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -21,6 +21,7 @@
 const RESTART_DELAY_MS = 200;
 const EXIT_BROKEN = 1;
 const EXIT_NOT_RUN = 2;
+const MAX_DURATION_MS = 118_000;
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 export const hasTrouble = process.env.TROUBLE !== '0';
@@ -307,6 +308,13 @@
 export async function runCase(folder, play) {
   const deployment = new Deployment();
   let code = EXIT_NOT_RUN;
+  process.on('exit', () => deployment.nodes.forEach((node) => node.end()));
+  ['SIGINT', 'SIGTERM'].forEach((signal) => process.on(signal, () => process.exit(EXIT_NOT_RUN)));
+  process.on('uncaughtException', (error) => {
+    console.log(`not run: ${error.stack}`);
+    process.exit(EXIT_NOT_RUN);
+  });
+  setTimeout(() => process.exit(EXIT_NOT_RUN), MAX_DURATION_MS).unref();
   try {
     const broken = await play(deployment);
     code = broken.length > 0 ? EXIT_BROKEN : 0;
