Takeover: the services that a submission's tasks were sent to are stored with its progress

Cause: after a takeover a step waited for silent targets of the service that its queue had at acceptance or has now. Premise: what configuration says now, or said at the start, is what was in force in between. Ruled out: the wait of the former owner and the record of used targets, which named the target with its service.

A service other than that at acceptance is written to the progress of the submission before the first start on one of its targets, under the owner row, so a successor reads each service that was used. Services without runs are dropped when the queue moves again.

--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -2,7 +2,7 @@
 
 import type { Epoch, QueueId, SubmissionId, TargetId } from '../types/ids';
 import { assertNever } from '../types/debug';
-import type { Queue, Submission } from '../work/types';
+import type { Submission } from '../work/types';
 import { AdviceDispatcher } from './adviceDispatcher';
 import {
   DEFAULT_MAX_LEASE_MS,
@@ -21,6 +21,7 @@
 import { Planner } from './planner';
 import { RunManager } from './runManager';
 import { RunResponses } from './runResponses';
+import { SubmissionQueues } from './submissionQueues';
 import { SubmissionRecord } from './submissionRecord';
 import { TargetRecorder } from './targetRecorder';
 import { TargetTable } from './targetTable';
@@ -77,6 +78,8 @@
 
   #occurrences: Occurrences;
 
+  #queues: SubmissionQueues;
+
   #adviceDispatcher: AdviceDispatcher;
 
   #earlyCancellations = new EarlyCancellations();
@@ -116,6 +119,7 @@
     this.#runResponses = new RunResponses(this.#state, this.#runManager, incarnations);
     this.#targets = new TargetTable(this.#state, this.#runManager, incarnations);
     this.#unseenRuns = new UnseenRuns(this.#state);
+    this.#queues = new SubmissionQueues(this.#state);
     this.#occurrences = new Occurrences(this.#state, this.#runManager, this.#unseenRuns);
     this.#reconciler = new InventoryReconciler(
       ...([this.#state, this.#runManager, incarnations, this.#occurrences] as const),
@@ -204,6 +208,7 @@
         demand: step.charge,
         ticketTargetIds: step.advice.getUsableTicketTargetIds(this.#state.nowMs),
         mayRunUnseen: step.mayRunUnseen,
+        isServiceRecorded: step.record.isServiceRecorded,
       })),
       targets: [...targets.values()].map((target) => ({
         id: target.id,
@@ -342,6 +347,7 @@
     this.#occurrences.openAllDue();
     this.#targets.check();
     this.#unseenRuns.check();
+    this.#queues.observe();
     this.#recorder.write();
     this.#deleteExpiredSubmissions();
   }
@@ -368,10 +374,7 @@
     this.#state.teamUsage.setTeams(config.teams);
     this.#state.teamRates.setTeams(config.teams);
     if (!this.#areTeamRatesSet) this.#classifyLoadedSubmissions();
-    const queues = new Map<QueueId, Queue>(config.queues.map((queue) => [queue.id, queue]));
-    this.#state.open.forEach((record) => {
-      record.queue = queues.get(record.submission.queue.id) ?? record.queue;
-    });
+    this.#queues.apply(config);
     this.#state.log('configuration adopted', {
       version: config.version,
       closedDataCentreIds: operator.closedDataCentreIds,
@@ -444,8 +447,6 @@
     const record = added;
     const { submission } = record;
     this.#state.records.set(submission.id, record);
-    const queues = this.#state.operator.config?.queues ?? [];
-    record.queue = queues.find(({ id }) => id === submission.queue.id) ?? record.queue;
     if (record.outcome !== undefined) {
       // A cancellation may be stored without the time of its outcome; retention then starts now.
       if (record.outcomeAtMs === 0) record.outcomeAtMs = this.#state.wallMs;
@@ -453,6 +454,7 @@
       if (record.progressVersion === 0) this.#state.writer.markDirty(record, this.#state.nowMs);
       return;
     }
+    this.#queues.assign(record);
     this.#state.open.add(record);
     this.#state.scheduled.add(record);
     if (submission.spec.steps.length > 1) this.#state.chained.add(record);
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -103,7 +103,7 @@
   #getPlannableSteps(): readonly StepState[] {
     const waiting: StepState[] = [];
     this.#state.ready.forEach((step) => {
-      if (!step.mayRunUnseen) waiting.push(step);
+      if (!step.isHeld) waiting.push(step);
     });
     return sortSteps(waiting, this.#state.wallMs);
   }
@@ -187,6 +187,7 @@
   #startSpeculativeCopies(): void {
     const { nowMs, targets, open: records } = this.#state;
     records.forEach((record) => {
+      if (!record.isServiceRecorded) return;
       for (const step of record.steps) {
         findStragglers(step, (run) => targets.get(run.targetId), nowMs).forEach((run) =>
           this.#startSpeculativeCopy(step, run.index, run.targetId),
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -77,6 +77,11 @@
     }
   }
 
+  /** Whether no task may be started yet, as another owner would not know, or this one does not know, where it runs. */
+  get isHeld(): boolean {
+    return this.mayRunUnseen || !this.record.isServiceRecorded;
+  }
+
   /** Tasks that are not done and have no run. */
   get waiting(): ReadonlySet<number> {
     return this.#waiting;
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -42,8 +42,10 @@
 
   readonly submission: Submission;
 
-  /** Current configuration of the queue; the one at acceptance if the queue is no longer configured. */
-  queue: Queue;
+  #queue: Queue;
+
+  /** Services besides that of the queue at acceptance, with the change that has to be durable before they are used. */
+  #serviceChanges: Map<string, number>;
 
   /** Whether a former owner may have started tasks of it that no target has listed yet. */
   #mayRunUnseen: boolean;
@@ -98,12 +100,13 @@
   constructor(loaded: LoadedSubmission, mayRunUnseen: boolean, isLoaded = false) {
     this.isLoaded = isLoaded;
     this.submission = loaded.submission;
-    this.queue = loaded.submission.queue;
+    this.#queue = loaded.submission.queue;
     const { steps } = loaded.submission.spec;
     this.#totalEstimateMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
     this.#mayRunUnseen = mayRunUnseen;
     this.isCancelled = loaded.isCancelled;
     this.#stored = loaded.progress ?? {};
+    this.#serviceChanges = new Map((this.#stored.serviceNames ?? []).map((name) => [name, 0]));
     this.#doneOccurrences = IndexRangeSet.parse(this.#stored.doneOccurrences ?? '');
     this.outcome = this.#stored.outcome ?? (loaded.isCancelled ? 'cancelled' : undefined);
     this.outcomeAtMs = this.#stored.outcomeAtMs ?? 0;
@@ -113,6 +116,51 @@
     this.progressVersion = loaded.progressVersion;
   }
 
+  /** Current configuration of the queue; the last one known, or that at acceptance, if it is no longer configured. */
+  get queue(): Queue {
+    return this.#queue;
+  }
+
+  /**
+   * Adopts the configuration of the queue. A service that it names for the first time is stored with the progress.
+   * @param queue - the configuration
+   * @param serviceNames - services on whose targets tasks may still run, so that others are forgotten; undefined when
+   *   that is not known
+   * @returns true when tasks wait until the change is durable, for which the caller marks the progress as changed
+   */
+  setQueue(queue: Queue, serviceNames: ReadonlySet<string> | undefined): boolean {
+    this.#queue = queue;
+    const { serviceName } = queue;
+    if (serviceName === this.submission.queue.serviceName) return false;
+    if (this.#serviceChanges.has(serviceName)) return false;
+    [...this.#serviceChanges.keys()]
+      .filter((name) => serviceNames?.has(name) === false)
+      .forEach((name) => this.#serviceChanges.delete(name));
+    this.#serviceChanges.set(serviceName, this.changeCount + 1);
+    return true;
+  }
+
+  /** Whether a later owner would look for tasks on targets of the queue's present service. */
+  get isServiceRecorded(): boolean {
+    const { serviceName } = this.#queue;
+    if (serviceName === this.submission.queue.serviceName) return true;
+    return this.durableChangeCount >= (this.#serviceChanges.get(serviceName) ?? 0);
+  }
+
+  /**
+   * Checks whether tasks may run on a target, going by its services.
+   * @param serviceNames - services of the target's incarnations
+   * @returns false when no owner has started a task on a target of any of them
+   */
+  mayUseServices(serviceNames: readonly string[]): boolean {
+    return serviceNames.some(
+      (name) =>
+        name === this.submission.queue.serviceName ||
+        name === this.#queue.serviceName ||
+        this.#serviceChanges.has(name),
+    );
+  }
+
   /** Latency objective of the submission, or of each occurrence. */
   get objectiveMs(): number {
     return this.queue.latencyGoalMs + this.queue.stretchFactor * this.#totalEstimateMs;
@@ -276,6 +324,9 @@
     return {
       steps,
       ...(doneOccurrences === '' ? {} : { doneOccurrences }),
+      ...(this.#serviceChanges.size === 0
+        ? {}
+        : { serviceNames: [...this.#serviceChanges.keys()] }),
       ...(this.hasBegun ? { hasBegun: true } : {}),
     };
   }
--- a/src/owner/trialPlanner.ts
+++ b/src/owner/trialPlanner.ts
@@ -232,7 +232,7 @@
       );
     const isReady =
       !isPatient &&
-      !step.mayRunUnseen &&
+      !step.isHeld &&
       step.record.durableChangeCount >= trial.change &&
       targets.every((target) => isQuiet(target, nowMs)) &&
       TrialPlanner.#isFitting(trial) &&
--- a/src/owner/unseenRuns.ts
+++ b/src/owner/unseenRuns.ts
@@ -212,11 +212,8 @@
     }
   }
 
-  /** The service of a queue may have changed since the submission was accepted. */
   static #isMatching({ record, spec }: StepState, { serviceNames, labels }: TargetTraits): boolean {
-    const isServed = [record.queue, record.submission.queue].some((queue) =>
-      serviceNames.includes(queue.serviceName),
-    );
-    return isServed && (spec.requiredLabel === '' || labels.includes(spec.requiredLabel));
+    if (!record.mayUseServices(serviceNames)) return false;
+    return spec.requiredLabel === '' || labels.includes(spec.requiredLabel);
   }
 }
--- a/src/work/storedProgress.ts
+++ b/src/work/storedProgress.ts
@@ -32,6 +32,7 @@
   hasBegun: z.boolean().optional(),
   givenUpTask: z.string().optional(),
   doneOccurrences: rangesSchema.optional(),
+  serviceNames: z.array(z.string()).optional(),
   steps: z.record(z.string(), storedStepSchema).optional(),
 });
 
@@ -46,6 +47,8 @@
   readonly givenUpTask?: string | undefined;
   /** Occurrences of a schedule that are done, as ranges; their steps are left out. */
   readonly doneOccurrences?: string | undefined;
+  /** Services besides that of the queue at acceptance on whose targets tasks may have been started. */
+  readonly serviceNames?: readonly string[] | undefined;
   /** Progress by `occurrence.step`. */
   readonly steps?: Readonly<Record<string, StoredStepProgress>> | undefined;
 }
--- a/tests/support/ownerSubmissions.ts
+++ b/tests/support/ownerSubmissions.ts
@@ -3,15 +3,19 @@
 import type { StoredTargetRecord, TargetEntry } from '../../src/owner/types';
 import { toConfigVersion } from '../../src/types/ids';
 import type { SubmissionId, TeamId } from '../../src/types/ids';
-import type { OperatorState, StepSpec, Submission, Team } from '../../src/work/types';
+import type { OperatorState, Queue, StepSpec, Submission, Team } from '../../src/work/types';
 
 /** Wall clock at the start of each simulation, in Unix milliseconds. */
 export const WALL_START_MS = 1_700_000_000_000;
 
-/** Creates the operator's decisions, which set only the teams. */
-export function createOperator(teams: readonly Team[]): OperatorState {
-  const config = { version: toConfigVersion(1), queues: [], services: [], teams, maxBodyBytes: 1 };
-  return { closedDataCentreIds: [], config };
+/** Creates the operator's decisions, which set only the teams and queues. */
+export function createOperator(
+  teams: readonly Team[],
+  queues: readonly Queue[] = [],
+  version = 1,
+): OperatorState {
+  const config = { version: toConfigVersion(version), queues, services: [], teams };
+  return { closedDataCentreIds: [], config: { ...config, maxBodyBytes: 1 } };
 }
 
 /** Gets the id of the submission with a given number. */
@@ -32,9 +36,11 @@
     attemptLimit?: number;
     teamId?: string;
     advice?: 'cheap' | 'costly';
+    serviceName?: string;
   } = {},
 ): Submission {
   const { priority = 1, attemptLimit = 3, teamId = 'team-a', advice } = overrides;
+  const { serviceName = 'service' } = overrides;
   const costs = advice === 'costly' ? COSTLY_ADVICE : CHEAP_ADVICE;
   return {
     id: toSubmissionId(number),
@@ -44,7 +50,7 @@
       id: `queue-${priority}` as Submission['queue']['id'],
       host: 'host',
       pathPrefix: '/q/',
-      serviceName: 'service',
+      serviceName,
       priority,
       attemptLimit,
       stretchFactor: 2,
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -17,14 +17,14 @@
 import { Random } from '../../src/types/random';
 import { toEpoch } from '../../src/types/ids';
 import type { NodeId, SubmissionId, TargetId, TaskKey } from '../../src/types/ids';
-import { getChargedDemand } from '../../src/work/types';
 import type { EndKind, StepSpec, Submission, TaskDemand } from '../../src/work/types';
 import { FakeTarget } from '../../standins/fakeTarget';
 import type { FakeRun, RunPlan } from '../../standins/fakeTarget';
 import { DirectNetwork } from './directNetwork';
 import { isStillCurrent, NetworkModel, refuseForOthers } from './networkModel';
 import type { Network, TargetCall } from './networkModel';
-import { createOperator, WALL_START_MS } from './ownerSubmissions';
+import { OperatorModel } from './operatorModel';
+import { WALL_START_MS } from './ownerSubmissions';
 import { ProgressStore } from './progressStore';
 import { RecordStore } from './recordStore';
 import { RegistryModel } from './registryModel';
@@ -32,10 +32,12 @@
 import { VirtualTime } from './virtualTime';
 import {
   endGang,
+  FailureLog,
   findStep,
   getDependencyKeys,
   getAdvice,
   getGangMembers,
+  getTeamDemand,
   getTotalDemand,
   isWithinCapacity,
 } from './worldChecks';
@@ -104,6 +106,8 @@
 
   #epoch = 0;
 
+  readonly operator: OperatorModel;
+
   #owners: Owner[] = [];
 
   /** What a new owner reads in the registry; by default the entries of all targets. */
@@ -135,15 +139,15 @@
 
   #lastStartAtMs = new Map<TaskKey, number>();
 
-  /** End times of acknowledged failed runs, by run number. */
-  #failures = new Map<TaskKey, Map<number, number>>();
+  #failures = new FailureLog();
 
   #partitionedTargetIds = new Set<TargetId>();
 
   constructor(options: WorldOptions) {
     this.#options = options;
     this.#random = new Random(options.seed);
-    this.store = new ProgressStore(options.maxRowBytes);
+    this.store = new ProgressStore(this.time, options.maxRowBytes);
+    this.operator = new OperatorModel(options.teams ?? []);
     this.recordStore = new RecordStore(this.time, options.seed + limits.RECORD_SEED_OFFSET);
     this.recordStore.lostAnswerFraction = options.faults.lostAnswers;
     for (let index = 0; index < options.targetCount; index += 1) {
@@ -225,8 +229,7 @@
     };
     this.#owner = owner;
     this.#owners.push(owner);
-    const operator = createOperator(this.#options.teams ?? []);
-    this.#dispatch(owner, { kind: 'operatorChanged', operator });
+    this.readOperator();
     this.#dispatch(owner, { kind: 'lanesChanged', nodeIds: ['n-1', 'n-2', 'n-3'] as NodeId[] });
     const entries = this.registry?.entries ?? [...this.targets.values()].map(({ entry }) => entry);
     this.#dispatch(owner, this.registryListing ?? { kind: 'targetsListed', entries });
@@ -315,6 +318,11 @@
     this.#tellOwner(event);
   }
 
+  /** The owner reads the operator's decisions. */
+  readOperator(): void {
+    this.#tellOwner({ kind: 'operatorChanged', operator: this.operator.state });
+  }
+
   /** Changes the capacity of a running target, which its registration shows at once. */
   setCapacity(targetId: TargetId, capacity: TaskDemand): void {
     const target = this.targets.get(targetId);
@@ -444,23 +452,15 @@
     this.time.after(30, () => this.#dispatch(owner, event));
   }
 
-  #write(owner: Owner, effect: Extract<OwnerEffect, { kind: 'writeProgress' }>): void {
-    const answer = (result: E.Either<unknown, unknown>) =>
-      this.time.after(limits.STORE_LATENCY_MS / 2, () =>
-        this.#dispatch(owner, { kind: 'progressWritten', batch: effect.batch, result }),
+  #write(owner: Owner, { rows, batch }: Extract<OwnerEffect, { kind: 'writeProgress' }>): void {
+    const { lostAnswers } = this.#options.faults;
+    const isAnswerLost = () =>
+      this.areWriteAnswersLost || this.#random.nextFraction() < lostAnswers;
+    const write = () =>
+      this.store.tryWrite(rows, this.#findWriteObstacle(owner), isAnswerLost, (result) =>
+        this.#dispatch(owner, { kind: 'progressWritten', batch, result }),
       );
-    this.time.after(limits.STORE_LATENCY_MS / 2, () => {
-      const obstacle = this.#findWriteObstacle(owner);
-      if (obstacle !== undefined) {
-        answer(E.left(obstacle));
-        return;
-      }
-      const written = this.store.write(effect.rows);
-      const { lostAnswers } = this.#options.faults;
-      const isLost = () => this.areWriteAnswersLost || this.#random.nextFraction() < lostAnswers;
-      const unavailable = E.left({ kind: 'unavailable', detail: 'response lost' });
-      answer(E.isRight(written) && isLost() ? unavailable : written);
-    });
+    this.time.after(limits.STORE_LATENCY_MS / 2, write);
   }
 
   #findWriteObstacle({ epoch }: Owner): RecordFailure | undefined {
@@ -547,21 +547,17 @@
   #checkAttemptLimit(taskKey: TaskKey): void {
     const { submission, step } = this.#getStep(taskKey);
     if (step.policy.kind === 'standing') return;
-    const endsAtMs = [...(this.#failures.get(taskKey)?.values() ?? [])].sort((a, b) => a - b);
-    const lastAtMs = endsAtMs[submission.queue.attemptLimit - 1];
+    const lastAtMs = this.#failures.getEndedAtMs(taskKey, submission.queue.attemptLimit);
     if (lastAtMs === undefined) return;
     if ((this.#lastStartAtMs.get(taskKey) ?? 0) > lastAtMs) this.reportViolation('BUDGET', taskKey);
   }
 
-  #checkTeamLimit(submission: Submission, step: StepSpec, taskKey: TaskKey): void {
-    const team = this.#options.teams?.find(({ id }) => id === submission.teamId);
+  #checkTeamLimit({ teamId }: Submission, step: StepSpec, taskKey: TaskKey): void {
+    const team = this.operator.teams.find(({ id }) => id === teamId);
     if (team === undefined) return;
-    const others = [...this.targets.values()]
-      .flatMap(({ runs }) => [...runs.keys()].map((key) => this.#getStep(key)))
-      .filter((other) => other.submission.teamId === submission.teamId);
-    const demands = others.map((other) => getChargedDemand(other.step));
-    const used = getTotalDemand([step.demand, ...demands]);
-    if (used.cpuMillis > team.limit.cpuMillis) this.reportViolation('QUOTA', taskKey);
+    const used = getTeamDemand(teamId, this.targets.values(), (key) => this.#getStep(key));
+    const { cpuMillis } = getTotalDemand([step.demand, used]);
+    if (cpuMillis > team.limit.cpuMillis) this.reportViolation('QUOTA', taskKey);
   }
 
   #runGangIfComplete(taskKey: TaskKey, run: number): void {
@@ -576,8 +572,7 @@
   #onEndAcknowledged(target: FakeTarget, entry: EndedEntry, call: PollCall): void {
     const endedAtMs = this.#endedAtMs.get(`${entry.taskKey}#${entry.run}`) ?? 0;
     if (entry.how === 'failed') {
-      const failures = this.#failures.get(entry.taskKey) ?? new Map<number, number>();
-      this.#failures.set(entry.taskKey, failures.set(entry.run, endedAtMs));
+      this.#failures.add(entry, endedAtMs);
       this.#checkAttemptLimit(entry.taskKey);
     }
     if (entry.how !== 'done') return;
--- a/tests/support/progressStore.ts
+++ b/tests/support/progressStore.ts
@@ -2,9 +2,11 @@
 
 import * as E from 'fp-ts/Either';
 import { decodeProgressRows, encodeProgress, getExtraRowKey } from '../../src/node/progressRows';
-import type { ProgressRow, WriteFailure } from '../../src/owner/types';
+import type { ProgressRow, RecordFailure, WriteFailure } from '../../src/owner/types';
 import type { SubmissionId } from '../../src/types/ids';
 import type { StoredProgress } from '../../src/work/storedProgress';
+import type { VirtualTime } from './virtualTime';
+import { STORE_LATENCY_MS } from './worldConstants';
 
 const FIRST_VERSION = 10;
 
@@ -35,7 +37,10 @@
   /** Submissions whose progress is rejected. */
   readonly rejectedIds = new Set<SubmissionId>();
 
-  constructor(maxRowBytes = MAX_ROW_BYTES) {
+  #time: VirtualTime;
+
+  constructor(time: VirtualTime, maxRowBytes = MAX_ROW_BYTES) {
+    this.#time = time;
     this.#maxRowBytes = maxRowBytes;
   }
 
@@ -43,6 +48,19 @@
     return this.#rows.get(submissionId);
   }
 
+  /** Writes rows unless there is an obstacle, and answers after a while. */
+  tryWrite(
+    rows: readonly ProgressRow[],
+    obstacle: RecordFailure | undefined,
+    isAnswerLost: () => boolean,
+    onAnswered: (result: E.Either<unknown, number>) => void,
+  ): void {
+    const written = obstacle === undefined ? this.write(rows) : E.left(obstacle);
+    const unavailable = E.left({ kind: 'unavailable', detail: 'response lost' });
+    const answer = E.isRight(written) && isAnswerLost() ? unavailable : written;
+    this.#time.after(STORE_LATENCY_MS / 2, () => onAnswered(answer));
+  }
+
   /** Writes all rows or, when a version is not the expected one or a limit is exceeded, none of them. */
   write(rows: readonly ProgressRow[]): E.Either<WriteFailure, number> {
     const versions = rows.map(({ submissionId }) => ({
--- a/tests/support/worldChecks.ts
+++ b/tests/support/worldChecks.ts
@@ -1,8 +1,8 @@
 /** What simulations of the owner compute about runs on fake targets. */
 
-import type { Advice } from '../../src/owner/types';
+import type { Advice, EndedEntry } from '../../src/owner/types';
 import { getHash } from '../../src/types/hash';
-import type { StepKey, SubmissionId, TargetId, TaskKey, Ticket } from '../../src/types/ids';
+import type { StepKey, SubmissionId, TargetId, TaskKey, TeamId, Ticket } from '../../src/types/ids';
 import { tryParseTaskKey } from '../../src/work/taskKeys';
 import { addDemand, getChargedDemand, isDemandFitting, NO_DEMAND } from '../../src/work/types';
 import type { StepSpec, Submission, TaskDemand } from '../../src/work/types';
@@ -40,6 +40,33 @@
   return demands.reduce((sum, demand) => addDemand(sum, demand), NO_DEMAND);
 }
 
+/** Gets the demand of all runs of a team. */
+export function getTeamDemand(
+  teamId: TeamId,
+  targets: Iterable<FakeTarget>,
+  getStep: (taskKey: TaskKey) => SubmittedStep,
+): TaskDemand {
+  const running = [...targets].flatMap(({ runs }) => [...runs.keys()].map(getStep));
+  const ofTeam = running.filter(({ submission }) => submission.teamId === teamId);
+  return getTotalDemand(ofTeam.map(({ step }) => getChargedDemand(step)));
+}
+
+/** Failed runs of tasks whose ends have been acknowledged. */
+export class FailureLog {
+  #endedAtMs = new Map<TaskKey, Map<number, number>>();
+
+  add({ taskKey, run }: EndedEntry, endedAtMs: number): void {
+    const runs = this.#endedAtMs.get(taskKey) ?? new Map<number, number>();
+    this.#endedAtMs.set(taskKey, runs.set(run, endedAtMs));
+  }
+
+  /** Gets when a task had failed this many times; undefined when it has not. */
+  getEndedAtMs(taskKey: TaskKey, count: number): number | undefined {
+    const endsAtMs = [...(this.#endedAtMs.get(taskKey)?.values() ?? [])].sort((a, b) => a - b);
+    return endsAtMs[count - 1];
+  }
+}
+
 /** Gets the answer of the advice service, which approves the same targets of a step each time. */
 export function getAdvice(stepKey: StepKey, targetIds: readonly TargetId[]): Advice {
   const approved = targetIds.filter((targetId) => getHash(`${stepKey}/${targetId}`) % 10 < 6);
