Starts without an answer: a target that renews its entry settles them, and waits are logged while they last

Suspected cause, not proved: a start was lost with a target that stayed registered, and its owner waited for the longest delay of a call and the longest lease, 22.9 s.

The feed dates its changes, so a renewed entry proves that the known incarnation was alive when the call had ended, and its lease decides.

A step that cannot be planned is planned again after 5 s instead of when its submission changes.

--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -318,7 +318,9 @@
       version: number,
       onEvent: (event: FollowerEvent) => void,
     ) => {
-      const follower = new TableFollower(store, followed, onEvent);
+      const follower = new TableFollower(store, followed, onEvent, () =>
+        this.#ports.clock.steadyMs(),
+      );
       this.#followers.push(follower);
       follower.start(version);
       return follower;
@@ -355,7 +357,9 @@
       }
       this.#loader
         .decodeRegistry([change.row])
-        .entries.forEach((entry) => this.#dispatch({ kind: 'targetChanged', entry }));
+        .entries.forEach((entry) =>
+          this.#dispatch({ kind: 'targetChanged', entry, writtenAfterMs: event.changedAfterMs }),
+        );
     });
   }
 
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -61,6 +61,9 @@
 /** A call without an answer may still be carried out this much later. */
 export const MAX_CALL_DELAY_MS = 12_000;
 
+/** A target's entry may be read this long after it was sent: its write may be 6 s late, and the read 1 s. */
+export const MAX_REGISTRY_DELAY_MS = 7_000;
+
 /** Timeout of a stop. */
 export const STOP_TIMEOUT_MS = 700;
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -34,6 +34,7 @@
   SubmissionView,
 } from './types';
 import { UnseenRuns } from './unseenRuns';
+import { WaitMonitor } from './waitMonitor';
 
 /** Maximum submissions per deletion; finished ones are deleted once callers no longer query them. */
 const MAX_DELETE_BATCH = 25;
@@ -80,6 +81,8 @@
 
   #queues: SubmissionQueues;
 
+  #waitMonitor: WaitMonitor;
+
   #adviceDispatcher: AdviceDispatcher;
 
   #earlyCancellations = new EarlyCancellations();
@@ -120,6 +123,7 @@
     this.#targets = new TargetTable(this.#state, this.#runManager, incarnations);
     this.#unseenRuns = new UnseenRuns(this.#state);
     this.#queues = new SubmissionQueues(this.#state);
+    this.#waitMonitor = new WaitMonitor(this.#state);
     this.#occurrences = new Occurrences(this.#state, this.#runManager, this.#unseenRuns);
     this.#reconciler = new InventoryReconciler(
       ...([this.#state, this.#runManager, incarnations, this.#occurrences] as const),
@@ -267,7 +271,7 @@
         this.#recorder.addUnregistered();
         return;
       case 'targetChanged':
-        this.#targets.onTargetChanged(event.entry);
+        this.#targets.onTargetChanged(event.entry, event.writtenAfterMs);
         return;
       case 'targetRemoved':
         this.#targets.onTargetRemoved(event.targetId);
@@ -348,6 +352,7 @@
     this.#targets.check();
     this.#unseenRuns.check();
     this.#queues.observe();
+    this.#waitMonitor.check();
     this.#recorder.write();
     this.#deleteExpiredSubmissions();
   }
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -30,6 +30,9 @@
 /** After a crash, tasks of the same queue are placed where a further one would interrupt little, for this long. */
 const CRASHING_QUEUE_MS = 10_000;
 
+/** A step that could not be planned is left out for this long. */
+const SET_ASIDE_MS = 5_000;
+
 /** The waiting tasks that are not suspected of having crashed a target; suspected ones get a trial. */
 function getRegularTasks(step: StepState): readonly number[] {
   const waiting = [...step.waiting];
@@ -55,6 +58,9 @@
 
   #nextSpeculationAtMs = 0;
 
+  /** Steps that could not be planned, with the time from which they are planned again. */
+  #setAsideUntilMs = new Map<StepState, number>();
+
   #trialPlanner: TrialPlanner;
 
   /**
@@ -73,6 +79,7 @@
     const unusual = this.#findPlannable();
     if (unusual.length === state.targets.size && !unusual.some(({ isPlannable }) => isPlannable))
       return;
+    this.#readmitSteps();
     const steps = this.#getPlannableSteps();
     this.#unseenUsage = this.#getUnseenUsage();
     this.#planTrials(steps);
@@ -160,14 +167,23 @@
   /** A step that cannot be planned would end the ownership of each node in turn, so the others go on without it. */
   #setAside(step: StepState, error: unknown): void {
     this.#state.ready.delete(step);
+    this.#setAsideUntilMs.set(step, this.#state.nowMs + SET_ASIDE_MS);
     this.#state.count('submissions_unschedulable');
     this.#state.log(
-      'step cannot be planned; it is left out until its submission changes',
+      'step cannot be planned; it is left out for a while',
       { submissionId: step.record.submission.id, step: step.key, reason: String(error) },
       'warn',
     );
   }
 
+  #readmitSteps(): void {
+    this.#setAsideUntilMs.forEach((untilMs, step) => {
+      if (this.#state.nowMs < untilMs) return;
+      this.#setAsideUntilMs.delete(step);
+      this.#runManager.updateReadiness(step);
+    });
+  }
+
   #planTrials(steps: readonly StepState[]): void {
     this.#trialPlanner.plan({
       steps,
--- a/src/owner/run.ts
+++ b/src/owner/run.ts
@@ -26,6 +26,8 @@
   formerIncarnations: readonly string[];
   /** Since when it is not known whether the start takes place; undefined once that is settled. */
   doubtSinceMs: number | undefined;
+  /** When the call of an unanswered start was closed, so that nothing of it is written later, on the steady clock. */
+  callEndedAtMs: number | undefined;
   /** When the start was sent, on the owner's steady clock. */
   readonly sentSteadyMs: number;
   /** When the start was sent, on the owner's clock; for an adopted run, when it was first reported. */
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -393,6 +393,7 @@
       isListed: false,
       formerIncarnations: [],
       doubtSinceMs: undefined,
+      callEndedAtMs: undefined,
       sentSteadyMs: steadyMs,
       sentAtMs: nowMs,
       confirmedAtMs: undefined,
--- a/src/owner/runResponses.ts
+++ b/src/owner/runResponses.ts
@@ -166,6 +166,7 @@
     target.mayHaveUnsettledRuns = true;
     if (run.phase === 'starting') run.phase = 'unconfirmed';
     run.doubtSinceMs ??= this.#state.nowMs;
+    run.callEndedAtMs ??= this.#state.steadyMs;
     this.#state.count('starts_in_doubt');
   }
 
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -100,6 +100,9 @@
   /** When the target last answered a poll or a start. */
   lastAnsweredAtMs = 0;
 
+  /** A time at which the incarnation was certainly alive, by its renewed entries, on the steady clock. */
+  aliveAtMs = Number.NEGATIVE_INFINITY;
+
   /** When contact was lost; undefined while the target responds. */
   lostAtMs: number | undefined;
 
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -1,7 +1,12 @@
 /** Maintains the table of targets from the registry, and detects lost targets and stalled runs. */
 
 import type { TargetId } from '../types/ids';
-import { STALL_TIMEOUT_MS, STOP_RETRY_DELAY_MS, UNKNOWN_INCARNATION_MS } from './constants';
+import {
+  MAX_REGISTRY_DELAY_MS,
+  STALL_TIMEOUT_MS,
+  STOP_RETRY_DELAY_MS,
+  UNKNOWN_INCARNATION_MS,
+} from './constants';
 import type { Incarnations } from './incarnations';
 import type { OwnerState } from './ownerState';
 import type { Run } from './run';
@@ -51,10 +56,11 @@
   /**
    * Applies a registration. One that causes an unexpected error is left out, as each owner in turn reads it.
    * @param entry - the registry entry
+   * @param writtenAfterMs - lower bound of the time at which it was stored, on the steady clock, if it is known
    */
-  onTargetChanged(entry: TargetEntry): void {
+  onTargetChanged(entry: TargetEntry, writtenAfterMs?: number): void {
     try {
-      this.#applyEntry(entry);
+      this.#applyEntry(entry, writtenAfterMs);
     } catch (error) {
       this.#state.count('registry_entries_unusable');
       this.#state.log(
@@ -65,7 +71,7 @@
     }
   }
 
-  #applyEntry(entry: TargetEntry): void {
+  #applyEntry(entry: TargetEntry, writtenAfterMs: number | undefined): void {
     const known = this.#state.targets.get(entry.id);
     const latest = this.#state.latestEntries.get(entry.id);
     const isEarlier =
@@ -78,6 +84,7 @@
     this.#setAside.delete(entry.id);
     const namesIncarnation = entry.incarnationStartMs !== UNKNOWN_INCARNATION_MS;
     if (known === undefined || namesIncarnation) this.#state.latestEntries.set(entry.id, entry);
+    if (known !== undefined) TargetTable.#noteRenewal(known, entry, writtenAfterMs);
     if (known === undefined) this.#incarnations.register(entry);
     else if (known.entry.incarnationStartMs === entry.incarnationStartMs)
       this.#onSameIncarnation(known, entry, latest);
@@ -86,6 +93,19 @@
     else this.#onFormerIncarnation(known, entry);
   }
 
+  /** A target that goes on counting its entries was alive some time before the last one was stored. */
+  static #noteRenewal(
+    renewed: TargetState,
+    { incarnationStartMs, revision }: TargetEntry,
+    writtenAfterMs: number | undefined,
+  ): void {
+    const target = renewed;
+    if (writtenAfterMs === undefined || incarnationStartMs !== target.entry.incarnationStartMs)
+      return;
+    if (revision <= target.entry.revision) return;
+    target.aliveAtMs = Math.max(target.aliveAtMs, writtenAfterMs - MAX_REGISTRY_DELAY_MS);
+  }
+
   /**
    * The registry may go back by a late write, and a target that drains must not be used again. But when the entries go
    * on counting below the latest one, that one was not the target's own.
@@ -232,17 +252,18 @@
 
   /**
    * A start that the target has neither answered nor listed may have taken its lease on the clock of a later
-   * incarnation. The registry would show one that is alive, so it is released once the target has left the registry, or
-   * after the longest lease.
+   * incarnation. It is released once the target has left the registry, as that would show one that is alive; once the
+   * known incarnation is seen to have outlived the call; or after the longest lease.
    */
   #releaseExpired(target: TargetState): void {
     const { steadyMs, maxUnlistedMs } = this.#state;
     const runs = [...target.runs.values()].filter(
-      ({ isListed, confirmedAtMs, sentSteadyMs }) =>
-        isListed ||
-        confirmedAtMs !== undefined ||
+      (run) =>
+        run.isListed ||
+        run.confirmedAtMs !== undefined ||
         !target.isRegistered ||
-        steadyMs > sentSteadyMs + maxUnlistedMs,
+        TargetTable.#hasOutlivedCall(target, run) ||
+        steadyMs > run.sentSteadyMs + maxUnlistedMs,
     );
     if (runs.length > 0) {
       this.#runManager.crashTracker.onLeaseExpired(target);
@@ -256,6 +277,15 @@
       this.#incarnations.replace(target, latest, 'it is silent and another one is registered');
   }
 
+  /** A call belongs to the process that accepted its connection, which is the one that was alive before and after. */
+  static #hasOutlivedCall(
+    target: TargetState,
+    { formerIncarnations, callEndedAtMs }: Run,
+  ): boolean {
+    if (formerIncarnations.length > 0 || callEndedAtMs === undefined) return false;
+    return target.aliveAtMs > callEndedAtMs;
+  }
+
   /** Stops a run without progress, so that its task is started elsewhere. */
   #stopIfStalled(target: TargetState, run: Run): void {
     // Progress is known only from polls, so time without a successful poll does not count.
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -209,7 +209,12 @@
         /** Targets whose entries cannot be read; what was known of them holds. */
         readonly unreadableIds?: readonly TargetId[];
       }
-    | { readonly kind: 'targetChanged'; readonly entry: TargetEntry }
+    | {
+        readonly kind: 'targetChanged';
+        readonly entry: TargetEntry;
+        /** Lower bound of the time at which the registry has stored it, on the steady clock. */
+        readonly writtenAfterMs?: number | undefined;
+      }
     | { readonly kind: 'targetRemoved'; readonly targetId: TargetId }
     | {
         readonly kind: 'submitted';
--- a/src/store/tableFollower.ts
+++ b/src/store/tableFollower.ts
@@ -20,7 +20,13 @@
 export type FollowerEvent =
   /** All rows of the followed parts; replaces all rows known before. */
   | { readonly kind: 'snapshot'; readonly rows: readonly StoredRow[]; readonly version: number }
-  | { readonly kind: 'changes'; readonly changes: readonly RowChange[]; readonly version: number };
+  | {
+      readonly kind: 'changes';
+      readonly changes: readonly RowChange[];
+      readonly version: number;
+      /** Lower bound of the time of the changes, on the clock of the follower; undefined when it is not known. */
+      readonly changedAfterMs: number | undefined;
+    };
 
 /** The table to follow, and how often. */
 export interface FollowedTable {
@@ -96,12 +102,24 @@
 
   #version: number | undefined;
 
+  #getTimeMs: () => number;
+
+  /** All changes before this time have been reported. */
+  #readUntilMs: number | undefined;
+
   /**
    * @param store - the store
    * @param followed - the table to follow
    * @param onEvent - called with snapshots and changes, in order
+   * @param getTimeMs - clock by which changes are dated
    */
-  constructor(store: RowStore, followed: FollowedTable, onEvent: (event: FollowerEvent) => void) {
+  constructor(
+    store: RowStore,
+    followed: FollowedTable,
+    onEvent: (event: FollowerEvent) => void,
+    getTimeMs: () => number = () => performance.now(),
+  ) {
+    this.#getTimeMs = getTimeMs;
     this.#store = store;
     this.#followed = followed;
     this.#onEvent = onEvent;
@@ -145,12 +163,14 @@
     if (this.#isStopped) return 0;
     if (E.isLeft(snapshot)) return RETRY_MS;
     this.#version = snapshot.right.version;
+    this.#readUntilMs = undefined;
     this.#onEvent({ kind: 'snapshot', ...snapshot.right });
     return pauseMs;
   }
 
   async #follow(version: number): Promise<number> {
     const { table, pauseMs } = this.#followed;
+    const sentAtMs = this.#getTimeMs();
     const outcome = await this.#store.follow(table, version, FOLLOW_WAIT_MS);
     if (this.#isStopped) return 0;
     if (E.isLeft(outcome)) {
@@ -159,7 +179,11 @@
     }
     const { changes, storeVersion } = outcome.right;
     this.#version = Math.max(version, storeVersion);
-    if (changes.length > 0) this.#onEvent({ kind: 'changes', changes, version: storeVersion });
+    const changedAfterMs = this.#readUntilMs;
+    // A response that may have been cut off says nothing about later changes.
+    this.#readUntilMs = changes.length < PAGE_ROWS ? sentAtMs : undefined;
+    if (changes.length > 0)
+      this.#onEvent({ kind: 'changes', changes, version: storeVersion, changedAfterMs });
     return pauseMs;
   }
 }
--- a/standins/fakeTarget.ts
+++ b/standins/fakeTarget.ts
@@ -27,7 +27,9 @@
   readonly taskKey: TaskKey;
   readonly run: number;
   readonly startedAtMs: number;
+  /** Duration of its work; for a lasting run, of its startup. */
   readonly workMs: number;
+  readonly isLasting: boolean;
   /** False while the run waits for the other members of its gang. */
   isAtWork: boolean;
   isStopping: boolean;
@@ -35,8 +37,9 @@
 
 /** Behaviour of a run, chosen by the test. */
 export interface RunPlan {
+  /** Duration of its work; for a lasting run, of its startup, after which it is at work. */
   readonly workMs: number;
-  readonly how: 'done' | 'failed' | 'stuck';
+  readonly how: 'done' | 'failed' | 'lasting';
   readonly isGang: boolean;
 }
 
@@ -88,6 +91,9 @@
 
   isUp = true;
 
+  /** How many times as long as usual its runs take. */
+  slowness = 1;
+
   /** While the target is down: its host refuses connections, as the process alone has ended. */
   isRefusing = false;
 
@@ -117,6 +123,12 @@
     };
   }
 
+  /** Counts another entry, as for a heartbeat. */
+  renewEntry(): TargetEntry {
+    this.#revision += 1;
+    return this.entry;
+  }
+
   /** Capacity as registered. */
   get capacity(): TaskDemand {
     return this.currentCapacity;
@@ -200,14 +212,17 @@
       run: call.run,
       startedAtMs: this.time.nowMs,
       workMs: plan.workMs,
+      isLasting: plan.how === 'lasting',
       isAtWork: !plan.isGang,
       isStopping: false,
     };
     this.runs.set(call.taskKey, run);
     if (plan.isGang)
       this.time.after(GANG_START_TIMEOUT_MS, () => !run.isAtWork && this.endRun(run, 'alone'));
-    else if (plan.how !== 'stuck')
-      this.time.after(plan.workMs, () => this.endRun(run, plan.how as EndKind));
+    else if (plan.how !== 'lasting') {
+      const { how } = plan;
+      this.time.after(plan.workMs, () => this.endRun(run, how));
+    }
     return E.right({ clockMs: this.clockMs });
   }
 
@@ -300,6 +315,12 @@
     });
   }
 
+  /** A lasting run is at work with 100 percent; another one ends then. */
+  #getPercent({ startedAtMs, workMs, isLasting }: FakeRun): number {
+    const percent = Math.floor(((this.time.nowMs - startedAtMs) * 100) / workMs);
+    return Math.min(isLasting ? 100 : 99, percent);
+  }
+
   #getInventory(): Inventory {
     return {
       clockMs: this.clockMs,
@@ -308,7 +329,7 @@
         taskKey: run.taskKey,
         run: run.run,
         checkpoint: undefined,
-        percent: Math.min(99, Math.floor(((this.time.nowMs - run.startedAtMs) * 100) / run.workMs)),
+        percent: this.#getPercent(run),
       })),
       ended: this.#endedEntries.slice(0, this.#maxListedEnds),
       areEndsComplete: this.#endedEntries.length < this.#maxListedEnds,
--- a/tests/containment.test.ts
+++ b/tests/containment.test.ts
@@ -121,6 +121,26 @@
     expect(world.getState(toSubmissionId(1))).toBe('pending');
   });
 
+  // A lasting submission never changes, so that its step stayed without runs for ever (LOST).
+  test('while a step is planned leaves it out for a while only', () => {
+    const world = new OwnerWorld({ seed: 1, targetCount: 3, faults: NO_FAULTS });
+    world.takeOver();
+    const broken = createSubmission(1, [{}]);
+    const [step] = broken.spec.steps;
+    let isBroken = true;
+    Object.defineProperty(step, 'requiredLabel', {
+      get: () => {
+        if (isBroken) throw new Error('unexpected');
+        return '';
+      },
+    });
+    world.submit(broken);
+    world.run(1_000);
+    isBroken = false;
+    world.run(8_000);
+    expect(world.getState(toSubmissionId(1))).toBe('succeeded');
+  });
+
   test('on the answer of one target leaves the others in use, and its tasks move', () => {
     const world = new OwnerWorld({ seed: 1, targetCount: 3, faults: NO_FAULTS });
     world.takeOver();
--- a/tests/support/ownerParts.ts
+++ b/tests/support/ownerParts.ts
@@ -68,7 +68,13 @@
   const added: Run = {
     ...{ key: toRunKey(taskKey, run), taskKey, run, step, index, targetId: target.id },
     ...{ charge: step.charge, fence: undefined, phase: 'running', isListed: true },
-    ...{ formerIncarnations: [], doubtSinceMs: undefined, sentSteadyMs: 0, sentAtMs: 0 },
+    ...{
+      formerIncarnations: [],
+      doubtSinceMs: undefined,
+      callEndedAtMs: undefined,
+      sentSteadyMs: 0,
+      sentAtMs: 0,
+    },
     ...{ confirmedAtMs: 0, stopSentAtMs: 0, stopConfirmedAtMs: undefined, percent: 0 },
     ...{ percentReportedAtMs: 0, percentChangedAtMs: 0, checkpoint: undefined },
     ...overrides,
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -505,9 +505,12 @@
     if (this.crashingTaskKeys.has(taskKey))
       this.time.after(limits.CRASH_DELAY_MS, () => this.#crashUnderTask(target, taskKey, call.run));
     const fails = this.#random.nextFraction() < this.#options.faults.failedRuns;
+    const isLasting = step.policy.kind === 'standing';
+    const usualMs = isLasting ? limits.STARTUP_MS : step.estimateMs;
+    const how = fails ? 'failed' : 'done';
     return {
-      workMs: step.estimateMs * (0.5 + this.#random.nextFraction()),
-      how: step.policy.kind === 'standing' ? 'stuck' : (fails && 'failed') || 'done',
+      workMs: usualMs * (0.5 + this.#random.nextFraction()) * target.slowness,
+      how: isLasting ? 'lasting' : how,
       isGang: step.policy.kind === 'gang',
     };
   }
--- a/tests/support/worldConstants.ts
+++ b/tests/support/worldConstants.ts
@@ -19,6 +19,9 @@
 /** Time after which a crashed target is back. */
 export const CRASH_DOWN_MS = 3_200;
 
+/** Time until a lasting task is at work on a target of the usual speed. */
+export const STARTUP_MS = 500;
+
 /** Longest lease that targets grant (`hold-max-ms`). */
 export const MAX_LEASE_MS = 10_000;
 
