Trials: tasks whose reservations lead to nothing come after the others

A suspected task waited for its trial while tasks that cannot start held all targets that may be reserved for trials (LOST).

Cause: a reservation ends after 2 s without a start, and the task that is suspected most got the next one again: one of a team at its limit, or one that fits nowhere. Now nothing is reserved for a task that its team's limit keeps back, and a task whose reservation led to nothing goes last.

--- a/src/owner/trialPlanner.ts
+++ b/src/owner/trialPlanner.ts
@@ -86,6 +86,9 @@
 
   #crashTracker: CrashTracker;
 
+  /** When the last reservation for a task was given up, by step and task. */
+  #cancelledAtMs = new WeakMap<StepState, Map<number, number>>();
+
   /**
    * @param state - the shared state of the owner
    * @param runManager - performs the starts
@@ -132,11 +135,16 @@
     const getReports = ({ step, index }: TaskRef) => step.progress.crashes.get(index) ?? [];
     suspected
       .flatMap((step) => TrialPlanner.#getSuspects(step))
-      .sort((left, right) => compareSuspicion(getReports(left), getReports(right)))
+      .sort(
+        (left, right) =>
+          this.#getCancelledAtMs(left) - this.#getCancelledAtMs(right) ||
+          compareSuspicion(getReports(left), getReports(right)),
+      )
       .forEach(({ step, index }) => {
         const trials = [...this.#getTrials()];
         const reservedCount = trials.reduce((sum, { placements }) => sum + placements.length, 0);
         if (reservedCount >= maxReserved && !step.isGang) return;
+        if (!input.isWithinTeamLimit(step, step.isGang ? step.spec.taskCount : 1)) return;
         const ofSubmission = trials.filter((trial) => trial.step.record === step.record);
         if (ofSubmission.length >= MAX_TRIALS_PER_SUBMISSION) return;
         const isPlanned = ofSubmission.some(
@@ -147,6 +155,11 @@
       });
   }
 
+  /** Those whose reservations have led to nothing go last, so that each has its turn. */
+  #getCancelledAtMs({ step, index }: TaskRef): number {
+    return this.#cancelledAtMs.get(step)?.get(index) ?? 0;
+  }
+
   /** The suspected tasks that wait; for a gang, one stands for all. */
   static #getSuspects(step: StepState): readonly TaskRef[] {
     const waiting = [...step.waiting].filter((index) => step.progress.isSuspect(index));
@@ -278,8 +291,15 @@
     if (!isPending) this.#cancel(trial);
   }
 
+  #noteCancellation({ step, placements }: Trial): void {
+    const cancelledAtMs = this.#cancelledAtMs.get(step) ?? new Map<number, number>();
+    placements.forEach(({ index }) => cancelledAtMs.set(index, this.#state.nowMs));
+    this.#cancelledAtMs.set(step, cancelledAtMs);
+  }
+
   /** Frees the targets. A report stays while its target is silent, as it may have crashed. */
   #cancel(trial: Trial): void {
+    if (trial.run === undefined) this.#noteCancellation(trial);
     trial.placements.forEach(({ index, target }) => {
       Object.assign(target, { trial: undefined });
       const isAlive = target.isResponding || trial.run === undefined;
--- a/tests/crashingTasks.test.ts
+++ b/tests/crashingTasks.test.ts
@@ -115,6 +115,62 @@
   });
 });
 
+describe('a suspected task gets its trial', () => {
+  const WHOLE_TARGET = { cpuMillis: 16_000, memoryMb: 1_024, accelerators: 0 };
+  const CRASH_DOWN_MS = 30_000;
+
+  /** By then it has run: a lease of 5.2 s, two reservations of 2 s that lead to nothing, its trial and its work. */
+  const TRIED_MS = 13_000;
+
+  /** Lets the target crash that starts the first run of a submission. */
+  function crashStart(world: OwnerWorld, number: number, delayMs: number): void {
+    const { onEffect } = world;
+    let isCrashed = false;
+    Object.assign(world, {
+      onEffect: (...[epoch, effect]: Parameters<NonNullable<OwnerWorld['onEffect']>>) => {
+        onEffect?.(epoch, effect);
+        if (effect.kind !== 'startRun' || isCrashed) return;
+        if (!effect.taskKey.startsWith(toSubmissionId(number))) return;
+        isCrashed = true;
+        world.time.after(delayMs, () => world.crashProcess(effect.targetId, CRASH_DOWN_MS));
+      },
+    });
+  }
+
+  const SMALL: Partial<StepSpec> = { demand: { ...WHOLE_TARGET, cpuMillis: 4_000 } };
+
+  /** Four suspected tasks cannot start because of other work, and then a fifth one is suspected that can. */
+  function playBlocked(hold: Partial<StepSpec>, last: Partial<StepSpec>): OwnerWorld {
+    const limit = { cpuMillis: 4 * WHOLE_TARGET.cpuMillis, memoryMb: 0, accelerators: 0 };
+    const teams = [{ id: 'team-b' as Submission['teamId'], keys: [], weight: 1, limit }];
+    const world = new OwnerWorld({ seed: 1, targetCount: 10, faults: NO_FAULTS, teams });
+    world.takeOver();
+    world.run(1_000);
+    for (let number = 1; number <= 4; number += 1) {
+      crashStart(world, number, 20);
+      world.submit(createSubmission(number, [{ demand: WHOLE_TARGET }], { teamId: 'team-b' }));
+    }
+    world.run(60);
+    world.submit(createSubmission(5, [{ ...hold, estimateMs: 60_000 }], { teamId: 'team-b' }));
+    world.run(500);
+    crashStart(world, 6, 60);
+    world.submit(createSubmission(6, [last]));
+    world.run(TRIED_MS);
+    return world;
+  }
+
+  // Tasks that cannot start held the targets for trials again and again, as they were suspected more (LOST).
+  test.each([
+    ['of a team at its limit', { demand: WHOLE_TARGET, taskCount: 4 }, { demand: WHOLE_TARGET }],
+    ['without room', { ...SMALL, taskCount: 6, maxTasksPerTarget: 1 }, SMALL],
+  ])('while tasks %s wait for theirs', (_name, hold, last) => {
+    const world = playBlocked(hold, last);
+    expect(world.getState(toSubmissionId(6))).toBe('succeeded');
+    expect(world.getState(toSubmissionId(5))).toBe('running');
+    expect(world.broken).toEqual([]);
+  });
+});
+
 /** Runs a history for each seed and collects what went wrong. */
 function collectProblems(seedCount: number, play: (seed: number) => string[]): string[] {
   return Array.from({ length: seedCount }, (_value, index) => index + 1).flatMap((seed) =>
