Waits: tasks are counted by step, and only an entry from the known address renews a target

Found on reading the change: the log of waits copied its list for each waiting task, and an entry with another address, which is not used, could settle a start.

--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -77,7 +77,7 @@
     }
   }
 
-  /** Whether no task may be started yet, as another owner would not know, or this one does not know, where it runs. */
+  /** Whether no task may be started yet, as it may run unseen, or a later owner would not look for it. */
   get isHeld(): boolean {
     return this.mayRunUnseen || !this.record.isServiceRecorded;
   }
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -96,13 +96,13 @@
   /** A target that goes on counting its entries was alive some time before the last one was stored. */
   static #noteRenewal(
     renewed: TargetState,
-    { incarnationStartMs, revision }: TargetEntry,
+    { incarnationStartMs, address, revision }: TargetEntry,
     writtenAfterMs: number | undefined,
   ): void {
     const target = renewed;
-    if (writtenAfterMs === undefined || incarnationStartMs !== target.entry.incarnationStartMs)
-      return;
-    if (revision <= target.entry.revision) return;
+    const { entry } = target;
+    if (writtenAfterMs === undefined || incarnationStartMs !== entry.incarnationStartMs) return;
+    if (address !== entry.address || revision <= entry.revision) return;
     target.aliveAtMs = Math.max(target.aliveAtMs, writtenAfterMs - MAX_REGISTRY_DELAY_MS);
   }
 
--- a/src/owner/waitMonitor.ts
+++ b/src/owner/waitMonitor.ts
@@ -20,18 +20,22 @@
   /** A start without an answer may have taken place. */
   | 'startInDoubt';
 
-/** A task that waits. */
-interface WaitingTask {
-  readonly task: TaskKey;
+/** Tasks of a step that wait for the same reason, or a start in doubt. */
+interface Wait {
   readonly reason: WaitReason;
+  /** The first of the tasks. */
+  readonly task: TaskKey;
+  readonly taskCount: number;
   readonly sinceMs: number;
   readonly targetId?: TargetId;
 }
 
-/** Since when a step has had waiting tasks without a break, for one reason. */
-interface StepWait {
+/** Waiting tasks of a step with the same reason. */
+interface TaskGroup {
   readonly reason: WaitReason;
-  readonly sinceMs: number;
+  /** Index of the first task; undefined when the group is empty. */
+  readonly first: number | undefined;
+  readonly taskCount: number;
 }
 
 const CHECK_INTERVAL_MS = 1_000;
@@ -49,7 +53,8 @@
 export class WaitMonitor {
   #state: OwnerState;
 
-  #stepWaits = new Map<StepState, ReadonlyMap<WaitReason, StepWait>>();
+  /** Waits of steps at the last check. */
+  #stepWaits = new Map<StepState, readonly Wait[]>();
 
   #nextCheckAtMs = 0;
 
@@ -67,69 +72,80 @@
     const { nowMs } = this.#state;
     if (nowMs < this.#nextCheckAtMs) return;
     this.#nextCheckAtMs = nowMs + CHECK_INTERVAL_MS;
-    const byReason = new Map<WaitReason, WaitingTask[]>();
-    [...this.#observeSteps(), ...this.#getStartsInDoubt()].forEach((waiting) => {
-      if (nowMs < waiting.sinceMs + MIN_WAIT_MS) return;
-      byReason.set(waiting.reason, [...(byReason.get(waiting.reason) ?? []), waiting]);
+    this.#observeSteps();
+    const byReason = new Map<WaitReason, Wait[]>();
+    [...this.#stepWaits.values(), this.#getStartsInDoubt()].flat().forEach((wait) => {
+      if (nowMs < wait.sinceMs + MIN_WAIT_MS) return;
+      const waits = byReason.get(wait.reason);
+      if (waits === undefined) byReason.set(wait.reason, [wait]);
+      else waits.push(wait);
     });
-    byReason.forEach((tasks, reason) => this.#report(reason, tasks));
+    byReason.forEach((waits, reason) => this.#report(reason, waits));
   }
 
-  #observeSteps(): readonly WaitingTask[] {
-    const { ready, nowMs } = this.#state;
+  #observeSteps(): void {
     const formerWaits = this.#stepWaits;
     this.#stepWaits = new Map();
-    const waiting: WaitingTask[] = [];
-    ready.forEach((step) => {
-      const waits = new Map<WaitReason, StepWait>();
-      step.waiting.forEach((index) => {
-        const reason = this.#getReason(step, index);
-        const sinceMs = formerWaits.get(step)?.get(reason)?.sinceMs ?? nowMs;
-        waits.set(reason, { reason, sinceMs });
-        waiting.push({ task: toTaskKey(step.key, index), reason, sinceMs });
+    this.#state.ready.forEach((step) => {
+      const former = formerWaits.get(step) ?? [];
+      const waits = this.#getGroups(step).flatMap(({ reason, first, taskCount }) => {
+        if (first === undefined) return [];
+        const sinceMs = former.find((wait) => wait.reason === reason)?.sinceMs;
+        const task = toTaskKey(step.key, first);
+        return [{ reason, task, taskCount, sinceMs: sinceMs ?? this.#state.nowMs }];
       });
       this.#stepWaits.set(step, waits);
     });
-    return waiting;
   }
 
-  #getReason(step: StepState, index: number): WaitReason {
+  /** Groups the waiting tasks of a step by reason; only suspected ones differ from the others. */
+  #getGroups(step: StepState): readonly TaskGroup[] {
+    const { waiting, progress, isHeld } = step;
+    const reason = this.#getReason(step);
+    if (isHeld || !progress.hasSuspect) {
+      const [first] = waiting;
+      return [{ reason, first, taskCount: waiting.size }];
+    }
+    const suspects = [...waiting].filter((index) => progress.isSuspect(index));
+    const others = [...waiting].filter((index) => !progress.isSuspect(index));
+    return [
+      { reason: 'trial', first: suspects[0], taskCount: suspects.length },
+      { reason, first: others[0], taskCount: others.length },
+    ];
+  }
+
+  #getReason(step: StepState): WaitReason {
     if (step.mayRunUnseen) return 'unseenRuns';
     if (!step.record.isServiceRecorded) return 'serviceRecord';
-    if (step.progress.isSuspect(index)) return 'trial';
     const needsTicket = step.record.queue.advice !== undefined;
     return needsTicket && !step.advice.hasUsableTicket(this.#state.nowMs) ? 'advice' : 'capacity';
   }
 
   /** Only targets with unsettled runs can have unanswered starts, and these are among the unusual ones. */
-  #getStartsInDoubt(): readonly WaitingTask[] {
-    return this.#state.watch.getUnusual().flatMap(({ id, runs }) =>
-      [...runs.values()].flatMap(({ taskKey, doubtSinceMs }) =>
-        doubtSinceMs === undefined
-          ? []
-          : [
-              {
-                ...{ task: taskKey, reason: 'startInDoubt' as const },
-                ...{ sinceMs: doubtSinceMs, targetId: id },
-              },
-            ],
-      ),
+  #getStartsInDoubt(): readonly Wait[] {
+    return this.#state.watch.getUnusual().flatMap(({ id: targetId, runs }) =>
+      [...runs.values()].flatMap(({ taskKey: task, doubtSinceMs: sinceMs }) => {
+        if (sinceMs === undefined) return [];
+        return [{ reason: 'startInDoubt' as const, task, taskCount: 1, sinceMs, targetId }];
+      }),
     );
   }
 
-  #report(reason: WaitReason, tasks: readonly WaitingTask[]): void {
+  #report(reason: WaitReason, waits: readonly Wait[]): void {
     const { nowMs, unresolvedTargets } = this.#state;
-    const longestMs = Math.max(...tasks.map(({ sinceMs }) => nowMs - sinceMs));
+    const longest = [...waits]
+      .sort((left, right) => left.sinceMs - right.sinceMs)
+      .slice(0, MAX_NAMED_TASKS);
+    const longestMs = nowMs - (longest[0]?.sinceMs ?? nowMs);
     this.#state.emit({ kind: 'record', name: `task_wait_${reason}`, durationMs: longestMs });
     if (nowMs < (this.#nextLogAtMs.get(reason) ?? 0)) return;
     this.#nextLogAtMs.set(reason, nowMs + LOG_INTERVAL_MS);
-    const named = [...tasks]
-      .sort((left, right) => left.sinceMs - right.sinceMs)
-      .slice(0, MAX_NAMED_TASKS);
-    const targetIds = named.flatMap(({ targetId }) => targetId ?? []);
+    const targetIds = longest.flatMap(({ targetId }) => targetId ?? []);
     this.#state.log('tasks wait', {
-      ...{ reason, taskCount: tasks.length, longestMs: Math.round(longestMs) },
-      tasks: named.map(({ task }) => task),
+      reason,
+      taskCount: waits.reduce((sum, { taskCount }) => sum + taskCount, 0),
+      longestMs: Math.round(longestMs),
+      tasks: longest.map(({ task }) => task),
       ...(targetIds.length > 0 ? { targetIds } : {}),
       ...(reason === 'unseenRuns' ? { unresolvedTargetIds: [...unresolvedTargets] } : {}),
     });
