--- a/tests/silentTargets.test.ts
+++ b/tests/silentTargets.test.ts
@@ -114,6 +114,30 @@
   );
 });
 
+// Renewed entries of the later incarnation say nothing about a start that it has taken and carries out late (TWICE).
+test('a start that has moved to a later incarnation is not repeated while that may carry it out', () => {
+  const fleet = new Fleet(1, 4);
+  const { world } = fleet;
+  world.run(AGE_MS);
+  let isSent = false;
+  fleet.chooseStartFate = (target) => {
+    if (target.id !== 'target-0' || isSent) return {};
+    isSent = true;
+    world.registry?.cutOffIds.add(target.id);
+    world.crash(target.id, 40);
+    world.time.after(155, () => world.partition(target.id, 60_000));
+    world.time.after(1_500, () => {
+      world.registry?.cutOffIds.delete(target.id);
+      world.registry?.put(target.renewEntry());
+    });
+    return { openDelayMs: 150, performDelayMs: 11_700 };
+  };
+  world.submit(createSubmission(1, [LASTING]));
+  world.run(MAX_EFFECT_MS);
+  expect(isSent).toBe(true);
+  expect(world.broken).toEqual([]);
+});
+
 /** The targets of a history, and how many of its lasting tasks fail. */
 const TARGET_COUNT = 24;
 const STEP_COUNT = 5;
