Bounds of runs on silent targets in one place

No change of behaviour: the time until which a run may go on at a target that is not heard from is computed instead of only compared, so that it can be logged and stored.

--- /dev/null
+++ b/src/owner/runBounds.ts
@@ -0,0 +1,63 @@
+/** Bounds how long runs can go on at a target that is not heard from any more. */
+
+import type { OwnerState } from './ownerState';
+import type { Run } from './run';
+import type { TargetState } from './targetState';
+
+/**
+ * Checks whether the incarnation that a start was sent to is known to have outlived the call. A call belongs to the
+ * process that accepted its connection, which is the one that was alive before and after.
+ */
+function hasOutlivedCall(
+  { aliveAtMs }: TargetState,
+  { formerIncarnations, callEndedAtMs }: Run,
+): boolean {
+  if (formerIncarnations.length > 0 || callEndedAtMs === undefined) return false;
+  return aliveAtMs > callEndedAtMs;
+}
+
+/**
+ * Checks whether the known lease of a target covers a run. A start that the target has neither answered nor listed may
+ * have taken its lease on the clock of a later incarnation. It is bound by the lease once the target has left the
+ * registry, as that would show one that is alive, or once the known incarnation is seen to have outlived the call.
+ */
+function isCoveredByLease(target: TargetState, run: Run): boolean {
+  return (
+    run.isListed ||
+    run.confirmedAtMs !== undefined ||
+    !target.isRegistered ||
+    hasOutlivedCall(target, run)
+  );
+}
+
+/**
+ * Gets the time by which a run is over if its target is not heard from any more.
+ * @param state - the owner's state
+ * @param target - the target
+ * @param run - one of its runs
+ * @returns the latest time on the owner's steady clock; infinite when nothing bounds it
+ */
+export function getRunEndMs(
+  { maxUnlistedMs }: Pick<OwnerState, 'maxUnlistedMs'>,
+  target: TargetState,
+  run: Run,
+): number {
+  const expiryMs = target.lease.getExpiryMs();
+  if (isCoveredByLease(target, run)) return expiryMs;
+  return Math.max(expiryMs, run.sentSteadyMs + maxUnlistedMs);
+}
+
+/**
+ * Gets the time by which a target holds no runs of any owner if it is not heard from any more.
+ * @param state - the owner's state
+ * @param target - the target
+ * @returns the latest time on the owner's steady clock; infinite when nothing bounds it
+ */
+export function getSilentEndMs(
+  state: Pick<OwnerState, 'maxUnlistedMs' | 'getUnresolvedUntilMs'>,
+  target: TargetState,
+): number {
+  if (!target.isContacted) return state.getUnresolvedUntilMs(target.entry);
+  const endsMs = [...target.runs.values()].map((run) => getRunEndMs(state, target, run));
+  return Math.max(target.lease.getExpiryMs(), ...endsMs);
+}
--- a/src/owner/targetClock.ts
+++ b/src/owner/targetClock.ts
@@ -72,6 +72,17 @@
     return this.#sample.clockMs + (nowMs - this.#sample.sentAtMs);
   }
 
+  /**
+   * Gets the time by which the target's clock has certainly reached a reading.
+   * @param clockMs - the reading
+   * @returns the time on the owner's steady clock, or undefined without a sample
+   */
+  getReachedMs(clockMs: number): number | undefined {
+    if (this.#sample === undefined) return undefined;
+    const remainingMs = Math.max(0, clockMs - this.#sample.clockMs);
+    return this.#sample.receivedSteadyMs + remainingMs / (1 - MAX_CLOCK_DRIFT);
+  }
+
   /**
    * @param steadyMs - lower bound of the owner's elapsed time
    * @returns the lower bound of the target's clock, or undefined without a sample
--- a/src/owner/targetLease.ts
+++ b/src/owner/targetLease.ts
@@ -47,6 +47,17 @@
     return this.inheritedEndsAtMs !== undefined && steadyMs <= this.inheritedEndsAtMs;
   }
 
+  /**
+   * Gets the time by which the lease will have expired if it is not renewed.
+   * @returns the time on the owner's steady clock; infinite when nothing bounds the lease
+   */
+  getExpiryMs(): number {
+    const inheritedMs = this.inheritedEndsAtMs ?? Number.NEGATIVE_INFINITY;
+    const reachedMs = this.#clock.getReachedMs(this.#untilMs + LEASE_EXPIRY_MARGIN_MS);
+    if (reachedMs === undefined) return this.inheritedEndsAtMs ?? Number.POSITIVE_INFINITY;
+    return Math.max(inheritedMs, reachedMs);
+  }
+
   /**
    * Checks whether the lease has expired, so that the target must have killed all its runs.
    * @param steadyMs - lower bound of the owner's elapsed time
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -10,6 +10,7 @@
 import type { Incarnations } from './incarnations';
 import type { OwnerState } from './ownerState';
 import type { Run } from './run';
+import { getRunEndMs } from './runBounds';
 import type { RunManager } from './runManager';
 import type { TargetState } from './targetState';
 import type { TargetEntry } from './types';
@@ -250,20 +251,10 @@
     target.mayNeedStops = isStopping;
   }
 
-  /**
-   * A start that the target has neither answered nor listed may have taken its lease on the clock of a later
-   * incarnation. It is released once the target has left the registry, as that would show one that is alive; once the
-   * known incarnation is seen to have outlived the call; or after the longest lease.
-   */
   #releaseExpired(target: TargetState): void {
-    const { steadyMs, maxUnlistedMs } = this.#state;
+    const { steadyMs } = this.#state;
     const runs = [...target.runs.values()].filter(
-      (run) =>
-        run.isListed ||
-        run.confirmedAtMs !== undefined ||
-        !target.isRegistered ||
-        TargetTable.#hasOutlivedCall(target, run) ||
-        steadyMs > run.sentSteadyMs + maxUnlistedMs,
+      (run) => steadyMs > getRunEndMs(this.#state, target, run),
     );
     if (runs.length > 0) {
       this.#runManager.crashTracker.onLeaseExpired(target);
@@ -277,15 +268,6 @@
       this.#incarnations.replace(target, latest, 'it is silent and another one is registered');
   }
 
-  /** A call belongs to the process that accepted its connection, which is the one that was alive before and after. */
-  static #hasOutlivedCall(
-    target: TargetState,
-    { formerIncarnations, callEndedAtMs }: Run,
-  ): boolean {
-    if (formerIncarnations.length > 0 || callEndedAtMs === undefined) return false;
-    return target.aliveAtMs > callEndedAtMs;
-  }
-
   /** Stops a run without progress, so that its task is started elsewhere. */
   #stopIfStalled(target: TargetState, run: Run): void {
     // Progress is known only from polls, so time without a successful poll does not count.
