The row of a silent target stays until its longest lease has ended

Callers would have seen a task run twice: an owner waits up to 13 s for a silent target whose lease may be a long one, but removed the row of such a target one second after the usual 7.5 s. An owner that took over then found no row and started the task beside the run.

Cause: a target that this owner has not reached has no runs as far as it knows, and counted as empty. That nothing is known of it was taken for a proof that it holds nothing.

--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -254,6 +254,8 @@
     const { steadyMs } = this.#state;
     if (target.isResponding || target.runs.size > 0 || !target.areAllEndsDurable) return false;
     if (target.trial !== undefined || target.lease.mayBeInherited(steadyMs)) return false;
+    const isUnresolved = steadyMs <= this.#state.getUnresolvedUntilMs(target.entry);
+    if (!target.isContacted && isUnresolved) return false;
     return target.orphanRuns.size === 0 || target.lease.isExpired(steadyMs);
   }
 
