--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -4,6 +4,7 @@
 import { assertNever } from '../types/debug';
 import type { Submission } from '../work/types';
 import { AdviceDispatcher } from './adviceDispatcher';
+import { BeliefMonitor } from './beliefMonitor';
 import {
   DEFAULT_MAX_LEASE_MS,
   OWNER_AUTHORITY_MS,
@@ -83,6 +84,8 @@
 
   #waitMonitor: WaitMonitor;
 
+  #beliefMonitor: BeliefMonitor;
+
   #adviceDispatcher: AdviceDispatcher;
 
   #earlyCancellations = new EarlyCancellations();
@@ -124,6 +127,7 @@
     this.#unseenRuns = new UnseenRuns(this.#state);
     this.#queues = new SubmissionQueues(this.#state);
     this.#waitMonitor = new WaitMonitor(this.#state);
+    this.#beliefMonitor = new BeliefMonitor(this.#state, this.#unseenRuns);
     this.#occurrences = new Occurrences(this.#state, this.#runManager, this.#unseenRuns);
     this.#reconciler = new InventoryReconciler(
       ...([this.#state, this.#runManager, incarnations, this.#occurrences] as const),
@@ -353,6 +357,7 @@
     this.#unseenRuns.check();
     this.#queues.observe();
     this.#waitMonitor.check();
+    this.#beliefMonitor.check();
     this.#recorder.write();
     this.#deleteExpiredSubmissions();
   }
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -50,6 +50,9 @@
   /** Ready steps with waiting tasks. */
   readonly ready = new Set<StepState>();
 
+  /** Steps that could not be planned, with the time from which they are planned again. */
+  readonly setAsideUntilMs = new Map<StepState, number>();
+
   readonly teamUsage = new TeamUsage();
 
   readonly teamRates = new TeamRates();
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -58,9 +58,6 @@
 
   #nextSpeculationAtMs = 0;
 
-  /** Steps that could not be planned, with the time from which they are planned again. */
-  #setAsideUntilMs = new Map<StepState, number>();
-
   #trialPlanner: TrialPlanner;
 
   /**
@@ -167,7 +164,7 @@
   /** A step that cannot be planned would end the ownership of each node in turn, so the others go on without it. */
   #setAside(step: StepState, error: unknown): void {
     this.#state.ready.delete(step);
-    this.#setAsideUntilMs.set(step, this.#state.nowMs + SET_ASIDE_MS);
+    this.#state.setAsideUntilMs.set(step, this.#state.nowMs + SET_ASIDE_MS);
     this.#state.count('submissions_unschedulable');
     this.#state.log(
       'step cannot be planned; it is left out for a while',
@@ -177,9 +174,9 @@
   }
 
   #readmitSteps(): void {
-    this.#setAsideUntilMs.forEach((untilMs, step) => {
+    this.#state.setAsideUntilMs.forEach((untilMs, step) => {
       if (this.#state.nowMs < untilMs) return;
-      this.#setAsideUntilMs.delete(step);
+      this.#state.setAsideUntilMs.delete(step);
       this.#runManager.updateReadiness(step);
     });
   }
--- a/src/owner/run.ts
+++ b/src/owner/run.ts
@@ -53,3 +53,12 @@
 export function toRunKey(taskKey: TaskKey, run: number): RunKey {
   return `${taskKey}#${run}`;
 }
+
+/**
+ * Gets when a target has confirmed a run.
+ * @param run - the run
+ * @returns undefined when none has, as for a run that only the report of a former owner tells of
+ */
+export function getConfirmedAtMs({ confirmedAtMs, fence, isListed }: Run): number | undefined {
+  return fence === undefined && !isListed ? undefined : confirmedAtMs;
+}
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -5,6 +5,7 @@
 import { toStepKey } from '../work/taskKeys';
 import { getChargedDemand } from '../work/types';
 import type { StepSpec, TaskDemand } from '../work/types';
+import { getConfirmedAtMs } from './run';
 import type { Run, RunKey } from './run';
 import { StepAdvice } from './stepAdvice';
 import type { SubmissionRecord } from './submissionRecord';
@@ -17,6 +18,12 @@
   return [cpuMillis, memoryMb, accelerators, isFiller, latencyTargetMs > 0, dataRack].join('|');
 }
 
+/** When a run that has ended was confirmed, and when its end was detected, on the owner's clock. */
+interface LastConfirmed {
+  readonly confirmedAtMs: number;
+  readonly endedAtMs: number;
+}
+
 /** Waiting tasks, runs and advice of one step. */
 export class StepState {
   #waiting = new Set<number>();
@@ -27,6 +34,8 @@
 
   #endedAtMs = new Map<RunKey, number>();
 
+  #lastConfirmed = new Map<number, LastConfirmed>();
+
   #lastRunNumber = 0;
 
   #doneCount = 0;
@@ -166,6 +175,7 @@
    */
   removeRun(run: Run, nowMs: number): void {
     this.#endedAtMs.set(run.key, nowMs);
+    this.#setLastConfirmed(run, nowMs);
     const runs = this.#runs.get(run.index) ?? [];
     const remaining = runs.filter((other) => other !== run);
     if (remaining.length < runs.length) this.#removeFromCount(run.targetId);
@@ -177,6 +187,21 @@
     if (!this.progress.isTaskDone(run.index)) this.#waiting.add(run.index);
   }
 
+  #setLastConfirmed(run: Run, endedAtMs: number): void {
+    const confirmedAtMs = getConfirmedAtMs(run);
+    if (confirmedAtMs === undefined) return;
+    this.#lastConfirmed.set(run.index, { confirmedAtMs, endedAtMs });
+  }
+
+  /**
+   * Gets the times of the last run of a task that was confirmed and has ended.
+   * @param index - the task
+   * @returns the times, or undefined when this owner knows of no such run
+   */
+  getLastConfirmed(index: number): LastConfirmed | undefined {
+    return this.#lastConfirmed.get(index);
+  }
+
   /**
    * @param key - a run
    * @returns the time at which its end was detected; undefined while it may be running
--- a/src/owner/unseenRuns.ts
+++ b/src/owner/unseenRuns.ts
@@ -15,6 +15,14 @@
   readonly labels: readonly string[];
 }
 
+/** Why a step is held back. */
+interface Hold {
+  /** The targets that may run its tasks unseen. */
+  readonly targetIds: readonly TargetId[];
+  /** When the wait ends at the latest, on the steady clock; infinite when nothing bounds it. */
+  readonly untilMs: number;
+}
+
 /** Holds back tasks that may be running unseen. */
 export class UnseenRuns {
   #state: OwnerState;
@@ -47,6 +55,28 @@
     this.#releaseSteps();
   }
 
+  /**
+   * Gets what a step is held back by.
+   * @param step - a step that may run unseen
+   * @returns the targets, and the latest end of the wait for them if none of them is heard from any more
+   */
+  getHold(step: StepState): Hold {
+    const { unresolvedTargets, unresolvedUntilMs, targets } = this.#state;
+    const targetIds = [...unresolvedTargets].filter((id) =>
+      UnseenRuns.#mayRunOn(step, this.#getTraits(id)),
+    );
+    const untilMs = targetIds
+      .map((id) => this.#getWaitEndMs(targets.get(id)))
+      .reduce((latestMs, endMs) => Math.max(latestMs, endMs), unresolvedUntilMs);
+    return { targetIds, untilMs };
+  }
+
+  /** When the wait for a target is over at the latest. */
+  #getWaitEndMs(target: TargetState | undefined): number {
+    if (!target?.hasUnseenEnds) return this.#state.getUnresolvedUntilMs(target?.entry);
+    return target.isResponding ? Number.POSITIVE_INFINITY : target.lease.getExpiryMs();
+  }
+
   #endWaits(): void {
     const { unresolvedTargets, steadyMs, unresolvedUntilMs, targets } = this.#state;
     if (unresolvedTargets.size === 0 || steadyMs < unresolvedUntilMs) return;
--- a/src/owner/waitMonitor.ts
+++ b/src/owner/waitMonitor.ts
@@ -4,19 +4,12 @@
 import { toTaskKey } from '../work/taskKeys';
 import type { OwnerState } from './ownerState';
 import type { StepState } from './stepState';
+import { getStepWaitReason } from './taskBelief';
+import type { TaskWaitReason } from './taskBelief';
 
 /** What a task without a confirmed run waits for. */
 export type WaitReason =
-  /** A target may run it since a former owner's time and has not listed all its runs and ends. */
-  | 'unseenRuns'
-  /** The service of its queue has to be stored. */
-  | 'serviceRecord'
-  /** It is suspected of having crashed targets, and no trial of it has been started. */
-  | 'trial'
-  /** The advice service has approved no target with a ticket that is still valid. */
-  | 'advice'
-  /** No target has room for it, or its team has reached its limit. */
-  | 'capacity'
+  | TaskWaitReason
   /** A start without an answer may have taken place. */
   | 'startInDoubt';
 
@@ -101,7 +94,7 @@
   /** Groups the waiting tasks of a step by reason; only suspected ones differ from the others. */
   #getGroups(step: StepState): readonly TaskGroup[] {
     const { waiting, progress, isHeld } = step;
-    const reason = this.#getReason(step);
+    const reason = getStepWaitReason(this.#state, step);
     if (isHeld || !progress.hasSuspect) {
       const [first] = waiting;
       return [{ reason, first, taskCount: waiting.size }];
@@ -114,13 +107,6 @@
     ];
   }
 
-  #getReason(step: StepState): WaitReason {
-    if (step.mayRunUnseen) return 'unseenRuns';
-    if (!step.record.isServiceRecorded) return 'serviceRecord';
-    const needsTicket = step.record.queue.advice !== undefined;
-    return needsTicket && !step.advice.hasUsableTicket(this.#state.nowMs) ? 'advice' : 'capacity';
-  }
-
   /** Only targets with unsettled runs can have unanswered starts, and these are among the unusual ones. */
   #getStartsInDoubt(): readonly Wait[] {
     return this.#state.watch.getUnusual().flatMap(({ id: targetId, runs }) =>
