A report of a silent target's runs is withdrawn also by a later owner

Callers would have seen a task run twice: an owner that loses a target stores which runs it holds ("these are all"). When a successor reached the target again, it removed the report from the step, but the stored progress kept it, as a step with nothing to store was left as it had been read. The next owner took the report for true, did not ask the target for more and started its other tasks again.

Evidence: tests/takeoverSeries.test.ts, the test of a report that a successor withdraws: TWICE before, passes now.

--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -316,6 +316,7 @@
     this.#steps.forEach((step, name) => {
       const stored = step.progress.toStored();
       if (Object.keys(stored).length > 0) steps[name] = stored;
+      else delete steps[name];
     });
     const { outcome, outcomeAtMs, givenUpTask } = this;
     if (outcome !== undefined)
--- a/tests/takeoverSeries.test.ts
+++ b/tests/takeoverSeries.test.ts
@@ -5,6 +5,7 @@
 
 import * as fc from 'fast-check';
 import { Random } from '../src/types/random';
+import { createSubmission, NO_FAULTS, OwnerWorld } from './support/ownerWorld';
 import { LONG, RestartScenario, SILENT, TARGET } from './support/restartScenario';
 import { createSeries, drawSeries, findLostTasks, LossHistory } from './support/takeoverHistories';
 import type { Loss, Takeover } from './support/takeoverHistories';
@@ -174,6 +175,28 @@
   },
 );
 
+// The report of its runs stayed in the row of the task, as an empty step did not replace the one that was read (TWICE).
+test('a successor does not rely on a report of runs of a silent target that has been used again since', () => {
+  const world = new OwnerWorld({ seed: 1, targetCount: 4, faults: NO_FAULTS });
+  world.takeOver();
+  world.run(1_000);
+  world.submit(createSubmission(1, [LONG]));
+  world.run(200);
+  const holder = [...world.targets.values()].find(({ runs }) => runs.size > 0);
+  if (holder === undefined) throw new Error('nothing runs');
+  world.partition(holder.id, 2_000);
+  world.run(1_800);
+  world.takeOver();
+  world.run(2_000);
+  world.submit(createSubmission(2, [{ ...LONG, taskCount: 8 }]));
+  world.run(500);
+  expect(holder.runs.size).toBeGreaterThan(1);
+  world.partition(holder.id, 60_000);
+  world.takeOver();
+  world.run(CALM_MS);
+  expect(world.broken).toEqual([]);
+});
+
 // What an owner has stored of a silent target is out of date once the target is back (TWICE).
 test('a target that comes back during a series of takeovers goes on or ends, and nothing runs twice', () => {
   const violations = drawSeeds(HEALED_COUNT).flatMap((seed) => {
