A usual lease that an owner has inherited is not recorded as a long one

Cause: two statements in one field, "this owner does not know the lease" and "it may be the longest".

--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -201,7 +201,9 @@
     const mayBeGranted =
       steadyMs <= target.lease.formerCallsEndAtMs ||
       (!target.isContacted && record.mayHoldLongLease(target.entry));
-    if (mayBeGranted) target.lease.inheritedEndsAtMs = steadyMs + maxInheritedLeaseMs;
+    if (!mayBeGranted) return;
+    target.lease.inheritedEndsAtMs = steadyMs + maxInheritedLeaseMs;
+    target.lease.isInheritedUsual = false;
   }
 
   /** Ends that a former owner has not acknowledged count until its lease has ended, whether runs are adopted or not. */
--- a/src/owner/targetLease.ts
+++ b/src/owner/targetLease.ts
@@ -15,6 +15,9 @@
    */
   inheritedEndsAtMs: number | undefined;
 
+  /** Whether the inherited lease is one that owners ask for, and not the longest that the target grants. */
+  isInheritedUsual = false;
+
   /** Until when calls for the incarnation that it has replaced may still grant leases, on the owner's steady clock. */
   formerCallsEndAtMs = 0;
 
@@ -47,6 +50,15 @@
     return this.inheritedEndsAtMs !== undefined && steadyMs <= this.inheritedEndsAtMs;
   }
 
+  /**
+   * Checks whether a later owner has to allow for the longest lease that the target grants.
+   * @param steadyMs - lower bound of the owner's elapsed time
+   * @returns false once such a lease has ended, and when there was none
+   */
+  mayBeLong(steadyMs: number): boolean {
+    return !this.isInheritedUsual && this.mayBeInherited(steadyMs);
+  }
+
   /**
    * Gets the time by which the lease will have expired if it is not renewed.
    * @returns the time on the owner's steady clock; infinite when nothing bounds the lease
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -100,7 +100,7 @@
     }
     if (this.#inFlight !== undefined || nowMs < this.#retryAtMs) return;
     const puts = this.#getDuePuts().map((target) =>
-      record.createRow(target.entry, target.lease.mayBeInherited(steadyMs)),
+      record.createRow(target.entry, target.lease.mayBeLong(steadyMs)),
     );
     const removals = puts.length > 0 ? [] : this.#getRemovals();
     const isComplete = !this.#isDeclaredComplete && this.#isComplete();
@@ -212,7 +212,7 @@
       const recorded = record.get(id);
       if (target === undefined || !target.isContacted || !target.isResponding) return;
       const isOther = recorded?.incarnationStartMs !== target.entry.incarnationStartMs;
-      const isEnded = recorded?.mayHoldLongLease && !target.lease.mayBeInherited(steadyMs);
+      const isEnded = recorded?.mayHoldLongLease && !target.lease.mayBeLong(steadyMs);
       if (isOther || isEnded) this.#outdatedIds.add(id);
     });
   }
@@ -228,7 +228,7 @@
     const isInRemoval = this.#inFlight?.removals.some(({ targetId }) => targetId === id) ?? false;
     if (recorded === undefined || isInRemoval || !record.covers(entry)) return false;
     if (recorded.incarnationStartMs === entry.incarnationStartMs)
-      return recorded.mayHoldLongLease || !target.lease.mayBeInherited(steadyMs);
+      return recorded.mayHoldLongLease || !target.lease.mayBeLong(steadyMs);
     const incarnation = toIncarnation(recorded.address, recorded.incarnationStartMs);
     return !this.#crashTracker.mayBeReported(incarnation);
   }
