--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -172,7 +172,11 @@
     this.#writes.setExtraRowCounts(countExtraRows(loaded.progress.rows));
     const { maxLeaseMs } = this.#ports.targets;
     const { usedTargets, ownership } = loaded;
-    const record = decodeTargetRecord(this.#epoch, usedTargets.rows, ownership.rows);
+    const readAt =
+      usedTargets.storeMs === undefined
+        ? undefined
+        : { storeMs: usedTargets.storeMs, sentAtMs: startedAtMs };
+    const record = decodeTargetRecord(this.#epoch, usedTargets.rows, ownership.rows, readAt);
     const clocks = this.#getClockReadings();
     this.#core = new OwnerCore(this.#epoch, submissions, clocks, maxLeaseMs, record);
     this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
@@ -326,9 +330,16 @@
       return follower;
     };
     const { table, part } = registry;
-    follow({ table, parts: [part], pauseMs: REGISTRY_PAUSE_MS }, loaded.registry.version, (event) =>
-      this.#onRegistry(event),
+    const registryFollower = follow(
+      { table, parts: [part], pauseMs: REGISTRY_PAUSE_MS },
+      loaded.registry.version,
+      (event) => this.#onRegistry(event),
     );
+    registryFollower.storeClockListener = {
+      getNowMs: () => this.#ports.clock.nowMs(),
+      onReading: (storeMs, sentAtMs) =>
+        this.#dispatch({ kind: 'storeClockRead', reading: { storeMs, sentAtMs } }),
+    };
     const accepted = { parts: SUBMISSION_PARTS, pauseMs: SUBMISSIONS_PAUSE_MS };
     this.#submissionsFollower = follow(
       { ...accepted, table: SUBMISSIONS_TABLE },
--- a/src/node/ownerRows.ts
+++ b/src/node/ownerRows.ts
@@ -2,7 +2,7 @@
 
 import * as E from 'fp-ts/Either';
 import * as z from 'zod';
-import type { RowStore, StoreFailure } from '../store/types';
+import type { RowStore, StoredRow, StoreFailure } from '../store/types';
 import type { Epoch, NodeId } from '../types/ids';
 import { tryParseJson } from '../types/json';
 import type { OwnerRow, OwnerRowFailure } from './ownershipTypes';
@@ -14,7 +14,13 @@
 /** Page size of a read; the table holds only the owner row and the alive row. */
 const ROW_LIMIT = 10;
 
-const ownerSchema = z.object({ nodeId: z.string(), address: z.string(), epoch: z.int() });
+const ownerSchema = z.object({
+  nodeId: z.string(),
+  address: z.string(),
+  epoch: z.int(),
+  /** Not written by earlier builds, which do not keep the record of silent targets. */
+  silenceSinceEpoch: z.int().optional(),
+});
 
 function toFailure(failure: StoreFailure): OwnerRowFailure {
   if (failure.kind === 'conflict') return { kind: 'conflict' };
@@ -47,19 +53,31 @@
     epoch: parsed.data.epoch as Epoch,
     version: row.version,
     aliveVersion: alive?.version ?? 0,
+    silenceSinceEpoch: parsed.data.silenceSinceEpoch as Epoch | undefined,
   });
 }
 
+/**
+ * Gets the epoch since which all owners have kept the record of silent targets.
+ * @param rows - the rows of the ownership table
+ * @returns the epoch, or undefined when the owner row does not tell
+ */
+export function decodeSilenceSinceEpoch(rows: readonly StoredRow[]): Epoch | undefined {
+  const row = rows.find(({ key }) => key === OWNER_KEY);
+  const parsed = ownerSchema.safeParse(tryParseJson(row?.value ?? ''));
+  return parsed.success ? (parsed.data.silenceSinceEpoch as Epoch | undefined) : undefined;
+}
+
 /**
  * Replaces the owner row with a compare-and-set.
  * @param store - the store
- * @param owner - id, address and epoch of the new owner
+ * @param owner - id, address and epoch of the new owner, and since when silent targets are recorded
  * @param expectedVersion - version of the row to replace
  * @returns the row's new version, or the failure
  */
 export async function claimOwnerRow(
   store: RowStore,
-  owner: Pick<OwnerRow, 'nodeId' | 'address' | 'epoch'>,
+  owner: Pick<OwnerRow, 'nodeId' | 'address' | 'epoch' | 'silenceSinceEpoch'>,
   expectedVersion: number,
 ): Promise<E.Either<OwnerRowFailure, number>> {
   const outcome = await store.transact(
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -290,8 +290,9 @@
     if (this.#isStopping || !this.#canClaim(row, suspicion, nowMs)) return;
     const epoch = toEpoch(row.epoch + 1);
     this.#log('ownership claimed', { formerOwner: row.nodeId, epoch, suspicion });
-    this.#mode = { kind: 'claiming', epoch };
-    this.#effects.push({ kind: 'claim', epoch, expectedVersion: row.version });
+    const silenceSinceEpoch = row.silenceSinceEpoch ?? epoch;
+    this.#mode = { kind: 'claiming', epoch, silenceSinceEpoch };
+    this.#effects.push({ kind: 'claim', epoch, expectedVersion: row.version, silenceSinceEpoch });
   }
 
   #canClaim(row: OwnerRow, suspicion: SuspicionReason, nowMs: number): boolean {
@@ -474,12 +475,14 @@
     if (this.#mode.kind === 'owning') {
       this.#endOwning(`node ${event.nodeId} owns epoch ${event.epoch}`, event.nowMs);
     }
-    const { nodeId, address, epoch, rowVersion } = event;
-    this.#follow({ nodeId, address, epoch, version: rowVersion, aliveVersion: 0 }, event.nowMs);
+    const { nodeId, address, epoch, rowVersion, silenceSinceEpoch } = event;
+    const row = { nodeId, address, epoch, version: rowVersion, aliveVersion: 0, silenceSinceEpoch };
+    this.#follow(row, event.nowMs);
   }
 
   #onClaimed({ epoch, result, nowMs }: Extract<OwnershipEvent, { kind: 'claimed' }>): void {
     if (this.#mode.kind !== 'claiming' || this.#mode.epoch !== epoch) return;
+    const { silenceSinceEpoch } = this.#mode;
     this.#state = createModeState(nowMs);
     if (E.isLeft(result)) {
       this.#log('claim failed', { epoch, failure: result.left });
@@ -489,7 +492,8 @@
     }
     this.#mode = { kind: 'owning', epoch, rowVersion: result.right };
     this.#log('ownership taken', { epoch });
-    this.#effects.push({ kind: 'beginOwning', epoch, rowVersion: result.right });
+    const rowVersion = result.right;
+    this.#effects.push({ kind: 'beginOwning', epoch, rowVersion, silenceSinceEpoch });
   }
 
   #onRenewed(event: Extract<OwnershipEvent, { kind: 'renewed' }>): void {
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -188,8 +188,10 @@
         }));
         return;
       case 'claim': {
-        const { epoch, expectedVersion } = effect;
-        const claimed = claimOwnerRow(this.#claimStore, { ...this.#self, epoch }, expectedVersion);
+        const { epoch, expectedVersion, silenceSinceEpoch } = effect;
+        const { nodeId, address } = this.#self;
+        const owner = { nodeId, address, epoch, silenceSinceEpoch };
+        const claimed = claimOwnerRow(this.#claimStore, owner, expectedVersion);
         this.#dispatchResult(claimed, (result) => ({ kind: 'claimed', epoch, result }));
         return;
       }
@@ -205,7 +207,7 @@
         this.#link?.close();
         this.#link = undefined;
         this.#delegate.onBegin(effect.epoch, effect.rowVersion);
-        this.#announce(effect.epoch, effect.rowVersion);
+        this.#announce(effect.epoch, effect.rowVersion, effect.silenceSinceEpoch);
         return;
       case 'endOwning':
         this.#delegate.onEnd(effect.reason);
@@ -261,10 +263,10 @@
     return this.#members.members.filter(({ nodeId }) => nodeId !== this.#self.nodeId);
   }
 
-  #announce(epoch: Epoch, rowVersion: number): void {
+  #announce(epoch: Epoch, rowVersion: number, silenceSinceEpoch: Epoch): void {
     const { nodeId, address } = this.#self;
     this.#getOtherMembers().forEach((member) => {
-      const params = { epoch, nodeId, address, rowVersion };
+      const params = { epoch, nodeId, address, rowVersion, silenceSinceEpoch };
       callPeerOnce(member.address, 'announce', params, ANNOUNCE_TIMEOUT_MS).then(
         (reply) => this.#logAnnounced(member.nodeId, reply),
         throwRejection,
--- a/src/node/ownershipTypes.ts
+++ b/src/node/ownershipTypes.ts
@@ -12,6 +12,8 @@
   readonly version: number;
   /** Version of the alive row, which the owner rewrites periodically. */
   readonly aliveVersion: number;
+  /** Epoch since which all owners have kept the record of silent targets; undefined after one that does not. */
+  readonly silenceSinceEpoch?: Epoch | undefined;
 }
 
 /** Why a read or write of the owner row failed. */
@@ -57,6 +59,7 @@
       readonly address: string;
       /** Version of the row that names the new owner. */
       readonly rowVersion: number;
+      readonly silenceSinceEpoch?: Epoch | undefined;
     }
   /** The owner hands the ownership over, to the named successor if there is one. */
   | {
@@ -87,9 +90,19 @@
   | { readonly kind: 'openLink'; readonly address: string; readonly epoch: Epoch }
   | { readonly kind: 'closeLink' }
   | { readonly kind: 'askPeers'; readonly epoch: Epoch }
-  | { readonly kind: 'claim'; readonly epoch: Epoch; readonly expectedVersion: number }
+  | {
+      readonly kind: 'claim';
+      readonly epoch: Epoch;
+      readonly expectedVersion: number;
+      readonly silenceSinceEpoch: Epoch;
+    }
   | { readonly kind: 'renew'; readonly epoch: Epoch; readonly rowVersion: number }
-  | { readonly kind: 'beginOwning'; readonly epoch: Epoch; readonly rowVersion: number }
+  | {
+      readonly kind: 'beginOwning';
+      readonly epoch: Epoch;
+      readonly rowVersion: number;
+      readonly silenceSinceEpoch: Epoch;
+    }
   | { readonly kind: 'endOwning'; readonly epoch: Epoch; readonly reason: string }
   | {
       readonly kind: 'log';
@@ -106,5 +119,5 @@
   | { readonly kind: 'searching' }
   | { readonly kind: 'following'; readonly row: OwnerRow }
   | { readonly kind: 'suspecting'; readonly row: OwnerRow; readonly suspicion: SuspicionReason }
-  | { readonly kind: 'claiming'; readonly epoch: Epoch }
+  | { readonly kind: 'claiming'; readonly epoch: Epoch; readonly silenceSinceEpoch: Epoch }
   | { readonly kind: 'owning'; readonly epoch: Epoch; readonly rowVersion: number };
--- a/src/owner/beliefMonitor.ts
+++ b/src/owner/beliefMonitor.ts
@@ -9,7 +9,7 @@
 import {
   getBeliefReason,
   getRemainingMs,
-  getSilentSinceMs,
+  getSilentForMs,
   getStepWaitReason,
   getTaskBelief,
   isAnswering,
@@ -53,6 +53,9 @@
 /** A line comes again before this time is over. */
 const LOG_INTERVAL_MS = 5_000;
 
+/** Maximum waiting tasks that are followed, apart from those of lasting steps, as a backlog has no bound. */
+const MAX_FOLLOWED_TASKS = 2_000;
+
 /** Maximum lines in a second. */
 const MAX_LINES = 20;
 
@@ -125,6 +128,9 @@
 
   #waits = new Map<StepState, Map<number, TaskWait>>();
 
+  /** Waiting tasks that are followed. */
+  #followedCount = 0;
+
   #nextCheckAtMs = 0;
 
   #checkedAtMs = Number.NEGATIVE_INFINITY;
@@ -161,6 +167,7 @@
       if (waits.size === 0) this.#waits.delete(step);
     });
     const { ready, setAsideUntilMs, watch } = this.#state;
+    this.#followedCount = 0;
     ready.forEach((step) => this.#observeWaiting(step));
     setAsideUntilMs.forEach((_untilMs, step) => this.#observeWaiting(step));
     watch.getUnusual().forEach((target) => {
@@ -172,8 +179,14 @@
     return ended;
   }
 
+  /** Lasting tasks are followed however many wait. */
   #observeWaiting(step: StepState): void {
     const known = this.#waits.get(step);
+    if (known === undefined && !step.isLongRunning && this.#followedCount >= MAX_FOLLOWED_TASKS) {
+      this.#state.count('task_belief_steps_left_out');
+      return;
+    }
+    this.#followedCount += step.waiting.size;
     step.waiting.forEach((index) => {
       if (known?.has(index) !== true) this.#observeNew(step, index);
     });
@@ -261,8 +274,10 @@
   #getSinceMs(step: StepState, index: number, belief: TaskBelief): number {
     const { nowMs, targets } = this.#state;
     if (belief.kind === 'silentRun') {
-      const lostAtMs = targets.get(belief.run.targetId)?.lostAtMs;
-      return Math.max(lostAtMs ?? nowMs, belief.run.confirmedAtMs ?? 0);
+      const target = targets.get(belief.run.targetId);
+      const silentForMs = target && getSilentForMs(this.#state, target);
+      const confirmedAtMs = getConfirmedAtMs(belief.run) ?? Number.NEGATIVE_INFINITY;
+      return Math.max(nowMs - (silentForMs ?? 0), confirmedAtMs);
     }
     if (belief.kind === 'stopping') return belief.run.stopSentAtMs;
     return Math.max(step.readyAtMs ?? nowMs, step.getLastConfirmed(index)?.endedAtMs ?? 0);
@@ -374,7 +389,7 @@
       ),
       beliefForMs: Math.round(getLongest(group.map(({ beliefSinceMs }) => nowMs - beliefSinceMs))),
       ...(Number.isFinite(endsWithinMs) ? { endsWithinMs: Math.ceil(endsWithinMs) } : {}),
-      ...this.#getSilenceFields(runs),
+      ...this.#getSilenceFields(targetIds),
     });
     group.forEach((logged) => {
       const wait = logged;
@@ -398,11 +413,11 @@
     return [...new Set(runs.map(({ targetId }) => targetId))];
   }
 
-  /** How long the targets of the runs have been silent at most. */
-  #getSilenceFields(runs: readonly Run[]): object {
-    const silencesMs = runs.flatMap(({ targetId }) => {
+  /** How long the targets have been silent at most. */
+  #getSilenceFields(targetIds: readonly TargetId[]): object {
+    const silencesMs = targetIds.flatMap((targetId) => {
       const target = this.#state.targets.get(targetId);
-      return (target === undefined ? undefined : getSilentSinceMs(this.#state, target)) ?? [];
+      return (target === undefined ? undefined : getSilentForMs(this.#state, target)) ?? [];
     });
     return silencesMs.length === 0 ? {} : { silentMs: Math.round(getLongest(silencesMs)) };
   }
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -120,6 +120,7 @@
       this.#state.unresolvedUntilMs,
       clocks.steadyMs + OWNER_AUTHORITY_MS + this.#state.maxInheritedLeaseMs,
     );
+    if (record.readAt !== undefined) this.#state.adoptSilences(record.readAt);
     this.#runManager = new RunManager(this.#state);
     const incarnations = new Incarnations(this.#state, this.#runManager);
     this.#runResponses = new RunResponses(this.#state, this.#runManager, incarnations);
@@ -267,6 +268,9 @@
       case 'tick':
         this.#onTick();
         return;
+      case 'storeClockRead':
+        this.#state.storeClock.addReading(event.reading, event.steadyMs);
+        return;
       case 'operatorChanged':
         this.#onOperatorChanged(event.operator);
         return;
--- a/src/owner/incarnations.ts
+++ b/src/owner/incarnations.ts
@@ -56,7 +56,9 @@
     const target = new TargetState(toTargetEntry(recorded));
     target.isRegistered = false;
     this.#state.addTarget(target);
-    if (this.#runManager.tryRestoreRuns(target)) this.#state.unresolvedTargets.delete(recorded.id);
+    const isRestored = this.#runManager.tryRestoreRuns(target);
+    const isOver = this.#state.steadyMs >= this.#state.getUnresolvedUntilMs(target.entry);
+    if (isRestored || isOver) this.#state.unresolvedTargets.delete(recorded.id);
     else this.#state.unresolvedTargets.add(recorded.id);
     this.#state.log('target is not registered; a former owner has used it', {
       targetId: recorded.id,
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -183,6 +183,7 @@
       if (!listed.has(run.key)) this.#onRunNotListed(target, run, sentAtMs);
     });
     this.#runManager.crashTracker.onAnswered(target, sentAtMs);
+    this.#state.endSilence(target.id);
     target.isContacted = true;
     target.hasUnreadRuns = isUnreadListed;
     if (!target.hasUnseenEnds) this.#state.unresolvedTargets.delete(target.id);
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -12,13 +12,29 @@
 import { ResponseTimes } from './responseTimes';
 import { ProgressWriter } from './progressWriter';
 import type { StepState } from './stepState';
+import { StoreClock } from './storeClock';
 import type { SubmissionRecord } from './submissionRecord';
 import { TargetRecord } from './targetRecord';
 import type { TargetState } from './targetState';
 import { TargetWatch } from './targetWatch';
 import { TeamRates } from './teamRates';
 import { TeamUsage } from './teamUsage';
-import type { ClockReadings, OwnerEffect, StoredTargetRecord, TargetEntry } from './types';
+import type {
+  ClockReadings,
+  OwnerEffect,
+  StoreClockReading,
+  StoredTargetRecord,
+  TargetEntry,
+} from './types';
+
+/** What former owners have recorded of a silent target. Times are on the steady clock of this owner. */
+export interface FormerSilence {
+  readonly incarnationStartMs: number;
+  /** Since when it has not answered; may be before the start of the process. */
+  readonly sinceMs: number;
+  /** From then on it holds no runs of any owner. */
+  readonly untilMs: number;
+}
 
 /** State of an owner during one epoch. */
 export class OwnerState {
@@ -64,6 +80,10 @@
   /** The durable record of the targets that owners use. */
   readonly record: TargetRecord;
 
+  readonly storeClock = new StoreClock();
+
+  #silences = new Map<TargetId, FormerSilence>();
+
   /** Targets on which a former owner may have started runs that have not been reported yet. */
   readonly unresolvedTargets = new Set<TargetId>();
 
@@ -150,11 +170,53 @@
   }
 
   /**
-   * Gets the end of the wait for a target that has not responded to this owner.
+   * Adopts what former owners have recorded of silent targets.
+   * @param readAt - the store's clock when the record was read
+   */
+  adoptSilences(readAt: StoreClockReading): void {
+    this.storeClock.addReading(readAt, this.steadyMs);
+    this.record.loaded.forEach(({ id, silence }) => {
+      const untilMs = silence && this.storeClock.getReachedMs(silence.endsAtMs);
+      if (silence === undefined || untilMs === undefined) return;
+      const sinceMs = this.steadyMs - Math.max(0, readAt.storeMs - silence.sinceMs);
+      this.#silences.set(id, { sinceMs, untilMs, incarnationStartMs: silence.incarnationStartMs });
+    });
+  }
+
+  /**
+   * Forgets what former owners have recorded of a target, as it has answered.
+   * @param targetId - the target
+   */
+  endSilence(targetId: TargetId): void {
+    this.#silences.delete(targetId);
+  }
+
+  /** What former owners have recorded of targets that have not answered this owner, on its steady clock. */
+  get silences(): ReadonlyMap<TargetId, FormerSilence> {
+    return this.#silences;
+  }
+
+  /**
+   * Gets the end of the wait for a target that has not responded to this owner. One that has not responded to former
+   * owners either is not waited for anew.
    * @param entry - its registration, if it is known
    * @returns the time on the steady clock from which it holds no runs of former owners
    */
   getUnresolvedUntilMs(entry: TargetEntry | undefined): number {
+    const untilMs = this.getFormerCallsUntilMs(entry);
+    const silence = entry && this.#silences.get(entry.id);
+    if (silence === undefined || silence.incarnationStartMs !== entry?.incarnationStartMs)
+      return untilMs;
+    return Math.min(untilMs, silence.untilMs);
+  }
+
+  /**
+   * Gets the time until which calls of former owners can have an effect on a target that has not responded to this one,
+   * going only by the time of the takeover.
+   * @param entry - its registration, if it is known
+   * @returns the time on the steady clock
+   */
+  getFormerCallsUntilMs(entry: TargetEntry | undefined): number {
     const isLong = entry !== undefined && this.record.isLongLeaseRecorded(entry);
     return isLong ? this.longUnresolvedUntilMs : this.unresolvedUntilMs;
   }
--- a/src/owner/runBounds.ts
+++ b/src/owner/runBounds.ts
@@ -57,7 +57,10 @@
   state: Pick<OwnerState, 'maxUnlistedMs' | 'getUnresolvedUntilMs'>,
   target: TargetState,
 ): number {
-  if (!target.isContacted) return state.getUnresolvedUntilMs(target.entry);
   const endsMs = [...target.runs.values()].map((run) => getRunEndMs(state, target, run));
-  return Math.max(target.lease.getExpiryMs(), ...endsMs);
+  const expiryMs = target.lease.getExpiryMs();
+  if (target.isContacted) return Math.max(expiryMs, ...endsMs);
+  // This owner may still have granted leases, before it had to ask for all runs again.
+  const grantedMs = Number.isFinite(expiryMs) ? expiryMs : Number.NEGATIVE_INFINITY;
+  return Math.max(state.getUnresolvedUntilMs(target.entry), grantedMs, ...endsMs);
 }
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -83,15 +83,19 @@
   }
 
   #pollBusyTarget(target: TargetState): void {
-    if (!hasUnwrittenEnds(target)) {
+    if (!hasUnwrittenEnds(target) && !this.#isRecordedSilent(target)) {
       this.#poll(target, this.#getWaitMs(target));
       return;
     }
-    // While ends cannot be acknowledged, a poll returns at once instead of waiting for further ends.
+    // While ends cannot be acknowledged or leases renewed, a poll returns at once instead of waiting for further ends.
     const dueAtMs = (target.pollAnsweredAtMs ?? 0) + UNACKNOWLEDGED_POLL_INTERVAL_MS;
     if (this.#state.nowMs >= dueAtMs) this.#poll(target, 0);
   }
 
+  #isRecordedSilent({ id }: TargetState): boolean {
+    return this.#state.record.mayBeRecordedSilent(id);
+  }
+
   #pollIdleTarget(target: TargetState): void {
     const { nowMs } = this.#state;
     if (target.idleSinceMs === undefined) {
@@ -124,7 +128,9 @@
     const baseMs = target.clock.getLeaseBaseMs(steadyMs);
     // The lease of a target that does not respond is not renewed, so that its expiry can be relied on.
     const isNeeded = target.runs.size > 0 || target.unacknowledgedEndCount > 0;
-    const isRenewed = target.isResponding && baseMs !== undefined && isNeeded;
+    // Nor that of one whose record tells later owners when it ends.
+    const isRenewable = target.isResponding && !this.#isRecordedSilent(target);
+    const isRenewed = isRenewable && baseMs !== undefined && isNeeded;
     const leaseUntilMs = isRenewed ? Math.ceil(baseMs + LEASE_MS) : undefined;
     if (leaseUntilMs !== undefined) target.lease.extend(leaseUntilMs);
     // Another incarnation may answer. Its ends have numbers of their own, and it would drop them: so nothing is
--- a/src/owner/targetRecord.ts
+++ b/src/owner/targetRecord.ts
@@ -12,6 +12,7 @@
   RecordVersion,
   StoredTargetRecord,
   TargetEntry,
+  TargetSilence,
 } from './types';
 
 /**
@@ -59,6 +60,9 @@
   /** Targets whose rows cannot be decoded. */
   #malformedIds = new Set<TargetId>();
 
+  /** Targets that may be recorded as silent, also by a write that is performed late. */
+  #maybeSilentIds = new Set<TargetId>();
+
   #loaded: ReadonlyMap<TargetId, RecordedTarget>;
 
   /** Whether the former owners have recorded every target that they used. */
@@ -74,7 +78,10 @@
     this.isLoadedComplete = stored.isComplete;
     this.loaded = stored.targets.map(({ target }) => target);
     this.#loaded = new Map(this.loaded.map((target) => [target.id, target]));
-    stored.targets.forEach(({ target, version }) => this.#setRow(target, version));
+    stored.targets.forEach(({ target, version }) => {
+      if (target.silence !== undefined) this.#maybeSilentIds.add(target.id);
+      this.#setRow(target, version);
+    });
     stored.malformed.forEach(({ targetId, version }) => {
       this.#malformedIds.add(targetId);
       this.#versions.set(targetId, version);
@@ -113,9 +120,20 @@
     return recorded.mayHoldLongLease || recorded.incarnationStartMs !== incarnationStartMs;
   }
 
-  /** Ids of all recorded targets. */
+  /**
+   * Checks whether a target may be recorded as silent, so that nothing may be granted that lasts longer than recorded.
+   * @param targetId - the target
+   * @returns true from the sending of such a row until one without it is written
+   */
+  mayBeRecordedSilent(targetId: TargetId): boolean {
+    return this.#maybeSilentIds.has(targetId);
+  }
+
+  /** Ids of the targets whose rows may exist, apart from malformed ones; the content of some may not be known. */
   get ids(): readonly TargetId[] {
-    return [...this.#rows.keys()];
+    return [...this.#versions]
+      .filter(([id, version]) => version > 0 && !this.#malformedIds.has(id))
+      .map(([id]) => id);
   }
 
   /** Targets whose rows cannot be decoded and have not been replaced; they tell a later owner nothing. */
@@ -157,9 +175,14 @@
    * Creates the row of a target. Services and labels of earlier incarnations are kept, as their runs may remain.
    * @param entry - the registration of the target
    * @param mayHoldLongLease - whether a call for an earlier incarnation may have granted it the longest lease
+   * @param silence - until when it may hold runs, while it does not answer
    * @returns the row to write
    */
-  createRow(entry: TargetEntry, mayHoldLongLease: boolean): RecordRow {
+  createRow(
+    entry: TargetEntry,
+    mayHoldLongLease: boolean,
+    silence: TargetSilence | undefined = undefined,
+  ): RecordRow {
     const former = this.get(entry.id);
     const target = {
       id: entry.id,
@@ -169,17 +192,56 @@
       dataCentreId: entry.dataCentreId,
       incarnationStartMs: entry.incarnationStartMs,
       mayHoldLongLease,
+      ...(silence === undefined ? {} : { silence }),
     };
     return { target, expectedVersion: this.getVersion(entry.id) };
   }
 
+  /**
+   * Creates the row of a target that this owner has not reached: what is known of it holds.
+   * @param targetId - the target
+   * @param silence - until when it may hold runs
+   * @returns the row to write, or undefined when the present one is not known
+   */
+  createSilentRow(targetId: TargetId, silence: TargetSilence): RecordRow | undefined {
+    const target = this.get(targetId);
+    if (target === undefined) return undefined;
+    return { target: { ...target, silence }, expectedVersion: this.getVersion(targetId) };
+  }
+
+  /**
+   * Handles the sending of rows.
+   * @param rows - the rows
+   * @returns the targets that may be recorded as silent from now on
+   */
+  setSent(rows: readonly RecordRow[]): readonly TargetId[] {
+    const addedIds = rows
+      .filter(
+        ({ target: { id, silence } }) => silence !== undefined && !this.#maybeSilentIds.has(id),
+      )
+      .map(({ target }) => target.id);
+    addedIds.forEach((id) => this.#maybeSilentIds.add(id));
+    return addedIds;
+  }
+
+  /**
+   * Handles rows that the store has not taken.
+   * @param addedIds - the targets that only these rows would have recorded as silent
+   */
+  setNotSent(addedIds: readonly TargetId[]): void {
+    addedIds.forEach((id) => this.#maybeSilentIds.delete(id));
+  }
+
   /**
    * Adopts written rows.
    * @param rows - the rows
    * @param version - their version
    */
   setWritten(rows: readonly RecordRow[], version: number): void {
-    rows.forEach(({ target }) => this.#setRow(target, version));
+    rows.forEach(({ target }) => {
+      if (target.silence === undefined) this.#maybeSilentIds.delete(target.id);
+      this.#setRow(target, version);
+    });
   }
 
   /**
@@ -193,6 +255,15 @@
     });
   }
 
+  /**
+   * Adopts the removal of rows.
+   * @param targetIds - the targets
+   */
+  setAbsent(targetIds: readonly TargetId[]): void {
+    this.setVersions(targetIds.map((targetId) => ({ targetId, version: 0 })));
+    targetIds.forEach((targetId) => this.#maybeSilentIds.delete(targetId));
+  }
+
   /**
    * Adopts the versions that a transaction has found, of rows whose content this owner does not know.
    * @param versions - the versions
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -9,9 +9,11 @@
 import type { CrashTracker } from './crashTracker';
 import type { Incarnations } from './incarnations';
 import type { OwnerState } from './ownerState';
+import { Silences } from './silences';
+import type { SilentTarget } from './silences';
 import { toIncarnation } from './targetState';
 import type { TargetState } from './targetState';
-import type { OwnerEffect, OwnerEvent, RecordFailure, RecordVersion } from './types';
+import type { OwnerEffect, OwnerEvent, RecordFailure, RecordRow, RecordVersion } from './types';
 
 type RecordTargetsEffect = Extract<OwnerEffect, { kind: 'recordTargets' }>;
 type TargetsRecordedEvent = Extract<OwnerEvent, { kind: 'targetsRecorded' }>;
@@ -40,6 +42,14 @@
   /** Targets whose rows are to be written again, though nothing waits for that. */
   #outdatedIds = new Set<TargetId>();
 
+  #silences: Silences;
+
+  /** Silent targets that are to be recorded as such. */
+  #silentDue: readonly SilentTarget[] = [];
+
+  /** Targets that the transaction in flight records as silent and that were not before. */
+  #newlySilentIds: readonly TargetId[] = [];
+
   /** Targets whose rows were rejected, with the time from which each is written by itself. */
   #rejected = new Map<TargetId, number>();
 
@@ -68,6 +78,7 @@
     this.#state = state;
     this.#incarnations = incarnations;
     this.#crashTracker = crashTracker;
+    this.#silences = new Silences(state);
   }
 
   /** Adds the recorded targets that the first list of the registry does not name. */
@@ -92,21 +103,25 @@
 
   /** Writes the changes that are due. */
   write(): void {
-    const { nowMs, steadyMs, record } = this.#state;
+    const { nowMs } = this.#state;
     if (nowMs >= this.#nextObserveAtMs) {
       this.#nextObserveAtMs = nowMs + OBSERVE_INTERVAL_MS;
       this.#observeEmptyTargets();
       this.#observeOutdatedRows();
+      this.#silentDue = this.#silences.getDue();
     }
     if (this.#inFlight !== undefined || nowMs < this.#retryAtMs) return;
-    const puts = this.#getDuePuts().map((target) =>
-      record.createRow(target.entry, target.lease.mayBeLong(steadyMs)),
-    );
+    const puts = this.#getDuePuts();
     const removals = puts.length > 0 ? [] : this.#getRemovals();
     const isComplete = !this.#isDeclaredComplete && this.#isComplete();
     if (puts.length === 0 && removals.length === 0 && !isComplete) return;
     this.#inFlight = { kind: 'recordTargets', puts, removals, isComplete };
     this.#isChanged = true;
+    this.#newlySilentIds = this.#state.record.setSent(puts);
+    puts.forEach(({ target: { id } }) => {
+      const target = this.#state.targets.get(id);
+      if (target !== undefined) target.isRecorded = this.#isRecorded(target);
+    });
     this.#state.emit(this.#inFlight);
   }
 
@@ -126,10 +141,11 @@
       return;
     }
     this.#state.record.setWritten(written.puts, result.right);
-    written.puts.forEach(({ target }) => this.#rejected.delete(target.id));
-    this.#state.record.setVersions(
-      written.removals.map(({ targetId }) => ({ targetId, version: 0 })),
-    );
+    written.puts.forEach(({ target }) => {
+      this.#rejected.delete(target.id);
+      this.#outdatedIds.delete(target.id);
+    });
+    this.#state.record.setAbsent(written.removals.map(({ targetId }) => targetId));
     written.removals.forEach(({ targetId }) => this.#emptySinceMs.delete(targetId));
     if (written.isComplete) this.#isDeclaredComplete = true;
     this.#state.isPlanDue = true;
@@ -143,12 +159,15 @@
       return;
     }
     if (failure.kind === 'rejected' && puts.length > 0) {
+      this.#state.record.setNotSent(this.#newlySilentIds);
       this.#onRejected(puts, failure.detail);
       return;
     }
     if (failure.kind === 'conflict') this.#state.record.setVersions(failure.versions);
     this.#retryAtMs = this.#state.nowMs + WRITE_RETRY_DELAY_MS;
-    this.#nextRemovalAtMs = this.#state.nowMs + REMOVAL_RETRY_DELAY_MS;
+    // Nobody waits for a row of a silent target, also not when it is to be removed.
+    const isAwaited = puts.length === 0 || puts.some(({ target }) => target.silence === undefined);
+    if (isAwaited) this.#nextRemovalAtMs = this.#state.nowMs + REMOVAL_RETRY_DELAY_MS;
     this.#state.count('target_record_failures');
     this.#state.log(
       'record of targets not written; targets that are not recorded wait',
@@ -163,27 +182,50 @@
 
   #logWritten({ puts, removals, isComplete }: RecordTargetsEffect): void {
     this.#state.count('targets_recorded', puts.length);
+    const silentIds = puts.flatMap(({ target }) => (target.silence === undefined ? [] : target.id));
+    this.#state.count('targets_recorded_silent', silentIds.length);
     this.#state.log('record of targets written', {
       targetIds: puts.map(({ target }) => target.id),
       removedIds: removals.map(({ targetId }) => targetId),
       isComplete,
+      ...(silentIds.length > 0 ? { silentIds } : {}),
     });
   }
 
-  /** Rows that something waits for go first; outdated ones have time. */
-  #getDuePuts(): readonly TargetState[] {
+  /** Rows that something waits for go first, then those that a later owner needs; outdated ones have time. */
+  #getDuePuts(): readonly RecordRow[] {
+    const { watch, targets } = this.#state;
     const awaited = this.#takeBatch(
-      this.#state.watch
+      watch
         .getUnusual()
-        .filter((target) => TargetRecorder.#isWanted(target) && !this.#isRecorded(target)),
+        .filter((target) => this.#isWanted(target) && !this.#isRowSufficient(target)),
     );
-    if (awaited.length > 0) return awaited;
-    const outdated = [...this.#outdatedIds].flatMap((id) => this.#state.targets.get(id) ?? []);
-    return this.#takeBatch(outdated);
+    if (awaited.length > 0) return awaited.map((target) => this.#createRow(target));
+    const silent = this.#takeSilent();
+    if (silent.length > 0) return silent;
+    const outdated = [...this.#outdatedIds].flatMap((id) => targets.get(id) ?? []);
+    return this.#takeBatch(outdated).map((target) => this.#createRow(target));
+  }
+
+  #createRow(target: TargetState): RecordRow {
+    const { steadyMs, record } = this.#state;
+    const silence = this.#silences.getToWrite(target);
+    return record.createRow(target.entry, target.lease.mayBeLong(steadyMs), silence);
+  }
+
+  #takeSilent(): readonly RecordRow[] {
+    const { record, targets } = this.#state;
+    const due = this.#silentDue;
+    this.#silentDue = [];
+    return this.#takeBatch(due).flatMap(({ id, silence }) => {
+      const target = targets.get(id);
+      const wasReached = target !== undefined && target.lastAnsweredAtMs > 0;
+      return wasReached ? this.#createRow(target) : (record.createSilentRow(id, silence) ?? []);
+    });
   }
 
   /** Rows that were rejected together are written one by one, so that one of them does not hold up the others. */
-  #takeBatch(due: readonly TargetState[]): readonly TargetState[] {
+  #takeBatch<T extends { readonly id: TargetId }>(due: readonly T[]): readonly T[] {
     if (this.#rejected.size === 0) return due.slice(0, MAX_WRITE_ROWS);
     const { nowMs } = this.#state;
     const sound = due.filter(({ id }) => !this.#rejected.has(id));
@@ -217,11 +259,20 @@
     });
   }
 
+  #isRecorded(target: TargetState): boolean {
+    return !this.#state.record.mayBeRecordedSilent(target.id) && this.#isRowSound(target);
+  }
+
+  /** What is recorded of the silence of a target holds until it answers. */
+  #isRowSufficient(target: TargetState): boolean {
+    return target.isResponding ? this.#isRecorded(target) : this.#isRowSound(target);
+  }
+
   /**
    * A row that is being removed does not count, nor does one that hides a long lease, nor one of a former incarnation
    * whose runs may be reported: a later owner would take these for all runs of the target.
    */
-  #isRecorded(target: TargetState): boolean {
+  #isRowSound(target: TargetState): boolean {
     const { id, entry } = target;
     const { record, steadyMs } = this.#state;
     const recorded = record.get(id);
@@ -233,10 +284,11 @@
     return !this.#crashTracker.mayBeReported(incarnation);
   }
 
-  /** A target that has listed its runs is recorded once it can be used, or when it holds runs. */
-  static #isWanted({ isContacted, isResponding, isRegistered, entry, runs }: TargetState): boolean {
+  /** A target that has listed its runs is recorded once it can be used or its lease renewed, or when it holds runs. */
+  #isWanted({ id, isContacted, isResponding, isRegistered, entry, runs }: TargetState): boolean {
     if (!isContacted) return false;
-    return runs.size > 0 || (isResponding && isRegistered && !entry.isDraining);
+    if (runs.size > 0 || !isResponding) return runs.size > 0;
+    return (isRegistered && !entry.isDraining) || this.#state.record.mayBeRecordedSilent(id);
   }
 
   #observeEmptyTargets(): void {
@@ -280,7 +332,7 @@
     if (record.isLoadedComplete) return true;
     if (steadyMs <= unresolvedUntilMs) return false;
     return [...targets.values()].every(
-      (target) => target.runs.size === 0 || this.#isRecorded(target),
+      (target) => target.runs.size === 0 || this.#isRowSound(target),
     );
   }
 }
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -283,7 +283,9 @@
     const { steadyMs } = this.#state;
     if (target.runs.size > 0 || target.lease.mayBeInherited(steadyMs)) return false;
     if (target.orphanRuns.size > 0 && !target.lease.isExpired(steadyMs)) return false;
-    if (!target.isContacted) return steadyMs > this.#state.getUnresolvedUntilMs(target.entry);
+    // Until then polls have to keep former owners' calls from being carried out, also when nothing waits for it.
+    const wasReached = target.isContacted && target.lastAnsweredAtMs > 0;
+    if (!wasReached) return steadyMs > this.#state.getFormerCallsUntilMs(target.entry);
     return !target.isResponding || target.unacknowledgedEndCount === 0;
   }
 }
--- a/src/owner/taskBelief.ts
+++ b/src/owner/taskBelief.ts
@@ -53,15 +53,17 @@
 }
 
 /**
- * Gets how long a target has been silent, as known to this owner.
+ * Gets how long a target has been silent, over all owners as far as they have recorded it.
  * @param state - the owner's state
  * @param target - the target
  * @returns the duration, or undefined when contact has not been lost
  */
-export function getSilentSinceMs(
-  { nowMs }: Pick<OwnerState, 'nowMs'>,
-  { lostAtMs }: TargetState,
+export function getSilentForMs(
+  { nowMs, steadyMs, silences }: Pick<OwnerState, 'nowMs' | 'steadyMs' | 'silences'>,
+  { id, lostAtMs }: TargetState,
 ): number | undefined {
+  const former = silences.get(id);
+  if (former !== undefined) return steadyMs - former.sinceMs;
   return lostAtMs === undefined ? undefined : nowMs - lostAtMs;
 }
 
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -154,6 +154,20 @@
   readonly incarnationStartMs: number;
   /** Whether a call for an earlier incarnation may have granted this one the longest lease. */
   readonly mayHoldLongLease: boolean;
+  /** Set while it answers no owner. Nothing that lasts longer is granted to it until the row is written without it. */
+  readonly silence?: TargetSilence | undefined;
+}
+
+/** What owners know of a target that answers none of them. Times are those of the store's steady clock. */
+export interface TargetSilence {
+  /** Epoch of the owner that has written it. */
+  readonly epoch: Epoch;
+  /** The incarnation, which may be a later one than that of the row. */
+  readonly incarnationStartMs: number;
+  /** Since when it has not answered, as far as the first owner that has missed it knew. */
+  readonly sinceMs: number;
+  /** From then on it holds no runs of any owner. */
+  readonly endsAtMs: number;
 }
 
 /** The record of targets as read by a new owner at takeover. */
@@ -163,6 +177,15 @@
   readonly targets: readonly { readonly target: RecordedTarget; readonly version: number }[];
   /** Rows that cannot be decoded; with one of them the record is not complete. */
   readonly malformed: readonly RecordVersion[];
+  /** The store's clock when the record was read; undefined when it is not known. */
+  readonly readAt?: StoreClockReading | undefined;
+}
+
+/** A reading of the store's steady clock. */
+export interface StoreClockReading {
+  readonly storeMs: number;
+  /** When the call was sent that has returned it, on the owner's clock. */
+  readonly sentAtMs: number;
 }
 
 /** Version of a row of the record; 0 when the row does not exist. */
@@ -202,6 +225,7 @@
 export type OwnerEvent = ClockReadings &
   (
     | { readonly kind: 'tick' }
+    | { readonly kind: 'storeClockRead'; readonly reading: StoreClockReading }
     | { readonly kind: 'operatorChanged'; readonly operator: OperatorState }
     | {
         readonly kind: 'targetsListed';
--- a/src/owner/unseenRuns.ts
+++ b/src/owner/unseenRuns.ts
@@ -9,6 +9,9 @@
 import type { SubmissionRecord } from './submissionRecord';
 import type { TargetState } from './targetState';
 
+/** Targets that a log line names. */
+const MAX_LOGGED_SILENCES = 20;
+
 /** What a target may have been started with. */
 interface TargetTraits {
   readonly serviceNames: readonly string[];
@@ -61,26 +64,33 @@
    * @returns the targets, and the latest end of the wait for them if none of them is heard from any more
    */
   getHold(step: StepState): Hold {
-    const { unresolvedTargets, unresolvedUntilMs, targets } = this.#state;
+    const { unresolvedTargets, targets } = this.#state;
     const targetIds = [...unresolvedTargets].filter((id) =>
       UnseenRuns.#mayRunOn(step, this.#getTraits(id)),
     );
     const untilMs = targetIds
       .map((id) => this.#getWaitEndMs(targets.get(id)))
-      .reduce((latestMs, endMs) => Math.max(latestMs, endMs), unresolvedUntilMs);
+      .reduce((latestMs, endMs) => Math.max(latestMs, endMs), Number.NEGATIVE_INFINITY);
     return { targetIds, untilMs };
   }
 
-  /** When the wait for a target is over at the latest. */
+  /**
+   * A silent target holds nothing of former owners after some time. One that has answered may hold ends that it has not
+   * listed yet; these count until its lease has ended.
+   */
   #getWaitEndMs(target: TargetState | undefined): number {
     if (!target?.hasUnseenEnds) return this.#state.getUnresolvedUntilMs(target?.entry);
-    return target.isResponding ? Number.POSITIVE_INFINITY : target.lease.getExpiryMs();
+    if (target.isResponding) return Number.POSITIVE_INFINITY;
+    return Math.max(this.#state.unresolvedUntilMs, target.lease.getExpiryMs());
   }
 
   #endWaits(): void {
-    const { unresolvedTargets, steadyMs, unresolvedUntilMs, targets } = this.#state;
-    if (unresolvedTargets.size === 0 || steadyMs < unresolvedUntilMs) return;
-    const targetIds = [...unresolvedTargets].filter((id) => this.#isWaitOver(targets.get(id)));
+    const { unresolvedTargets, targets } = this.#state;
+    if (unresolvedTargets.size === 0) return;
+    const { steadyMs } = this.#state;
+    const targetIds = [...unresolvedTargets].filter(
+      (id) => steadyMs >= this.#getWaitEndMs(targets.get(id)),
+    );
     if (targetIds.length === 0) return;
     this.#state.log(
       'stopped waiting for targets that have not reported their runs',
@@ -159,16 +169,21 @@
       isRecordComplete: record.isLoadedComplete,
       stepCount: this.#getHeldSteps().length,
     });
+    this.#logKnownSilences();
   }
 
-  /**
-   * A silent target holds nothing of former owners after some time. One that has answered may hold ends that it has not
-   * listed yet; these count until its lease has ended.
-   */
-  #isWaitOver(target: TargetState | undefined): boolean {
-    const { steadyMs } = this.#state;
-    if (target?.hasUnseenEnds) return !target.isResponding && target.lease.isExpired(steadyMs);
-    return steadyMs >= this.#state.getUnresolvedUntilMs(target?.entry);
+  #logKnownSilences(): void {
+    const { steadyMs, silences } = this.#state;
+    if (silences.size === 0) return;
+    const named = [...silences].slice(0, MAX_LOGGED_SILENCES);
+    this.#state.log('silent targets are known from former owners', {
+      targetCount: silences.size,
+      targets: named.map(([targetId, { sinceMs, untilMs }]) => ({
+        targetId,
+        silentForMs: Math.round(steadyMs - sinceMs),
+        endsInMs: Math.round(untilMs - steadyMs),
+      })),
+    });
   }
 
   #observeTargets(): void {
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -57,6 +57,8 @@
     readonly nodeId: NodeId;
     readonly address: string;
     readonly rowVersion: number;
+    /** Epoch since which all owners have kept the record of silent targets; not sent by earlier builds. */
+    readonly silenceSinceEpoch?: Epoch | undefined;
   };
   /** Sent by an owner that hands over, for a planned stop or to a stronger node. */
   resign: { readonly epoch: Epoch; readonly successorId: NodeId };
--- a/src/store/tableFollower.ts
+++ b/src/store/tableFollower.ts
@@ -41,6 +41,8 @@
 export interface PartSnapshot {
   readonly rows: readonly StoredRow[];
   readonly version: number;
+  /** Reading of the store's steady clock in the first answer, if it has one. */
+  readonly storeMs?: number | undefined;
 }
 
 /**
@@ -50,7 +52,7 @@
  * @param part - the part
  * @param timeoutMs - timeout for each page
  * @param previous - rows of the pages read so far
- * @returns the rows and the version of the first page
+ * @returns the rows, with the version and the clock of the first page
  */
 export async function readPartSnapshot(
   store: RowStore,
@@ -68,6 +70,7 @@
   const snapshot: PartSnapshot = {
     rows: [...(previous?.rows ?? []), ...newRows],
     version: previous?.version ?? page.right.storeVersion,
+    storeMs: previous === undefined ? page.right.storeMs : previous.storeMs,
   };
   if (!page.right.hasMore || newRows.length === 0) return E.right(snapshot);
   return readPartSnapshot(store, table, part, timeoutMs, snapshot);
@@ -90,6 +93,13 @@
   });
 }
 
+/** Receives readings of the store's clock that come with changes. */
+export interface StoreClockListener {
+  /** Clock by which the sending of calls is dated. */
+  getNowMs(): number;
+  onReading(storeMs: number, sentAtMs: number): void;
+}
+
 /** Follows one table until it is stopped. */
 export class TableFollower {
   #store: RowStore;
@@ -104,6 +114,9 @@
 
   #getTimeMs: () => number;
 
+  /** Receives readings of the store's clock. */
+  storeClockListener: StoreClockListener | undefined;
+
   /** All changes before this time have been reported. */
   #readUntilMs: number | undefined;
 
@@ -164,20 +177,25 @@
     if (E.isLeft(snapshot)) return RETRY_MS;
     this.#version = snapshot.right.version;
     this.#readUntilMs = undefined;
-    this.#onEvent({ kind: 'snapshot', ...snapshot.right });
+    const { rows, version } = snapshot.right;
+    this.#onEvent({ kind: 'snapshot', rows, version });
     return pauseMs;
   }
 
   async #follow(version: number): Promise<number> {
     const { table, pauseMs } = this.#followed;
     const sentAtMs = this.#getTimeMs();
+    const listener = this.storeClockListener;
+    const listenedAtMs = listener?.getNowMs();
     const outcome = await this.#store.follow(table, version, FOLLOW_WAIT_MS);
     if (this.#isStopped) return 0;
     if (E.isLeft(outcome)) {
       if (outcome.left.kind === 'historyLost') this.#version = undefined;
       return outcome.left.kind === 'historyLost' ? 0 : RETRY_MS;
     }
-    const { changes, storeVersion } = outcome.right;
+    const { changes, storeVersion, storeMs } = outcome.right;
+    if (storeMs !== undefined && listenedAtMs !== undefined)
+      listener?.onReading(storeMs, listenedAtMs);
     this.#version = Math.max(version, storeVersion);
     const changedAfterMs = this.#readUntilMs;
     // A response that may have been cut off says nothing about later changes.
--- a/src/store/types.ts
+++ b/src/store/types.ts
@@ -47,6 +47,8 @@
   readonly hasMore: boolean;
   /** Newest version of the whole store when the page was read. */
   readonly storeVersion: number;
+  /** Reading of the store's steady clock; undefined when the answer has none. */
+  readonly storeMs?: number | undefined;
 }
 
 /** One change of a table. */
@@ -59,6 +61,8 @@
   readonly changes: readonly RowChange[];
   /** Version from which to continue following. */
   readonly storeVersion: number;
+  /** Reading of the store's steady clock; undefined when the answer has none. */
+  readonly storeMs?: number | undefined;
 }
 
 /** Why a call to the store failed. */
--- a/standins/fakeRowStore.ts
+++ b/standins/fakeRowStore.ts
@@ -6,6 +6,11 @@
 
 const MAX_PAGE_ROWS = 500;
 
+/** A steady clock with a zero point of its own. */
+function getSteadyMs(): number {
+  return Math.round(performance.now());
+}
+
 /** A row as transferred in JSON. */
 export interface WireRow {
   readonly table: string;
@@ -146,7 +151,7 @@
     body.remove.forEach((row) => this.#removeRow(row));
     this.#notifyPendingFeeds();
     if (this.fault === 'losesAnswers') return;
-    sendJson(response, 200, { ver: this.#version, 'now-ms': 0 });
+    sendJson(response, 200, { ver: this.#version, 'now-ms': getSteadyMs() });
   }
 
   #get(query: URLSearchParams, response: ServerResponse): void {
@@ -157,7 +162,10 @@
       .filter((row) => row.key >= from)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
     const page = rows.slice(0, limit);
-    sendJson(response, 200, { rows: page, 'more-pages': rows.length > limit, ver: this.#version });
+    sendJson(response, 200, {
+      ...{ rows: page, 'more-pages': rows.length > limit },
+      ...{ ver: this.#version, 'now-ms': getSteadyMs() },
+    });
   }
 
   #feed(query: URLSearchParams, response: ServerResponse): void {
@@ -169,7 +177,7 @@
     const tryRespond = (isLast: boolean) => {
       const rows = this.#getChanges(query.get('table') ?? '', after);
       if (rows.length === 0 && !isLast) return false;
-      sendJson(response, 200, { rows, ver: this.#version, 'now-ms': 0 });
+      sendJson(response, 200, { rows, ver: this.#version, 'now-ms': getSteadyMs() });
       return true;
     };
     if (tryRespond(false)) return;
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -114,12 +114,31 @@
     const harness = new Harness();
     harness.send({ kind: 'tick' });
     harness.send({ kind: 'rowRead', result: E.right(undefined) });
-    expect(harness.effects).toContainEqual({ kind: 'claim', epoch: 1, expectedVersion: 0 });
+    const claim = { kind: 'claim', epoch: 1, expectedVersion: 0, silenceSinceEpoch: 1 };
+    expect(harness.effects).toContainEqual(claim);
+  });
+
+  // A successor would rely on rows of silent targets that an owner of an earlier build has not kept (TWICE).
+  test.each([
+    ['goes on when the former owner kept it', toEpoch(2), 2],
+    ['starts anew after an owner that did not keep it', undefined, 5],
+  ])('is claimed with a record of silent targets that %s', (_name, formerEpoch, sinceEpoch) => {
+    const harness = new Harness();
+    harness.send({ kind: 'tick' });
+    const row = createRow({ nodeId: SELF, silenceSinceEpoch: formerEpoch });
+    harness.send({ kind: 'rowRead', result: E.right(row) });
+    const since = { silenceSinceEpoch: sinceEpoch };
+    const claim = { kind: 'claim', epoch: 5, expectedVersion: 40, ...since };
+    expect(harness.effects).toContainEqual(claim);
+    harness.send({ kind: 'claimed', epoch: toEpoch(5), result: E.right(50) });
+    const begin = { kind: 'beginOwning', epoch: 5, rowVersion: 50, ...since };
+    expect(harness.effects).toContainEqual(begin);
   });
 
   test('is claimed again by a restarted node that the owner row still names', () => {
     const harness = createOwner();
-    expect(harness.effects).toContainEqual({ kind: 'claim', epoch: 5, expectedVersion: 40 });
+    const claim = { kind: 'claim', epoch: 5, expectedVersion: 40, silenceSinceEpoch: 5 };
+    expect(harness.effects).toContainEqual(claim);
     expect(harness.has('beginOwning')).toBe(true);
   });
 
@@ -129,7 +148,8 @@
     harness.send({ kind: 'rowRead', result: E.right(createRow()) });
     expect(harness.has('claim')).toBe(false);
     answerPeers(harness, { askedCount: 3, answeredCount: 3, heardCount: 0 });
-    expect(harness.effects).toContainEqual({ kind: 'claim', epoch: 5, expectedVersion: 40 });
+    const claim = { kind: 'claim', epoch: 5, expectedVersion: 40, silenceSinceEpoch: 5 };
+    expect(harness.effects).toContainEqual(claim);
   });
 
   test('is not claimed when a peer still hears from the owner', () => {
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -234,6 +234,8 @@
     const entries = this.registry?.entries ?? [...this.targets.values()].map(({ entry }) => entry);
     this.#dispatch(owner, this.registryListing ?? { kind: 'targetsListed', entries });
     this.#tick(owner);
+    const tell = (reading: object) => this.#dispatch(owner, { kind: 'storeClockRead', reading });
+    this.recordStore.followClock(() => this.isStoreAvailable, tell);
     this.time.after(this.submissionsReadDelayMs, () =>
       this.#dispatch(owner, { kind: 'submissionsRead' }),
     );
--- a/tests/support/recordStore.ts
+++ b/tests/support/recordStore.ts
@@ -6,6 +6,7 @@
   OwnerEffect,
   RecordedTarget,
   RecordFailure,
+  StoreClockReading,
   StoredTargetRecord,
 } from '../../src/owner/types';
 import { toEpoch } from '../../src/types/ids';
@@ -19,6 +20,10 @@
 const FIRST_VERSION = 10;
 const LATENCY_MS = 4;
 
+/** The clock of the store. */
+const STORE_CLOCK_OFFSET_MS = 7_000_000;
+const CLOCK_INTERVAL_MS = 1_000;
+
 /** After this time the caller does not wait any longer. */
 const TIMEOUT_MS = 1_500;
 
@@ -40,6 +45,9 @@
   /** Targets whose rows the store does not take. */
   readonly rejectedIds = new Set<TargetId>();
 
+  /** Rate of the store's clock relative to that of owners. */
+  clockRate = 0.985;
+
   /** Time until a transaction is performed, beyond the usual one. */
   extraDelayMs = 0;
 
@@ -55,13 +63,25 @@
 
   /** Reads the record for the owner of an epoch. */
   load(epoch: number): StoredTargetRecord {
+    const readAt = { storeMs: this.storeMs, sentAtMs: this.#time.nowMs };
     const isDeclared = isRecordComplete(toEpoch(epoch), this.#completeEpoch);
     const rows = [...this.rows.values()];
     const targets = rows.filter(({ target }) => !this.malformedIds.has(target.id));
     const malformed = rows
       .filter(({ target }) => this.malformedIds.has(target.id))
       .map(({ target, version }) => ({ targetId: target.id, version }));
-    return { isComplete: isDeclared && malformed.length === 0, targets, malformed };
+    return { isComplete: isDeclared && malformed.length === 0, targets, malformed, readAt };
+  }
+
+  /** The store's steady clock, which has a zero point and a rate of its own. */
+  get storeMs(): number {
+    return STORE_CLOCK_OFFSET_MS + this.#time.nowMs * this.clockRate;
+  }
+
+  /** Reports the clock as the answers of a feed do. */
+  followClock(isAvailable: () => boolean, onReading: (reading: StoreClockReading) => void): void {
+    if (isAvailable()) onReading({ storeMs: this.storeMs, sentAtMs: this.#time.nowMs });
+    this.#time.after(CLOCK_INTERVAL_MS, () => this.followClock(isAvailable, onReading));
   }
 
   /** An owner that keeps no record leaves the rows of others as they are, and declares nothing. */
--- a/tests/taskBeliefs.test.ts
+++ b/tests/taskBeliefs.test.ts
@@ -5,7 +5,7 @@
 
 import { OwnerState } from '../src/owner/ownerState';
 import type { Run } from '../src/owner/run';
-import { getSilentSinceMs, getTaskBelief } from '../src/owner/taskBelief';
+import { getSilentForMs, getTaskBelief } from '../src/owner/taskBelief';
 import type { OwnerEffect } from '../src/owner/types';
 import { toEpoch } from '../src/types/ids';
 import { Random } from '../src/types/random';
@@ -270,6 +270,9 @@
     const later = lines.filter(({ epoch }) => epoch === 2);
     expect(later[0]?.fields.targetIds).toEqual([holderId]);
     expect(later[0]?.fields.endsWithinMs).toEqual(expect.any(Number));
+    // Its silence counts from before the takeover.
+    const silentSinceMs = (later[0]?.atMs ?? 0) - Number(later[0]?.fields.silentMs);
+    expect(silentSinceMs).toBeLessThan(takenAtMs - 1_500);
     const [end] = scenario.getLines(END_MESSAGE);
     expect(end?.epoch).toBe(2);
     scenario.expectCovered(takenAtMs, end?.atMs ?? 0);
@@ -486,9 +489,9 @@
 
   test('the silence of its target counts from the loss of contact', () => {
     const { state, target } = createParts();
-    expect(getSilentSinceMs(state, target)).toBeUndefined();
+    expect(getSilentForMs(state, target)).toBeUndefined();
     target.lostAtMs = 2_000;
-    expect(getSilentSinceMs(state, target)).toBe(3_000);
+    expect(getSilentForMs(state, target)).toBe(3_000);
   });
 });
 
--- a/tests/usedTargetRows.test.ts
+++ b/tests/usedTargetRows.test.ts
@@ -67,6 +67,21 @@
     });
   });
 
+  // An owner of an earlier build grants leases without changing the row (TWICE).
+  test.each([
+    ['all owners since have kept it', 3, true],
+    ['an owner in between has not kept it', 4, false],
+    ['the owner row does not tell', undefined, false],
+  ])('tells of a silent target when %s', (_name, silenceSinceEpoch, isKept) => {
+    const times = { incarnationStartMs: 17, sinceMs: 1_000, endsAtMs: 6_000 };
+    const silence = { epoch: toEpoch(3), ...times };
+    const stored = { ...ROW, value: encodeRecordedTarget({ ...TARGET, silence }) };
+    const owner = { nodeId: 'n-1', address: 'a:1', epoch: 5, silenceSinceEpoch };
+    const rows = [declare(4), { ...OWNER_ROW, value: JSON.stringify(owner) }];
+    const { targets } = decodeTargetRecord(toEpoch(5), [stored], rows);
+    expect(targets[0]?.target.silence).toEqual(isKept ? silence : undefined);
+  });
+
   test('is complete and empty for the first owner', () => {
     expect(decodeTargetRecord(toEpoch(1), [], [])).toEqual({
       ...{ isComplete: true, targets: [], malformed: [] },
