--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -82,7 +82,7 @@
 
   readonly storeClock = new StoreClock();
 
-  #silences = new Map<TargetId, FormerSilence>();
+  #formerSilences = new Map<TargetId, FormerSilence>();
 
   /** Targets on which a former owner may have started runs that have not been reported yet. */
   readonly unresolvedTargets = new Set<TargetId>();
@@ -179,7 +179,11 @@
       const untilMs = silence && this.storeClock.getReachedMs(silence.endsAtMs);
       if (silence === undefined || untilMs === undefined) return;
       const sinceMs = this.steadyMs - Math.max(0, readAt.storeMs - silence.sinceMs);
-      this.#silences.set(id, { sinceMs, untilMs, incarnationStartMs: silence.incarnationStartMs });
+      this.#formerSilences.set(id, {
+        sinceMs,
+        untilMs,
+        incarnationStartMs: silence.incarnationStartMs,
+      });
     });
   }
 
@@ -188,12 +192,12 @@
    * @param targetId - the target
    */
   endSilence(targetId: TargetId): void {
-    this.#silences.delete(targetId);
+    this.#formerSilences.delete(targetId);
   }
 
   /** What former owners have recorded of targets that have not answered this owner, on its steady clock. */
-  get silences(): ReadonlyMap<TargetId, FormerSilence> {
-    return this.#silences;
+  get formerSilences(): ReadonlyMap<TargetId, FormerSilence> {
+    return this.#formerSilences;
   }
 
   /**
@@ -204,7 +208,7 @@
    */
   getUnresolvedUntilMs(entry: TargetEntry | undefined): number {
     const untilMs = this.getFormerCallsUntilMs(entry);
-    const silence = entry && this.#silences.get(entry.id);
+    const silence = entry && this.#formerSilences.get(entry.id);
     if (silence === undefined || silence.incarnationStartMs !== entry?.incarnationStartMs)
       return untilMs;
     return Math.min(untilMs, silence.untilMs);
--- a/src/owner/silences.ts
+++ b/src/owner/silenceTracker.ts
@@ -32,7 +32,7 @@
 }
 
 /** Finds what is to be recorded of silent targets. */
-export class Silences {
+export class SilenceTracker {
   #state: OwnerState;
 
   /**
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -9,8 +9,8 @@
 import type { CrashTracker } from './crashTracker';
 import type { Incarnations } from './incarnations';
 import type { OwnerState } from './ownerState';
-import { Silences } from './silences';
-import type { SilentTarget } from './silences';
+import { SilenceTracker } from './silenceTracker';
+import type { SilentTarget } from './silenceTracker';
 import { toIncarnation } from './targetState';
 import type { TargetState } from './targetState';
 import type { OwnerEffect, OwnerEvent, RecordFailure, RecordRow, RecordVersion } from './types';
@@ -42,7 +42,7 @@
   /** Targets whose rows are to be written again, though nothing waits for that. */
   #outdatedIds = new Set<TargetId>();
 
-  #silences: Silences;
+  #silenceTracker: SilenceTracker;
 
   /** Silent targets that are to be recorded as such. */
   #silentDue: readonly SilentTarget[] = [];
@@ -78,7 +78,7 @@
     this.#state = state;
     this.#incarnations = incarnations;
     this.#crashTracker = crashTracker;
-    this.#silences = new Silences(state);
+    this.#silenceTracker = new SilenceTracker(state);
   }
 
   /** Adds the recorded targets that the first list of the registry does not name. */
@@ -108,7 +108,7 @@
       this.#nextObserveAtMs = nowMs + OBSERVE_INTERVAL_MS;
       this.#observeEmptyTargets();
       this.#observeOutdatedRows();
-      this.#silentDue = this.#silences.getDue();
+      this.#silentDue = this.#silenceTracker.getDue();
     }
     if (this.#inFlight !== undefined || nowMs < this.#retryAtMs) return;
     const puts = this.#getDuePuts();
@@ -209,7 +209,7 @@
 
   #createRow(target: TargetState): RecordRow {
     const { steadyMs, record } = this.#state;
-    const silence = this.#silences.getToWrite(target);
+    const silence = this.#silenceTracker.getToWrite(target);
     return record.createRow(target.entry, target.lease.mayBeLong(steadyMs), silence);
   }
 
--- a/src/owner/taskBelief.ts
+++ b/src/owner/taskBelief.ts
@@ -59,10 +59,10 @@
  * @returns the duration, or undefined when contact has not been lost
  */
 export function getSilentForMs(
-  { nowMs, steadyMs, silences }: Pick<OwnerState, 'nowMs' | 'steadyMs' | 'silences'>,
+  { nowMs, steadyMs, formerSilences }: Pick<OwnerState, 'nowMs' | 'steadyMs' | 'formerSilences'>,
   { id, lostAtMs }: TargetState,
 ): number | undefined {
-  const former = silences.get(id);
+  const former = formerSilences.get(id);
   if (former !== undefined) return steadyMs - former.sinceMs;
   return lostAtMs === undefined ? undefined : nowMs - lostAtMs;
 }
--- a/src/owner/unseenRuns.ts
+++ b/src/owner/unseenRuns.ts
@@ -173,11 +173,11 @@
   }
 
   #logKnownSilences(): void {
-    const { steadyMs, silences } = this.#state;
-    if (silences.size === 0) return;
-    const named = [...silences].slice(0, MAX_LOGGED_SILENCES);
+    const { steadyMs, formerSilences } = this.#state;
+    if (formerSilences.size === 0) return;
+    const named = [...formerSilences].slice(0, MAX_LOGGED_SILENCES);
     this.#state.log('silent targets are known from former owners', {
-      targetCount: silences.size,
+      targetCount: formerSilences.size,
       targets: named.map(([targetId, { sinceMs, untilMs }]) => ({
         targetId,
         silentForMs: Math.round(steadyMs - sinceMs),
