--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -226,7 +226,7 @@
     target.wasConnectionClosed = true;
     target.areRunsReported = true;
     target.lease.inheritedEndsAtMs = this.#state.getUnresolvedUntilMs(target.entry);
-    target.lease.isInheritedUsual = !this.#state.record.isLongLeaseRecorded(target.entry);
+    target.lease.isInheritedUsual = !this.#state.record.mayHoldLongLease(target.entry);
     this.#state.log('runs of a lost target are known from its former owner', {
       targetId: target.id,
       runCount: reported.length,
--- a/src/owner/silenceTracker.ts
+++ b/src/owner/silenceTracker.ts
@@ -16,8 +16,11 @@
 /** One that has not answered this owner holds up tasks, so its end is recorded sooner for the next owner. */
 const FORMER_SILENCE_RECORD_DELAY_MS = 600;
 
-/** A recorded end is replaced when it is known to differ by more than this. */
-const MIN_DIFFERENCE_MS = 250;
+/** A recorded end is replaced by one that is earlier by more than this. */
+const MIN_GAIN_MS = 250;
+
+/** It is replaced by one that is later by more than this; readings of the store's clock may be a second old. */
+const MIN_DELAY_MS = 1_500;
 
 /**
  * With an older reading of its clock the store may be away. Then nothing is recorded, as leases cannot be renewed while
@@ -75,7 +78,8 @@
   #isDifferent(id: TargetId, { incarnationStartMs, endsAtMs }: TargetSilence): boolean {
     const recorded = this.#state.record.get(id)?.silence;
     if (recorded?.incarnationStartMs !== incarnationStartMs) return true;
-    return Math.abs(endsAtMs - recorded.endsAtMs) > MIN_DIFFERENCE_MS;
+    const gainMs = recorded.endsAtMs - endsAtMs;
+    return gainMs > MIN_GAIN_MS || gainMs < -MIN_DELAY_MS;
   }
 
   #tryCreate(target: TargetState): TargetSilence | undefined {
--- a/src/owner/targetRecord.ts
+++ b/src/owner/targetRecord.ts
@@ -265,13 +265,17 @@
   }
 
   /**
-   * Adopts the versions that a transaction has found, of rows whose content this owner does not know.
+   * Adopts the versions that a transaction has found, of rows whose content this owner does not know. Of targets that
+   * may be recorded as silent only the silence is not known, and nothing is started there until the next write.
    * @param versions - the versions
    */
   setVersions(versions: readonly RecordVersion[]): void {
     versions.forEach(({ targetId, version }) => {
       this.#versions.set(targetId, version);
-      this.#rows.delete(targetId);
+      const row = this.get(targetId);
+      const isKept = version > 0 && row !== undefined && this.mayBeRecordedSilent(targetId);
+      if (isKept) this.#rows.set(targetId, { ...row, silence: undefined });
+      else this.#rows.delete(targetId);
     });
   }
 
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -27,6 +27,15 @@
 /** Interval between checks for targets that have become empty. */
 const OBSERVE_INTERVAL_MS = 100;
 
+/** Targets with runs come first, those whose leases end soonest before the others, as a lease may wait for the row. */
+function compareUrgency(left: TargetState, right: TargetState): number {
+  if (left.runs.size === 0 || right.runs.size === 0)
+    return Number(left.runs.size === 0) - Number(right.runs.size === 0);
+  const leftMs = left.lease.getExpiryMs();
+  const rightMs = right.lease.getExpiryMs();
+  return leftMs === rightMs ? 0 : leftMs - rightMs;
+}
+
 /** Writes the record. */
 export class TargetRecorder {
   #state: OwnerState;
@@ -165,7 +174,7 @@
     }
     if (failure.kind === 'conflict') this.#state.record.setVersions(failure.versions);
     this.#retryAtMs = this.#state.nowMs + WRITE_RETRY_DELAY_MS;
-    // Nobody waits for a row of a silent target, also not when it is to be removed.
+    // A row that only tells of silence fails without telling that the store cannot remove rows either.
     const isAwaited = puts.length === 0 || puts.some(({ target }) => target.silence === undefined);
     if (isAwaited) this.#nextRemovalAtMs = this.#state.nowMs + REMOVAL_RETRY_DELAY_MS;
     this.#state.count('target_record_failures');
@@ -198,7 +207,8 @@
     const awaited = this.#takeBatch(
       watch
         .getUnusual()
-        .filter((target) => this.#isWanted(target) && !this.#isRowSufficient(target)),
+        .filter((target) => this.#isWanted(target) && !this.#isRowSufficient(target))
+        .sort(compareUrgency),
     );
     if (awaited.length > 0) return awaited.map((target) => this.#createRow(target));
     const silent = this.#takeSilent();
@@ -215,13 +225,14 @@
 
   #takeSilent(): readonly RecordRow[] {
     const { record, targets } = this.#state;
-    const due = this.#silentDue;
-    this.#silentDue = [];
-    return this.#takeBatch(due).flatMap(({ id, silence }) => {
+    const due = this.#silentDue.flatMap(({ id, silence }) => {
       const target = targets.get(id);
       const wasReached = target !== undefined && target.lastAnsweredAtMs > 0;
-      return wasReached ? this.#createRow(target) : (record.createSilentRow(id, silence) ?? []);
+      const row = wasReached ? this.#createRow(target) : record.createSilentRow(id, silence);
+      return row === undefined ? [] : { id, row };
     });
+    this.#silentDue = [];
+    return this.#takeBatch(due).map(({ row }) => row);
   }
 
   /** Rows that were rejected together are written one by one, so that one of them does not hold up the others. */
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -154,7 +154,7 @@
   readonly incarnationStartMs: number;
   /** Whether a call for an earlier incarnation may have granted this one the longest lease. */
   readonly mayHoldLongLease: boolean;
-  /** Set while it answers no owner. Nothing that lasts longer is granted to it until the row is written without it. */
+  /** Set while it answers no owner. It is granted no lease and gets no start until the row is written without it. */
   readonly silence?: TargetSilence | undefined;
 }
 
--- a/src/owner/unseenRuns.ts
+++ b/src/owner/unseenRuns.ts
@@ -181,7 +181,7 @@
       targets: named.map(([targetId, { sinceMs, untilMs }]) => ({
         targetId,
         silentForMs: Math.round(steadyMs - sinceMs),
-        endsInMs: Math.round(untilMs - steadyMs),
+        endsInMs: Math.max(0, Math.round(untilMs - steadyMs)),
       })),
     });
   }
