--- a/standins/fakeTarget.ts
+++ b/standins/fakeTarget.ts
@@ -86,6 +86,8 @@
 
   #revision = 0;
 
+  #isDraining = false;
+
   /** Service that it registers for. */
   serviceName = 'service';
 
@@ -117,7 +119,7 @@
       capacity: this.capacity,
       labels: ['a', `r-${this.id.at(-1)}`],
       rack: `r-${this.id.at(-1)}`,
-      isDraining: false,
+      isDraining: this.#isDraining,
       incarnationStartMs: this.#incarnationStartMs,
       revision: this.#revision,
     };
@@ -129,6 +131,12 @@
     return this.entry;
   }
 
+  /** The target is to be shut down: it goes on as before, and its entry says that it drains. */
+  startDraining(): TargetEntry {
+    this.#isDraining = true;
+    return this.renewEntry();
+  }
+
   /** Capacity as registered. */
   get capacity(): TaskDemand {
     return this.currentCapacity;
@@ -188,6 +196,7 @@
     this.#endedEntries = [];
     this.#sequence = 0;
     this.#revision = 0;
+    this.#isDraining = false;
     this.#highestFence = 0;
     this.#leaseUntilMs = 0;
     this.#highestClosedRuns.clear();
