--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -178,7 +178,8 @@
         : { storeMs: usedTargets.storeMs, sentAtMs: startedAtMs };
     const record = decodeTargetRecord(this.#epoch, usedTargets.rows, ownership.rows, readAt);
     const clocks = this.#getClockReadings();
-    this.#core = new OwnerCore(this.#epoch, submissions, clocks, maxLeaseMs, record);
+    const lapseMs = this.#ports.registry.lapseMs ?? 0;
+    this.#core = new OwnerCore(this.#epoch, submissions, clocks, maxLeaseMs, record, lapseMs);
     this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
     this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
     this.#cancelUnread(loaded, submissions);
--- a/src/node/ports.ts
+++ b/src/node/ports.ts
@@ -72,6 +72,8 @@
 export interface TargetRegistry {
   readonly table: string;
   readonly part: string;
+  /** Time of silence after which a target is dropped at the earliest; undefined when it is not known. */
+  readonly lapseMs?: number | undefined;
   /**
    * @param row - the entry
    * @param wallMs - the time of day, against which start times are checked; by default that of the system
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -19,6 +19,9 @@
 /** Longest lease that a target grants where the settings name none. */
 export const DEFAULT_MAX_LEASE_MS = 10_000;
 
+/** Time of silence after which the registry drops a target at the earliest, where nothing else is set: three beats. */
+export const DEFAULT_REGISTRY_LAPSE_MS = 4_500;
+
 /**
  * How long a poll may wait at the target for a run to end. A lost poll delays the discovery of ends by
  * this plus {@link POLL_TIMEOUT_MARGIN_MS}.
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -104,6 +104,7 @@
    * @param clocks - readings when ownership was acquired
    * @param maxLeaseMs - longest lease that a target grants, on its own clock
    * @param record - the stored record of the targets that former owners used
+   * @param registryLapseMs - time of silence after which the registry drops a target at the earliest; 0 if not known
    */
   constructor(
     epoch: Epoch,
@@ -111,8 +112,9 @@
     clocks: ClockReadings,
     maxLeaseMs = DEFAULT_MAX_LEASE_MS,
     record: StoredTargetRecord = NO_RECORD,
+    registryLapseMs: number | undefined = undefined,
   ) {
-    this.#state = new OwnerState(epoch, maxLeaseMs, record);
+    this.#state = new OwnerState(epoch, maxLeaseMs, record, registryLapseMs);
     this.#state.setClocks(clocks);
     this.#state.unresolvedUntilMs =
       clocks.steadyMs + OWNER_AUTHORITY_MS + LEASE_MS * (1 + MAX_CLOCK_DRIFT) + STOP_RETRY_DELAY_MS;
--- a/src/owner/incarnations.ts
+++ b/src/owner/incarnations.ts
@@ -16,6 +16,9 @@
 import { TargetState } from './targetState';
 import type { RecordedTarget, TargetEntry } from './types';
 
+/** For the log. */
+const DEPARTURE_REASON = 'it has left as announced';
+
 /** Replaces and removes incarnations. */
 export class Incarnations {
   #state: OwnerState;
@@ -144,6 +147,33 @@
     this.#runManager.giveUp(givenUp);
   }
 
+  /**
+   * Handles a target that has left as announced: what it ran has ended. A start that it has neither answered nor listed
+   * may still be carried out by a later incarnation, so it stays charged.
+   * @param target - the target, which does not answer
+   */
+  depart(target: TargetState): void {
+    const { steadyMs, nowMs, record, departed } = this.#state;
+    const { id, entry } = target;
+    const ended = [...target.runs.values()].filter(
+      ({ isListed, confirmedAtMs }) => isListed || confirmedAtMs !== undefined,
+    );
+    this.#state.count('targets_departed');
+    this.#state.log('target has left as announced; its runs have ended', {
+      targetId: id,
+      bornAtMs: entry.incarnationStartMs,
+      answeredAgoMs: Math.round(nowMs - target.lastAnsweredAtMs),
+      runCount: ended.length,
+      unansweredStartCount: target.runs.size - ended.length,
+    });
+    this.#runManager.crashTracker.onLeaseExpired(target);
+    this.releaseRuns(target, ended, DEPARTURE_REASON);
+    if (target.runs.size > 0) return;
+    if (record.getVersion(id) > 0)
+      departed.set(id, { incarnationStartMs: entry.incarnationStartMs, atMs: steadyMs });
+    this.remove(target, DEPARTURE_REASON, true);
+  }
+
   /**
    * Removes a target at whose address another one has answered. One that this owner has not contacted may be alive
    * elsewhere, as the address may come from another writer.
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -157,6 +157,7 @@
     this.#extendInheritedLease(target);
     target.isResponding = true;
     target.lastAnsweredAtMs = nowMs;
+    if (sentAtMs > (target.leftAtMs ?? sentAtMs)) target.leftAtMs = undefined;
     target.mayNeedStops = true;
     // Ends are acknowledged in order, so an end of an unread submission defers all later ones.
     const firstUnread = inventory.ended.findIndex((entry) =>
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -3,11 +3,13 @@
 import type { Epoch, QueueId, SubmissionId, TargetId } from '../types/ids';
 import type { OperatorState } from '../work/types';
 import {
+  DEFAULT_REGISTRY_LAPSE_MS,
   LEASE_EXPIRY_MARGIN_MS,
   MAX_CALL_DELAY_MS,
   MAX_CLOCK_DRIFT,
   MAX_START_TIMEOUT_MS,
 } from './constants';
+import type { Departure } from './departures';
 import { EligibleTargets } from './eligibleTargets';
 import { ResponseTimes } from './responseTimes';
 import { ProgressWriter } from './progressWriter';
@@ -27,6 +29,9 @@
   TargetEntry,
 } from './types';
 
+/** A shorter suspension makes no difference to what is concluded from elapsed time. */
+const MIN_SUSPENSION_MS = 50;
+
 /** What former owners have recorded of a silent target. Times are on the steady clock of this owner. */
 export interface FormerSilence {
   readonly incarnationStartMs: number;
@@ -84,6 +89,9 @@
 
   #formerSilences = new Map<TargetId, FormerSilence>();
 
+  /** Targets that have left as announced, while the record has rows of them. */
+  readonly departed = new Map<TargetId, Departure>();
+
   /** Targets on which a former owner may have started runs that have not been reported yet. */
   readonly unresolvedTargets = new Set<TargetId>();
 
@@ -123,6 +131,11 @@
   /** How long after its sending an unlisted start can hold a lease on a target that is silent but registered. */
   readonly maxUnlistedMs: number;
 
+  /** When the process last resumed after a suspension that the steady clock has not counted, on that clock. */
+  resumedAtMs = Number.NEGATIVE_INFINITY;
+
+  #clockOffsetMs: number | undefined;
+
   /** True after a change that may allow a task to start. */
   isPlanDue = true;
 
@@ -130,11 +143,13 @@
    * @param epoch - the fencing token of all requests
    * @param maxLeaseMs - longest lease that a target grants, on its own clock
    * @param stored - the record of targets
+   * @param registryLapseMs - time of silence after which the registry drops a target at the earliest; 0 if not known
    */
   constructor(
     readonly epoch: Epoch,
     maxLeaseMs: number,
     stored: StoredTargetRecord,
+    readonly registryLapseMs = DEFAULT_REGISTRY_LAPSE_MS,
   ) {
     this.record = new TargetRecord(stored);
     this.maxInheritedLeaseMs =
@@ -208,6 +223,9 @@
    */
   getUnresolvedUntilMs(entry: TargetEntry | undefined): number {
     const untilMs = this.getFormerCallsUntilMs(entry);
+    const departure = entry && this.departed.get(entry.id);
+    if (departure !== undefined && departure.incarnationStartMs === entry?.incarnationStartMs)
+      return Math.min(untilMs, departure.atMs);
     const silence = entry && this.#formerSilences.get(entry.id);
     if (silence === undefined || silence.incarnationStartMs !== entry?.incarnationStartMs)
       return untilMs;
@@ -233,6 +251,10 @@
     this.nowMs = clocks.nowMs;
     this.wallMs = clocks.wallMs;
     this.steadyMs = clocks.steadyMs;
+    const offsetMs = clocks.nowMs - clocks.steadyMs;
+    const isResumed = offsetMs > (this.#clockOffsetMs ?? offsetMs) + MIN_SUSPENSION_MS;
+    if (isResumed) this.resumedAtMs = clocks.steadyMs;
+    this.#clockOffsetMs = offsetMs;
   }
 
   /**
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -155,7 +155,10 @@
       this.#outdatedIds.delete(target.id);
     });
     this.#state.record.setAbsent(written.removals.map(({ targetId }) => targetId));
-    written.removals.forEach(({ targetId }) => this.#emptySinceMs.delete(targetId));
+    written.removals.forEach(({ targetId }) => {
+      this.#emptySinceMs.delete(targetId);
+      this.#state.departed.delete(targetId);
+    });
     if (written.isComplete) this.#isDeclaredComplete = true;
     this.#state.isPlanDue = true;
     this.#logWritten(written);
@@ -323,11 +326,13 @@
   }
 
   #getRemovals(): readonly RecordVersion[] {
-    const { nowMs, steadyMs, unresolvedUntilMs, record } = this.#state;
+    const { nowMs, steadyMs, unresolvedUntilMs, record, departed } = this.#state;
     // Until then a former owner may use any target that is recorded.
     if (steadyMs <= unresolvedUntilMs || nowMs < this.#nextRemovalAtMs) return [];
     const emptyIds = record.ids.filter(
-      (id) => nowMs > (this.#emptySinceMs.get(id) ?? nowMs) + REMOVAL_DELAY_MS,
+      (id) =>
+        nowMs > (this.#emptySinceMs.get(id) ?? nowMs) + REMOVAL_DELAY_MS ||
+        (departed.has(id) && this.#emptySinceMs.has(id)),
     );
     return [...record.malformedIds, ...emptyIds]
       .slice(0, MAX_WRITE_ROWS)
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -103,6 +103,12 @@
   /** A time at which the incarnation was certainly alive, by its renewed entries, on the steady clock. */
   aliveAtMs = Number.NEGATIVE_INFINITY;
 
+  /** The latest of its entries was written after this, on the steady clock, if the registry's feed has shown when. */
+  renewedAfterMs = Number.NEGATIVE_INFINITY;
+
+  /** When the registry dropped it while it drained and too soon for silence; undefined if it may be alive. */
+  leftAtMs: number | undefined;
+
   /** When contact was lost; undefined while the target responds. */
   lostAtMs: number | undefined;
 
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -7,6 +7,7 @@
   STOP_RETRY_DELAY_MS,
   UNKNOWN_INCARNATION_MS,
 } from './constants';
+import { Departures } from './departures';
 import type { Incarnations } from './incarnations';
 import type { OwnerState } from './ownerState';
 import type { Run } from './run';
@@ -26,6 +27,8 @@
 
   #incarnations: Incarnations;
 
+  #departures: Departures;
+
   /** The last entry of each target that was taken for an earlier one. */
   #setAside = new Map<TargetId, TargetEntry>();
 
@@ -38,6 +41,7 @@
     this.#state = state;
     this.#runManager = runManager;
     this.#incarnations = incarnations;
+    this.#departures = new Departures(state);
   }
 
   /**
@@ -50,7 +54,7 @@
     entries.forEach((entry) => this.onTargetChanged(entry));
     unreadableIds.forEach((targetId) => this.#incarnations.awaitOwnEntry(targetId));
     [...this.#state.targets.keys()].forEach((targetId) => {
-      if (!listed.has(targetId)) this.onTargetRemoved(targetId);
+      if (!listed.has(targetId)) this.#removeEntry(targetId);
     });
   }
 
@@ -105,6 +109,7 @@
     if (writtenAfterMs === undefined || incarnationStartMs !== entry.incarnationStartMs) return;
     if (address !== entry.address || revision <= entry.revision) return;
     target.aliveAtMs = Math.max(target.aliveAtMs, writtenAfterMs - MAX_REGISTRY_DELAY_MS);
+    target.renewedAfterMs = Math.max(target.renewedAfterMs, writtenAfterMs);
   }
 
   /**
@@ -202,11 +207,23 @@
    * @param targetId - the target
    */
   onTargetRemoved(targetId: TargetId): void {
+    const target = this.#removeEntry(targetId);
+    if (target !== undefined) this.#departures.onRemoved(target);
+  }
+
+  /** A target that a list of the registry does not name proves nothing by that, as it does not tell since when. */
+  #removeEntry(targetId: TargetId): TargetState | undefined {
     this.#state.latestEntries.delete(targetId);
     const target = this.#state.targets.get(targetId);
-    if (target === undefined) return;
+    if (target === undefined) return undefined;
     target.isRegistered = false;
-    this.#state.log('target left the registry', { targetId, runCount: target.runs.size });
+    this.#state.log('target left the registry', {
+      targetId,
+      runCount: target.runs.size,
+      isDraining: target.entry.isDraining,
+      renewedWithinMs: Math.round(this.#state.steadyMs - target.renewedAfterMs),
+    });
+    return target;
   }
 
   /**
@@ -224,6 +241,7 @@
   check(): void {
     const { steadyMs } = this.#state;
     this.#incarnations.checkAwaited();
+    this.#departures.takeDeparted().forEach((target) => this.#incarnations.depart(target));
     this.#state.watch.getCheckable().forEach((target) => {
       if (!target.isResponding) this.#runManager.crashTracker.onStillLost(target);
       if (target.mayNeedStops) this.#checkRuns(target);
