--- a/src/owner/adviceChoice.ts
+++ b/src/owner/adviceChoice.ts
@@ -38,12 +38,12 @@
   return Math.max(0, Math.floor(ratio));
 }
 
-/** Number of waiting tasks of a step that fit on a target now; a paused one takes tasks only when no other does. */
+/** Number of tasks without a place that fit on a target now; a paused one takes tasks only when no other does. */
 function countFittingTasks(step: StepState, target: TargetState, nowMs: number): number {
   if (target.pausedUntilMs > nowMs + ADVICE_MAX_PAUSE_MS) return 0;
   const fittingCount = countFittingByDemand(step.charge, target.free);
   if (fittingCount === 0 || !isColocationAllowed(step, target)) return 0;
-  return Math.max(0, Math.min(fittingCount, getSpreadHeadroom(step, target), step.waiting.size));
+  return Math.max(0, Math.min(fittingCount, getSpreadHeadroom(step, target), step.unplacedCount));
 }
 
 /** Groups of targets in the order in which they are named: those on which a task fits first, then approved ones. */
@@ -93,7 +93,7 @@
 ): number {
   if (costs.perTargetMs < ADVICE_CHEAP_MS) return ADVICE_MAX_TARGETS;
   const defaultSelection = ratedTargets.slice(0, ADVICE_COSTLY_TARGETS);
-  const isSufficient = getExpectedTaskCount(defaultSelection) >= step.waiting.size;
+  const isSufficient = getExpectedTaskCount(defaultSelection) >= step.unplacedCount;
   return isSufficient ? ADVICE_COSTLY_TARGETS : ADVICE_WIDE_TARGETS;
 }
 
@@ -120,7 +120,7 @@
   const approved = ratedTargets.filter(
     ({ isApproved, fittingTaskCount }) => isApproved && fittingTaskCount > 0,
   );
-  const isApprovedSufficient = getExpectedTaskCount(approved) >= step.waiting.size;
+  const isApprovedSufficient = getExpectedTaskCount(approved) >= step.unplacedCount;
   const selected = selectFirst(isApprovedSufficient ? approved : ratedTargets, ADVICE_MAX_TARGETS);
   return selected.slice(0, getMaxTargets(costs, step, selected)).map(({ target }) => target);
 }
--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -163,8 +163,11 @@
 
   #getStepsNeedingAdvice(): StepState[] {
     const roomyTargets = new RoomyTargets(() => true);
-    const steps = [...this.#state.ready].filter((step) => this.#needsAdvice(step, roomyTargets));
-    const { chained, open } = this.#state;
+    const { chained, open, ready, relocatingSteps } = this.#state;
+    // Tasks that are to be moved keep their runs until there is a ticket for another target.
+    const steps = [...new Set([...ready, ...relocatingSteps])].filter((step) =>
+      this.#needsAdvice(step, roomyTargets),
+    );
     chained.forEach((record) => {
       if (!open.has(record)) chained.delete(record);
       if (!open.has(record) || record.queue.advice === undefined) return;
@@ -177,9 +180,9 @@
   }
 
   #needsAdvice(step: StepState, roomyTargets: RoomyTargets): boolean {
-    const { record, advice, waiting, mayRunUnseen } = step;
+    const { record, advice, unplacedCount, mayRunUnseen } = step;
     if (record.queue.advice === undefined || advice.isCallPending || mayRunUnseen) return false;
-    if (waiting.size === 0) return false;
+    if (unplacedCount === 0) return false;
     const { nowMs, eligibleTargets } = this.#state;
     if (!advice.hasUsableTicket(nowMs)) return true;
     if (step.readyAtMs === undefined || nowMs < advice.lastCallAtMs + ADVICE_REFRESH_DELAY_MS)
--- a/src/owner/gangPlacement.ts
+++ b/src/owner/gangPlacement.ts
@@ -1,12 +1,9 @@
 /** All-or-nothing placement of gangs. */
 
-import type { TargetId } from '../types/ids';
-import { addDemand } from '../work/types';
-import type { TaskDemand } from '../work/types';
 import { CandidateCosts, isStarved, isLastAttempt } from './candidates';
 import type { Candidate } from './candidates';
+import { PlannedCapacity } from './plannedCapacity';
 import type { StepState } from './stepState';
-import type { TargetState } from './targetState';
 
 /** The target chosen for one member of a gang. */
 export interface MemberPlacement {
@@ -20,20 +17,13 @@
   nowMs: number,
 ): readonly MemberPlacement[] | undefined {
   const isCautious = isLastAttempt(step, 0) && !isStarved(step, nowMs);
-  const free = new Map<TargetId, TaskDemand>();
-  const counts = new Map<TargetId, number>();
-  const capacityView = {
-    getFree: (target: TargetState) => free.get(target.id) ?? target.free,
-    getPlacedCount: (target: TargetState) => counts.get(target.id) ?? 0,
-  };
+  const capacity = new PlannedCapacity();
   const placements: MemberPlacement[] = [];
   const place = (candidate: Candidate) => {
-    const { target } = candidate;
-    free.set(target.id, addDemand(capacityView.getFree(target), step.charge, -1));
-    counts.set(target.id, capacityView.getPlacedCount(target) + 1);
+    capacity.place(step, candidate.target);
     placements.push({ index: placements.length, candidate });
   };
-  const costs = new CandidateCosts(step, candidates, capacityView);
+  const costs = new CandidateCosts(step, candidates, capacity.getView(step));
   while (placements.length < step.spec.taskCount) {
     if (!costs.tryPlace(isCautious, place)) return undefined;
   }
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -71,6 +71,9 @@
   /** Ready steps with waiting tasks. */
   readonly ready = new Set<StepState>();
 
+  /** Steps with runs that are to be moved off targets that drain. */
+  readonly relocatingSteps = new Set<StepState>();
+
   /** Steps that could not be planned, with the time from which they are planned again. */
   readonly setAsideUntilMs = new Map<StepState, number>();
 
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -21,6 +21,7 @@
   isInventoryKnown,
 } from './placement';
 import { PreemptionTable } from './preemption';
+import { Relocator } from './relocator';
 import type { RunManager } from './runManager';
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
@@ -60,6 +61,8 @@
 
   #trialPlanner: TrialPlanner;
 
+  #relocator: Relocator;
+
   /**
    * @param state - the owner's state
    * @param runManager - performs the starts and stops
@@ -68,6 +71,7 @@
     this.#state = state;
     this.#runManager = runManager;
     this.#trialPlanner = new TrialPlanner(state, runManager, runManager.crashTracker);
+    this.#relocator = new Relocator(state, runManager);
   }
 
   /** Runs one scheduling pass: starts every task that fits now. */
@@ -84,6 +88,10 @@
       if (target.trial !== undefined) target.isPlannable = false;
     }
     if (steps.length > 0) this.#planSteps(steps);
+    this.#relocator.plan({
+      getCandidates: (step) =>
+        this.#getFittingCandidates(step, state.eligibleTargets.get(step), false),
+    });
     if (state.nowMs < this.#nextSpeculationAtMs) return;
     this.#nextSpeculationAtMs = state.nowMs + SPECULATION_CHECK_INTERVAL_MS;
     this.#startSpeculativeCopies();
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -63,6 +63,9 @@
   /** Start time of the latest run of any of its tasks. */
   lastStartAtMs = 0;
 
+  /** Number of its runs that are to be moved to other targets. */
+  relocatingCount = 0;
+
   /**
    * @param record - the submission
    * @param occurrence - number of the occurrence
@@ -96,6 +99,11 @@
     return this.#waiting;
   }
 
+  /** Number of tasks for which targets are needed: those that wait and those that are to be moved. */
+  get unplacedCount(): number {
+    return this.#waiting.size + this.relocatingCount;
+  }
+
   /** Runs by task; a task with speculative copies has more than one. */
   get runs(): ReadonlyMap<number, readonly Run[]> {
     return this.#runs;
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -196,6 +196,12 @@
     watch.unusual.add(this);
     watch.unpolled.add(this);
     watch.unchecked.add(this);
+    this.#setDraining();
+  }
+
+  #setDraining(): void {
+    if (this.#entry.isDraining) this.#watch?.draining.add(this);
+    else this.#watch?.draining.delete(this);
   }
 
   /** Leaves the table of targets. */
@@ -404,6 +410,7 @@
     this.#incarnation = toIncarnation(entry.address, entry.incarnationStartMs);
     this.isRegistered = true;
     if (this.#watch !== undefined && isUseChanged) this.#watch.registrationCount += 1;
+    this.#setDraining();
     this.#updateFree();
   }
 
--- a/src/owner/targetWatch.ts
+++ b/src/owner/targetWatch.ts
@@ -20,6 +20,9 @@
   /** Targets of which runs may have to be stopped. */
   readonly unchecked = new Set<TargetState>();
 
+  /** Targets that are about to leave. */
+  readonly draining = new Set<TargetState>();
+
   /** Counts the changes of registrations. */
   registrationCount = 0;
 
@@ -47,5 +50,6 @@
     this.unusual.delete(target);
     this.unpolled.delete(target);
     this.unchecked.delete(target);
+    this.draining.delete(target);
   }
 }
