--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -241,6 +241,15 @@
     );
   }
 
+  /** The owner hands over to a successor, which tells it of its claim. */
+  handOver(): void {
+    const former = this.#owner;
+    this.takeOver(true);
+    this.time.after(limits.ANNOUNCEMENT_MS, () => {
+      if (former !== undefined) former.isStopped = true;
+    });
+  }
+
   /**
    * Adds a submission during a takeover: the new owner has read the stored rows before it was added, and
    * the former owner, which is not fenced off yet, receives it first. The new owner receives it from the
--- a/tests/support/takeoverHistories.ts
+++ b/tests/support/takeoverHistories.ts
@@ -56,6 +56,8 @@
   /** Whether the former owner goes on unaware of it, after a suspension. */
   readonly isFormerAlive: boolean;
   readonly suspensionMs: number;
+  /** The former owner hands over, as before a planned stop. */
+  readonly isPlanned?: boolean;
 }
 
 /** How a task loses its target. */
@@ -69,6 +71,8 @@
   readonly haveRestarted: boolean;
   /** When a target that was cut off is reachable again, counted from the loss; never if it is not given. */
   readonly healAfterMs?: number;
+  /** Added to the time before the loss, so that polls are pending for different times. */
+  readonly phaseMs?: number;
 }
 
 /** What has become of a task. */
@@ -84,6 +88,11 @@
   return timesMs.map((atMs) => ({ atMs, isFormerAlive: false, suspensionMs: 0 }));
 }
 
+/** Creates planned handovers. */
+export function createHandovers(timesMs: readonly number[]): readonly Takeover[] {
+  return createSeries(timesMs).map((takeover) => ({ ...takeover, isPlanned: true }));
+}
+
 /** Draws takeovers; half of the former owners go on, some of them after a suspension. */
 export function drawSeries(random: Random, minCount: number, maxAtMs: number): readonly Takeover[] {
   const count = minCount + random.nextInt(7 - minCount);
@@ -137,7 +146,8 @@
       const [next] = pending;
       if (next !== undefined && world.time.nowMs >= lostAtMs + next.atMs) {
         pending.shift();
-        world.takeOver(next.isFormerAlive, next.suspensionMs);
+        if (next.isPlanned === true) world.handOver();
+        else world.takeOver(next.isFormerAlive, next.suspensionMs);
       }
       world.run(STEP_MS);
       const isRunning = this.#isRunning();
@@ -194,7 +204,7 @@
     }
     const hasAdvice = this.#random.nextInt(2) === 0;
     world.submit(createSubmission(1, [LASTING], hasAdvice ? { advice: 'cheap' } : {}));
-    world.run(SETTLING_MS);
+    world.run(SETTLING_MS + (this.#loss.phaseMs ?? 0));
     if (!this.#loss.haveRestarted) return;
     const free = [...world.targets.values()].filter(({ runs }) => runs.size === 0);
     free.forEach(({ id }) => world.crashProcess(id, RESTART_DOWN_MS));
