--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -210,8 +210,18 @@
   beginStop(): void {
     this.#isStopping = true;
     this.#ownership.dispatch({ kind: 'stopRequested' });
-    const successorId = this.#followers.getSuccessorId();
-    if (successorId !== undefined) this.#handOver(successorId, 'planned stop');
+    if (this.#followers.getSuccessorId() !== undefined) this.#ownerHost?.prepareHandover();
+  }
+
+  /** Chooses the successor only now, as a node may have left during the preparation. */
+  #onHandoverPrepared(epoch: Epoch): void {
+    if (this.#ownerHost?.epoch !== epoch) return;
+    const nowMs = this.#ports.clock.nowMs();
+    const successorId = this.#isStopping
+      ? this.#followers.getSuccessorId()
+      : this.#followers.tryGetStrongerId(this.#self.processorMillis, nowMs);
+    if (successorId === undefined) return;
+    this.#handOver(successorId, this.#isStopping ? 'planned stop' : 'stronger node');
   }
 
   /** Asks the followers to replace this owner, which goes on working until the successor's claim. */
@@ -233,7 +243,7 @@
     const strongerId = this.#followers.tryGetStrongerId(this.#self.processorMillis, nowMs);
     if (strongerId === undefined) return;
     this.#handoverCheckedAtMs = nowMs;
-    this.#handOver(strongerId, 'stronger node');
+    this.#ownerHost?.prepareHandover();
   }
 
   /** Stops all timers, followers and connections. */
@@ -295,6 +305,7 @@
         isAuthorized: () => this.#ownership.core.isAuthorized(this.#ports.clock.nowMs()),
         advise: (nodeId, stepKey, targetIds, timeoutMs) =>
           this.#advise(nodeId, stepKey, targetIds, timeoutMs),
+        onHandoverPrepared: () => this.#onHandoverPrepared(epoch),
         onSuperseded: (reason) => this.#ownership.dispatch({ kind: 'superseded', epoch, reason }),
       },
       epoch,
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -70,6 +70,8 @@
     targetIds: readonly TargetId[],
     timeoutMs: number,
   ): Promise<E.Either<AdviceFailure, Advice>>;
+  /** Called when this owner may resign, after a handover was requested. */
+  onHandoverPrepared(): void;
   /** Called when another node has become the owner. */
   onSuperseded(reason: string): void;
 }
@@ -224,6 +226,12 @@
     }
   }
 
+  /** Has what a successor needs stored before this owner resigns. One that still loads knows nothing of its own. */
+  prepareHandover(): void {
+    if (this.#core === undefined) this.#callbacks.onHandoverPrepared();
+    else this.#dispatch({ kind: 'handoverRequested' });
+  }
+
   /**
    * Sets the advice lanes, which are the nodes that can query the advice service.
    * @param nodeIds - this node and all connected nodes
@@ -485,6 +493,9 @@
       case 'stepDown':
         this.#callbacks.onSuperseded(effect.reason);
         return;
+      case 'handoverPrepared':
+        this.#callbacks.onHandoverPrepared();
+        return;
       case 'count':
         metrics.count(effect.name, effect.step);
         return;
--- a/src/node/ownerLoad.ts
+++ b/src/node/ownerLoad.ts
@@ -80,6 +80,8 @@
       return 'measure';
     case 'stepDown':
       return 'stepDown';
+    case 'handoverPrepared':
+      return 'handover';
     default:
       return assertNever(kind);
   }
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -82,6 +82,24 @@
 /** A former owner stops by itself when its ownership has not been confirmed for this long. */
 export const OWNER_AUTHORITY_MS = 2_000;
 
+/**
+ * How long an owner that hands over prepares that at most: much less than the time in which a node has to stop, and
+ * less than gates wait for an owner. What is not stored by then the successor waits for as after any other takeover.
+ */
+export const HANDOVER_PREPARATION_MS = 300;
+
+/**
+ * Upper bound of the time that targets have to answer whether they still do; the rest is for the store. An answer takes
+ * about 2 ms on an unloaded network.
+ */
+export const HANDOVER_PROBE_TIMEOUT_MS = 180;
+
+/** Targets that have not been found silent by then are not waited for any longer. */
+export const HANDOVER_PROBE_MS = 200;
+
+/** A successor that has not claimed the ownership within this time after the preparation may not come. */
+export const HANDOVER_CLAIM_MS = 1_000;
+
 /** Delay before a write, so that one transaction carries several changes. */
 export const WRITE_BATCH_DELAY_MS = 20;
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -14,6 +14,7 @@
   STOP_RETRY_DELAY_MS,
 } from './constants';
 import { EarlyCancellations } from './earlyCancellations';
+import { HandoverPreparation } from './handoverPreparation';
 import { Incarnations } from './incarnations';
 import { InventoryReconciler } from './inventoryReconciler';
 import { TargetPoller } from './targetPoller';
@@ -76,6 +77,8 @@
 
   #recorder: TargetRecorder;
 
+  #handover: HandoverPreparation;
+
   #unseenRuns: UnseenRuns;
 
   #occurrences: Occurrences;
@@ -136,6 +139,9 @@
     this.#planner = new Planner(this.#state, this.#runManager);
     this.#poller = new TargetPoller(this.#state);
     this.#recorder = new TargetRecorder(this.#state, incarnations, this.#runManager.crashTracker);
+    this.#handover = new HandoverPreparation(
+      ...([this.#state, this.#poller, this.#recorder, this.#runManager.crashTracker] as const),
+    );
     this.#adviceDispatcher = new AdviceDispatcher(this.#state);
     loaded.forEach((submission) => this.#tryAddRecord(submission, true, true));
   }
@@ -320,6 +326,9 @@
       case 'submissionsDeleted':
         event.submissionIds.forEach((id) => this.#state.records.delete(id));
         return;
+      case 'handoverRequested':
+        this.#handover.onRequested();
+        return;
       default:
         assertNever(event);
     }
@@ -341,6 +350,7 @@
       this.#adviceDispatcher.dispatch();
     }
     this.#pollTargets(event);
+    this.#handover.check(event.kind);
     const write = writer.tryCreateBatch(nowMs);
     if (write !== undefined) this.#state.emit(write);
   }
--- a/src/owner/crashTracker.ts
+++ b/src/owner/crashTracker.ts
@@ -118,7 +118,8 @@
   onStillLost(lost: TargetState): void {
     const target = lost;
     if (target.areRunsReported || target.lostAtMs === undefined) return;
-    if (this.#state.nowMs < target.lostAtMs + REPORT_DELAY_MS) return;
+    const delayMs = this.#state.isHandingOver ? 0 : REPORT_DELAY_MS;
+    if (this.#state.nowMs < target.lostAtMs + delayMs) return;
     target.areRunsReported = true;
     // A run of a task that is done, or of an ended submission, is being stopped and is not started again.
     const runs = [...target.runs.values()].filter(
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -123,6 +123,9 @@
   /** How long after its sending an unlisted start can hold a lease on a target that is silent but registered. */
   readonly maxUnlistedMs: number;
 
+  /** A handover is being prepared or has just been: what a successor has to know is stored without delay. */
+  isHandingOver = false;
+
   /** True after a change that may allow a task to start. */
   isPlanDue = true;
 
--- a/src/owner/progressWriter.ts
+++ b/src/owner/progressWriter.ts
@@ -34,6 +34,12 @@
   readonly value: StoredProgress;
 }
 
+/** A change of a submission that has to become durable. */
+export interface UndurableChange {
+  readonly record: SubmissionRecord;
+  readonly change: number;
+}
+
 /** Result of a transaction. */
 export type WriteOutcome =
   | { readonly kind: 'committed' }
@@ -66,6 +72,14 @@
     return new Set([...this.#dirty, ...this.#inFlight]).size;
   }
 
+  /** The submissions with changes that are not durable yet, with their number of changes at present. */
+  get undurableChanges(): readonly UndurableChange[] {
+    return [...new Set([...this.#dirty, ...this.#inFlight])].map((record) => ({
+      record,
+      change: record.changeCount,
+    }));
+  }
+
   /**
    * Marks the stored state of a submission as changed.
    * @param record - the submission
--- a/src/owner/silenceTracker.ts
+++ b/src/owner/silenceTracker.ts
@@ -19,6 +19,9 @@
 /** A recorded end is replaced by one that is earlier by more than this. */
 const MIN_GAIN_MS = 250;
 
+/** The same during a handover, when the successor has no other source; readings of the store's clock differ by less. */
+const MIN_HANDOVER_GAIN_MS = 50;
+
 /** It is replaced by one that is later by more than this; readings of the store's clock may be a second old. */
 const MIN_DELAY_MS = 1_500;
 
@@ -79,18 +82,23 @@
     const recorded = this.#state.record.get(id)?.silence;
     if (recorded?.incarnationStartMs !== incarnationStartMs) return true;
     const gainMs = recorded.endsAtMs - endsAtMs;
-    return gainMs > MIN_GAIN_MS || gainMs < -MIN_DELAY_MS;
+    const minGainMs = this.#state.isHandingOver ? MIN_HANDOVER_GAIN_MS : MIN_GAIN_MS;
+    return gainMs > minGainMs || gainMs < -MIN_DELAY_MS;
   }
 
   #tryCreate(target: TargetState): TargetSilence | undefined {
     const { nowMs } = this.#state;
-    const { lostAtMs, isContacted, isResponding, lastAnsweredAtMs } = target;
+    const { lostAtMs, isContacted, isResponding } = target;
     if (lostAtMs === undefined || (isContacted && isResponding)) return undefined;
-    const delayMs = lastAnsweredAtMs > 0 ? SILENCE_RECORD_DELAY_MS : FORMER_SILENCE_RECORD_DELAY_MS;
-    if (nowMs < lostAtMs + delayMs) return undefined;
+    if (nowMs < lostAtMs + this.#getDelayMs(target)) return undefined;
     return this.#create(target.entry, getSilentEndMs(this.#state, target), lostAtMs, target);
   }
 
+  #getDelayMs({ lastAnsweredAtMs }: TargetState): number {
+    if (this.#state.isHandingOver) return 0;
+    return lastAnsweredAtMs > 0 ? SILENCE_RECORD_DELAY_MS : FORMER_SILENCE_RECORD_DELAY_MS;
+  }
+
   /** The target has been removed from the table, so it has left the registry and holds nothing that is known. */
   #tryCreateForAbsent(id: TargetId): TargetSilence | undefined {
     const recorded = this.#state.record.get(id);
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -1,6 +1,7 @@
 /** Schedules polls of targets, which also renew leases and acknowledge ends. */
 
 import {
+  HANDOVER_PROBE_TIMEOUT_MS,
   IDLE_ACKNOWLEDGE_DELAY_MS,
   LEASE_MS,
   UNACKNOWLEDGED_POLL_INTERVAL_MS,
@@ -11,6 +12,9 @@
 import type { Run } from './run';
 import type { TargetState } from './targetState';
 
+/** Why a poll is sent; only a `poll` may wait at the target, and a `handoverProbe` grants nothing. */
+type PollPurpose = 'poll' | 'probe' | 'handoverProbe';
+
 function hasUnwrittenEnds(target: TargetState): boolean {
   return target.unacknowledgedEndCount > 0 && !target.areAllEndsDurable;
 }
@@ -70,6 +74,21 @@
     else this.#state.watch.unpolled.delete(target);
   }
 
+  /**
+   * Probes a target that answers, to find out whether it still does. Its lease is not renewed, so that a successor does
+   * not wait for the probe.
+   * @param probed - the target
+   * @returns false when it does not answer this owner, so that nothing is waited for
+   */
+  probeForHandover(probed: TargetState): boolean {
+    const target = probed;
+    if (!target.isContacted || !target.isResponding) return false;
+    if (target.isProbeInFlight) return true;
+    target.isProbeInFlight = true;
+    this.#send(target, 0, 'handoverProbe');
+    return true;
+  }
+
   /** Probes a target with unconfirmed runs or a trial while the regular poll waits for an end. */
   #probeIfDue(target: TargetState): void {
     const { nowMs } = this.#state;
@@ -79,7 +98,7 @@
     if (!isWanted) return;
     target.isProbeInFlight = true;
     target.nextProbeAtMs = nowMs + PROBE_INTERVAL_MS;
-    this.#send(target, 0, true);
+    this.#send(target, 0, 'probe');
   }
 
   #pollBusyTarget(target: TargetState): void {
@@ -120,16 +139,18 @@
   #poll(target: TargetState, waitMs: number): void {
     target.idleSinceMs = undefined;
     target.pollSentAtMs = this.#state.nowMs;
-    this.#send(target, waitMs, false);
+    this.#send(target, waitMs, 'poll');
   }
 
-  #send(target: TargetState, waitMs: number, isProbe: boolean): void {
-    const { nowMs, steadyMs, epoch } = this.#state;
+  #send(target: TargetState, waitMs: number, purpose: PollPurpose): void {
+    const { nowMs, steadyMs, epoch, responseTimes } = this.#state;
+    const isProbe = purpose !== 'poll';
+    const isForHandover = purpose === 'handoverProbe';
     const baseMs = target.clock.getLeaseBaseMs(steadyMs);
     // The lease of a target that does not respond is not renewed, so that its expiry can be relied on.
     const isNeeded = target.runs.size > 0 || target.unacknowledgedEndCount > 0;
     // Nor that of one whose record tells later owners when it ends.
-    const isRenewable = target.isResponding && !this.#isRecordedSilent(target);
+    const isRenewable = target.isResponding && !isForHandover && !this.#isRecordedSilent(target);
     const isRenewed = isRenewable && baseMs !== undefined && isNeeded;
     const leaseUntilMs = isRenewed ? Math.ceil(baseMs + LEASE_MS) : undefined;
     if (leaseUntilMs !== undefined) target.lease.extend(leaseUntilMs);
@@ -150,7 +171,9 @@
       leaseUntilMs,
       acknowledgedSequence,
       waitMs,
-      timeoutMs: waitMs + this.#state.responseTimes.getPollTimeoutMarginMs(nowMs),
+      timeoutMs: isForHandover
+        ? Math.min(responseTimes.responseTimeoutMs, HANDOVER_PROBE_TIMEOUT_MS)
+        : waitMs + responseTimes.getPollTimeoutMarginMs(nowMs),
       isProbe,
     });
     this.#state.count('looks');
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -71,6 +71,10 @@
 
   #isDeclaredComplete = false;
 
+  #silentCount = 0;
+
+  #removedCount = 0;
+
   /** Whether rows have been written, or are being removed, since targets were last compared with the record. */
   #isChanged = true;
 
@@ -110,11 +114,31 @@
     for (const target of refreshedTargets) target.isRecorded = this.#isRecorded(target);
   }
 
+  /** Rows that have been written for silent targets. */
+  get silentCount(): number {
+    return this.#silentCount;
+  }
+
+  /** Rows that have been removed. */
+  get removedCount(): number {
+    return this.#removedCount;
+  }
+
+  /**
+   * Writes the changes that are due.
+   * @returns true when none is left and none is in flight
+   */
+  flush(): boolean {
+    this.#nextObserveAtMs = Math.min(this.#nextObserveAtMs, this.#state.nowMs);
+    this.write();
+    return this.#inFlight === undefined && this.#state.nowMs >= this.#retryAtMs;
+  }
+
   /** Writes the changes that are due. */
   write(): void {
     const { nowMs } = this.#state;
     if (nowMs >= this.#nextObserveAtMs) {
-      this.#nextObserveAtMs = nowMs + OBSERVE_INTERVAL_MS;
+      this.#nextObserveAtMs = nowMs + (this.#state.isHandingOver ? 0 : OBSERVE_INTERVAL_MS);
       this.#observeEmptyTargets();
       this.#observeOutdatedRows();
       this.#silentDue = this.#silenceTracker.getDue();
@@ -193,6 +217,8 @@
     this.#state.count('targets_recorded', puts.length);
     const silentIds = puts.flatMap(({ target }) => (target.silence === undefined ? [] : target.id));
     this.#state.count('targets_recorded_silent', silentIds.length);
+    this.#silentCount += silentIds.length;
+    this.#removedCount += removals.length;
     this.#state.log('record of targets written', {
       targetIds: puts.map(({ target }) => target.id),
       removedIds: removals.map(({ targetId }) => targetId),
@@ -319,21 +345,28 @@
     if (target.trial !== undefined || target.lease.mayBeInherited(steadyMs)) return false;
     const isUnresolved = steadyMs <= this.#state.getUnresolvedUntilMs(target.entry);
     if (!target.isContacted && isUnresolved) return false;
-    return target.orphanRuns.size === 0 || target.lease.isExpired(steadyMs);
+    const mayListMore = target.orphanRuns.size > 0 || target.hasUnseenEnds;
+    return !mayListMore || target.lease.isExpired(steadyMs);
   }
 
   #getRemovals(): readonly RecordVersion[] {
     const { nowMs, steadyMs, unresolvedUntilMs, record } = this.#state;
     // Until then a former owner may use any target that is recorded.
     if (steadyMs <= unresolvedUntilMs || nowMs < this.#nextRemovalAtMs) return [];
-    const emptyIds = record.ids.filter(
-      (id) => nowMs > (this.#emptySinceMs.get(id) ?? nowMs) + REMOVAL_DELAY_MS,
-    );
+    const emptyIds = record.ids.filter((id) => this.#isRemovalDue(id));
     return [...record.malformedIds, ...emptyIds]
       .slice(0, MAX_WRITE_ROWS)
       .map((targetId) => ({ targetId, version: record.getVersion(targetId) }));
   }
 
+  /** The delay only saves writes, as most interruptions are short. */
+  #isRemovalDue(id: TargetId): boolean {
+    const { nowMs, isHandingOver } = this.#state;
+    const emptySinceMs = this.#emptySinceMs.get(id);
+    if (emptySinceMs === undefined) return false;
+    return isHandingOver || nowMs > emptySinceMs + REMOVAL_DELAY_MS;
+  }
+
   /**
    * A record that was complete at the takeover stays so. Otherwise it is complete once the leases of former owners have
    * ended and every target with runs is recorded.
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -301,6 +301,8 @@
         readonly result: E.Either<RecordFailure, number>;
       }
     | { readonly kind: 'submissionsDeleted'; readonly submissionIds: readonly SubmissionId[] }
+    /** This owner is about to hand over; `handoverPrepared` answers it. */
+    | { readonly kind: 'handoverRequested' }
   );
 
 /** Effects that the owner's reducer requests from its host. */
@@ -369,6 +371,8 @@
   | { readonly kind: 'deleteSubmissions'; readonly submissionIds: readonly SubmissionId[] }
   /** Another node is the owner; this one must not act any further. */
   | { readonly kind: 'stepDown'; readonly reason: string }
+  /** What a successor has to know is stored, or has not been in time; the owner may resign and goes on until then. */
+  | { readonly kind: 'handoverPrepared' }
   | { readonly kind: 'count'; readonly name: string; readonly step: number }
   | { readonly kind: 'record'; readonly name: string; readonly durationMs: number }
   | {
--- a/tests/ownerHost.test.ts
+++ b/tests/ownerHost.test.ts
@@ -81,6 +81,7 @@
     {
       isAuthorized: () => isAuthorized,
       advise: () => createPending(),
+      onHandoverPrepared: () => undefined,
       onSuperseded: () => undefined,
     },
     ...([toEpoch(1), 1] as const),
@@ -118,6 +119,7 @@
     {
       isAuthorized: () => true,
       advise: () => createPending(),
+      onHandoverPrepared: () => undefined,
       onSuperseded: () => undefined,
     },
     ...([toEpoch(1), 1] as const),
@@ -134,3 +136,65 @@
     host.stop();
   }
 });
+
+/** Time that the preparation of a handover may take, with the delay of timers on a busy machine. */
+const PREPARATION_MS = 700;
+
+function createHandoverHost(onHandoverPrepared: () => void): OwnerHost {
+  const clock = { nowMs: () => performance.now(), steadyMs: () => performance.now() };
+  return new OwnerHost(
+    { ...createPorts([]), clock: { ...clock, wallMs: () => Date.now() } },
+    {
+      isAuthorized: () => true,
+      advise: () => createPending(),
+      onHandoverPrepared,
+      onSuperseded: () => undefined,
+    },
+    ...([toEpoch(1), 1] as const),
+    { changeVersion: 1, operator: { config: undefined, closedDataCentreIds: [] } },
+  );
+}
+
+describe('the preparation of a handover', () => {
+  test('ends within its bound while the store answers no write', async () => {
+    let preparedCount = 0;
+    const host = createHandoverHost(() => {
+      preparedCount += 1;
+    });
+    await host.start();
+    try {
+      await waitForTicks();
+      host.prepareHandover();
+      await new Promise((resolve) => {
+        setTimeout(resolve, PREPARATION_MS);
+      });
+      expect(preparedCount).toBe(1);
+    } finally {
+      host.stop();
+    }
+  });
+
+  test('is done at once by an owner that still loads', () => {
+    let preparedCount = 0;
+    const host = createHandoverHost(() => {
+      preparedCount += 1;
+    });
+    host.prepareHandover();
+    expect(preparedCount).toBe(1);
+    host.stop();
+  });
+
+  test('does not end once the owner has stopped', async () => {
+    let preparedCount = 0;
+    const host = createHandoverHost(() => {
+      preparedCount += 1;
+    });
+    await host.start();
+    host.prepareHandover();
+    const countBefore = preparedCount;
+    host.stop();
+    host.prepareHandover();
+    await waitForTicks();
+    expect(preparedCount).toBe(countBefore);
+  });
+});
--- a/tests/support/ownerHostPorts.ts
+++ b/tests/support/ownerHostPorts.ts
@@ -102,6 +102,7 @@
   const callbacks = {
     isAuthorized: () => true,
     advise: createPending,
+    onHandoverPrepared: () => undefined,
     onSuperseded: () => undefined,
   };
   const operator = { changeVersion: 1, operator: { config: undefined, closedDataCentreIds: [] } };
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -6,42 +6,37 @@
 import * as E from 'fp-ts/Either';
 import { OWNER_AUTHORITY_MS } from '../../src/owner/constants';
 import { OwnerCore } from '../../src/owner/core';
-import type {
-  EndedEntry,
-  LoadedSubmission,
-  OwnerEffect,
-  OwnerEvent,
-  RecordFailure,
-} from '../../src/owner/types';
+import type { EndedEntry, LoadedSubmission, OwnerEffect, OwnerEvent } from '../../src/owner/types';
 import type { PollCall, StartCall } from '../../src/node/ports';
 import { Random } from '../../src/types/random';
 import { toEpoch } from '../../src/types/ids';
 import type { NodeId, SubmissionId, TargetId, TaskKey } from '../../src/types/ids';
 import type { EndKind, StepSpec, Submission, TaskDemand } from '../../src/work/types';
-import { FakeTarget } from '../../standins/fakeTarget';
-import type { FakeRun, RunPlan } from '../../standins/fakeTarget';
+import { FakeTarget, type FakeRun, type RunPlan } from '../../standins/fakeTarget';
 import { DirectNetwork } from './directNetwork';
+import { HandoverModel } from './handoverModel';
 import { isStillCurrent, NetworkModel, refuseForOthers } from './networkModel';
 import type { Network, TargetCall } from './networkModel';
 import { OperatorModel } from './operatorModel';
 import { WALL_START_MS } from './ownerSubmissions';
 import { ProgressStore } from './progressStore';
 import { RecordStore } from './recordStore';
-import { RegistryModel } from './registryModel';
-import type { RegistryEvent } from './registryModel';
+import { RegistryModel, type RegistryEvent } from './registryModel';
 import { VirtualTime } from './virtualTime';
 import {
   endGang,
+  createRunPlan,
   FailureLog,
   findStep,
+  findWriteObstacle,
   getDependencyKeys,
   getAdvice,
   getGangMembers,
   getTeamDemand,
   getTotalDemand,
   isWithinCapacity,
+  type SubmittedStep,
 } from './worldChecks';
-import type { SubmittedStep } from './worldChecks';
 import * as limits from './worldConstants';
 import type { WorldOptions } from './worldFaults';
 import type { Owner } from './worldTypes';
@@ -89,6 +84,12 @@
 
   areWriteAnswersLost = false;
 
+  readonly handovers = new HandoverModel(this.time, {
+    getOwner: () => this.#owner,
+    takeOver: () => this.takeOver(true),
+    dispatch: (owner, event) => this.#dispatch(owner, event),
+  });
+
   /** When a new owner has read all rows of its predecessors' time. */
   submissionsReadDelayMs = limits.SUBMISSIONS_READ_DELAY_MS;
 
@@ -219,8 +220,7 @@
       progressVersion: this.store.get(submission.id)?.version ?? 0,
     }));
     const { nowMs } = this.time;
-    const wallMs = WALL_START_MS + nowMs + this.wallOffsetMs;
-    const clocks = { nowMs, wallMs, steadyMs: nowMs };
+    const clocks = { nowMs, wallMs: WALL_START_MS + nowMs + this.wallOffsetMs, steadyMs: nowMs };
     const record = this.recordStore.load(this.#epoch);
     const core = new OwnerCore(toEpoch(this.#epoch), loaded, clocks, undefined, record);
     const owner: Owner = {
@@ -241,15 +241,6 @@
     );
   }
 
-  /** The owner hands over to a successor, which tells it of its claim. */
-  handOver(): void {
-    const former = this.#owner;
-    this.takeOver(true);
-    this.time.after(limits.ANNOUNCEMENT_MS, () => {
-      if (former !== undefined) former.isStopped = true;
-    });
-  }
-
   /**
    * Adds a submission during a takeover: the new owner has read the stored rows before it was added, and
    * the former owner, which is not fenced off yet, receives it first. The new owner receives it from the
@@ -423,6 +414,9 @@
       case 'stepDown':
         Object.assign(owner, { isStopped: true });
         break;
+      case 'handoverPrepared':
+        this.handovers.onPrepared(owner);
+        break;
       default:
         break;
     }
@@ -474,9 +468,8 @@
     this.time.after(limits.STORE_LATENCY_MS / 2, write);
   }
 
-  #findWriteObstacle({ epoch }: Owner): RecordFailure | undefined {
-    if (!this.isStoreAvailable) return { kind: 'unavailable', detail: 'store is down' };
-    return epoch === this.#epoch ? undefined : { kind: 'superseded' };
+  #findWriteObstacle({ epoch }: Owner) {
+    return findWriteObstacle(this.isStoreAvailable, epoch === this.#epoch);
   }
 
   /** Gets the specification of a task's step. */
@@ -515,15 +508,7 @@
       this.time.after(0, () => this.#runGangIfComplete(taskKey, call.run));
     if (this.crashingTaskKeys.has(taskKey))
       this.time.after(limits.CRASH_DELAY_MS, () => this.#crashUnderTask(target, taskKey, call.run));
-    const fails = this.#random.nextFraction() < this.#options.faults.failedRuns;
-    const isLasting = step.policy.kind === 'standing';
-    const usualMs = isLasting ? limits.STARTUP_MS : step.estimateMs;
-    const how = fails ? 'failed' : 'done';
-    return {
-      workMs: usualMs * (0.5 + this.#random.nextFraction()) * target.slowness,
-      how: isLasting ? 'lasting' : how,
-      isGang: step.policy.kind === 'gang',
-    };
+    return createRunPlan(step, target, this.#random, this.#options.faults);
   }
 
   #crashUnderTask(target: FakeTarget, taskKey: TaskKey, run: number): void {
--- a/tests/support/takeoverHistories.ts
+++ b/tests/support/takeoverHistories.ts
@@ -146,7 +146,7 @@
       const [next] = pending;
       if (next !== undefined && world.time.nowMs >= lostAtMs + next.atMs) {
         pending.shift();
-        if (next.isPlanned === true) world.handOver();
+        if (next.isPlanned === true) world.handovers.request();
         else world.takeOver(next.isFormerAlive, next.suspensionMs);
       }
       world.run(STEP_MS);
--- a/tests/support/worldChecks.ts
+++ b/tests/support/worldChecks.ts
@@ -1,12 +1,15 @@
 /** What simulations of the owner compute about runs on fake targets. */
 
-import type { Advice, EndedEntry } from '../../src/owner/types';
+import type { Advice, EndedEntry, RecordFailure } from '../../src/owner/types';
 import { getHash } from '../../src/types/hash';
 import type { StepKey, SubmissionId, TargetId, TaskKey, TeamId, Ticket } from '../../src/types/ids';
 import { tryParseTaskKey } from '../../src/work/taskKeys';
 import { addDemand, getChargedDemand, isDemandFitting, NO_DEMAND } from '../../src/work/types';
 import type { StepSpec, Submission, TaskDemand } from '../../src/work/types';
-import type { FakeRun, FakeTarget } from '../../standins/fakeTarget';
+import type { Random } from '../../src/types/random';
+import type { FakeRun, FakeTarget, RunPlan } from '../../standins/fakeTarget';
+import { STARTUP_MS } from './worldConstants';
+import type { WorldFaults } from './worldFaults';
 
 /** A run and the target that holds it. */
 export interface HeldRun {
@@ -114,3 +117,30 @@
   const isComplete = members.every(({ target, other }) => target.runs.get(other.taskKey) === other);
   members.forEach(({ target, other }) => target.endRun(other, isComplete ? 'done' : 'broken'));
 }
+
+/** Draws how long the run of a task takes and how it ends. */
+export function createRunPlan(
+  step: StepSpec,
+  { slowness }: FakeTarget,
+  random: Random,
+  { failedRuns }: WorldFaults,
+): RunPlan {
+  const fails = random.nextFraction() < failedRuns;
+  const isLasting = step.policy.kind === 'standing';
+  const usualMs = isLasting ? STARTUP_MS : step.estimateMs;
+  const how = fails ? 'failed' : 'done';
+  return {
+    workMs: usualMs * (0.5 + random.nextFraction()) * slowness,
+    how: isLasting ? 'lasting' : how,
+    isGang: step.policy.kind === 'gang',
+  };
+}
+
+/** Finds why the store does not perform a transaction of an owner. */
+export function findWriteObstacle(
+  isStoreAvailable: boolean,
+  isOwnerCurrent: boolean,
+): RecordFailure | undefined {
+  if (!isStoreAvailable) return { kind: 'unavailable', detail: 'store is down' };
+  return isOwnerCurrent ? undefined : { kind: 'superseded' };
+}
--- a/tests/support/worldConstants.ts
+++ b/tests/support/worldConstants.ts
@@ -10,6 +10,9 @@
 /** Time in which a former owner starts a new submission. */
 export const FORMER_OWNER_START_MS = 20;
 
+/** Time after a resignation until the successor has claimed the ownership and read the rows. */
+export const CLAIM_MS = 10;
+
 /** Time after a claim until the former owner is told of it. */
 export const ANNOUNCEMENT_MS = 10;
 
--- a/tests/takeoverLog.test.ts
+++ b/tests/takeoverLog.test.ts
@@ -69,7 +69,12 @@
       logger: createLogger('test', 'node-1', 'info', stream),
       metrics,
     },
-    { isAuthorized: () => true, advise: () => pending, onSuperseded: () => undefined },
+    {
+      isAuthorized: () => true,
+      advise: () => pending,
+      onHandoverPrepared: () => undefined,
+      onSuperseded: () => undefined,
+    },
     ...([toEpoch(4), 1] as const),
     { changeVersion: 1, operator: { config: undefined, closedDataCentreIds: [] } },
   );
