--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -139,6 +139,9 @@
 
   #clockOffsetMs: number | undefined;
 
+  /** A handover is being prepared or has just been: what a successor has to know is stored without delay. */
+  isHandingOver = false;
+
   /** True after a change that may allow a task to start. */
   isPlanDue = true;
 
