--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -100,6 +100,12 @@
 /** Targets that have not been found silent by then are not waited for any longer. */
 export const HANDOVER_PROBE_MS = 200;
 
+/**
+ * Upper bound of the wait for the removal of targets from the registry that drained and are silent; the registry is read
+ * each 300 ms. It is added to that time only while such a target holds runs.
+ */
+export const HANDOVER_DEPARTURE_MS = 700;
+
 /** A successor that has not claimed the ownership within this time after the preparation may not come. */
 export const HANDOVER_CLAIM_MS = 1_000;
 
--- a/src/owner/departures.ts
+++ b/src/owner/departures.ts
@@ -10,13 +10,6 @@
 /** A removal proves a departure within this fraction of the time after which the registry drops a silent target. */
 const PROOF_FRACTION = 3 / 4;
 
-/** A target that has left as announced. */
-export interface Departure {
-  readonly incarnationStartMs: number;
-  /** When that was certain, on the owner's steady clock. */
-  readonly atMs: number;
-}
-
 /** Finds out which targets have left. */
 export class Departures {
   #state: OwnerState;
--- a/src/owner/handoverPreparation.ts
+++ b/src/owner/handoverPreparation.ts
@@ -5,7 +5,12 @@
  */
 
 import { assertNever } from '../types/debug';
-import { HANDOVER_CLAIM_MS, HANDOVER_PREPARATION_MS, HANDOVER_PROBE_MS } from './constants';
+import {
+  HANDOVER_CLAIM_MS,
+  HANDOVER_DEPARTURE_MS,
+  HANDOVER_PREPARATION_MS,
+  HANDOVER_PROBE_MS,
+} from './constants';
 import type { CrashTracker } from './crashTracker';
 import type { OwnerState } from './ownerState';
 import type { UndurableChange } from './progressWriter';
@@ -35,6 +40,8 @@
       readonly kind: 'recording';
       readonly begin: HandoverBegin;
       readonly unansweredCount: number;
+      /** The handover is not delayed beyond this, whatever is left to be stored. */
+      readonly endsAtMs: number;
       readonly changes: readonly UndurableChange[];
     }
   | { readonly kind: 'prepared'; readonly atMs: number };
@@ -126,6 +133,7 @@
     );
     this.#phase = { kind: 'probing', begin, awaited: unanswered };
     if (unanswered.length > 0 && nowMs < begin.atMs + HANDOVER_PROBE_MS) return;
+    if (this.#isDepartureAwaited() && nowMs < begin.atMs + HANDOVER_DEPARTURE_MS) return;
     this.#state.isHandingOver = HandoverPreparation.#isSilenceOfTargets(begin);
     // With the reports the successor takes the runs for known, and other work need not wait for the target.
     this.#state.watch
@@ -134,12 +142,20 @@
       .forEach((target) => this.#crashTracker.onStillLost(target));
     const recording: HandoverPhase = {
       ...{ kind: 'recording', begin, unansweredCount: unanswered.length },
+      endsAtMs: Math.max(begin.atMs, nowMs - HANDOVER_PROBE_MS) + HANDOVER_PREPARATION_MS,
       changes: writer.undurableChanges,
     };
     this.#phase = recording;
     this.#checkRecorded(recording);
   }
 
+  /** The registry drops a target soon after it has left, and only this owner can then tell that from a silence. */
+  #isDepartureAwaited(): boolean {
+    return [...this.#state.watch.draining].some(
+      ({ isResponding, isRegistered, runs }) => !isResponding && isRegistered && runs.size > 0,
+    );
+  }
+
   /**
    * When most targets seem to have fallen silent at once, this node may be the cause, as it is being stopped. If that
    * were recorded, they would get no starts and no leases until their rows were written again.
@@ -158,7 +174,7 @@
     this.#phase = { ...phase, changes };
     const { nowMs } = this.#state;
     const isDone = isRecordWritten && changes.length === 0;
-    if (!isDone && nowMs < begin.atMs + HANDOVER_PREPARATION_MS) return;
+    if (!isDone && nowMs < phase.endsAtMs) return;
     this.#phase = { kind: 'prepared', atMs: nowMs };
     this.#state.log('handover prepared', {
       durationMs: Math.round(nowMs - begin.atMs),
--- a/src/owner/incarnations.ts
+++ b/src/owner/incarnations.ts
@@ -153,7 +153,7 @@
    * @param target - the target, which does not answer
    */
   depart(target: TargetState): void {
-    const { steadyMs, nowMs, record, departed } = this.#state;
+    const { nowMs } = this.#state;
     const { id, entry } = target;
     const ended = [...target.runs.values()].filter(
       ({ isListed, confirmedAtMs }) => isListed || confirmedAtMs !== undefined,
@@ -169,8 +169,7 @@
     this.#runManager.crashTracker.onLeaseExpired(target);
     this.releaseRuns(target, ended, DEPARTURE_REASON);
     if (target.runs.size > 0) return;
-    if (record.getVersion(id) > 0)
-      departed.set(id, { incarnationStartMs: entry.incarnationStartMs, atMs: steadyMs });
+    this.#state.setVacated(target);
     this.remove(target, DEPARTURE_REASON, true);
   }
 
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -9,7 +9,6 @@
   MAX_CLOCK_DRIFT,
   MAX_START_TIMEOUT_MS,
 } from './constants';
-import type { Departure } from './departures';
 import { EligibleTargets } from './eligibleTargets';
 import { ResponseTimes } from './responseTimes';
 import { ProgressWriter } from './progressWriter';
@@ -41,6 +40,13 @@
   readonly untilMs: number;
 }
 
+/** A target that was removed from the table while it held nothing. */
+interface VacatedTarget {
+  readonly incarnationStartMs: number;
+  /** When it was removed, on the owner's steady clock. */
+  readonly atMs: number;
+}
+
 /** State of an owner during one epoch. */
 export class OwnerState {
   #effects: OwnerEffect[] = [];
@@ -92,8 +98,8 @@
 
   #formerSilences = new Map<TargetId, FormerSilence>();
 
-  /** Targets that have left as announced, while the record has rows of them. */
-  readonly departed = new Map<TargetId, Departure>();
+  /** Targets that held nothing when they were removed from the table, while the record has rows of them. */
+  readonly vacated = new Map<TargetId, VacatedTarget>();
 
   /** Targets on which a former owner may have started runs that have not been reported yet. */
   readonly unresolvedTargets = new Set<TargetId>();
@@ -190,6 +196,15 @@
     this.#targets.delete(target.id);
   }
 
+  /**
+   * Records that a target holds nothing as it is removed from the table, so that no later owner waits for it.
+   * @param target - a target that has answered this owner, which refuses calls of former owners since then
+   */
+  setVacated({ id, entry: { incarnationStartMs } }: TargetState): void {
+    if (this.record.getVersion(id) === 0) return;
+    this.vacated.set(id, { incarnationStartMs, atMs: this.steadyMs });
+  }
+
   /**
    * Adopts what former owners have recorded of silent targets.
    * @param readAt - the store's clock when the record was read
@@ -229,9 +244,9 @@
    */
   getUnresolvedUntilMs(entry: TargetEntry | undefined): number {
     const untilMs = this.getFormerCallsUntilMs(entry);
-    const departure = entry && this.departed.get(entry.id);
-    if (departure !== undefined && departure.incarnationStartMs === entry?.incarnationStartMs)
-      return Math.min(untilMs, departure.atMs);
+    const vacated = entry && this.vacated.get(entry.id);
+    if (vacated !== undefined && vacated.incarnationStartMs === entry?.incarnationStartMs)
+      return Math.min(untilMs, vacated.atMs);
     const silence = entry && this.#formerSilences.get(entry.id);
     if (silence === undefined || silence.incarnationStartMs !== entry?.incarnationStartMs)
       return untilMs;
--- a/src/owner/runBounds.ts
+++ b/src/owner/runBounds.ts
@@ -47,6 +47,20 @@
   return Math.max(expiryMs, run.sentSteadyMs + maxUnlistedMs);
 }
 
+/**
+ * Checks whether a target that has listed its runs holds nothing that a later owner would have to learn from it: no run,
+ * no start that may have taken place, and no end that is not stored.
+ * @param state - the owner's state
+ * @param target - the target
+ * @returns false when it may hold something, or has not answered this owner
+ */
+export function isVacant({ steadyMs }: Pick<OwnerState, 'steadyMs'>, target: TargetState): boolean {
+  if (!target.isContacted || target.runs.size > 0 || !target.areAllEndsDurable) return false;
+  if (target.trial !== undefined || target.lease.mayBeInherited(steadyMs)) return false;
+  if (target.orphanRuns.size === 0 && !target.hasUnseenEnds) return true;
+  return !target.isResponding && target.lease.isExpired(steadyMs);
+}
+
 /**
  * Gets the time by which a target holds no runs of any owner if it is not heard from any more.
  * @param state - the owner's state
@@ -54,9 +68,10 @@
  * @returns the latest time on the owner's steady clock; infinite when nothing bounds it
  */
 export function getSilentEndMs(
-  state: Pick<OwnerState, 'maxUnlistedMs' | 'getUnresolvedUntilMs'>,
+  state: Pick<OwnerState, 'maxUnlistedMs' | 'getUnresolvedUntilMs' | 'steadyMs'>,
   target: TargetState,
 ): number {
+  if (isVacant(state, target)) return state.steadyMs;
   const endsMs = [...target.runs.values()].map((run) => getRunEndMs(state, target, run));
   const expiryMs = target.lease.getExpiryMs();
   if (target.isContacted) return Math.max(expiryMs, ...endsMs);
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -9,6 +9,7 @@
 import type { CrashTracker } from './crashTracker';
 import type { Incarnations } from './incarnations';
 import type { OwnerState } from './ownerState';
+import { isVacant } from './runBounds';
 import { SilenceTracker } from './silenceTracker';
 import type { SilentTarget } from './silenceTracker';
 import { toIncarnation } from './targetState';
@@ -181,7 +182,7 @@
     this.#state.record.setAbsent(written.removals.map(({ targetId }) => targetId));
     written.removals.forEach(({ targetId }) => {
       this.#emptySinceMs.delete(targetId);
-      this.#state.departed.delete(targetId);
+      this.#state.vacated.delete(targetId);
     });
     if (written.isComplete) this.#isDeclaredComplete = true;
     this.#state.isPlanDue = true;
@@ -341,13 +342,14 @@
     });
   }
 
-  /** Whether a silent target holds nothing that a later owner would have to learn from it. */
+  /** One that drains gets no starts, so what it has listed is all that it will ever hold. */
   #isEmpty(target: TargetState): boolean {
+    if (target.isResponding && !target.entry.isDraining) return false;
+    if (target.isContacted) return isVacant(this.#state, target);
     const { steadyMs } = this.#state;
-    if (target.isResponding || target.runs.size > 0 || !target.areAllEndsDurable) return false;
-    if (target.trial !== undefined || target.lease.mayBeInherited(steadyMs)) return false;
-    const isUnresolved = steadyMs <= this.#state.getUnresolvedUntilMs(target.entry);
-    if (!target.isContacted && isUnresolved) return false;
+    if (target.runs.size > 0 || !target.areAllEndsDurable || target.trial !== undefined) return false;
+    if (target.lease.mayBeInherited(steadyMs)) return false;
+    if (steadyMs <= this.#state.getUnresolvedUntilMs(target.entry)) return false;
     const mayListMore = target.orphanRuns.size > 0 || target.hasUnseenEnds;
     return !mayListMore || target.lease.isExpired(steadyMs);
   }
@@ -364,10 +366,10 @@
 
   /** The delay only saves writes, as most interruptions are short. */
   #isRemovalDue(id: TargetId): boolean {
-    const { nowMs, isHandingOver, departed } = this.#state;
+    const { nowMs, isHandingOver, vacated } = this.#state;
     const emptySinceMs = this.#emptySinceMs.get(id);
     if (emptySinceMs === undefined) return false;
-    return isHandingOver || departed.has(id) || nowMs > emptySinceMs + REMOVAL_DELAY_MS;
+    return isHandingOver || vacated.has(id) || nowMs > emptySinceMs + REMOVAL_DELAY_MS;
   }
 
   /**
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -247,6 +247,7 @@
       if (target.mayNeedStops) this.#checkRuns(target);
       if (!target.isResponding && target.lease.isExpired(steadyMs)) this.#releaseExpired(target);
       if (!target.isRegistered && this.#canRemove(target)) {
+        if (TargetTable.#wasReached(target)) this.#state.setVacated(target);
         this.#incarnations.remove(target, 'the target has left the registry', false);
       }
     });
@@ -296,14 +297,18 @@
     this.#runManager.recordFailure(target, run.step.record);
   }
 
+  /** Whether it has listed its runs to this owner, and none has been unseen since. */
+  static #wasReached({ isContacted, lastAnsweredAtMs }: TargetState): boolean {
+    return isContacted && lastAnsweredAtMs > 0;
+  }
+
   /** Checks whether an unregistered target can be removed; it is kept while it may still run something. */
   #canRemove(target: TargetState): boolean {
     const { steadyMs } = this.#state;
     if (target.runs.size > 0 || target.lease.mayBeInherited(steadyMs)) return false;
     if (target.orphanRuns.size > 0 && !target.lease.isExpired(steadyMs)) return false;
     // Until then polls have to keep former owners' calls from being carried out, also when nothing waits for it.
-    const wasReached = target.isContacted && target.lastAnsweredAtMs > 0;
-    if (!wasReached) return steadyMs > this.#state.getFormerCallsUntilMs(target.entry);
+    if (!TargetTable.#wasReached(target)) return steadyMs > this.#state.getFormerCallsUntilMs(target.entry);
     return !target.isResponding || target.unacknowledgedEndCount === 0;
   }
 }
