--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -101,8 +101,8 @@
 export const HANDOVER_PROBE_MS = 200;
 
 /**
- * Upper bound of the wait for the removal of targets from the registry that drained and are silent; the registry is read
- * each 300 ms. It is added to that time only while such a target holds runs.
+ * Upper bound of the wait for the registry to drop targets that drained and are silent; it is read each 300 ms. The wait
+ * comes about only while such a target holds runs.
  */
 export const HANDOVER_DEPARTURE_MS = 700;
 
--- a/src/owner/runBounds.ts
+++ b/src/owner/runBounds.ts
@@ -48,8 +48,8 @@
 }
 
 /**
- * Checks whether a target that has listed its runs holds nothing that a later owner would have to learn from it: no run,
- * no start that may have taken place, and no end that is not stored.
+ * Checks whether a target that has listed its runs holds nothing that a later owner would have to learn: no run, no
+ * start that may have taken place, and no end that is not stored.
  * @param state - the owner's state
  * @param target - the target
  * @returns false when it may hold something, or has not answered this owner
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -347,7 +347,8 @@
     if (target.isResponding && !target.entry.isDraining) return false;
     if (target.isContacted) return isVacant(this.#state, target);
     const { steadyMs } = this.#state;
-    if (target.runs.size > 0 || !target.areAllEndsDurable || target.trial !== undefined) return false;
+    if (target.runs.size > 0 || !target.areAllEndsDurable || target.trial !== undefined)
+      return false;
     if (target.lease.mayBeInherited(steadyMs)) return false;
     if (steadyMs <= this.#state.getUnresolvedUntilMs(target.entry)) return false;
     const mayListMore = target.orphanRuns.size > 0 || target.hasUnseenEnds;
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -308,7 +308,8 @@
     if (target.runs.size > 0 || target.lease.mayBeInherited(steadyMs)) return false;
     if (target.orphanRuns.size > 0 && !target.lease.isExpired(steadyMs)) return false;
     // Until then polls have to keep former owners' calls from being carried out, also when nothing waits for it.
-    if (!TargetTable.#wasReached(target)) return steadyMs > this.#state.getFormerCallsUntilMs(target.entry);
+    if (!TargetTable.#wasReached(target))
+      return steadyMs > this.#state.getFormerCallsUntilMs(target.entry);
     return !target.isResponding || target.unacknowledgedEndCount === 0;
   }
 }
