--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -96,6 +96,9 @@
 
   #followers = new FollowerTable();
 
+  /** The last ownership of this process that has ended. */
+  #ended: Pick<OwnerHost, 'epoch' | 'areFormerOwnersEnded'> | undefined;
+
   #handoverCheckedAtMs = 0;
 
   #timers: NodeJS.Timeout[] = [];
@@ -142,6 +145,7 @@
       {
         onBegin: (epoch, rowVersion) => this.#beginOwning(epoch, rowVersion),
         onEnd: (reason) => this.#endOwning(reason),
+        onFormerOwnersEnded: (epoch) => this.#onFormerOwnersEnded(epoch),
         onOperatorVersion: (version, link) => this.#onOperatorVersion(version, link),
         getOperatorVersion: () => this.#operator.snapshot.changeVersion,
         isStoreReachable: () => this.#store.isReachable,
@@ -317,9 +321,14 @@
     this.#ownerHost.start().catch(throwRejection);
   }
 
+  #onFormerOwnersEnded(epoch: Epoch): void {
+    if (this.#ownerHost?.epoch === epoch) this.#ownerHost.confirmFormerOwnersEnded();
+  }
+
   #endOwning(reason: string): void {
     this.#ports.logger.info({ reason }, 'owner stopped');
     this.#ownerHost?.stop();
+    this.#ended = this.#ownerHost;
     this.#ownerHost = undefined;
   }
 
@@ -379,7 +388,9 @@
       }),
       announce: (params) => {
         this.#ownership.dispatch({ kind: 'announced', ...params });
-        return {};
+        if (this.#ended === undefined || this.#ownerHost !== undefined) return {};
+        const { epoch, areFormerOwnersEnded } = this.#ended;
+        return { endedEpoch: epoch, areFormerOwnersEnded };
       },
       resign: ({ epoch, successorId }) => {
         this.#ownership.dispatch({ kind: 'resigned', epoch, successorId });
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -97,6 +97,10 @@
   /** Version of the store when the authority of former owners had ended, until the feed has passed it. */
   #formerVersion: number | undefined;
 
+  #isFormerVersionKnown = false;
+
+  #areFormerOwnersEnded = false;
+
   #followers: TableFollower[] = [];
 
   #timer: NodeJS.Timeout | undefined;
@@ -156,6 +160,11 @@
     return this.#epoch;
   }
 
+  /** Whether no owner before this one may act any more. */
+  get areFormerOwnersEnded(): boolean {
+    return this.#areFormerOwnersEnded;
+  }
+
   /** The scheduler; undefined until the stored state is loaded. */
   get core(): OwnerCore | undefined {
     return this.#core;
@@ -284,10 +293,20 @@
     return this.#epoch;
   }
 
+  /** Handles the confirmation of the former owner that neither it nor one before it acts any more. */
+  confirmFormerOwnersEnded(): void {
+    if (this.#areFormerOwnersEnded) return;
+    this.#areFormerOwnersEnded = true;
+    this.#whenLoaded(() => {
+      this.#dispatch({ kind: 'formerAuthorityEnded' });
+      this.#scheduleFormerOwnersEnd(0);
+    });
+  }
+
   /** Once no former owner may act any more, learns the version of the store at that time. */
   #scheduleFormerOwnersEnd(delayMs: number): void {
     setTimeout(() => {
-      if (this.#isStopped) return;
+      if (this.#isStopped || this.#isFormerVersionKnown) return;
       const query = { table: OWNERSHIP_TABLE, part: OWNER_PART, fromKey: '', limit: 1 };
       this.#ports.store.readRange(query, VERSION_TIMEOUT_MS).then((page) => {
         if (E.isLeft(page)) this.#scheduleFormerOwnersEnd(VERSION_RETRY_DELAY_MS);
@@ -297,6 +316,9 @@
   }
 
   #onFormerOwnersEnded(storeVersion: number): void {
+    if (this.#isFormerVersionKnown) return;
+    this.#isFormerVersionKnown = true;
+    this.#areFormerOwnersEnded = true;
     this.#formerVersion = storeVersion;
     this.#dispatch({ kind: 'formerOwnersEnded', storeVersion });
   }
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -3,7 +3,7 @@
 import * as E from 'fp-ts/Either';
 import type { PeerLink } from '../peer/peerLink';
 import { callPeerOnce, openPeerLink } from '../peer/peerLink';
-import type { PeerHandlers } from '../peer/types';
+import type { PeerHandlers, PeerReplies } from '../peer/types';
 import type { RowStore } from '../store/types';
 import { assertNever, throwRejection } from '../types/debug';
 import type { Epoch, NodeId } from '../types/ids';
@@ -33,6 +33,8 @@
 export interface OwnershipDelegate {
   onBegin(epoch: Epoch, rowVersion: number): void;
   onEnd(reason: string): void;
+  /** Called when the owner before an epoch of this node has confirmed that no former owner acts any more. */
+  onFormerOwnersEnded(epoch: Epoch): void;
   /** Receives the version of the operator state that the owner reports with each heartbeat answer. */
   onOperatorVersion(version: number, link: PeerLink): void;
   getOperatorVersion(): number;
@@ -268,14 +270,24 @@
     this.#getOtherMembers().forEach((member) => {
       const params = { epoch, nodeId, address, rowVersion, silenceSinceEpoch };
       callPeerOnce(member.address, 'announce', params, ANNOUNCE_TIMEOUT_MS).then(
-        (reply) => this.#logAnnounced(member.nodeId, reply),
+        (reply) => this.#onAnnounced(epoch, member.nodeId, reply),
         throwRejection,
       );
     });
   }
 
-  #logAnnounced(nodeId: NodeId, reply: E.Either<string, unknown>): void {
-    if (E.isRight(reply)) return;
-    this.#ports.logger.info({ nodeId, reason: reply.left }, 'announcement of new owner failed');
+  /** A former owner sends nothing any more once it has taken the announcement. */
+  #onAnnounced(
+    epoch: Epoch,
+    nodeId: NodeId,
+    reply: E.Either<string, PeerReplies['announce']>,
+  ): void {
+    if (E.isLeft(reply)) {
+      this.#ports.logger.info({ nodeId, reason: reply.left }, 'announcement of new owner failed');
+      return;
+    }
+    const { endedEpoch, areFormerOwnersEnded } = reply.right;
+    if (endedEpoch === epoch - 1 && areFormerOwnersEnded === true)
+      this.#delegate.onFormerOwnersEnded(epoch);
   }
 }
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -5,14 +5,7 @@
 import type { Submission } from '../work/types';
 import { AdviceDispatcher } from './adviceDispatcher';
 import { BeliefMonitor } from './beliefMonitor';
-import {
-  DEFAULT_MAX_LEASE_MS,
-  OWNER_AUTHORITY_MS,
-  MAX_CLOCK_DRIFT,
-  LEASE_MS,
-  OUTCOME_RETENTION_MS,
-  STOP_RETRY_DELAY_MS,
-} from './constants';
+import { DEFAULT_MAX_LEASE_MS, OWNER_AUTHORITY_MS, OUTCOME_RETENTION_MS } from './constants';
 import { EarlyCancellations } from './earlyCancellations';
 import { HandoverPreparation } from './handoverPreparation';
 import { Incarnations } from './incarnations';
@@ -117,12 +110,7 @@
   ) {
     this.#state = new OwnerState(epoch, maxLeaseMs, record);
     this.#state.setClocks(clocks);
-    this.#state.unresolvedUntilMs =
-      clocks.steadyMs + OWNER_AUTHORITY_MS + LEASE_MS * (1 + MAX_CLOCK_DRIFT) + STOP_RETRY_DELAY_MS;
-    this.#state.longUnresolvedUntilMs = Math.max(
-      this.#state.unresolvedUntilMs,
-      clocks.steadyMs + OWNER_AUTHORITY_MS + this.#state.maxInheritedLeaseMs,
-    );
+    this.#state.setFormerAuthorityEnd(clocks.steadyMs + OWNER_AUTHORITY_MS);
     if (record.readAt !== undefined) this.#state.adoptSilences(record.readAt);
     this.#runManager = new RunManager(this.#state);
     const incarnations = new Incarnations(this.#state, this.#runManager);
@@ -293,6 +281,9 @@
       case 'submitted':
         this.#onSubmitted(event.submission, event.rowVersion);
         return;
+      case 'formerAuthorityEnded':
+        this.#onFormerAuthorityEnded();
+        return;
       case 'formerOwnersEnded':
         this.#unseenRuns.onFormerOwnersEnded(event.storeVersion);
         return;
@@ -485,6 +476,16 @@
     this.#occurrences.openDue(record);
   }
 
+  /** The waits for leases of former owners were set for owners that go on unaware of their successor. */
+  #onFormerAuthorityEnded(): void {
+    const { steadyMs, targets } = this.#state;
+    this.#state.setFormerAuthorityEnd(steadyMs);
+    targets.forEach((target) => this.#runManager.limitInheritedLease(target));
+    this.#state.log('former owners have ended', {
+      leasesEndInMs: Math.round(this.#state.unresolvedUntilMs - steadyMs),
+    });
+  }
+
   /** From now on what targets list of other submissions does not exist. */
   #onSubmissionsRead(): void {
     this.#state.areSubmissionsRead = true;
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -4,9 +4,11 @@
 import type { OperatorState } from '../work/types';
 import {
   LEASE_EXPIRY_MARGIN_MS,
+  LEASE_MS,
   MAX_CALL_DELAY_MS,
   MAX_CLOCK_DRIFT,
   MAX_START_TIMEOUT_MS,
+  STOP_RETRY_DELAY_MS,
 } from './constants';
 import { EligibleTargets } from './eligibleTargets';
 import { ResponseTimes } from './responseTimes';
@@ -90,11 +92,9 @@
   /** Queues whose tasks are suspected of having crashed targets, with the time of the latest such crash. */
   readonly crashingQueues = new Map<QueueId, number>();
 
-  /** Until this time a target that has never responded may hold runs of a former owner, unless its lease is longer. */
-  unresolvedUntilMs = 0;
+  #unresolvedUntilMs = Number.POSITIVE_INFINITY;
 
-  /** Until this time it may hold them with the longest lease. */
-  longUnresolvedUntilMs = 0;
+  #longUnresolvedUntilMs = Number.POSITIVE_INFINITY;
 
   /**
    * Submissions that targets have reported but this owner has not read yet. A former owner may have
@@ -145,6 +145,28 @@
     this.maxUnlistedMs = MAX_CALL_DELAY_MS + this.maxInheritedLeaseMs;
   }
 
+  /** Until this time a target that has never responded may hold runs of a former owner, unless its lease is longer. */
+  get unresolvedUntilMs(): number {
+    return this.#unresolvedUntilMs;
+  }
+
+  /** Until this time it may hold them with the longest lease. */
+  get longUnresolvedUntilMs(): number {
+    return this.#longUnresolvedUntilMs;
+  }
+
+  /**
+   * Sets when former owners sent their last calls. Whatever these have granted ends a lease later, also when a call is
+   * carried out late, as it names the end of the lease.
+   * @param endMs - the latest time, on the steady clock
+   */
+  setFormerAuthorityEnd(endMs: number): void {
+    const leaseEndMs = endMs + LEASE_MS * (1 + MAX_CLOCK_DRIFT) + STOP_RETRY_DELAY_MS;
+    this.#unresolvedUntilMs = Math.min(this.#unresolvedUntilMs, leaseEndMs);
+    const longEndMs = Math.max(leaseEndMs, endMs + this.maxInheritedLeaseMs);
+    this.#longUnresolvedUntilMs = Math.min(this.#longUnresolvedUntilMs, longEndMs);
+  }
+
   /** The current incarnation of each target. */
   get targets(): ReadonlyMap<TargetId, TargetState> {
     return this.#targets;
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -234,6 +234,23 @@
     return true;
   }
 
+  /**
+   * Shortens the wait for runs that only the report of a former owner tells of, once the leases of former owners are
+   * known to end sooner.
+   * @param limited - a target
+   */
+  limitInheritedLease(limited: TargetState): void {
+    const target = limited;
+    const { inheritedEndsAtMs } = target.lease;
+    // A target that has answered, or has replaced another one, has leases of this owner.
+    const isRestored = target.isContacted && target.lastAnsweredAtMs === 0;
+    if (!isRestored || inheritedEndsAtMs === undefined) return;
+    target.lease.inheritedEndsAtMs = Math.min(
+      inheritedEndsAtMs,
+      this.#state.getUnresolvedUntilMs(target.entry),
+    );
+  }
+
   /**
    * Applies the end of a run to its task.
    * @param step - the step
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -246,6 +246,8 @@
         /** Version of its row; undefined when a gate has announced it. */
         readonly rowVersion?: number;
       }
+    /** The former owner has confirmed that neither it nor one before it acts any more. */
+    | { readonly kind: 'formerAuthorityEnded' }
     /** No former owner may act any more; every row of a later version was written after that. */
     | { readonly kind: 'formerOwnersEnded'; readonly storeVersion: number }
     /** All rows of submissions up to the end of the authority of former owners have been reported. */
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -91,7 +91,12 @@
   ping: Record<string, never>;
   advise: AdviseReply;
   isOwnerHeard: { readonly isHeard: boolean };
-  announce: Record<string, never>;
+  announce: {
+    /** The last epoch that the answering node has owned in its process; nodes of earlier builds do not report it. */
+    readonly endedEpoch?: number | undefined;
+    /** Whether no owner before that epoch may act any more. */
+    readonly areFormerOwnersEnded?: boolean | undefined;
+  };
   resign: Record<string, never>;
 }
 
--- a/tests/plannedHandover.test.ts
+++ b/tests/plannedHandover.test.ts
@@ -333,6 +333,46 @@
   expect(world.broken).toEqual([]);
 });
 
+describe('a successor counts the leases of former owners from', () => {
+  /** Longest lease of a target that falls silent now, with the margins of two clocks. */
+  const LEASE_END_MS = 5_800;
+
+  function getConfirmedEpochs({ effects }: Scenario): readonly number[] {
+    return effects.flatMap(({ epoch, effect }) =>
+      effect.kind === 'log' && effect.message === 'former owners have ended' ? [epoch] : [],
+    );
+  }
+
+  // It counted them from two seconds after its takeover (LOST).
+  test('the end of the former one, once that has confirmed it', () => {
+    const scenario = new Scenario();
+    const { world, holder } = scenario;
+    world.handovers.request();
+    // After the preparation, and before the successor asks.
+    world.run(12);
+    world.partition(holder.id, 60_000);
+    expect(scenario.runUntilElsewhere()).toBeLessThan(LEASE_END_MS);
+    expect(getConfirmedEpochs(scenario)).toEqual([2]);
+    expect(world.broken).toEqual([]);
+  });
+
+  test('its takeover, while an owner before the former one may still act', () => {
+    const scenario = new Scenario();
+    const { world } = scenario;
+    world.takeOver(true);
+    world.run(500);
+    world.handovers.request();
+    world.run(START_MS);
+    expect(world.core.epoch).toBe(3);
+    expect(getConfirmedEpochs(scenario)).toEqual([]);
+    world.run(2_000);
+    world.handovers.request();
+    world.run(START_MS);
+    expect(getConfirmedEpochs(scenario)).toEqual([4]);
+    expect(world.broken).toEqual([]);
+  });
+});
+
 // What a leaving owner stores is out of date once the target is back, and former owners may go on (TWICE, LOST).
 test('planned handovers among other takeovers leave each task with one run', () => {
   const violations = MIXED_SEEDS.flatMap((seed) => {
--- a/tests/support/handoverModel.ts
+++ b/tests/support/handoverModel.ts
@@ -1,4 +1,4 @@
-/** Planned handovers: the owner prepares, resigns, and stops once it is told of its successor. */
+/** Planned handovers: the owner prepares, resigns, and stops once it is told of its successor, which it confirms. */
 
 import type { VirtualTime } from './virtualTime';
 import * as limits from './worldConstants';
@@ -37,7 +37,19 @@
     this.#time.after(limits.CLAIM_MS, () => {
       if (this.#ports.getOwner() !== former || !this.areClaimed) return;
       this.#ports.takeOver();
-      this.#time.after(limits.ANNOUNCEMENT_MS, () => Object.assign(former, { isStopped: true }));
+      const successor = this.#ports.getOwner();
+      if (successor === undefined) return;
+      this.#time.after(limits.ANNOUNCEMENT_MS, () => this.#onAnnounced(former, successor));
+    });
+  }
+
+  #onAnnounced(stopped: Owner, successor: Owner): void {
+    const former = stopped;
+    former.isStopped = true;
+    if (this.#time.nowMs < former.formerOwnersEndAtMs) return;
+    this.#time.after(limits.CONFIRMATION_MS, () => {
+      Object.assign(successor, { formerOwnersEndAtMs: this.#time.nowMs });
+      this.#ports.dispatch(successor, { kind: 'formerAuthorityEnded' });
     });
   }
 }
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -225,7 +225,8 @@
     const core = new OwnerCore(toEpoch(this.#epoch), loaded, clocks, undefined, record);
     const owner: Owner = {
       ...{ core, epoch: this.#epoch, isStopped: false, suspendedUntilMs: 0, registryReadAtMs: 0 },
-      authorizedUntilMs: Number.POSITIVE_INFINITY,
+      ...{ authorizedUntilMs: Number.POSITIVE_INFINITY },
+      formerOwnersEndAtMs: nowMs + OWNER_AUTHORITY_MS,
     };
     this.#owner = owner;
     this.#owners.push(owner);
--- a/tests/support/worldConstants.ts
+++ b/tests/support/worldConstants.ts
@@ -16,6 +16,9 @@
 /** Time after a claim until the former owner is told of it. */
 export const ANNOUNCEMENT_MS = 10;
 
+/** Time until the successor has the answer of the former owner. */
+export const CONFIRMATION_MS = 2;
+
 /** Time after a takeover by which all submissions of former owners have been read. */
 export const SUBMISSIONS_READ_DELAY_MS = 4_000;
 
--- a/tests/support/worldTypes.ts
+++ b/tests/support/worldTypes.ts
@@ -7,6 +7,8 @@
   readonly core: OwnerCore;
   readonly epoch: number;
   isStopped: boolean;
+  /** From then on no owner before it may act, as far as it knows. */
+  formerOwnersEndAtMs: number;
   authorizedUntilMs: number;
   /** Its process is suspended until then. */
   suspendedUntilMs: number;
