--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,7 +1,7 @@
 /** One node: gate, ownership state machine, and the owner's scheduler while it owns the fleet. */
 
 import * as E from 'fp-ts/Either';
-import type { Advice, AdviceFailure, SubmissionView } from '../owner/types';
+import type { Advice, AdviceFailure, HandedAdvice, SubmissionView } from '../owner/types';
 import type { PeerHandlers, PeerLinkHandle, PeerCalls, PeerReplies } from '../peer/types';
 import { PeerServer } from '../peer/peerServer';
 import { startSocketFirstInterval } from '../rpc/socketFirstInterval';
@@ -14,6 +14,7 @@
 import type { CallerAnswer, CallerCall } from './callerTypes';
 import { CommitterLinks } from './committerLinks';
 import { Gate } from './gate';
+import { decodeHandedAdvice } from './handedAdvice';
 import { MemberList } from './memberList';
 import type { Member } from './memberList';
 import { OperatorFollower } from './operatorFollower';
@@ -99,6 +100,15 @@
   /** The last ownership of this process that has ended. */
   #ended: Pick<OwnerHost, 'epoch' | 'areFormerOwnersEnded'> | undefined;
 
+  /** What the owner of an epoch has handed over to this node. */
+  #handed:
+    | {
+        readonly epoch: Epoch;
+        readonly receivedAtMs: number;
+        readonly advice: readonly HandedAdvice[];
+      }
+    | undefined;
+
   #handoverCheckedAtMs = 0;
 
   #timers: NodeJS.Timeout[] = [];
@@ -233,8 +243,11 @@
     const { mode } = this.#ownership.core;
     if (mode.kind !== 'owning') return;
     this.#ports.logger.info({ epoch: mode.epoch, successorId, reason }, 'ownership handed over');
+    const advice = this.#ownerHost?.core?.getHandedAdvice(this.#ports.clock.nowMs()) ?? [];
+    const successorLink = this.#followers.getLink(successorId);
     this.#followers.links.forEach((link) => {
-      const params = { epoch: mode.epoch, successorId };
+      const isSuccessor = link === successorLink;
+      const params = { epoch: mode.epoch, successorId, ...(isSuccessor ? { advice } : {}) };
       link.call('resign', params, OWNER_TIMEOUT_MS).catch((error: unknown) => {
         this.#ports.logger.info({ reason: String(error) }, 'resignation not delivered');
       });
@@ -318,6 +331,10 @@
       this.#self.processorMillis,
     );
     this.#updateLanes();
+    const handed = this.#handed;
+    this.#handed = undefined;
+    if (handed?.epoch === epoch - 1)
+      this.#ownerHost.adoptAdvice(handed.advice, handed.receivedAtMs);
     this.#ownerHost.start().catch(throwRejection);
   }
 
@@ -392,7 +409,10 @@
         const { epoch, areFormerOwnersEnded } = this.#ended;
         return { endedEpoch: epoch, areFormerOwnersEnded };
       },
-      resign: ({ epoch, successorId }) => {
+      resign: ({ epoch, successorId, advice }) => {
+        const receivedAtMs = this.#ports.clock.nowMs();
+        if (successorId === this.#self.nodeId)
+          this.#handed = { epoch, receivedAtMs, advice: decodeHandedAdvice(advice) };
         this.#ownership.dispatch({ kind: 'resigned', epoch, successorId });
         return {};
       },
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -7,6 +7,7 @@
   Advice,
   AdviceFailure,
   ClockReadings,
+  HandedAdvice,
   LoadedSubmission,
   OwnerEffect,
   OwnerEvent,
@@ -235,6 +236,15 @@
     }
   }
 
+  /**
+   * Adopts the advice of the former owner.
+   * @param advice - what it has handed over
+   * @param receivedAtMs - when it was received
+   */
+  adoptAdvice(advice: readonly HandedAdvice[], receivedAtMs: number): void {
+    this.#whenLoaded(() => this.#dispatch({ kind: 'adviceHandedOver', advice, receivedAtMs }));
+  }
+
   /** Has what a successor needs stored before this owner resigns. One that still loads knows nothing of its own. */
   prepareHandover(): void {
     if (this.#core === undefined) this.#callbacks.onHandoverPrepared();
--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -6,6 +6,7 @@
 
 import * as E from 'fp-ts/Either';
 import type { NodeId, TargetId } from '../types/ids';
+import { tryParseTaskKey } from '../work/taskKeys';
 import { isDemandFitting } from '../work/types';
 import type { AdviceCosts } from '../work/types';
 import {
@@ -14,6 +15,8 @@
   ADVICE_RETRY_DELAY_MS,
   ADVICE_SILENCE_MS,
   ADVICE_TIMEOUT_MARGIN_MS,
+  HANDOVER_TRANSIT_MS,
+  MAX_HANDED_ADVICE,
   PREFETCH_TICKET_FRACTION,
   SHORT_ADVICE_MS,
   SHORT_LANE_FRACTION,
@@ -24,7 +27,7 @@
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
-import type { OwnerEvent } from './types';
+import type { HandedAdvice, OwnerEvent } from './types';
 
 type AdvisedEvent = Extract<OwnerEvent, { kind: 'advised' }>;
 
@@ -125,6 +128,47 @@
     this.#state.isPlanDue = true;
   }
 
+  /**
+   * Gets the advice about steps with waiting tasks, most urgent steps first.
+   * @param nowMs - current time on the owner's clock
+   * @returns what a successor can use, of bounded size
+   */
+  getHanded(nowMs: number): readonly HandedAdvice[] {
+    const steps = [...this.#state.open]
+      .filter(({ queue }) => queue.advice !== undefined)
+      .flatMap((record) => [...record.steps])
+      .filter(({ waiting }) => waiting.size > 0);
+    let count = 0;
+    return sortSteps(steps, this.#state.wallMs).flatMap((step) => {
+      const handed = { stepKey: step.key, ...step.advice.getHanded(nowMs) };
+      const size = handed.tickets.length + handed.refused.length;
+      if (size === 0 || count + size > MAX_HANDED_ADVICE) return [];
+      count += size;
+      return [handed];
+    });
+  }
+
+  /**
+   * Adopts the advice of a former owner about steps that are open.
+   * @param advice - what it has handed over
+   * @param receivedAtMs - when it was received, on the owner's clock
+   */
+  adoptHanded(advice: readonly HandedAdvice[], receivedAtMs: number): void {
+    const adopted = advice.filter((handed) => {
+      // The key of a step is that of its tasks without their number.
+      const parts = tryParseTaskKey(`${handed.stepKey}.0`);
+      const record = parts && this.#state.records.get(parts.submissionId);
+      const step = parts && record?.getStep(parts.occurrence, parts.step);
+      step?.advice.adoptHanded(handed, receivedAtMs - HANDOVER_TRANSIT_MS);
+      return step !== undefined;
+    });
+    this.#state.isPlanDue = true;
+    this.#state.log('advice of the former owner is used', {
+      stepCount: adopted.length,
+      ticketCount: adopted.reduce((count, { tickets }) => count + tickets.length, 0),
+    });
+  }
+
   /** Sends calls for steps that need advice over idle lanes, most urgent steps first. */
   dispatch(): void {
     const { nowMs } = this.#state;
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -97,6 +97,12 @@
 /** Targets that have not been found silent by then are not waited for any longer. */
 export const HANDOVER_PROBE_MS = 200;
 
+/** Upper bound of the tickets and refusals that are handed over; each takes about 100 bytes of the message. */
+export const MAX_HANDED_ADVICE = 4_000;
+
+/** Advice that is handed over may have been under way for this long; a ticket that is used too late is refused. */
+export const HANDOVER_TRANSIT_MS = 250;
+
 /** A successor that has not claimed the ownership within this time after the preparation may not come. */
 export const HANDOVER_CLAIM_MS = 1_000;
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -23,6 +23,7 @@
 import type {
   LoadedSubmission,
   ClockReadings,
+  HandedAdvice,
   OwnerEffect,
   OwnerEvent,
   StoredTargetRecord,
@@ -191,6 +192,15 @@
     return this.#state.targets.get(targetId)?.entry.incarnationStartMs === incarnationStartMs;
   }
 
+  /**
+   * Gets the advice that a successor can use.
+   * @param nowMs - current time on the owner's clock
+   * @returns tickets and refusals by step, of bounded size
+   */
+  getHandedAdvice(nowMs: number): readonly HandedAdvice[] {
+    return this.#adviceDispatcher.getHanded(nowMs);
+  }
+
   /** @returns a state dump for operators: waiting steps, targets and unresolved targets */
   dump(): unknown {
     const { targets, records, open, ready, unresolvedTargets, writer, epoch } = this.#state;
@@ -317,6 +327,9 @@
       case 'submissionsDeleted':
         event.submissionIds.forEach((id) => this.#state.records.delete(id));
         return;
+      case 'adviceHandedOver':
+        this.#adviceDispatcher.adoptHanded(event.advice, event.receivedAtMs);
+        return;
       case 'handoverRequested':
         this.#handover.onRequested();
         return;
--- a/src/owner/stepAdvice.ts
+++ b/src/owner/stepAdvice.ts
@@ -2,7 +2,7 @@
 
 import type { TargetId, Ticket } from '../types/ids';
 import { TICKET_MARGIN_MS } from './constants';
-import type { TicketGrant } from './types';
+import type { HandedAdvice, TicketGrant } from './types';
 
 /** A ticket for one incarnation of a target. */
 interface HeldTicket {
@@ -63,6 +63,43 @@
     });
   }
 
+  /**
+   * Gets what a successor can use.
+   * @param nowMs - elapsed time of this process
+   * @returns the tickets that are valid, and the refused targets
+   */
+  getHanded(nowMs: number): Pick<HandedAdvice, 'tickets' | 'refused'> {
+    const tickets = [...this.#tickets].flatMap(([targetId, held]) => {
+      const { ticket, incarnationStartMs, usableUntilMs } = held;
+      const remainingMs = usableUntilMs - nowMs;
+      return remainingMs > 0 ? [{ targetId, incarnationStartMs, ticket, remainingMs }] : [];
+    });
+    const refused = [...this.#refused].map(([targetId, incarnationStartMs]) => ({
+      targetId,
+      incarnationStartMs,
+    }));
+    return { tickets, refused };
+  }
+
+  /**
+   * Adopts what a former owner has handed over; what this owner knows by itself holds.
+   * @param handed - the tickets and the refused targets
+   * @param sentAtMs - when they were sent at the latest, in elapsed time of this process
+   */
+  adoptHanded({ tickets, refused }: HandedAdvice, sentAtMs: number): void {
+    const ownIds = new Set([...this.#approved.keys(), ...this.#refused.keys()]);
+    refused.forEach(({ targetId, incarnationStartMs }) => {
+      if (!ownIds.has(targetId)) this.#refused.set(targetId, incarnationStartMs);
+    });
+    tickets.forEach(({ targetId, incarnationStartMs, ticket, remainingMs }) => {
+      if (ownIds.has(targetId)) return;
+      const usableUntilMs = sentAtMs + remainingMs;
+      this.#approved.set(targetId, incarnationStartMs);
+      this.#tickets.set(targetId, { ticket, incarnationStartMs, usableUntilMs });
+      this.#latestUsableUntilMs = Math.max(this.#latestUsableUntilMs, usableUntilMs);
+    });
+  }
+
   /**
    * @param targetId - the target
    * @param incarnationStartMs - its current incarnation
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -106,6 +106,26 @@
   readonly validMs: number;
 }
 
+/** An incarnation of a target. */
+export interface IncarnationRef {
+  readonly targetId: TargetId;
+  readonly incarnationStartMs: number;
+}
+
+/** A ticket that an owner hands over. */
+export interface HandedTicket extends IncarnationRef {
+  readonly ticket: Ticket;
+  /** How long it can be used from the sending of the message on. */
+  readonly remainingMs: number;
+}
+
+/** What the advice service has told an owner about a step, for its successor. */
+export interface HandedAdvice {
+  readonly stepKey: StepKey;
+  readonly tickets: readonly HandedTicket[];
+  readonly refused: readonly IncarnationRef[];
+}
+
 /** Reason why a call for advice failed. */
 export type AdviceFailure =
   { readonly kind: 'busy' } | { readonly kind: 'failed'; readonly detail: string };
@@ -303,6 +323,13 @@
         readonly result: E.Either<RecordFailure, number>;
       }
     | { readonly kind: 'submissionsDeleted'; readonly submissionIds: readonly SubmissionId[] }
+    /** The former owner has handed its advice over. */
+    | {
+        readonly kind: 'adviceHandedOver';
+        readonly advice: readonly HandedAdvice[];
+        /** When it was received, on this owner's clock. */
+        readonly receivedAtMs: number;
+      }
     /** This owner is about to hand over; `handoverPrepared` answers it. */
     | { readonly kind: 'handoverRequested' }
   );
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -1,7 +1,7 @@
 /** The JSON-RPC protocol between the nodes of one deployment. */
 
 import type { Epoch, NodeId, QueueId, StepKey, SubmissionId, TargetId } from '../types/ids';
-import type { Advice, AdviceFailure, SubmissionView } from '../owner/types';
+import type { Advice, AdviceFailure, HandedAdvice, SubmissionView } from '../owner/types';
 import type { RowTransaction, StoreFailure } from '../store/types';
 import type { OperatorSnapshot } from '../node/operatorSnapshot';
 import type { DelegatedOutcome } from '../node/acceptance';
@@ -61,7 +61,12 @@
     readonly silenceSinceEpoch?: Epoch | undefined;
   };
   /** Sent by an owner that hands over, for a planned stop or to a stronger node. */
-  resign: { readonly epoch: Epoch; readonly successorId: NodeId };
+  resign: {
+    readonly epoch: Epoch;
+    readonly successorId: NodeId;
+    /** Advice that the successor can use; sent to the successor only, and not by earlier builds. */
+    readonly advice?: readonly HandedAdvice[];
+  };
 }
 
 /** Answer of an owner that has taken a notice. */
--- a/tests/support/handoverModel.ts
+++ b/tests/support/handoverModel.ts
@@ -34,11 +34,14 @@
 
   /** An owner resigns. */
   onPrepared(former: Owner): void {
+    const advice = former.core.getHandedAdvice(this.#time.nowMs);
     this.#time.after(limits.CLAIM_MS, () => {
       if (this.#ports.getOwner() !== former || !this.areClaimed) return;
       this.#ports.takeOver();
       const successor = this.#ports.getOwner();
       if (successor === undefined) return;
+      const receivedAtMs = this.#time.nowMs;
+      this.#ports.dispatch(successor, { kind: 'adviceHandedOver', advice, receivedAtMs });
       this.#time.after(limits.ANNOUNCEMENT_MS, () => this.#onAnnounced(former, successor));
     });
   }
