--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -10,7 +10,7 @@
 import type { DistributiveOmit } from '../types/distributiveOmit';
 import type { MemberList, Member } from './memberList';
 import { OwnershipCore } from './ownership';
-import type { OwnershipEffect, OwnershipEvent } from './ownershipTypes';
+import type { OwnerRow, OwnershipEffect, OwnershipEvent, OwnershipMode } from './ownershipTypes';
 import { claimOwnerRow, readOwnerRow, renewAliveRow } from './ownerRows';
 import type { NodePorts } from './ports';
 
@@ -43,6 +43,16 @@
 
 type EventBody = DistributiveOmit<OwnershipEvent, 'nowMs'>;
 
+/**
+ * Gets the owner that this node sends heartbeats to. One that has resigned goes on until it is replaced, which takes as
+ * long as the store is away, and it needs the heartbeats of a majority then.
+ */
+function getHeardRow(mode: OwnershipMode): OwnerRow | undefined {
+  if (mode.kind === 'following') return mode.row;
+  const isResigned = mode.kind === 'suspecting' && mode.suspicion === 'resigned';
+  return isResigned ? mode.row : undefined;
+}
+
 /** Drives the ownership state machine of one node. */
 export class OwnershipShell {
   #ports: NodePorts;
@@ -129,16 +139,11 @@
   /** Sends a heartbeat on the open connection unless the previous one is unanswered. */
   sendHeartbeat(): void {
     const link = this.#link;
-    const { mode } = this.#core;
-    if (
-      link === undefined ||
-      link.isClosed ||
-      this.#isHeartbeatPending ||
-      mode.kind !== 'following'
-    )
+    const row = getHeardRow(this.#core.mode);
+    if (link === undefined || link.isClosed || this.#isHeartbeatPending || row === undefined)
       return;
     this.#isHeartbeatPending = true;
-    const { epoch } = mode.row;
+    const { epoch } = row;
     const params = {
       nodeId: this.#self.nodeId,
       epoch,
