--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -154,6 +154,7 @@
    * @param receivedAtMs - when it was received, on the owner's clock
    */
   adoptHanded(advice: readonly HandedAdvice[], receivedAtMs: number): void {
+    if (advice.length === 0) return;
     const adopted = advice.filter((handed) => {
       // The key of a step is that of its tasks without their number.
       const parts = tryParseTaskKey(`${handed.stepKey}.0`);
--- a/tests/platformNodes.test.ts
+++ b/tests/platformNodes.test.ts
@@ -6,6 +6,9 @@
 const POLL_INTERVAL_MS = 25;
 const TEST_TIMEOUT_MS = 30_000;
 
+/** Time after a takeover by which no former owner may act. */
+const FORMER_OWNERS_END_MS = 2_800;
+
 interface Answer {
   readonly status: number;
   readonly body: string;
@@ -133,6 +136,34 @@
     TEST_TIMEOUT_MS,
   );
 
+  // The successor knew nothing of a target that had just gone, nor that its predecessor had ended (LOST).
+  test(
+    'prepare a planned stop of the owner, which confirms its end to the successor',
+    async () => {
+      await startDeployment(8_000);
+      const former = deployment.owner;
+      const address = deployment.nodes.find((node) => node !== former)?.address ?? '';
+      expect((await call(address, 'POST', toPath(1), TWO_STEPS)).status).toBe(200);
+      await waitFor(() => deployment.startCounts.size === 4, 2_000);
+      // By then the first owner knows that none before it may act.
+      await sleep(FORMER_OWNERS_END_MS);
+      deployment.workers[0]?.stop();
+      former?.node.beginStop();
+      const isSucceededBy = () => deployment.owner !== undefined && deployment.owner !== former;
+      expect(await waitFor(isSucceededBy, 3_000)).toBeLessThan(1_000);
+      const formerLog = former?.logLines.join('') ?? '';
+      expect(formerLog).toMatch(/"silentCount":1,.*"isRecordWritten":true,.*handover prepared/);
+      expect(formerLog.indexOf('handover prepared')).toBeLessThan(
+        formerLog.indexOf('ownership handed over'),
+      );
+      const isLogged = (message: string) =>
+        deployment.owner?.logLines.some((line) => line.includes(message)) === true;
+      await waitFor(() => isLogged('former owners have ended'), 2_000);
+      await waitFor(() => isLogged('silent targets are known from former owners'), 2_000);
+    },
+    TEST_TIMEOUT_MS,
+  );
+
   test(
     'replace a stopped owner within one second without starting a task twice',
     async () => {
