--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -3,14 +3,14 @@
 import * as E from 'fp-ts/Either';
 import type { PeerLink } from '../peer/peerLink';
 import { callPeerOnce, openPeerLink } from '../peer/peerLink';
-import type { PeerHandlers } from '../peer/types';
+import type { PeerHandlers, PeerReplies } from '../peer/types';
 import type { RowStore } from '../store/types';
 import { assertNever, throwRejection } from '../types/debug';
 import type { Epoch, NodeId } from '../types/ids';
 import type { DistributiveOmit } from '../types/distributiveOmit';
 import type { MemberList, Member } from './memberList';
 import { OwnershipCore } from './ownership';
-import type { OwnershipEffect, OwnershipEvent } from './ownershipTypes';
+import type { OwnerRow, OwnershipEffect, OwnershipEvent, OwnershipMode } from './ownershipTypes';
 import { claimOwnerRow, readOwnerRow, renewAliveRow } from './ownerRows';
 import type { NodePorts } from './ports';
 
@@ -33,6 +33,8 @@
 export interface OwnershipDelegate {
   onBegin(epoch: Epoch, rowVersion: number): void;
   onEnd(reason: string): void;
+  /** Called when the owner before an epoch of this node has confirmed that no former owner acts any more. */
+  onFormerOwnersEnded(epoch: Epoch): void;
   /** Receives the version of the operator state that the owner reports with each heartbeat answer. */
   onOperatorVersion(version: number, link: PeerLink): void;
   getOperatorVersion(): number;
@@ -41,6 +43,16 @@
 
 type EventBody = DistributiveOmit<OwnershipEvent, 'nowMs'>;
 
+/**
+ * Gets the owner that this node sends heartbeats to. One that has resigned goes on until it is replaced, which takes as
+ * long as the store is away, and it needs the heartbeats of a majority then.
+ */
+function getHeardRow(mode: OwnershipMode): OwnerRow | undefined {
+  if (mode.kind === 'following') return mode.row;
+  const isResigned = mode.kind === 'suspecting' && mode.suspicion === 'resigned';
+  return isResigned ? mode.row : undefined;
+}
+
 /** Drives the ownership state machine of one node. */
 export class OwnershipShell {
   #ports: NodePorts;
@@ -127,16 +139,11 @@
   /** Sends a heartbeat on the open connection unless the previous one is unanswered. */
   sendHeartbeat(): void {
     const link = this.#link;
-    const { mode } = this.#core;
-    if (
-      link === undefined ||
-      link.isClosed ||
-      this.#isHeartbeatPending ||
-      mode.kind !== 'following'
-    )
+    const row = getHeardRow(this.#core.mode);
+    if (link === undefined || link.isClosed || this.#isHeartbeatPending || row === undefined)
       return;
     this.#isHeartbeatPending = true;
-    const { epoch } = mode.row;
+    const { epoch } = row;
     const params = {
       nodeId: this.#self.nodeId,
       epoch,
@@ -268,14 +275,24 @@
     this.#getOtherMembers().forEach((member) => {
       const params = { epoch, nodeId, address, rowVersion, silenceSinceEpoch };
       callPeerOnce(member.address, 'announce', params, ANNOUNCE_TIMEOUT_MS).then(
-        (reply) => this.#logAnnounced(member.nodeId, reply),
+        (reply) => this.#onAnnounced(epoch, member.nodeId, reply),
         throwRejection,
       );
     });
   }
 
-  #logAnnounced(nodeId: NodeId, reply: E.Either<string, unknown>): void {
-    if (E.isRight(reply)) return;
-    this.#ports.logger.info({ nodeId, reason: reply.left }, 'announcement of new owner failed');
+  /** A former owner sends nothing any more once it has taken the announcement. */
+  #onAnnounced(
+    epoch: Epoch,
+    nodeId: NodeId,
+    reply: E.Either<string, PeerReplies['announce']>,
+  ): void {
+    if (E.isLeft(reply)) {
+      this.#ports.logger.info({ nodeId, reason: reply.left }, 'announcement of new owner failed');
+      return;
+    }
+    const { endedEpoch, areFormerOwnersEnded } = reply.right;
+    if (endedEpoch === epoch - 1 && areFormerOwnersEnded === true)
+      this.#delegate.onFormerOwnersEnded(epoch);
   }
 }
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -101,11 +101,17 @@
 export const HANDOVER_PROBE_MS = 200;
 
 /**
- * Upper bound of the wait for the registry to drop targets that drained and are silent; it is read each 300 ms. The wait
- * comes about only while such a target holds runs.
+ * Upper bound of the wait for the registry to drop targets that drained and are silent; it is read each 300 ms. Nothing
+ * is waited for unless such a target holds runs.
  */
 export const HANDOVER_DEPARTURE_MS = 700;
 
+/** Upper bound of the tickets and refusals that are handed over; each takes about 100 bytes of the message. */
+export const MAX_HANDED_ADVICE = 1_000;
+
+/** Advice that is handed over may have been under way for this long; a ticket that is used too late is refused. */
+export const HANDOVER_TRANSIT_MS = 250;
+
 /** A successor that has not claimed the ownership within this time after the preparation may not come. */
 export const HANDOVER_CLAIM_MS = 1_000;
 
