--- a/src/store/monitoredStore.ts
+++ b/src/store/monitoredStore.ts
@@ -2,6 +2,7 @@
 
 import * as E from 'fp-ts/Either';
 import { transactHedged } from './hedgedTransaction';
+import { readRepeated } from './repeatedRead';
 import { LATE_ANSWER_MS, SlownessDetector } from './slownessDetector';
 import { AdaptiveTimeout } from '../types/adaptiveTimeout';
 import type { TimeoutBounds } from '../types/adaptiveTimeout';
@@ -138,7 +139,10 @@
 
   /** {@inheritDoc RowStore.readRange} */
   readRange(query: RangeQuery, timeoutMs: number): Promise<StoreOutcome<RowPage>> {
-    return this.#measure('read', this.#inner.readRange(query, timeoutMs));
+    return readRepeated({
+      ...{ timeoutMs, isCopyUseful: () => !this.isLate },
+      send: (remainingMs) => this.#measure('read', this.#inner.readRange(query, remainingMs)),
+    });
   }
 
   /** {@inheritDoc RowStore.follow} */
