--- a/src/node/memberList.ts
+++ b/src/node/memberList.ts
@@ -91,15 +91,22 @@
     }, delayMs);
   }
 
+  /** A node that starts again reads the list beside its registration, as it may have to know the others at once. */
   async #refreshOnce(): Promise<number> {
-    if (!this.#isRegistered) this.#isRegistered = await this.#register();
-    if (!this.#isRegistered) return RETRY_DELAY_MS;
+    const wasRegistered = this.#isRegistered;
+    const reading = this.#read();
+    if (!wasRegistered) this.#isRegistered = await this.#register();
+    const isRead = await reading;
+    return wasRegistered && isRead ? READ_INTERVAL_MS : RETRY_DELAY_MS;
+  }
+
+  async #read(): Promise<boolean> {
     const query = { table: MEMBERS_TABLE, part: MEMBER_PART, fromKey: '', limit: MAX_MEMBER_ROWS };
     const page = await this.#store.readRange(query, TIMEOUT_MS);
-    if (E.isLeft(page)) return RETRY_DELAY_MS;
+    if (E.isLeft(page)) return false;
     this.#members = page.right.rows.flatMap(parseMember);
     this.#onChanged(this.#members);
-    return READ_INTERVAL_MS;
+    return true;
   }
 
   async #register(): Promise<boolean> {
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -109,7 +109,8 @@
 
   #state: ModeState = createModeState(0);
 
-  #candidates: readonly OwnerCandidate[] = [];
+  /** Undefined until the list of nodes has been read. */
+  #candidates: readonly OwnerCandidate[] | undefined;
 
   #isStopping = false;
 
@@ -194,6 +195,8 @@
         this.#onTick(event.nowMs);
         return;
       case 'membersKnown':
+        // No node could be asked before.
+        if (this.#candidates === undefined) this.#state.peerAnswers = undefined;
         this.#candidates = event.candidates;
         return;
       case 'rowRead':
@@ -312,10 +315,16 @@
       this.#askPeers(row);
       return false;
     }
-    if (state.peerAnswers.answeredCount > 0 || state.peerAnswers.askedCount === 0) return true;
+    if (state.peerAnswers.answeredCount > 0 || this.#hasNoPeers(row)) return true;
     return nowMs > state.aliveChangedAtMs + ISOLATED_CLAIM_DELAY_MS;
   }
 
+  /** A node without peers has nobody to ask, but one that does not know them yet may be wrong about the owner. */
+  #hasNoPeers(row: OwnerRow): boolean {
+    const isPeer = ({ nodeId }: OwnerCandidate) => nodeId !== this.#nodeId && nodeId !== row.nodeId;
+    return this.#candidates !== undefined && !this.#candidates.some(isPeer);
+  }
+
   #askPeers(row: OwnerRow): void {
     if (this.#state.isAskingPeers) return;
     this.#state.isAskingPeers = true;
@@ -329,11 +338,12 @@
   #getRank(row: OwnerRow): number {
     if (row.nodeId === this.#nodeId) return 0;
     const successorOffset = this.#state.successorId === undefined ? 0 : 1;
-    const own = this.#candidates.find(({ nodeId }) => nodeId === this.#nodeId);
+    const candidates = this.#candidates ?? [];
+    const own = candidates.find(({ nodeId }) => nodeId === this.#nodeId);
     const ownMillis = own?.processorMillis ?? 0;
     const getScore = (nodeId: NodeId) => getHash(`${row.epoch}|${nodeId}`);
     const ownScore = getScore(this.#nodeId);
-    const higherRanked = this.#candidates.filter(({ nodeId, processorMillis }) => {
+    const higherRanked = candidates.filter(({ nodeId, processorMillis }) => {
       if (nodeId === this.#nodeId || nodeId === row.nodeId) return false;
       if (processorMillis !== ownMillis) return processorMillis > ownMillis;
       return getScore(nodeId) > ownScore;
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -109,6 +109,66 @@
   });
 });
 
+// After a power loss nodes of a quarter of the capacity became owners one after another (SHORT).
+describe('a node that does not know the other nodes yet', () => {
+  const NOBODY_ASKED = { askedCount: 0, answeredCount: 0, heardCount: 0 };
+  const STRONG = { nodeId: 'node-6' as NodeId, processorMillis: 1_350 };
+  const WEAK = { nodeId: SELF, processorMillis: 324 };
+
+  /** Has started while the owner row names a node that owns nothing any more. */
+  function createStarted(): Harness {
+    const harness = new Harness();
+    harness.send({ kind: 'tick' });
+    harness.send({ kind: 'rowRead', result: E.right(createRow()) });
+    harness.send({ kind: 'linkOpened', epoch: toEpoch(4) });
+    harness.send({
+      ...{ kind: 'heartbeatAnswered', epoch: toEpoch(4), ownedEpoch: 0, storeLostForMs: 0 },
+    });
+    harness.send({ kind: 'rowRead', result: E.right(createRow()) });
+    answerPeers(harness, NOBODY_ASKED);
+    return harness;
+  }
+
+  test('does not claim before stronger ones, and asks them once it knows them', () => {
+    const harness = createStarted();
+    harness.advance(50, createRow());
+    expect(harness.has('claim')).toBe(false);
+    harness.effects.length = 0;
+    harness.send({ kind: 'membersKnown', candidates: [WEAK, STRONG] });
+    harness.advance(50, createRow());
+    expect(harness.has('askPeers')).toBe(false);
+    harness.advance(100, createRow());
+    expect(harness.has('askPeers')).toBe(true);
+    expect(harness.has('claim')).toBe(false);
+    answerPeers(harness, { askedCount: 1, answeredCount: 1, heardCount: 0 });
+    expect(harness.has('claim')).toBe(true);
+  });
+
+  test('claims once the alive row has not changed for long', () => {
+    const harness = createStarted();
+    harness.advance(2_400, createRow());
+    expect(harness.has('claim')).toBe(false);
+    harness.advance(300, createRow());
+    expect(harness.has('claim')).toBe(true);
+  });
+
+  test('does not take the fleet from an owner that renews the alive row', () => {
+    const harness = createStarted();
+    for (let aliveVersion = 42; aliveVersion < 50; aliveVersion += 1) {
+      harness.advance(1_000, createRow({ aliveVersion }));
+    }
+    expect(harness.has('claim')).toBe(false);
+  });
+
+  test('claims at once when it is the only one', () => {
+    const harness = createStarted();
+    harness.send({ kind: 'membersKnown', candidates: [WEAK] });
+    harness.advance(50, createRow());
+    answerPeers(harness, NOBODY_ASKED);
+    expect(harness.has('claim')).toBe(true);
+  });
+});
+
 describe('ownership', () => {
   test('is claimed immediately when there has never been an owner', () => {
     const harness = new Harness();
