--- a/tests/support/departureHistories.ts
+++ b/tests/support/departureHistories.ts
@@ -15,6 +15,9 @@
 /** By then all tasks run on targets that have listed them. */
 const SETTLING_MS = 4_000;
 
+/** Enough where one target is in trouble and no advice is needed. */
+const TROUBLE_TARGET_COUNT = 12;
+
 /** Delay until an owner reads a change of the registry. */
 const MAX_REGISTRY_DELAY_MS = 200;
 
@@ -24,6 +27,17 @@
 /** Time in which tasks that have no run get one, also when all leases have to end first. */
 const AFTERMATH_MS = 16_000;
 
+/** A target may drain for many seconds longer than it has to; its runs last as long, or until the lease ends. */
+const LATE_EXIT_MS = 12_000;
+
+/** Trouble begins before the target has to leave. */
+const MAX_TROUBLE_AFTER_MS = 4_000;
+
+const MAX_TAKEOVER_AT_MS = 9_000;
+
+/** All that happens to a target in trouble has happened by then. */
+const TROUBLE_MS = 18_000;
+
 /** How a history is played. */
 export interface DepartureSetting {
   readonly seed: number;
@@ -31,6 +45,7 @@
   readonly hasAdvice: boolean;
   /** When new owners take over, counted from the first notice; the former ones have stopped. */
   readonly takeoversMs?: readonly number[];
+  readonly targetCount?: number;
 }
 
 /** What has become of the tasks. */
@@ -51,11 +66,11 @@
 
   readonly #meter: IdleMeter;
 
-  constructor({ seed, hasAdvice }: DepartureSetting) {
+  constructor({ seed, hasAdvice, targetCount = TARGET_COUNT }: DepartureSetting) {
     this.random = new Random(seed);
     const delays = new Random(seed + 1_000_003);
     this.world = new OwnerWorld({
-      ...{ seed, targetCount: TARGET_COUNT, faults: NO_FAULTS },
+      ...{ seed, targetCount, faults: NO_FAULTS },
       network: {
         chooseFate: () => ({}),
         getRegistryDelayMs: () => delays.nextInt(MAX_REGISTRY_DELAY_MS),
@@ -121,3 +136,44 @@
   history.scheduleTakeovers(setting.takeoversMs ?? []);
   return history.play(ids.length * REPLACEMENT_INTERVAL_MS + DRAIN_MS + AFTERMATH_MS);
 }
+
+/** What happens to a target while it drains, or without a notice; its runs go on. */
+export type Trouble = (history: DepartureHistory, targetId: TargetId) => void;
+
+/** How a target gets into trouble. */
+export interface TroubleOptions {
+  /** Time from the notice to the end. */
+  readonly drainMs?: number;
+  readonly isAnnounced?: boolean;
+}
+
+/** Draws up to two takeovers, before or after the entry of a target that drains has gone. */
+function drawTakeovers(random: Random): readonly number[] {
+  return Array.from({ length: random.nextInt(3) }, () => random.nextInt(MAX_TAKEOVER_AT_MS));
+}
+
+/**
+ * Plays a history in which a target with a lasting task is in trouble some time after its notice.
+ * @param seed - determines when the trouble begins and when owners follow one another
+ * @param trouble - what happens to the target
+ * @returns violations, with the times that were drawn
+ */
+export function playTrouble(
+  seed: number,
+  trouble: Trouble,
+  { drainMs = LATE_EXIT_MS, isAnnounced = true }: TroubleOptions = {},
+): readonly string[] {
+  const setting = { seed, hasAdvice: false, targetCount: TROUBLE_TARGET_COUNT };
+  const history = new DepartureHistory(setting);
+  const { world, model, random } = history;
+  const { id } = history.drawHolder();
+  const troubleAfterMs = random.nextInt(Math.min(drainMs, MAX_TROUBLE_AFTER_MS));
+  const takeoversMs = drawTakeovers(random);
+  if (isAnnounced) model.depart(id, { drainMs });
+  world.time.after(troubleAfterMs, () => trouble(history, id));
+  history.scheduleTakeovers(takeoversMs);
+  world.run(TROUBLE_MS + AFTERMATH_MS);
+  const lost = findLostTasks(world.targets.values());
+  const timing = `trouble after ${troubleAfterMs} ms, takeovers [${takeoversMs.join(', ')}]`;
+  return [...world.broken, ...lost].map((line) => `seed ${seed}, ${timing}: ${line}`);
+}
--- a/tests/support/departureModel.ts
+++ b/tests/support/departureModel.ts
@@ -16,6 +16,9 @@
 /** Interval at which a target repeats a notice that has not been stored. */
 const NOTICE_RETRY_INTERVAL_MS = 100;
 
+/** Interval at which a node tries to become the owner. */
+const CLAIM_RETRY_INTERVAL_MS = 100;
+
 /** For good, as seen by a history. */
 export const FOREVER_MS = Number.POSITIVE_INFINITY;
 
@@ -80,9 +83,16 @@
     this.#registry.removeForGood(id);
   }
 
-  /** A new owner reads the registry as it is, with the entries that it cannot decode. */
+  /**
+   * A new owner reads the registry as it is, with the entries that it cannot decode. There is none while the store is
+   * away, which decides who the owner is.
+   */
   takeOver(isFormerAlive = false, suspensionMs = 0): void {
     const world = this.#world;
+    if (!world.isStoreAvailable) {
+      world.time.after(CLAIM_RETRY_INTERVAL_MS, () => this.takeOver(isFormerAlive, suspensionMs));
+      return;
+    }
     world.registryListing = this.#registry.readListing();
     world.takeOver(isFormerAlive, suspensionMs);
     world.registryListing = undefined;
--- a/tests/support/takeoverStorms.ts
+++ b/tests/support/takeoverStorms.ts
@@ -27,7 +27,7 @@
 const CALM_MS = 45_000;
 
 /** Draws what happens to a request; most take their usual course. */
-function drawFate({ effect }: TargetCall, random: Random): CallFate {
+export function drawFate({ effect }: TargetCall, random: Random): CallFate {
   const course = random.nextFraction();
   const delay = random.nextFraction();
   const isStart = effect.kind === 'startRun';
