--- a/tests/support/departureHistories.ts
+++ b/tests/support/departureHistories.ts
@@ -2,6 +2,7 @@
 
 import type { TargetId } from '../../src/types/ids';
 import { Random } from '../../src/types/random';
+import type { StepSpec } from '../../src/work/types';
 import type { FakeTarget } from '../../standins/fakeTarget';
 import { DepartureModel, DRAIN_MS } from './departureModel';
 import { IdleMeter } from './idleMeter';
@@ -32,12 +33,16 @@
 
 /** Trouble begins before the target has to leave. */
 const MAX_TROUBLE_AFTER_MS = 4_000;
+const MAX_EARLY_TROUBLE_MS = 400;
 
 const MAX_TAKEOVER_AT_MS = 9_000;
 
 /** All that happens to a target in trouble has happened by then. */
 const TROUBLE_MS = 18_000;
 
+/** Tasks that end long after a history. */
+const ENDING: Partial<StepSpec> = { ...LASTING, policy: { kind: 'batch', isSpeculative: false } };
+
 /** How a history is played. */
 export interface DepartureSetting {
   readonly seed: number;
@@ -46,6 +51,8 @@
   /** When new owners take over, counted from the first notice; the former ones have stopped. */
   readonly takeoversMs?: readonly number[];
   readonly targetCount?: number;
+  /** Whether the tasks end some day, so that they are not moved off a target that drains. */
+  readonly areEnding?: boolean;
 }
 
 /** What has become of the tasks. */
@@ -66,7 +73,8 @@
 
   readonly #meter: IdleMeter;
 
-  constructor({ seed, hasAdvice, targetCount = TARGET_COUNT }: DepartureSetting) {
+  constructor(setting: DepartureSetting) {
+    const { seed, hasAdvice, targetCount = TARGET_COUNT, areEnding = false } = setting;
     this.random = new Random(seed);
     const delays = new Random(seed + 1_000_003);
     this.world = new OwnerWorld({
@@ -81,7 +89,9 @@
     this.world.takeOver();
     this.model.startBeats(seed + 2_000_003);
     this.world.run(500);
-    this.world.submit(createSubmission(1, [LASTING], hasAdvice ? { advice: 'costly' } : {}));
+    this.world.submit(
+      createSubmission(1, [areEnding ? ENDING : LASTING], hasAdvice ? { advice: 'costly' } : {}),
+    );
     this.world.run(SETTLING_MS);
     this.world.run(this.random.nextInt(BEAT_MS));
     if (findLostTasks(this.world.targets.values()).length > 0)
@@ -153,7 +163,7 @@
 }
 
 /**
- * Plays a history in which a target with a lasting task is in trouble some time after its notice.
+ * Plays a history in which a target with a task is in trouble some time after its notice.
  * @param seed - determines when the trouble begins and when owners follow one another
  * @param trouble - what happens to the target
  * @returns violations, with the times that were drawn
@@ -163,11 +173,13 @@
   trouble: Trouble,
   { drainMs = LATE_EXIT_MS, isAnnounced = true }: TroubleOptions = {},
 ): readonly string[] {
-  const setting = { seed, hasAdvice: false, targetCount: TROUBLE_TARGET_COUNT };
+  const areEnding = seed % 3 > 0;
+  const setting = { seed, hasAdvice: false, targetCount: TROUBLE_TARGET_COUNT, areEnding };
   const history = new DepartureHistory(setting);
   const { world, model, random } = history;
   const { id } = history.drawHolder();
-  const troubleAfterMs = random.nextInt(Math.min(drainMs, MAX_TROUBLE_AFTER_MS));
+  // Lasting tasks may soon be moved off a target that drains.
+  const troubleAfterMs = random.nextInt(areEnding ? MAX_TROUBLE_AFTER_MS : MAX_EARLY_TROUBLE_MS);
   const takeoversMs = drawTakeovers(random);
   if (isAnnounced) model.depart(id, { drainMs });
   world.time.after(troubleAfterMs, () => trouble(history, id));
--- a/tests/support/departureStorms.ts
+++ b/tests/support/departureStorms.ts
@@ -232,7 +232,8 @@
 
   #submitBatch(number: number): void {
     const taskCount = 1 + this.#random.nextInt(6);
-    const estimateMs = 400 + this.#random.nextInt(3_000);
+    const isLong = this.#random.nextInt(2) === 0;
+    const estimateMs = 400 + this.#random.nextInt(isLong ? 15_000 : 3_000);
     const submission = createSubmission(number, [{ taskCount, estimateMs }], { attemptLimit: 9 });
     this.#batchIds.push(submission.id);
     this.world.submit(submission);
