--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -66,6 +66,12 @@
   });
 }
 
+/** A call of another node fails while the answer is not known, so that it asks again or gives up. */
+function requireRead<T>(answer: T | undefined): T {
+  if (answer === undefined) throw new Error('this node has not read the stored state yet');
+  return answer;
+}
+
 /** Runs one node. */
 export class ClusterNode {
   #ports: NodePorts;
@@ -351,8 +357,10 @@
         host.cancel(submissionId);
         return { epoch: host.epoch };
       },
-      getView: ({ submissionId }) => this.#requireCore().getView(submissionId),
-      getWaiting: ({ queueId }) => ({ count: this.#requireCore().getWaitingCount(queueId) }),
+      getView: ({ submissionId }) => requireRead(this.#requireHost().getView(submissionId)),
+      getWaiting: ({ queueId }) => ({
+        count: requireRead(this.#requireHost().getWaitingCount(queueId)),
+      }),
       getOperator: () => ({ snapshot: this.#operator.snapshot }),
       transact: ({ transaction }) => this.#transactForPeer(transaction),
       storeRow: (params) => this.#storeRowForPeer(params),
@@ -382,12 +390,6 @@
     return this.#ownerHost;
   }
 
-  #requireCore() {
-    const { core } = this.#requireHost();
-    if (core === undefined) throw new Error('this node has not loaded the stored state yet');
-    return core;
-  }
-
   #onHeartbeat(params: PeerCalls['heartbeat'], link: PeerLinkHandle): PeerReplies['heartbeat'] {
     const { ownedEpoch } = this.#ownership.core;
     if (this.#ownerHost !== undefined && ownedEpoch === params.epoch)
@@ -466,7 +468,7 @@
 
   #getView(submissionId: SubmissionId): Promise<SubmissionView | undefined> {
     return this.#askOwner(
-      () => this.#ownerHost?.core?.getView(submissionId),
+      () => this.#ownerHost?.getView(submissionId),
       (link) => link.call('getView', { submissionId }, OWNER_TIMEOUT_MS),
     );
   }
@@ -474,8 +476,8 @@
   async #getWaitingCount(queueId: QueueId): Promise<number | undefined> {
     const answer = await this.#askOwner(
       () => {
-        const core = this.#ownerHost?.core;
-        return core === undefined ? undefined : { count: core.getWaitingCount(queueId) };
+        const count = this.#ownerHost?.getWaitingCount(queueId);
+        return count === undefined ? undefined : { count };
       },
       (link) => link.call('getWaiting', { queueId }, OWNER_TIMEOUT_MS),
     );
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -10,20 +10,22 @@
   LoadedSubmission,
   OwnerEffect,
   OwnerEvent,
+  SubmissionView,
 } from '../owner/types';
 import { TableFollower } from '../store/tableFollower';
 import type { FollowedTable, FollowerEvent } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
 import { assertNever, throwRejection } from '../types/debug';
-import type { Epoch, NodeId, StepKey, SubmissionId, TargetId } from '../types/ids';
+import type { Epoch, NodeId, QueueId, StepKey, SubmissionId, TargetId } from '../types/ids';
 import type { DistributiveOmit } from '../types/distributiveOmit';
-import { decodeSubmission } from '../work/submissionSchema';
+import { decodeFinishedSubmission, decodeSubmission } from '../work/submissionSchema';
 import { CancellationLog } from './cancellationLog';
 import type { CancellationWay } from './cancellationLog';
 import type { OperatorSnapshot } from './operatorSnapshot';
 import { getEffectWork, OwnerLoad } from './ownerLoad';
 import type { OwnerNotice } from './ownerNotifier';
 import { OwnerWrites } from './ownerWrites';
+import type { PartRead, PartReader } from './partReader';
 import { countExtraRows } from './progressRows';
 import type { NodePorts, PollCall, StartCall, StopCall } from './ports';
 import {
@@ -35,6 +37,8 @@
 } from './tables';
 import { summarizeLoadedRows, TakeoverLoader } from './takeoverLoader';
 import type { LoadedRows } from './takeoverLoader';
+import { UnreadParts } from './unreadParts';
+import type { ReadSubmission } from './unreadParts';
 import { decodeTargetRecord } from './usedTargetRows';
 
 /** Interval of tick events; planning that was deferred resumes within it. */
@@ -92,6 +96,11 @@
 
   #submissionsFollower: TableFollower | undefined;
 
+  #parts: PartReader | undefined;
+
+  /** What is not known of submissions; set with the core. */
+  #unread: UnreadParts | undefined;
+
   /** Version of the store when the authority of former owners had ended, until the feed has passed it. */
   #formerVersion: number | undefined;
 
@@ -168,7 +177,13 @@
       setTimeout(() => this.#restart(), LOAD_RETRY_DELAY_MS);
       return;
     }
-    const submissions = this.#loader.decodeSubmissions(loaded);
+    const unread = new UnreadParts(this.#ports, this.#epoch, loaded.parts, loaded.progress.rows);
+    this.#parts = loaded.parts;
+    this.#unread = unread;
+    const submissions = this.#loader
+      .decodeSubmissions(loaded)
+      .map((submission) => unread.hold(submission));
+    unread.forgetProgress(submissions.map(({ submission }) => submission.id));
     this.#writes.setExtraRowCounts(countExtraRows(loaded.progress.rows));
     const { maxLeaseMs } = this.#ports.targets;
     const { usedTargets, ownership } = loaded;
@@ -179,6 +194,10 @@
     const record = decodeTargetRecord(this.#epoch, usedTargets.rows, ownership.rows, readAt);
     const clocks = this.#getClockReadings();
     this.#core = new OwnerCore(this.#epoch, submissions, clocks, maxLeaseMs, record);
+    if (!unread.isEmpty) {
+      unread.logStart();
+      this.#dispatch(unread.describe());
+    }
     this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
     this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
     this.#cancelUnread(loaded, submissions);
@@ -190,6 +209,7 @@
     this.#pendingChanges.forEach((apply) => apply());
     this.#pendingChanges = [];
     this.#follow(loaded);
+    loaded.parts.follow((read) => this.#onPartRead(read));
     this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
     this.#scheduleFormerOwnersEnd(OWNER_AUTHORITY_MS + FORMER_OWNER_MARGIN_MS);
     const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
@@ -210,6 +230,7 @@
     this.#isStopped = true;
     clearInterval(this.#timer);
     this.#load.stop();
+    this.#parts?.stop();
     this.#followers.forEach((follower) => follower.stop());
   }
 
@@ -240,16 +261,63 @@
    */
   submit(text: string, rowVersion?: number): void {
     const decoded = decodeSubmission(text);
-    if (E.isLeft(decoded)) {
-      this.#ports.logger.warn({ reason: decoded.left }, 'cannot decode stored submission');
+    const finished = E.isRight(decoded) ? decoded : decodeFinishedSubmission(text);
+    if (E.isLeft(finished)) {
+      this.#ports.logger.warn({ reason: finished.left }, 'cannot decode stored submission');
       return;
     }
-    this.#whenLoaded(() =>
-      this.#dispatch({
-        ...{ kind: 'submitted', submission: decoded.right },
-        ...(rowVersion === undefined ? {} : { rowVersion }),
-      }),
-    );
+    const { id } = finished.right;
+    const submission = E.isRight(decoded) ? decoded.right : undefined;
+    this.#whenLoaded(() => this.#addSubmission({ id, text, submission }, rowVersion));
+  }
+
+  /**
+   * Its row may be a second one, of a submission whose first row is in a part that has not been read. So its stored
+   * progress is looked for, and the version of the row tells nothing then.
+   */
+  #addSubmission({ id, text, submission: decoded }: ReadSubmission, rowVersion?: number): void {
+    const unread = this.#unread;
+    if (unread === undefined) return;
+    const isFirstRow = rowVersion !== undefined && !unread.mayHoldSubmission(id);
+    const version = isFirstRow ? { rowVersion } : {};
+    const isNew = decoded !== undefined && !unread.progressRows.has(id);
+    const loaded = isNew
+      ? { submission: decoded, isCancelled: false, progress: undefined, progressVersion: 0 }
+      : this.#loader.decodeSubmission({ key: id, value: text }, unread.progressRows, false);
+    if (loaded === undefined) return;
+    const isKnown = this.#core?.getView(id).kind === 'known';
+    const held: LoadedSubmission = isKnown ? loaded : unread.hold(loaded);
+    const { submission, progress, progressVersion, isCancellationUnread } = held;
+    this.#dispatch({
+      ...{ kind: 'submitted', submission, ...version },
+      ...(progress === undefined ? {} : { stored: { progress, progressVersion } }),
+      ...(isCancellationUnread === undefined ? {} : { isCancellationUnread }),
+    });
+    if (progress !== undefined) unread.forgetProgress([id]);
+  }
+
+  /**
+   * Gets the state of a submission for a caller.
+   * @param submissionId - the submission
+   * @returns its state; undefined while that is not known, as a part of the store has not been read
+   */
+  getView(submissionId: SubmissionId): SubmissionView | undefined {
+    const view = this.#core?.getView(submissionId);
+    if (view === undefined || this.#unread === undefined) return undefined;
+    if (view.kind === 'unknown')
+      return this.#unread.mayHoldSubmission(submissionId) ? undefined : view;
+    const isFinal = view.state !== 'pending' && view.state !== 'running';
+    return isFinal || !this.#unread.mayHoldCancellation(submissionId) ? view : undefined;
+  }
+
+  /**
+   * Counts the waiting submissions of a queue.
+   * @param queueId - the queue
+   * @returns the number; undefined while a part of the store that may hold some has not been read
+   */
+  getWaitingCount(queueId: QueueId): number | undefined {
+    if (this.#unread?.areSubmissionsRead !== true) return undefined;
+    return this.#core?.getWaitingCount(queueId);
   }
 
   /**
@@ -296,6 +364,7 @@
   /** Until the feed has passed the last version of former owners, a submission that is not known may still come. */
   #checkSubmissionsRead(): void {
     if (this.#formerVersion === undefined) return;
+    if (this.#unread?.areSubmissionsRead !== true) return;
     if ((this.#submissionsFollower?.version ?? 0) < this.#formerVersion) return;
     this.#formerVersion = undefined;
     this.#dispatch({ kind: 'submissionsRead' });
@@ -310,6 +379,24 @@
     });
   }
 
+  /** Its submissions come in as at the takeover, and wait for targets that may run them. */
+  #onPartRead({ table, part, snapshot }: PartRead): void {
+    if (this.#isStopped || this.#unread === undefined) return;
+    if (table === CANCELS_TABLE)
+      snapshot.rows.forEach(({ key }) => this.#cancelLate(key as SubmissionId));
+    else snapshot.rows.forEach((row) => this.submit(row.value, row.version));
+    const submissionIds = this.#unread.takeReleased();
+    if (submissionIds.length > 0) this.#dispatch({ kind: 'cancellationsRead', submissionIds });
+    this.#dispatch(this.#unread.describe());
+    this.#unread.logRead({ table, part }, snapshot.rows.length);
+  }
+
+  /** The cancellation of a submission that is not known is kept for it. */
+  #cancelLate(submissionId: SubmissionId): void {
+    if (this.#core?.getView(submissionId).kind === 'known') this.cancel(submissionId, 'loaded');
+    else this.#dispatch({ kind: 'cancelled', submissionId });
+  }
+
   #restart(): void {
     if (this.#isStopped) return;
     this.start().catch(throwRejection);
@@ -387,6 +474,7 @@
   #tick(): void {
     this.#load.onTick(TICK_INTERVAL_MS);
     this.#checkSubmissionsRead();
+    this.#unread?.check();
     this.#dispatch({ kind: 'tick' });
   }
 
--- a/src/node/takeoverLoader.ts
+++ b/src/node/takeoverLoader.ts
@@ -9,6 +9,8 @@
 import type { TargetId } from '../types/ids';
 import type { StoredProgress } from '../work/storedProgress';
 import { decodeFinishedSubmission, decodeSubmission } from '../work/submissionSchema';
+import { PartReader } from './partReader';
+import type { PartRead } from './partReader';
 import type { NodePorts } from './ports';
 import { decodeProgressRows } from './progressRows';
 import {
@@ -24,10 +26,23 @@
 /** Timeout for reading one page. */
 const LOAD_TIMEOUT_MS = 2_000;
 
+/**
+ * A takeover goes on without the parts that have not been read after this time, or after so many times the time that
+ * the owner's own part has taken, whichever is later.
+ */
+const MIN_PART_WAIT_MS = 600;
+const PART_WAIT_FACTOR = 1.5;
+
+/** Most rows of progress need not be decoded to know that they hold no reports of crashes. */
+const MAY_HOLD_REPORTS = /"crashes"|"rowCount"/;
+
 /** The rows that a takeover reads. */
 export interface LoadedRows {
+  /** Those of the parts that have answered. */
   readonly submissions: PartSnapshot;
   readonly cancels: PartSnapshot;
+  /** Goes on reading the other parts. */
+  readonly parts: PartReader;
   readonly progress: PartSnapshot;
   readonly registry: PartSnapshot;
   readonly usedTargets: PartSnapshot;
@@ -46,7 +61,9 @@
  * @param rows - the loaded rows
  * @returns row counts and store versions by table, for the log
  */
-export function summarizeLoadedRows(rows: LoadedRows): Readonly<Record<string, number>> {
+export function summarizeLoadedRows(
+  rows: Omit<LoadedRows, 'parts'>,
+): Readonly<Record<string, number>> {
   const { submissions, cancels, progress, registry } = rows;
   const submissionIds = new Set(submissions.rows.map(({ key }) => key));
   return {
@@ -76,26 +93,40 @@
     this.#oddEntries = new OddRowLog(ports.logger, ports.metrics);
   }
 
-  /** @returns all rows, or undefined when any read failed */
+  /**
+   * Reads the tables. Parts of submissions and cancellations that do not answer in time are left to be read later.
+   * @returns the rows, or undefined when the owner's part or all parts of a table have not been read
+   */
   async load(): Promise<LoadedRows | undefined> {
-    const { store, registry } = this.#ports;
+    const { store, registry, clock } = this.#ports;
+    const startedAtMs = clock.nowMs();
+    const tables = [SUBMISSIONS_TABLE, CANCELS_TABLE];
+    const options = { tables, parts: SUBMISSION_PARTS, timeoutMs: LOAD_TIMEOUT_MS };
+    const parts = new PartReader(store, options);
+    parts.start();
     const read = (table: string, part: string) =>
       readPartSnapshot(store, table, part, LOAD_TIMEOUT_MS);
-    const readParts = async (table: string) =>
-      mergeSnapshots(await Promise.all(SUBMISSION_PARTS.map((part) => read(table, part))));
-    const [submissions, cancels, progress, targets, usedTargets, ownership] = await Promise.all([
-      readParts(SUBMISSIONS_TABLE),
-      readParts(CANCELS_TABLE),
+    const [progress, targets, usedTargets, ownership] = await Promise.all([
       read(PROGRESS_TABLE, OWNER_PART),
       read(registry.table, registry.part),
       read(USED_TARGETS_TABLE, OWNER_PART),
       read(OWNERSHIP_TABLE, OWNER_PART),
     ]);
-    if (E.isLeft(submissions) || E.isLeft(cancels) || E.isLeft(progress)) return undefined;
-    if (E.isLeft(targets) || E.isLeft(usedTargets) || E.isLeft(ownership)) return undefined;
+    const isOwnPartRead = [progress, targets, usedTargets, ownership].every(E.isRight);
+    if (isOwnPartRead) await TakeoverLoader.#waitForParts(parts, clock.nowMs() - startedAtMs);
+    const reads = parts.takeReads();
+    const submissions = TakeoverLoader.#mergeParts(reads, SUBMISSIONS_TABLE);
+    const cancels = TakeoverLoader.#mergeParts(reads, CANCELS_TABLE);
+    if (E.isLeft(progress) || E.isLeft(targets) || E.isLeft(usedTargets) || E.isLeft(ownership)) {
+      parts.stop();
+      return undefined;
+    }
+    if (submissions === undefined || cancels === undefined) {
+      parts.stop();
+      return undefined;
+    }
     return {
-      submissions: submissions.right,
-      cancels: cancels.right,
+      ...{ submissions, cancels, parts },
       progress: progress.right,
       registry: targets.right,
       usedTargets: usedTargets.right,
@@ -103,6 +134,27 @@
     };
   }
 
+  /** Without any part of a table nothing can start, so that one is waited for as long as a page may take. */
+  static async #waitForParts(parts: PartReader, ownPartMs: number): Promise<void> {
+    const untilMs = Math.max(MIN_PART_WAIT_MS, PART_WAIT_FACTOR * ownPartMs);
+    await parts.waitUntil(() => parts.isComplete, Math.max(0, untilMs - ownPartMs));
+    await parts.waitUntil(
+      () => parts.hasRead(SUBMISSIONS_TABLE) && parts.hasRead(CANCELS_TABLE),
+      Math.max(0, LOAD_TIMEOUT_MS - untilMs),
+    );
+  }
+
+  /**
+   * Changes are followed from the oldest version of the parts that have been read. One that is read later has a later
+   * version, so that no change of it is missed.
+   */
+  static #mergeParts(reads: readonly PartRead[], table: string): PartSnapshot | undefined {
+    const snapshots = reads.filter((read) => read.table === table);
+    if (snapshots.length === 0) return undefined;
+    const merged = mergeSnapshots(snapshots.map(({ snapshot }) => E.right(snapshot)));
+    return E.isRight(merged) ? merged.right : undefined;
+  }
+
   /**
    * Decodes submissions with their cancellations and progress. Rows that cannot be decoded are logged
    * and skipped.
@@ -113,32 +165,61 @@
     submissions,
     cancels,
     progress,
-  }: Omit<LoadedRows, 'usedTargets' | 'ownership'>): LoadedSubmission[] {
+  }: Omit<LoadedRows, 'usedTargets' | 'ownership' | 'parts'>): LoadedSubmission[] {
     const cancelled = new Set(cancels.rows.map(({ key }) => key));
     const progressRows = new Map(progress.rows.map((row) => [row.key, row]));
     // A row may be in two parts, as the store did not answer for one of them when it was written.
     const uniqueRows = [...new Map(submissions.rows.map((row) => [row.key, row])).values()];
     return uniqueRows.flatMap((row) => {
-      const progressRow = progressRows.get(row.key);
-      const stored = this.#decodeProgress(progressRow, progressRows);
-      // Without its progress the submission would be taken for new and run again.
-      if (progressRow !== undefined && stored === undefined) return [];
-      const decode = stored?.outcome === undefined ? decodeSubmission : decodeFinishedSubmission;
-      const submission = decode(row.value);
-      if (E.isLeft(submission)) {
-        this.#ports.logger.error(
-          { key: row.key, reason: submission.left },
-          'cannot decode submission',
-        );
-        return [];
-      }
-      return {
-        submission: submission.right,
-        isCancelled: cancelled.has(row.key),
-        progress: stored,
-        progressVersion: progressRow?.version ?? 0,
-      };
+      const loaded = this.decodeSubmission(row, progressRows, cancelled.has(row.key));
+      return loaded === undefined ? [] : [loaded];
+    });
+  }
+
+  /**
+   * Decodes a submission with its progress.
+   * @param row - its key and its stored form
+   * @param progressRows - rows of progress by key
+   * @param isCancelled - whether it has been cancelled
+   * @returns the submission, or undefined when it has to be left out
+   */
+  decodeSubmission(
+    row: Pick<StoredRow, 'key' | 'value'>,
+    progressRows: ReadonlyMap<string, StoredRow>,
+    isCancelled: boolean,
+  ): LoadedSubmission | undefined {
+    const progressRow = progressRows.get(row.key);
+    const progress = this.#decodeProgress(progressRow, progressRows);
+    // Without its progress the submission would be taken for new and run again.
+    if (progressRow !== undefined && progress === undefined) return undefined;
+    const decode = progress?.outcome === undefined ? decodeSubmission : decodeFinishedSubmission;
+    const submission = decode(row.value);
+    if (E.isLeft(submission)) {
+      this.#ports.logger.error(
+        { key: row.key, reason: submission.left },
+        'cannot decode submission',
+      );
+      return undefined;
+    }
+    const progressVersion = progressRow?.version ?? 0;
+    return { submission: submission.right, isCancelled, progress, progressVersion };
+  }
+
+  /**
+   * Gets the target incarnations whose runs are named by reports in stored progress.
+   * @param progressRows - rows of progress by key
+   * @returns the incarnations
+   */
+  static getReportedIncarnations(progressRows: ReadonlyMap<string, StoredRow>): readonly string[] {
+    const rows = [...progressRows.values()].filter(({ value }) => MAY_HOLD_REPORTS.test(value));
+    const incarnations = rows.flatMap((row) => {
+      const decoded = decodeProgressRows(row, (key) => progressRows.get(key)?.value);
+      if (E.isLeft(decoded) || decoded.right.outcome !== undefined) return [];
+      return Object.values(decoded.right.steps ?? {}).flatMap(({ crashes = {} }) =>
+        Object.values(crashes).flatMap((reports) => reports.map(({ incarnation }) => incarnation)),
+      );
     });
+    return [...new Set(incarnations)];
   }
 
   #decodeProgress(
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -76,6 +76,9 @@
 /** Interval between polls of a target that reports submissions which have not been read yet. */
 export const UNREAD_SUBMISSION_POLL_INTERVAL_MS = 80;
 
+/** The same while a part of the store is not read, which may last. */
+export const UNREAD_PART_POLL_INTERVAL_MS = 250;
+
 /** Added to the computed expiry of a lease to allow for clock-reading and timer delays. */
 export const LEASE_EXPIRY_MARGIN_MS = 150;
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -2,7 +2,6 @@
 
 import type { Epoch, QueueId, SubmissionId, TargetId } from '../types/ids';
 import { assertNever } from '../types/debug';
-import type { Submission } from '../work/types';
 import { AdviceDispatcher } from './adviceDispatcher';
 import { BeliefMonitor } from './beliefMonitor';
 import {
@@ -285,7 +284,13 @@
         this.#targets.onTargetRemoved(event.targetId);
         return;
       case 'submitted':
-        this.#onSubmitted(event.submission, event.rowVersion);
+        this.#onSubmitted(event);
+        return;
+      case 'partsUnread':
+        this.#onPartsUnread(event);
+        return;
+      case 'cancellationsRead':
+        this.#onCancellationsRead(event.submissionIds);
         return;
       case 'formerOwnersEnded':
         this.#unseenRuns.onFormerOwnersEnded(event.storeVersion);
@@ -368,6 +373,8 @@
 
   #deleteExpiredSubmissions(): void {
     const { nowMs, wallMs, records } = this.#state;
+    // Rows and cancellations of submissions may still be read that would be forgotten by then.
+    if (this.#state.areSubmissionPartsUnread || this.#state.areCancellationPartsUnread) return;
     if (nowMs < this.#nextCleanupAtMs) return;
     this.#nextCleanupAtMs = nowMs + CLEANUP_INTERVAL_MS;
     this.#earlyCancellations.removeExpired(nowMs);
@@ -410,7 +417,50 @@
     if (classified.isExcess) this.#state.count('submissions_excess');
   }
 
-  #onSubmitted(submission: Submission, rowVersion = 0): void {
+  /** Until all parts of the store have been read, a submission that is not known may exist. */
+  #onPartsUnread(event: Extract<OwnerEvent, { kind: 'partsUnread' }>): void {
+    const state = this.#state;
+    state.areSubmissionPartsUnread = event.areSubmissionsUnread;
+    state.wereSubmissionPartsUnread ||= event.areSubmissionsUnread;
+    state.areCancellationPartsUnread = event.areCancellationsUnread;
+    state.unreadReports = new Set(event.reportedIncarnations);
+    this.#runManager.crashTracker.addUnread(event.reportedIncarnations);
+    state.targets.forEach((known) => {
+      const target = known;
+      target.isReportUnread = state.unreadReports.has(target.incarnation);
+    });
+    state.isPlanDue = true;
+  }
+
+  #onCancellationsRead(submissionIds: readonly SubmissionId[]): void {
+    submissionIds.forEach((id) => {
+      const record = this.#state.records.get(id);
+      if (record !== undefined) record.isCancellationUnread = false;
+    });
+    this.#state.isPlanDue = true;
+  }
+
+  /**
+   * Reports of crashes that come late may name targets in use: those take no starts until the reports are void, as the
+   * runs that they name would be taken for all runs there.
+   */
+  #onReportsRead({ steps }: SubmissionRecord): void {
+    const reports = [...steps].flatMap(({ progress }) => [...progress.crashes.values()].flat());
+    if (reports.length === 0) return;
+    const incarnations = new Set(reports.map(({ incarnation }) => incarnation));
+    const { nowMs, targets } = this.#state;
+    targets.forEach((reported) => {
+      const target = reported;
+      if (incarnations.has(target.incarnation)) {
+        target.areRunsReported = true;
+        target.requestVerification(nowMs);
+      }
+      this.#runManager.giveUp(this.#runManager.crashTracker.onRegistered(target));
+    });
+  }
+
+  #onSubmitted(event: Extract<OwnerEvent, { kind: 'submitted' }>): void {
+    const { submission, rowVersion = 0, stored, isCancellationUnread = false } = event;
     const known = this.#state.records.get(submission.id);
     if (known !== undefined) {
       this.#unseenRuns.onRowRead(known, rowVersion);
@@ -418,9 +468,13 @@
     }
     const isCancelled = this.#earlyCancellations.take(submission.id);
     const mayRunUnseen = this.#unseenRuns.mayHaveBegun(submission.id);
-    const loaded = { submission, isCancelled, progress: undefined, progressVersion: 0 };
-    const record = this.#tryAddRecord(loaded, mayRunUnseen);
+    const loaded = {
+      ...{ submission, isCancelled, isCancellationUnread },
+      ...(stored ?? { progress: undefined, progressVersion: 0 }),
+    };
+    const record = this.#tryAddRecord(loaded, mayRunUnseen, stored !== undefined);
     if (record === undefined) return;
+    if (stored !== undefined) this.#onReportsRead(record);
     this.#unseenRuns.onRowRead(record, rowVersion);
     this.#classifySubmission(record);
     this.#state.log('submission taken', {
--- a/src/owner/crashTracker.ts
+++ b/src/owner/crashTracker.ts
@@ -69,6 +69,14 @@
     });
   }
 
+  /**
+   * Handles reports that belong to submissions which have not been read.
+   * @param incarnations - the incarnations that they name
+   */
+  addUnread(incarnations: readonly string[]): void {
+    incarnations.forEach((incarnation) => this.#reportedIncarnations.add(incarnation));
+  }
+
   /**
    * Handles a request that a target did not answer. Tasks that were started right before the loss are suspected.
    * @param target - the target
@@ -118,6 +126,8 @@
   onStillLost(lost: TargetState): void {
     const target = lost;
     if (target.areRunsReported || target.lostAtMs === undefined) return;
+    // A later owner would take the reported runs for all of them.
+    if (target.hasUnreadRuns) return;
     if (this.#state.nowMs < target.lostAtMs + REPORT_DELAY_MS) return;
     target.areRunsReported = true;
     // A run of a task that is done, or of an ended submission, is being stopped and is not started again.
--- a/src/owner/inventoryReconciler.ts
+++ b/src/owner/inventoryReconciler.ts
@@ -6,6 +6,7 @@
   LEASE_MS,
   POLL_RETRY_DELAY_MS,
   UNKNOWN_INCARNATION_MS,
+  UNREAD_PART_POLL_INTERVAL_MS,
   UNREAD_SUBMISSION_POLL_INTERVAL_MS,
 } from './constants';
 import type { OwnerState } from './ownerState';
@@ -158,14 +159,14 @@
     target.isResponding = true;
     target.lastAnsweredAtMs = nowMs;
     target.mayNeedStops = true;
-    // Ends are acknowledged in order, so an end of an unread submission defers all later ones.
-    const firstUnread = inventory.ended.findIndex((entry) =>
-      this.#isSubmissionUnread(target, entry),
-    );
-    const ended = firstUnread < 0 ? inventory.ended : inventory.ended.slice(0, firstUnread);
-    ended.forEach((entry) => this.#processEnd(target, entry));
-    target.hasUnseenEnds = firstUnread >= 0 || !inventory.areEndsComplete;
-    let isUnreadListed = firstUnread >= 0;
+    let isUnreadListed = false;
+    inventory.ended.forEach((entry) => {
+      if (this.#isSubmissionUnread(target, entry)) {
+        target.deferEnd(entry.sequence);
+        isUnreadListed = true;
+      } else this.#processEnd(target, entry);
+    });
+    target.hasUnseenEnds = !inventory.areEndsComplete;
     const listed = new Set<RunKey>();
     const orphanRuns: RunKey[] = [];
     inventory.running.forEach((entry) => {
@@ -187,7 +188,10 @@
     target.isContacted = true;
     target.hasUnreadRuns = isUnreadListed;
     if (!target.hasUnseenEnds) this.#state.unresolvedTargets.delete(target.id);
-    target.nextPollAtMs = isUnreadListed ? nowMs + UNREAD_SUBMISSION_POLL_INTERVAL_MS : nowMs;
+    const intervalMs = this.#state.areSubmissionPartsUnread
+      ? UNREAD_PART_POLL_INTERVAL_MS
+      : UNREAD_SUBMISSION_POLL_INTERVAL_MS;
+    target.nextPollAtMs = isUnreadListed ? nowMs + intervalMs : nowMs;
     target.pollAnsweredAtMs = nowMs;
     this.#state.isPlanDue = true;
   }
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -105,6 +105,18 @@
   /** Whether every submission that a former owner may have started has been read; any other one does not exist. */
   areSubmissionsRead = false;
 
+  /** Whether a part of the store has not been read that may hold submissions of former owners. */
+  areSubmissionPartsUnread = false;
+
+  /** Whether that has been so since the takeover. */
+  wereSubmissionPartsUnread = false;
+
+  /** The same as {@link OwnerState.areSubmissionPartsUnread} for cancellations. */
+  areCancellationPartsUnread = false;
+
+  /** Target incarnations whose runs are named by the progress of submissions in those parts. */
+  unreadReports: ReadonlySet<string> = new Set();
+
   /** Submissions whose rows are of a later version cannot have been started by a former owner. */
   lastFormerVersion = Number.POSITIVE_INFINITY;
 
@@ -155,6 +167,7 @@
     const former = this.#targets.get(target.id);
     former?.leave();
     this.#targetPosition += 1;
+    target.isReportUnread = this.unreadReports.has(target.incarnation);
     target.join(this.watch, former?.position ?? this.#targetPosition);
     this.#targets.set(target.id, target);
   }
--- a/src/owner/placement.ts
+++ b/src/owner/placement.ts
@@ -50,7 +50,7 @@
  * Checks whether the runs of a target are known, so that its free capacity can be relied on.
  * @param target - the target
  * @returns true when it has listed its runs, responds, has no runs of unknown demand, is recorded, and no stored report
- *   tells a later owner otherwise
+ *   tells a later owner otherwise, be it one that this owner has not read
  */
 export function isInventoryKnown(target: TargetState): boolean {
   return (
@@ -59,6 +59,7 @@
     target.isRecorded &&
     !target.isVerificationDue &&
     target.orphanRuns.size === 0 &&
+    !target.isReportUnread &&
     (target.voidedReports.length === 0 ||
       target.voidedReports.every(({ record, change }) => record.durableChangeCount >= change))
   );
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -52,6 +52,9 @@
 
   #unseenUsage = new Map<TeamId, TaskDemand>();
 
+  /** Whether targets may run tasks of submissions that have not been read, of any team and of any size. */
+  #mayRunUnread = false;
+
   #preemptions = new PreemptionTable(() => [], 0);
 
   #passCosts = new PassCosts();
@@ -79,6 +82,7 @@
     this.#readmitSteps();
     const steps = this.#getPlannableSteps();
     this.#unseenUsage = this.#getUnseenUsage();
+    this.#mayRunUnread = this.#findUnreadRuns();
     this.#planTrials(steps);
     for (const target of state.watch.unusual) {
       if (target.trial !== undefined) target.isPlannable = false;
@@ -193,14 +197,16 @@
 
   #isWithinTeamLimit(step: StepState, demand: TaskDemand): boolean {
     const { teamId } = step.record.submission;
-    return this.#state.teamUsage.isWithinLimit(teamId, demand, this.#unseenUsage.get(teamId));
+    const { teamUsage } = this.#state;
+    if (this.#mayRunUnread && teamUsage.hasLimit(teamId)) return false;
+    return teamUsage.isWithinLimit(teamId, demand, this.#unseenUsage.get(teamId));
   }
 
   /** Starts a second copy of stragglers where capacity is left (speculative execution). */
   #startSpeculativeCopies(): void {
     const { nowMs, targets, open: records } = this.#state;
     records.forEach((record) => {
-      if (!record.isServiceRecorded) return;
+      if (!record.isServiceRecorded || record.isCancellationUnread) return;
       for (const step of record.steps) {
         findStragglers(step, (run) => targets.get(run.targetId), nowMs).forEach((run) =>
           this.#startSpeculativeCopy(step, run.index, run.targetId),
@@ -258,6 +264,20 @@
     return true;
   }
 
+  /**
+   * Until a part of the store has been read, nobody knows whose the runs are that targets list of its submissions; they
+   * are counted once their targets have listed them again.
+   */
+  #findUnreadRuns(): boolean {
+    const { areSubmissionPartsUnread, unresolvedTargets, targets, steadyMs } = this.#state;
+    if (!this.#state.wereSubmissionPartsUnread) return false;
+    if (areSubmissionPartsUnread && unresolvedTargets.size > 0) return true;
+    return [...targets.values()].some(
+      ({ hasUnreadRuns, orphanRuns, lease }) =>
+        hasUnreadRuns && orphanRuns.size > 0 && !lease.isExpired(steadyMs),
+    );
+  }
+
   /** Demand by team that may be running on targets which have not listed their runs since the takeover. */
   #getUnseenUsage(): Map<TeamId, TaskDemand> {
     const unseen = new Map<TeamId, TaskDemand>();
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -86,9 +86,13 @@
     }
   }
 
-  /** Whether no task may be started yet, as it may run unseen, or a later owner would not look for it. */
+  /**
+   * Whether no task may be started yet, as it may run unseen, a later owner would not look for it, or the submission
+   * may have been cancelled.
+   */
   get isHeld(): boolean {
-    return this.mayRunUnseen || !this.record.isServiceRecorded;
+    const { isServiceRecorded, isCancellationUnread } = this.record;
+    return this.mayRunUnseen || !isServiceRecorded || isCancellationUnread;
   }
 
   /** Tasks that are not done and have no run. */
--- a/src/owner/submissionRecord.ts
+++ b/src/owner/submissionRecord.ts
@@ -52,6 +52,9 @@
 
   isCancelled: boolean;
 
+  /** Whether its cancellation may be in a part of the store that has not been read; its tasks wait until then. */
+  isCancellationUnread: boolean;
+
   outcome: SubmissionOutcome | undefined;
 
   /** Time at which the outcome was decided, in milliseconds since 1970. */
@@ -105,6 +108,7 @@
     this.#totalEstimateMs = steps.reduce((sum, { estimateMs }) => sum + estimateMs, 0);
     this.#mayRunUnseen = mayRunUnseen;
     this.isCancelled = loaded.isCancelled;
+    this.isCancellationUnread = loaded.isCancellationUnread ?? false;
     this.#stored = loaded.progress ?? {};
     this.#serviceChanges = new Map((this.#stored.serviceNames ?? []).map((name) => [name, 0]));
     this.#doneOccurrences = IndexRangeSet.parse(this.#stored.doneOccurrences ?? '');
--- a/src/owner/targetPoller.ts
+++ b/src/owner/targetPoller.ts
@@ -127,7 +127,8 @@
     const { nowMs, steadyMs, epoch } = this.#state;
     const baseMs = target.clock.getLeaseBaseMs(steadyMs);
     // The lease of a target that does not respond is not renewed, so that its expiry can be relied on.
-    const isNeeded = target.runs.size > 0 || target.unacknowledgedEndCount > 0;
+    const isNeeded =
+      target.runs.size > 0 || target.unacknowledgedEndCount > 0 || target.hasUnreadRuns;
     // Nor that of one whose record tells later owners when it ends.
     const isRenewable = target.isResponding && !this.#isRecordedSilent(target);
     const isRenewed = isRenewable && baseMs !== undefined && isNeeded;
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -76,6 +76,8 @@
 
   #voidedReports: readonly VoidedReport[] = [];
 
+  #isReportUnread = false;
+
   #pollSentAtMs: number | undefined;
 
   #ends = new UnacknowledgedEnds();
@@ -209,6 +211,7 @@
       !this.#mayHaveUnsettledRuns &&
       this.#trial === undefined &&
       this.#voidedReports.length === 0 &&
+      !this.#isReportUnread &&
       this.#orphanRuns.size === 0
     );
   }
@@ -318,6 +321,16 @@
     this.#setUnusual(voidedReports.length > 0);
   }
 
+  /** Stored progress that has not been taken over yet names its runs, and would be wrong once others start. */
+  get isReportUnread(): boolean {
+    return this.#isReportUnread;
+  }
+
+  set isReportUnread(isReportUnread: boolean) {
+    this.#isReportUnread = isReportUnread;
+    this.#setUnusual(isReportUnread);
+  }
+
   /** When the pending poll was sent; undefined when none is pending. */
   get pollSentAtMs(): number | undefined {
     return this.#pollSentAtMs;
@@ -488,7 +501,16 @@
    * @returns true when this end has been processed
    */
   isEndProcessed(sequence: number): boolean {
-    return sequence <= (this.#ends.lastSequence ?? this.acknowledgedSequence);
+    if (sequence > (this.#ends.lastSequence ?? this.acknowledgedSequence)) return false;
+    return !this.#ends.isDeferred(sequence);
+  }
+
+  /**
+   * Records an end of a submission that has not been read yet.
+   * @param sequence - its sequence number
+   */
+  deferEnd(sequence: number): void {
+    if (!this.isEndProcessed(sequence)) this.#ends.defer(sequence);
   }
 
   /** True when all ends can be acknowledged without a further write. */
--- a/src/owner/taskBelief.ts
+++ b/src/owner/taskBelief.ts
@@ -15,6 +15,8 @@
   | 'unseenRuns'
   /** The service of its queue has to be stored. */
   | 'serviceRecord'
+  /** Its submission may have been cancelled, which a part of the store would tell that has not been read. */
+  | 'unreadCancellation'
   /** It is suspected of having crashed targets, and no trial of it has been started. */
   | 'trial'
   /** The advice service has approved no target with a ticket that is still valid. */
@@ -79,6 +81,7 @@
 ): TaskWaitReason {
   if (step.mayRunUnseen) return 'unseenRuns';
   if (!step.record.isServiceRecorded) return 'serviceRecord';
+  if (step.record.isCancellationUnread) return 'unreadCancellation';
   const needsTicket = step.record.queue.advice !== undefined;
   return needsTicket && !step.advice.hasUsableTicket(nowMs) ? 'advice' : 'capacity';
 }
--- a/src/owner/teamUsage.ts
+++ b/src/owner/teamUsage.ts
@@ -40,6 +40,16 @@
     return this.#used.get(teamId) ?? NO_DEMAND;
   }
 
+  /**
+   * @param teamId - a team
+   * @returns whether anything limits what it may have running
+   */
+  hasLimit(teamId: TeamId): boolean {
+    const limit = this.#teams.get(teamId)?.limit;
+    if (limit === undefined) return false;
+    return limit.cpuMillis > 0 || limit.memoryMb > 0 || limit.accelerators > 0;
+  }
+
   /**
    * Checks whether further demand stays within the limit of a team.
    * @param teamId - the team; a team that is not configured has no limit
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -139,6 +139,8 @@
   readonly isCancelled: boolean;
   readonly progress: StoredProgress | undefined;
   readonly progressVersion: number;
+  /** Whether its cancellation may be in a part of the store that has not been read. */
+  readonly isCancellationUnread?: boolean;
 }
 
 /** A row of the record of targets that owners use; it outlives the registration. */
@@ -243,9 +245,22 @@
     | {
         readonly kind: 'submitted';
         readonly submission: Submission;
-        /** Version of its row; undefined when a gate has announced it. */
+        /** Version of its row; undefined when a gate has announced it, or when it may have an earlier row. */
         readonly rowVersion?: number;
+        /** What former owners have stored of it, if its row has been read late or in a second part. */
+        readonly stored?: Pick<LoadedSubmission, 'progress' | 'progressVersion'>;
+        readonly isCancellationUnread?: boolean;
       }
+    /** The takeover goes on without parts of the store, or another one of these has been read. */
+    | {
+        readonly kind: 'partsUnread';
+        readonly areSubmissionsUnread: boolean;
+        readonly areCancellationsUnread: boolean;
+        /** Target incarnations whose runs are named by the progress of submissions that have not been read. */
+        readonly reportedIncarnations: readonly string[];
+      }
+    /** All parts have been read that may hold cancellations of these submissions. */
+    | { readonly kind: 'cancellationsRead'; readonly submissionIds: readonly SubmissionId[] }
     /** No former owner may act any more; every row of a later version was written after that. */
     | { readonly kind: 'formerOwnersEnded'; readonly storeVersion: number }
     /** All rows of submissions up to the end of the authority of former owners have been reported. */
--- a/src/owner/unseenRuns.ts
+++ b/src/owner/unseenRuns.ts
@@ -115,6 +115,8 @@
     listingTargetIds?.forEach((targetId) => {
       const target = targets.get(targetId);
       if (target === undefined) return;
+      // It may hold a lease of this owner, so that the time of the takeover says nothing about its runs.
+      target.hasUnseenEnds = true;
       target.isContacted = false;
       target.nextPollAtMs = this.#state.nowMs;
       unresolvedTargets.add(targetId);
--- a/src/store/tableFollower.ts
+++ b/src/store/tableFollower.ts
@@ -55,7 +55,7 @@
  * @returns the rows, with the version and the clock of the first page
  */
 export async function readPartSnapshot(
-  store: RowStore,
+  store: Pick<RowStore, 'readRange'>,
   table: string,
   part: string,
   timeoutMs: number,
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -6,13 +6,7 @@
 import * as E from 'fp-ts/Either';
 import { OWNER_AUTHORITY_MS } from '../../src/owner/constants';
 import { OwnerCore } from '../../src/owner/core';
-import type {
-  EndedEntry,
-  LoadedSubmission,
-  OwnerEffect,
-  OwnerEvent,
-  RecordFailure,
-} from '../../src/owner/types';
+import type { EndedEntry, OwnerEffect, OwnerEvent, RecordFailure } from '../../src/owner/types';
 import type { PollCall, StartCall } from '../../src/node/ports';
 import { Random } from '../../src/types/random';
 import { toEpoch } from '../../src/types/ids';
@@ -25,6 +19,7 @@
 import type { Network, TargetCall } from './networkModel';
 import { OperatorModel } from './operatorModel';
 import { WALL_START_MS } from './ownerSubmissions';
+import { PartsModel } from './partsModel';
 import { ProgressStore } from './progressStore';
 import { RecordStore } from './recordStore';
 import { RegistryModel } from './registryModel';
@@ -44,6 +39,7 @@
 import type { SubmittedStep } from './worldChecks';
 import * as limits from './worldConstants';
 import type { WorldOptions } from './worldFaults';
+import { createOwner } from './worldTypes';
 import type { Owner } from './worldTypes';
 
 export { createSubmission, toSubmissionId } from './ownerSubmissions';
@@ -125,6 +121,9 @@
 
   #cancelledAtMs = new Map<SubmissionId, number>();
 
+  /** Parts of the store that may be silent at a takeover. */
+  readonly parts = new PartsModel(this.#cancelledAtMs, (event) => this.#tellOwner(event));
+
   readonly store: ProgressStore;
 
   /** The stored record of used targets. */
@@ -212,23 +211,16 @@
       this.#owner.suspendedUntilMs = this.time.nowMs + suspensionMs;
     }
     this.#epoch += 1;
-    const loaded: LoadedSubmission[] = [...this.#submissions.values()].map((submission) => ({
-      submission,
-      isCancelled: this.#cancelledAtMs.has(submission.id),
-      progress: this.store.get(submission.id)?.value,
-      progressVersion: this.store.get(submission.id)?.version ?? 0,
-    }));
+    const loaded = this.parts.load(this.#submissions.values(), this.store);
     const { nowMs } = this.time;
     const wallMs = WALL_START_MS + nowMs + this.wallOffsetMs;
     const clocks = { nowMs, wallMs, steadyMs: nowMs };
     const record = this.recordStore.load(this.#epoch);
     const core = new OwnerCore(toEpoch(this.#epoch), loaded, clocks, undefined, record);
-    const owner: Owner = {
-      ...{ core, epoch: this.#epoch, isStopped: false, suspendedUntilMs: 0, registryReadAtMs: 0 },
-      authorizedUntilMs: Number.POSITIVE_INFINITY,
-    };
+    const owner = createOwner(core, this.#epoch);
     this.#owner = owner;
     this.#owners.push(owner);
+    this.parts.begin();
     this.readOperator();
     this.#dispatch(owner, { kind: 'lanesChanged', nodeIds: ['n-1', 'n-2', 'n-3'] as NodeId[] });
     const entries = this.registry?.entries ?? [...this.targets.values()].map(({ entry }) => entry);
@@ -236,9 +228,13 @@
     this.#tick(owner);
     const tell = (reading: object) => this.#dispatch(owner, { kind: 'storeClockRead', reading });
     this.recordStore.followClock(() => this.isStoreAvailable, tell);
-    this.time.after(this.submissionsReadDelayMs, () =>
-      this.#dispatch(owner, { kind: 'submissionsRead' }),
-    );
+    this.time.after(this.submissionsReadDelayMs, () => this.#tellSubmissionsRead(owner));
+  }
+
+  #tellSubmissionsRead(owner: Owner): void {
+    if (owner === this.#owner && !this.parts.areAllRead)
+      this.time.after(limits.TICK_INTERVAL_MS, () => this.#tellSubmissionsRead(owner));
+    else this.#dispatch(owner, { kind: 'submissionsRead' });
   }
 
   /**
@@ -261,7 +257,8 @@
 
   submit(submission: Submission, rowVersion?: number): void {
     this.#submissions.set(submission.id, submission);
-    this.#tellOwner({ kind: 'submitted', submission, rowVersion });
+    const additions = this.parts.getAdditions(submission.id);
+    this.#tellOwner({ kind: 'submitted', submission, rowVersion, ...additions });
   }
 
   /** Tells the owner that no former one may act any more. */
--- a/tests/support/worldTypes.ts
+++ b/tests/support/worldTypes.ts
@@ -13,3 +13,11 @@
   /** When it receives the last change of the registry; changes arrive in order. */
   registryReadAtMs: number;
 }
+
+/** Creates an owner that has just taken over. */
+export function createOwner(core: OwnerCore, epoch: number): Owner {
+  return {
+    ...{ core, epoch, isStopped: false, suspendedUntilMs: 0, registryReadAtMs: 0 },
+    authorizedUntilMs: Number.POSITIVE_INFINITY,
+  };
+}
