--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -1,41 +1,38 @@
 /** Runs the owner's scheduler on the owner node: loads the stored state and performs its effects. */
 
 import * as E from 'fp-ts/Either';
-import { OWNER_AUTHORITY_MS } from '../owner/constants';
 import { OwnerCore } from '../owner/core';
 import type {
-  Advice,
-  AdviceFailure,
   ClockReadings,
   HandedAdvice,
   LoadedSubmission,
   OwnerEffect,
   OwnerEvent,
+  SubmissionView,
 } from '../owner/types';
 import { TableFollower } from '../store/tableFollower';
 import type { FollowedTable, FollowerEvent } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
 import { assertNever, throwRejection } from '../types/debug';
-import type { Epoch, NodeId, StepKey, SubmissionId, TargetId } from '../types/ids';
+import type { Epoch, NodeId, QueueId, SubmissionId, TargetId } from '../types/ids';
 import type { DistributiveOmit } from '../types/distributiveOmit';
-import { decodeSubmission } from '../work/submissionSchema';
+import { decodeFinishedSubmission, decodeSubmission } from '../work/submissionSchema';
 import { CancellationLog } from './cancellationLog';
 import type { CancellationWay } from './cancellationLog';
+import { FormerOwners } from './formerOwners';
 import type { OperatorSnapshot } from './operatorSnapshot';
 import { getEffectWork, OwnerLoad } from './ownerLoad';
+import type { OwnerHostCallbacks } from './ownerHostCallbacks';
 import type { OwnerNotice } from './ownerNotifier';
 import { OwnerWrites } from './ownerWrites';
+import type { PartRead, PartReader } from './partReader';
 import { countExtraRows } from './progressRows';
 import type { NodePorts, PollCall, StartCall, StopCall } from './ports';
-import {
-  CANCELS_TABLE,
-  OWNER_PART,
-  OWNERSHIP_TABLE,
-  SUBMISSION_PARTS,
-  SUBMISSIONS_TABLE,
-} from './tables';
+import { CANCELS_TABLE, SUBMISSION_PARTS, SUBMISSIONS_TABLE } from './tables';
 import { summarizeLoadedRows, TakeoverLoader } from './takeoverLoader';
 import type { LoadedRows } from './takeoverLoader';
+import { UnreadParts } from './unreadParts';
+import type { ReadSubmission } from './unreadParts';
 import { decodeTargetRecord } from './usedTargetRows';
 
 /** Interval of tick events; planning that was deferred resumes within it. */
@@ -50,33 +47,9 @@
 /** Pause between reads of submissions and cancellations, for those of which no gate notified the owner. */
 const SUBMISSIONS_PAUSE_MS = 500;
 
-/** Added to the authority of a former owner to allow for timer delays and clocks of different speed. */
-const FORMER_OWNER_MARGIN_MS = 200;
-
-/** Timeout of the read that gets the store's version, and the delay before it is repeated. */
-const VERSION_TIMEOUT_MS = 1_000;
-const VERSION_RETRY_DELAY_MS = 200;
-
 /** Processor capacity of a Vm of unknown size. */
 const DEFAULT_PROCESSOR_MILLIS = 1_000;
 
-/** Callbacks of the node that the host runs on. */
-export interface OwnerHostCallbacks {
-  /** True while this node may act as the owner. */
-  isAuthorized(): boolean;
-  /** Queries the advice service through the given node. */
-  advise(
-    nodeId: NodeId,
-    stepKey: StepKey,
-    targetIds: readonly TargetId[],
-    timeoutMs: number,
-  ): Promise<E.Either<AdviceFailure, Advice>>;
-  /** Called when this owner may resign, after a handover was requested. */
-  onHandoverPrepared(): void;
-  /** Called when another node has become the owner. */
-  onSuperseded(reason: string): void;
-}
-
 type EventBody = DistributiveOmit<OwnerEvent, keyof ClockReadings>;
 
 /** Runs the scheduler for one epoch of ownership. */
@@ -95,12 +68,12 @@
 
   #submissionsFollower: TableFollower | undefined;
 
-  /** Version of the store when the authority of former owners had ended, until the feed has passed it. */
-  #formerVersion: number | undefined;
+  #parts: PartReader | undefined;
 
-  #isFormerVersionKnown = false;
+  /** What is not known of submissions; set with the core. */
+  #unread: UnreadParts | undefined;
 
-  #areFormerOwnersEnded = false;
+  #formerOwners: FormerOwners;
 
   #followers: TableFollower[] = [];
 
@@ -154,6 +127,10 @@
     this.#writes = new OwnerWrites(ports.store, epoch, rowVersion);
     this.#cancellationLog = new CancellationLog(ports.logger, epoch);
     this.#operator = operator;
+    this.#formerOwners = new FormerOwners(ports.store, {
+      onConfirmed: () => this.#dispatch({ kind: 'formerAuthorityEnded' }),
+      onVersionKnown: (storeVersion) => this.#dispatch({ kind: 'formerOwnersEnded', storeVersion }),
+    });
   }
 
   /** The fencing token of this ownership. */
@@ -163,7 +140,7 @@
 
   /** Whether no owner before this one may act any more. */
   get areFormerOwnersEnded(): boolean {
-    return this.#areFormerOwnersEnded;
+    return this.#formerOwners.areEnded;
   }
 
   /** The scheduler; undefined until the stored state is loaded. */
@@ -180,7 +157,13 @@
       setTimeout(() => this.#restart(), LOAD_RETRY_DELAY_MS);
       return;
     }
-    const submissions = this.#loader.decodeSubmissions(loaded);
+    const unread = new UnreadParts(this.#ports, this.#epoch, loaded.parts, loaded.progress.rows);
+    this.#parts = loaded.parts;
+    this.#unread = unread;
+    const submissions = this.#loader
+      .decodeSubmissions(loaded)
+      .map((submission) => unread.hold(submission));
+    unread.forgetProgress(submissions.map(({ submission }) => submission.id));
     this.#writes.setExtraRowCounts(countExtraRows(loaded.progress.rows));
     const { maxLeaseMs } = this.#ports.targets;
     const { usedTargets, ownership } = loaded;
@@ -192,6 +175,10 @@
     const clocks = this.#getClockReadings();
     const lapseMs = this.#ports.registry.lapseMs ?? 0;
     this.#core = new OwnerCore(this.#epoch, submissions, clocks, maxLeaseMs, record, lapseMs);
+    if (!unread.isEmpty) {
+      unread.logStart();
+      this.#dispatch(unread.describe());
+    }
     this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
     this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
     this.#cancelUnread(loaded, submissions);
@@ -203,8 +190,9 @@
     this.#pendingChanges.forEach((apply) => apply());
     this.#pendingChanges = [];
     this.#follow(loaded);
+    loaded.parts.follow((read) => this.#onPartRead(read));
     this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
-    this.#scheduleFormerOwnersEnd(OWNER_AUTHORITY_MS + FORMER_OWNER_MARGIN_MS);
+    this.#formerOwners.start();
     const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
     this.#ports.logger.info(
       {
@@ -223,6 +211,8 @@
     this.#isStopped = true;
     clearInterval(this.#timer);
     this.#load.stop();
+    this.#parts?.stop();
+    this.#formerOwners.stop();
     this.#followers.forEach((follower) => follower.stop());
   }
 
@@ -268,16 +258,63 @@
    */
   submit(text: string, rowVersion?: number): void {
     const decoded = decodeSubmission(text);
-    if (E.isLeft(decoded)) {
-      this.#ports.logger.warn({ reason: decoded.left }, 'cannot decode stored submission');
+    const finished = E.isRight(decoded) ? decoded : decodeFinishedSubmission(text);
+    if (E.isLeft(finished)) {
+      this.#ports.logger.warn({ reason: finished.left }, 'cannot decode stored submission');
       return;
     }
-    this.#whenLoaded(() =>
-      this.#dispatch({
-        ...{ kind: 'submitted', submission: decoded.right },
-        ...(rowVersion === undefined ? {} : { rowVersion }),
-      }),
-    );
+    const { id } = finished.right;
+    const submission = E.isRight(decoded) ? decoded.right : undefined;
+    this.#whenLoaded(() => this.#addSubmission({ id, text, submission }, rowVersion));
+  }
+
+  /**
+   * Its row may be a second one, of a submission whose first row is in a part that has not been read. So its stored
+   * progress is looked for, and the version of the row tells nothing then.
+   */
+  #addSubmission({ id, text, submission: decoded }: ReadSubmission, rowVersion?: number): void {
+    const unread = this.#unread;
+    if (unread === undefined) return;
+    const isFirstRow = rowVersion !== undefined && !unread.mayHoldSubmission(id);
+    const version = isFirstRow ? { rowVersion } : {};
+    const isNew = decoded !== undefined && !unread.progressRows.has(id);
+    const loaded = isNew
+      ? { submission: decoded, isCancelled: false, progress: undefined, progressVersion: 0 }
+      : this.#loader.decodeSubmission({ key: id, value: text }, unread.progressRows, false);
+    if (loaded === undefined) return;
+    const isKnown = this.#core?.getView(id).kind === 'known';
+    const held: LoadedSubmission = isKnown ? loaded : unread.hold(loaded);
+    const { submission, progress, progressVersion, isCancellationUnread } = held;
+    this.#dispatch({
+      ...{ kind: 'submitted', submission, ...version },
+      ...(progress === undefined ? {} : { stored: { progress, progressVersion } }),
+      ...(isCancellationUnread === undefined ? {} : { isCancellationUnread }),
+    });
+    if (progress !== undefined) unread.forgetProgress([id]);
+  }
+
+  /**
+   * Gets the state of a submission for a caller.
+   * @param submissionId - the submission
+   * @returns its state; undefined while that is not known, as a part of the store has not been read
+   */
+  getView(submissionId: SubmissionId): SubmissionView | undefined {
+    const view = this.#core?.getView(submissionId);
+    if (view === undefined || this.#unread === undefined) return undefined;
+    if (view.kind === 'unknown')
+      return this.#unread.mayHoldSubmission(submissionId) ? undefined : view;
+    const isFinal = view.state !== 'pending' && view.state !== 'running';
+    return isFinal || !this.#unread.mayHoldCancellation(submissionId) ? view : undefined;
+  }
+
+  /**
+   * Counts the waiting submissions of a queue.
+   * @param queueId - the queue
+   * @returns the number; undefined while a part of the store that may hold some has not been read
+   */
+  getWaitingCount(queueId: QueueId): number | undefined {
+    if (this.#unread?.areSubmissionsRead !== true) return undefined;
+    return this.#core?.getWaitingCount(queueId);
   }
 
   /**
@@ -306,40 +343,15 @@
 
   /** Handles the confirmation of the former owner that neither it nor one before it acts any more. */
   confirmFormerOwnersEnded(): void {
-    if (this.#areFormerOwnersEnded) return;
-    this.#areFormerOwnersEnded = true;
-    this.#whenLoaded(() => {
-      this.#dispatch({ kind: 'formerAuthorityEnded' });
-      this.#scheduleFormerOwnersEnd(0);
-    });
-  }
-
-  /** Once no former owner may act any more, learns the version of the store at that time. */
-  #scheduleFormerOwnersEnd(delayMs: number): void {
-    setTimeout(() => {
-      if (this.#isStopped || this.#isFormerVersionKnown) return;
-      const query = { table: OWNERSHIP_TABLE, part: OWNER_PART, fromKey: '', limit: 1 };
-      this.#ports.store.readRange(query, VERSION_TIMEOUT_MS).then((page) => {
-        if (E.isLeft(page)) this.#scheduleFormerOwnersEnd(VERSION_RETRY_DELAY_MS);
-        else this.#onFormerOwnersEnded(page.right.storeVersion);
-      }, throwRejection);
-    }, delayMs).unref();
-  }
-
-  #onFormerOwnersEnded(storeVersion: number): void {
-    if (this.#isFormerVersionKnown) return;
-    this.#isFormerVersionKnown = true;
-    this.#areFormerOwnersEnded = true;
-    this.#formerVersion = storeVersion;
-    this.#dispatch({ kind: 'formerOwnersEnded', storeVersion });
+    this.#formerOwners.confirm((apply) => this.#whenLoaded(apply));
   }
 
   /** Until the feed has passed the last version of former owners, a submission that is not known may still come. */
   #checkSubmissionsRead(): void {
-    if (this.#formerVersion === undefined) return;
-    if ((this.#submissionsFollower?.version ?? 0) < this.#formerVersion) return;
-    this.#formerVersion = undefined;
-    this.#dispatch({ kind: 'submissionsRead' });
+    const isRead = this.#unread?.areSubmissionsRead === true;
+    const version = isRead ? (this.#submissionsFollower?.version ?? 0) : undefined;
+    if (this.#formerOwners.takeSubmissionsRead(version))
+      this.#dispatch({ kind: 'submissionsRead' });
   }
 
   /** The tables are read one after another, so that a cancellation may be read whose submission was not. */
@@ -351,6 +363,24 @@
     });
   }
 
+  /** Its submissions come in as at the takeover, and wait for targets that may run them. */
+  #onPartRead({ table, part, snapshot }: PartRead): void {
+    if (this.#isStopped || this.#unread === undefined) return;
+    if (table === CANCELS_TABLE)
+      snapshot.rows.forEach(({ key }) => this.#cancelLate(key as SubmissionId));
+    else snapshot.rows.forEach((row) => this.submit(row.value, row.version));
+    const submissionIds = this.#unread.takeReleased();
+    if (submissionIds.length > 0) this.#dispatch({ kind: 'cancellationsRead', submissionIds });
+    this.#dispatch(this.#unread.describe());
+    this.#unread.logRead({ table, part }, snapshot.rows.length);
+  }
+
+  /** The cancellation of a submission that is not known is kept for it. */
+  #cancelLate(submissionId: SubmissionId): void {
+    if (this.#core?.getView(submissionId).kind === 'known') this.cancel(submissionId, 'loaded');
+    else this.#dispatch({ kind: 'cancelled', submissionId });
+  }
+
   #restart(): void {
     if (this.#isStopped) return;
     this.start().catch(throwRejection);
@@ -428,6 +458,7 @@
   #tick(): void {
     this.#load.onTick(TICK_INTERVAL_MS);
     this.#checkSubmissionsRead();
+    this.#unread?.check();
     this.#dispatch({ kind: 'tick' });
   }
 
--- a/src/owner/crashTracker.ts
+++ b/src/owner/crashTracker.ts
@@ -15,7 +15,7 @@
 import { toRunKey } from './run';
 import type { Run } from './run';
 import type { StepState } from './stepState';
-import { toIncarnation } from './targetState';
+import { toIncarnation } from './incarnationName';
 import type { TargetState } from './targetState';
 import type { TrialPlacement } from './trial';
 import type { TargetFailure } from './types';
@@ -69,6 +69,14 @@
     });
   }
 
+  /**
+   * Handles reports that belong to submissions which have not been read.
+   * @param incarnations - the incarnations that they name
+   */
+  addUnread(incarnations: readonly string[]): void {
+    incarnations.forEach((incarnation) => this.#reportedIncarnations.add(incarnation));
+  }
+
   /**
    * Handles a request that a target did not answer. Tasks that were started right before the loss are suspected.
    * @param target - the target
@@ -118,6 +126,8 @@
   onStillLost(lost: TargetState): void {
     const target = lost;
     if (target.areRunsReported || target.lostAtMs === undefined) return;
+    // A later owner would take the reported runs for all of them.
+    if (target.hasUnreadRuns) return;
     const delayMs = this.#state.isHandingOver ? 0 : REPORT_DELAY_MS;
     if (this.#state.nowMs < target.lostAtMs + delayMs) return;
     target.areRunsReported = true;
--- a/src/owner/runResponses.ts
+++ b/src/owner/runResponses.ts
@@ -8,7 +8,7 @@
 import { toRunKey } from './run';
 import type { Run } from './run';
 import type { RunManager } from './runManager';
-import { toIncarnation } from './targetState';
+import { toIncarnation } from './incarnationName';
 import type { TargetState } from './targetState';
 import type { OwnerEvent, TargetFailure } from './types';
 
--- a/src/owner/targetRecorder.ts
+++ b/src/owner/targetRecorder.ts
@@ -12,7 +12,7 @@
 import { isVacant } from './runBounds';
 import { SilenceTracker } from './silenceTracker';
 import type { SilentTarget } from './silenceTracker';
-import { toIncarnation } from './targetState';
+import { toIncarnation } from './incarnationName';
 import type { TargetState } from './targetState';
 import type { OwnerEffect, OwnerEvent, RecordFailure, RecordRow, RecordVersion } from './types';
 
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -10,6 +10,7 @@
   SLOWDOWN_SMOOTHING_FACTOR,
   STOP_RETRY_DELAY_MS,
 } from './constants';
+import { toIncarnation } from './incarnationName';
 import { isUseDifferent } from './registrationUse';
 import type { Run, RunKey } from './run';
 import type { SubmissionRecord } from './submissionRecord';
@@ -26,16 +27,6 @@
   readonly change: number;
 }
 
-/**
- * Builds the identity of a target incarnation.
- * @param address - address of the target
- * @param incarnationStartMs - its start time in Unix milliseconds
- * @returns a text that is the same for every owner
- */
-export function toIncarnation(address: string, incarnationStartMs: number): string {
-  return `${address}@${incarnationStartMs}`;
-}
-
 /** One incarnation of a target. */
 export class TargetState {
   #entry: TargetEntry;
@@ -76,6 +67,8 @@
 
   #voidedReports: readonly VoidedReport[] = [];
 
+  #isReportUnread = false;
+
   #pollSentAtMs: number | undefined;
 
   #ends = new UnacknowledgedEnds();
@@ -221,6 +214,7 @@
       !this.#mayHaveUnsettledRuns &&
       this.#trial === undefined &&
       this.#voidedReports.length === 0 &&
+      !this.#isReportUnread &&
       this.#orphanRuns.size === 0
     );
   }
@@ -330,6 +324,16 @@
     this.#setUnusual(voidedReports.length > 0);
   }
 
+  /** Stored progress that has not been taken over yet names its runs, and would be wrong once others start. */
+  get isReportUnread(): boolean {
+    return this.#isReportUnread;
+  }
+
+  set isReportUnread(isReportUnread: boolean) {
+    this.#isReportUnread = isReportUnread;
+    this.#setUnusual(isReportUnread);
+  }
+
   /** When the pending poll was sent; undefined when none is pending. */
   get pollSentAtMs(): number | undefined {
     return this.#pollSentAtMs;
@@ -501,7 +505,16 @@
    * @returns true when this end has been processed
    */
   isEndProcessed(sequence: number): boolean {
-    return sequence <= (this.#ends.lastSequence ?? this.acknowledgedSequence);
+    if (sequence > (this.#ends.lastSequence ?? this.acknowledgedSequence)) return false;
+    return !this.#ends.isDeferred(sequence);
+  }
+
+  /**
+   * Records an end of a submission that has not been read yet.
+   * @param sequence - its sequence number
+   */
+  deferEnd(sequence: number): void {
+    if (!this.isEndProcessed(sequence)) this.#ends.defer(sequence);
   }
 
   /** True when all ends can be acknowledged without a further write. */
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -6,7 +6,7 @@
 import * as E from 'fp-ts/Either';
 import { OWNER_AUTHORITY_MS } from '../../src/owner/constants';
 import { OwnerCore } from '../../src/owner/core';
-import type { EndedEntry, LoadedSubmission, OwnerEffect, OwnerEvent } from '../../src/owner/types';
+import type { EndedEntry, OwnerEffect, OwnerEvent } from '../../src/owner/types';
 import type { PollCall, StartCall } from '../../src/node/ports';
 import { Random } from '../../src/types/random';
 import { toEpoch } from '../../src/types/ids';
@@ -19,6 +19,7 @@
 import type { Network, TargetCall } from './networkModel';
 import { OperatorModel } from './operatorModel';
 import { WALL_START_MS } from './ownerSubmissions';
+import { PartsModel } from './partsModel';
 import { ProgressStore } from './progressStore';
 import { RecordStore } from './recordStore';
 import { RegistryModel, type RegistryEvent } from './registryModel';
@@ -39,6 +40,7 @@
 } from './worldChecks';
 import * as limits from './worldConstants';
 import type { WorldOptions } from './worldFaults';
+import { createOwner } from './worldTypes';
 import type { Owner } from './worldTypes';
 
 export { createSubmission, toSubmissionId } from './ownerSubmissions';
@@ -126,6 +128,9 @@
 
   #cancelledAtMs = new Map<SubmissionId, number>();
 
+  /** Parts of the store that may be silent at a takeover. */
+  readonly parts = new PartsModel(this.#cancelledAtMs, (event) => this.#tellOwner(event));
+
   readonly store: ProgressStore;
 
   /** The stored record of used targets. */
@@ -213,23 +218,15 @@
       this.#owner.suspendedUntilMs = this.time.nowMs + suspensionMs;
     }
     this.#epoch += 1;
-    const loaded: LoadedSubmission[] = [...this.#submissions.values()].map((submission) => ({
-      submission,
-      isCancelled: this.#cancelledAtMs.has(submission.id),
-      progress: this.store.get(submission.id)?.value,
-      progressVersion: this.store.get(submission.id)?.version ?? 0,
-    }));
+    const loaded = this.parts.load(this.#submissions.values(), this.store);
     const { nowMs } = this.time;
     const clocks = { nowMs, wallMs: WALL_START_MS + nowMs + this.wallOffsetMs, steadyMs: nowMs };
     const record = this.recordStore.load(this.#epoch);
     const core = new OwnerCore(toEpoch(this.#epoch), loaded, clocks, undefined, record);
-    const owner: Owner = {
-      ...{ core, epoch: this.#epoch, isStopped: false, suspendedUntilMs: 0, registryReadAtMs: 0 },
-      ...{ authorizedUntilMs: Number.POSITIVE_INFINITY },
-      formerOwnersEndAtMs: nowMs + OWNER_AUTHORITY_MS,
-    };
+    const owner = createOwner(core, this.#epoch, nowMs);
     this.#owner = owner;
     this.#owners.push(owner);
+    this.parts.begin();
     this.readOperator();
     this.#dispatch(owner, { kind: 'lanesChanged', nodeIds: ['n-1', 'n-2', 'n-3'] as NodeId[] });
     const entries = this.registry?.entries ?? [...this.targets.values()].map(({ entry }) => entry);
@@ -237,9 +234,13 @@
     this.#tick(owner);
     const tell = (reading: object) => this.#dispatch(owner, { kind: 'storeClockRead', reading });
     this.recordStore.followClock(() => this.isStoreAvailable, tell);
-    this.time.after(this.submissionsReadDelayMs, () =>
-      this.#dispatch(owner, { kind: 'submissionsRead' }),
-    );
+    this.time.after(this.submissionsReadDelayMs, () => this.#tellSubmissionsRead(owner));
+  }
+
+  #tellSubmissionsRead(owner: Owner): void {
+    if (owner === this.#owner && !this.parts.areAllRead)
+      this.time.after(limits.TICK_INTERVAL_MS, () => this.#tellSubmissionsRead(owner));
+    else this.#dispatch(owner, { kind: 'submissionsRead' });
   }
 
   /**
@@ -262,7 +263,8 @@
 
   submit(submission: Submission, rowVersion?: number): void {
     this.#submissions.set(submission.id, submission);
-    this.#tellOwner({ kind: 'submitted', submission, rowVersion });
+    const additions = this.parts.getAdditions(submission.id);
+    this.#tellOwner({ kind: 'submitted', submission, rowVersion, ...additions });
   }
 
   /** Tells the owner that no former one may act any more. */
--- a/tests/support/worldTypes.ts
+++ b/tests/support/worldTypes.ts
@@ -1,5 +1,6 @@
 /** Owners in simulations. */
 
+import { OWNER_AUTHORITY_MS } from '../../src/owner/constants';
 import type { OwnerCore } from '../../src/owner/core';
 
 /** An owner; a former one goes on until it is rejected or its authority expires, which the host checks. */
@@ -15,3 +16,12 @@
   /** When it receives the last change of the registry; changes arrive in order. */
   registryReadAtMs: number;
 }
+
+/** Creates an owner that has just taken over. */
+export function createOwner(core: OwnerCore, epoch: number, nowMs: number): Owner {
+  return {
+    ...{ core, epoch, isStopped: false, suspendedUntilMs: 0, registryReadAtMs: 0 },
+    authorizedUntilMs: Number.POSITIVE_INFINITY,
+    formerOwnersEndAtMs: nowMs + OWNER_AUTHORITY_MS,
+  };
+}
