--- a/tests/departures.test.ts
+++ b/tests/departures.test.ts
@@ -161,6 +161,17 @@
     expect(violations).toEqual([]);
   });
 
+  // What another writer has written says nothing of how long the target has been silent (TWICE).
+  test('that is cut off while its entry is replaced by the one of another writer, and lapses', () => {
+    const violations = (['unreadable', 'address', 'revision'] as const).flatMap((kind) =>
+      findTroubles(({ model, world }, id) => {
+        model.cutOff(id, FOREVER_MS, 'all');
+        world.time.after(1_500, () => model.writeForeign(id, kind, FOREVER_MS));
+      }).map((violation) => `${kind}, ${violation}`),
+    );
+    expect(violations).toEqual([]);
+  });
+
   test('that is cut off, the lapse of its entry being read at once with its last beats', () => {
     const violations = [300, 1_500, 4_500].flatMap((stallMs) =>
       findTroubles(({ model, world }, id) => {
