--- a/tests/support/departureHistories.ts
+++ b/tests/support/departureHistories.ts
@@ -40,8 +40,12 @@
 /** All that happens to a target in trouble has happened by then. */
 const TROUBLE_MS = 18_000;
 
-/** Tasks that end long after a history. */
-const ENDING: Partial<StepSpec> = { ...LASTING, policy: { kind: 'batch', isSpeculative: false } };
+/** Tasks that end after a history; they advance fast enough not to be stopped for want of progress. */
+const ENDING: Partial<StepSpec> = {
+  ...LASTING,
+  estimateMs: 90_000,
+  policy: { kind: 'batch', isSpeculative: false },
+};
 
 /** How a history is played. */
 export interface DepartureSetting {
