--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -437,11 +437,13 @@
         this.#dispatch({ kind: 'targetRemoved', targetId: change.address.key as TargetId });
         return;
       }
-      this.#loader
-        .decodeRegistry([change.row])
-        .entries.forEach((entry) =>
-          this.#dispatch({ kind: 'targetChanged', entry, writtenAfterMs: event.changedAfterMs }),
-        );
+      const { entries, unreadableIds } = this.#loader.decodeRegistry([change.row]);
+      entries.forEach((entry) =>
+        this.#dispatch({ kind: 'targetChanged', entry, writtenAfterMs: event.changedAfterMs }),
+      );
+      unreadableIds.forEach((targetId) =>
+        this.#dispatch({ kind: 'targetEntryUnreadable', targetId }),
+      );
     });
   }
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -286,6 +286,9 @@
       case 'targetChanged':
         this.#targets.onTargetChanged(event.entry, event.writtenAfterMs);
         return;
+      case 'targetEntryUnreadable':
+        this.#targets.onEntryUnreadable(event.targetId);
+        return;
       case 'targetRemoved':
         this.#targets.onTargetRemoved(event.targetId);
         return;
--- a/src/owner/departures.ts
+++ b/src/owner/departures.ts
@@ -10,6 +10,9 @@
 /** A removal proves a departure within this fraction of the time after which the registry drops a silent target. */
 const PROOF_FRACTION = 3 / 4;
 
+/** One entry that says that the target drains may be that of another writer. */
+const MIN_DRAINING_ENTRIES = 2;
+
 /** Finds out which targets have left. */
 export class Departures {
   #state: OwnerState;
@@ -40,8 +43,9 @@
       return;
     }
     // The steady clock does not count a suspension, in which the entry may have lapsed.
-    const isElapsedKnown = target.renewedAfterMs > resumedAtMs;
-    if (!isElapsedKnown || steadyMs - target.renewedAfterMs >= this.#proofMs) return;
+    const isElapsedKnown = target.ownEntries.writtenAfterMs > resumedAtMs;
+    if (target.ownEntries.drainingCount < MIN_DRAINING_ENTRIES) return;
+    if (!isElapsedKnown || steadyMs - target.ownEntries.writtenAfterMs >= this.#proofMs) return;
     target.leftAtMs = nowMs;
     this.#candidates.add(target);
   }
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -12,6 +12,7 @@
 } from './constants';
 import { toIncarnation } from './incarnationName';
 import { isUseDifferent } from './registrationUse';
+import { OwnEntries } from './ownEntries';
 import type { Run, RunKey } from './run';
 import type { SubmissionRecord } from './submissionRecord';
 import { TargetClock } from './targetClock';
@@ -96,8 +97,7 @@
   /** A time at which the incarnation was certainly alive, by its renewed entries, on the steady clock. */
   aliveAtMs = Number.NEGATIVE_INFINITY;
 
-  /** The latest of its entries was written after this, on the steady clock, if the registry's feed has shown when. */
-  renewedAfterMs = Number.NEGATIVE_INFINITY;
+  readonly ownEntries = new OwnEntries();
 
   /** When the registry dropped it while it drained and too soon for silence; undefined if it may be alive. */
   leftAtMs: number | undefined;
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -83,6 +83,7 @@
       TargetTable.#isEarlier(entry, latest) || TargetTable.#isEarlier(entry, known?.entry);
     if (isEarlier && !this.#isCounting(entry)) {
       this.#setAside.set(entry.id, entry);
+      known?.ownEntries.clear();
       if (known?.entry.incarnationStartMs === entry.incarnationStartMs) known.isRegistered = true;
       return;
     }
@@ -101,15 +102,26 @@
   /** A target that goes on counting its entries was alive some time before the last one was stored. */
   static #noteRenewal(
     renewed: TargetState,
-    { incarnationStartMs, address, revision }: TargetEntry,
+    { incarnationStartMs, address, revision, isDraining }: TargetEntry,
     writtenAfterMs: number | undefined,
   ): void {
     const target = renewed;
     const { entry } = target;
-    if (writtenAfterMs === undefined || incarnationStartMs !== entry.incarnationStartMs) return;
-    if (address !== entry.address || revision <= entry.revision) return;
+    if (incarnationStartMs !== entry.incarnationStartMs) return;
+    const isOwn = address === entry.address && revision === entry.revision + 1;
+    if (isOwn && writtenAfterMs !== undefined) target.ownEntries.add(isDraining, writtenAfterMs);
+    else target.ownEntries.clear();
+    if (writtenAfterMs === undefined || address !== entry.address || revision <= entry.revision)
+      return;
     target.aliveAtMs = Math.max(target.aliveAtMs, writtenAfterMs - MAX_REGISTRY_DELAY_MS);
-    target.renewedAfterMs = Math.max(target.renewedAfterMs, writtenAfterMs);
+  }
+
+  /**
+   * Handles an entry that cannot be read, which is not the target's own.
+   * @param targetId - the target whose entry it replaces
+   */
+  onEntryUnreadable(targetId: TargetId): void {
+    this.#state.targets.get(targetId)?.ownEntries.clear();
   }
 
   /**
@@ -221,7 +233,7 @@
       targetId,
       runCount: target.runs.size,
       isDraining: target.entry.isDraining,
-      renewedWithinMs: Math.round(this.#state.steadyMs - target.renewedAfterMs),
+      renewedWithinMs: Math.round(this.#state.steadyMs - target.ownEntries.writtenAfterMs),
     });
     return target;
   }
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -261,6 +261,8 @@
         /** Lower bound of the time at which the registry has stored it, on the steady clock. */
         readonly writtenAfterMs?: number | undefined;
       }
+    /** Another writer has replaced the entry of a target by one that cannot be read; what was known of it holds. */
+    | { readonly kind: 'targetEntryUnreadable'; readonly targetId: TargetId }
     | { readonly kind: 'targetRemoved'; readonly targetId: TargetId }
     | {
         readonly kind: 'submitted';
--- a/tests/departureProofs.test.ts
+++ b/tests/departureProofs.test.ts
@@ -45,7 +45,8 @@
     const target = createTarget(number, { isDraining });
     target.isContacted = true;
     target.isRegistered = true;
-    target.renewedAfterMs = this.state.steadyMs;
+    target.ownEntries.add(isDraining, this.state.steadyMs);
+    target.ownEntries.add(isDraining, this.state.steadyMs);
     this.state.addTarget(target);
     return target;
   }
@@ -104,7 +105,7 @@
 test('a target is not taken for gone when it is not known when its entry was written', () => {
   const scenario = new Scenario();
   const target = scenario.addTarget(1);
-  target.renewedAfterMs = Number.NEGATIVE_INFINITY;
+  target.ownEntries.clear();
   target.isResponding = false;
   scenario.remove(target);
   expect(scenario.departedIds).toEqual([]);
@@ -171,3 +172,13 @@
   expect(scenario.departedIds).toEqual([]);
   expect(scenario.state.targets.get(target.id)).not.toBe(target);
 });
+
+test('one entry that says that a target drains does not prove that it has left, as another writer may have written it', () => {
+  const scenario = new Scenario();
+  const target = scenario.addTarget(1);
+  target.ownEntries.clear();
+  target.ownEntries.add(true, scenario.state.steadyMs);
+  target.isResponding = false;
+  scenario.remove(target);
+  expect(scenario.departedIds).toEqual([]);
+});
--- a/tests/support/registryModel.ts
+++ b/tests/support/registryModel.ts
@@ -20,6 +20,7 @@
       readonly entry: TargetEntry;
       readonly writtenAfterMs?: number;
     }
+  | { readonly kind: 'targetEntryUnreadable'; readonly targetId: TargetId }
   | { readonly kind: 'targetRemoved'; readonly targetId: TargetId }
   | {
       readonly kind: 'targetsListed';
@@ -164,9 +165,11 @@
     if (!this.#isAway) this.#set(entry);
   }
 
-  /** Like {@link putForeign}, with bytes that cannot be decoded, of which owners are told nothing. */
+  /** Like {@link putForeign}, with bytes that cannot be decoded; owners are told only that. */
   putUnreadable(targetId: TargetId): void {
-    if (!this.#isAway && this.#rows.delete(targetId)) this.#unreadableIds.add(targetId);
+    if (this.#isAway || !this.#rows.delete(targetId)) return;
+    this.#unreadableIds.add(targetId);
+    this.#deliver({ kind: 'targetEntryUnreadable', targetId });
   }
 
   /** Another writer removes the row of a target, which is back once that one writes again. */
