--- a/src/owner/silenceTracker.ts
+++ b/src/owner/silenceTracker.ts
@@ -116,7 +116,7 @@
   ): TargetSilence | undefined {
     const { storeClock, nowMs, steadyMs, unresolvedUntilMs, epoch } = this.#state;
     // The row of a target that holds nothing is removed instead, once no former owner may use it any more.
-    if (steadyMs > Math.max(endsMs, unresolvedUntilMs)) return undefined;
+    if (steadyMs >= Math.max(endsMs, unresolvedUntilMs)) return undefined;
     if (storeClock.getAgeMs(nowMs) > MAX_READING_AGE_MS) return undefined;
     const nowStoreMs = storeClock.getUpperBoundMs(steadyMs, this.#state);
     const endsAtMs = storeClock.getUpperBoundMs(endsMs, this.#state);
