--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -129,20 +129,34 @@
    * @param config - the desired state
    */
   async startNodes(specs, config = DEFAULT_CONFIG) {
+    await this.prepareNodes(specs, config);
+    await this.startPrepared(this.nodes);
+  }
+
+  /** Prepares the settings and the network of nodes. */
+  async prepareNodes(specs, config = DEFAULT_CONFIG) {
     this.network = await findNetwork();
     this.store.put('op', 'config', config);
-    this.specs = specs;
     for (const [index, spec] of specs.entries()) await this.prepareNode(index, spec);
     await this.connectNodes();
-    this.nodes.forEach((node) => this.startNode(node));
-    await this.waitFor('all nodes are ready', 20_000, async () => {
-      const states = await Promise.all(this.nodes.map((node) => this.isReady(node)));
+  }
+
+  /** Starts nodes that are prepared and waits until all of them are ready. */
+  async startPrepared(nodes) {
+    nodes.forEach((node) => this.startNode(node));
+    await this.waitFor('nodes are ready', 20_000, async () => {
+      const states = await Promise.all(nodes.map((node) => this.isReady(node)));
       return states.every((isReady) => isReady);
     });
   }
 
+  /** Resets all open channels between the nodes; new ones work at once. */
+  resetPeerChannels() {
+    this.nodes.forEach(({ peers }) => peers.forEach((proxy) => proxy.reset()));
+  }
+
   async prepareNode(index, { zone, processorShare = 0.675 }) {
-    const name = `edge-${zone}-${index + 1}`;
+    const name = `edge-${String(index + 1).padStart(2, '0')}-${zone}`;
     const host = `${this.network}.${index + 1}`;
     const door = await this.store.openDoor(name);
     const node = { index, name, zone, host, door, peers: new Map(), ways: new Map() };
--- a/review/lib-2/proxy.mjs
+++ b/review/lib-2/proxy.mjs
@@ -56,7 +56,12 @@
   /** Cuts both directions silently. When the cut ends, connections from before it are reset. */
   setCut(isCut) {
     this.isCut = isCut;
-    if (!isCut) this.sockets.forEach((socket) => socket.resetAndDestroy());
+    if (!isCut) this.reset();
+  }
+
+  /** Resets all open connections; new ones work. */
+  reset() {
+    this.sockets.forEach((socket) => socket.resetAndDestroy());
   }
 
   close() {
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -2,7 +2,8 @@
  * Stand-in of a worker, a process of its own: `node worker.mjs JSON`. It keeps leases, fences, run numbers and ends as
  * PROTOCOL.md says, and tells on standard output what it starts and ends, one JSON line for each event.
  *
- * What a task does stands in its `spec`, a JSON text: `{"workMs":N}` or `{"lasts":true}`.
+ * What a task does stands in its `spec`, a JSON text: `{"workMs":N}` or `{"lasts":true}`. A task that lasts may fail
+ * soon after each start until some time: `{"lasts":true,"failsUntilMs":T,"failAfterMs":N}`.
  */
 
 import http from 'node:http';
@@ -69,6 +70,8 @@
     const how = Math.random() < (spec.failShare ?? 0) ? 'failed' : 'done';
     entry.timer = setTimeout(() => end(entry, how), spec.workMs);
   }
+  if (spec.lasts && Date.now() < (spec.failsUntilMs ?? 0))
+    entry.timer = setTimeout(() => end(entry, 'failed'), spec.failAfterMs);
   tell('started', { task: body.task, run: body.run, fence: body.fence });
   return [200, {}];
 }
