--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -222,8 +222,11 @@
     eachLine(node.process.stdout, keep);
     eachLine(node.process.stderr, keep);
     this.record('node started', { node: node.name, pid: node.process.pid });
-    node.process.on('exit', (code, signal) => {
-      if (!this.isClosing) this.record('node ended', { node: node.name, code, signal });
+    const child = node.process;
+    child.on('exit', (code, signal) => {
+      if (this.isClosing) return;
+      this.record('node ended', { node: node.name, code, signal });
+      this.onNodeEnded?.(node, child);
     });
   }
 
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -124,6 +124,9 @@
 export class Store {
   rows = new Map();
 
+  /** Rows by table and part, with their order once it has been asked for. */
+  parts = new Map();
+
   history = [];
 
   version = 1;
@@ -171,10 +174,9 @@
       query.get(name),
     );
     const limit = Math.min(Number(query.get('limit') ?? MAX_PAGE_ROWS), MAX_PAGE_ROWS);
-    const rows = [...this.rows.values()]
-      .filter((row) => row.table === table && row.part === (part ?? ''))
-      .filter((row) => row.key >= (from ?? '') && (to === null || row.key < to))
-      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const rows = this.getSorted(table, part ?? '').filter(
+      ({ key }) => key >= (from ?? '') && (to === null || key < to),
+    );
     return {
       rows: rows.slice(0, limit),
       'more-pages': rows.length > limit,
@@ -183,6 +185,33 @@
     };
   }
 
+  getSorted(table, part) {
+    const held = this.parts.get(JSON.stringify([table, part]));
+    if (held === undefined) return [];
+    held.sorted ??= [...held.rows.values()].sort((left, right) => (left.key < right.key ? -1 : 1));
+    return held.sorted;
+  }
+
+  /**
+   * Adds rows as they are left from earlier, so that those who follow the table are not told of them.
+   * @param added - rows with decoded values
+   */
+  preload(added) {
+    this.version += 1;
+    added.forEach(({ table, part, key, value }) => {
+      this.store({ table, part, key, value: toBase64(value), ver: this.version });
+    });
+  }
+
+  store(row) {
+    this.rows.set(toRowId(row), row);
+    const name = JSON.stringify([row.table, row.part]);
+    const held = this.parts.get(name) ?? { rows: new Map() };
+    held.rows.set(row.key, row);
+    held.sorted = undefined;
+    this.parts.set(name, held);
+  }
+
   async follow(query) {
     const table = query.get('table');
     const after = Number(query.get('after'));
@@ -245,13 +274,15 @@
   write(row) {
     const stored = { table: row.table, part: row.part ?? '', key: row.key, value: row.value };
     stored.ver = this.version;
-    this.rows.set(toRowId(stored), stored);
+    this.store(stored);
     this.history.push(stored);
   }
 
   drop(row) {
     const { table, part = '', key } = row;
     this.rows.delete(toRowId({ table, part, key }));
+    const held = this.parts.get(JSON.stringify([table, part]));
+    if (held?.rows.delete(key)) held.sorted = undefined;
     this.history.push({ table, part, key, ver: this.version, removed: true });
   }
 
