--- a/src/node/followerTable.ts
+++ b/src/node/followerTable.ts
@@ -3,11 +3,8 @@
 import type { NodeId } from '../types/ids';
 import type { PeerLinkHandle } from '../peer/types';
 
-/**
- * A node without a heartbeat for this long is removed: it is no longer an advice lane and no longer counts
- * towards the majority.
- */
-export const FOLLOWER_TIMEOUT_MS = 900;
+/** A node without a heartbeat for this long is removed: it is no longer an advice lane, nor a successor. */
+const FOLLOWER_TIMEOUT_MS = 900;
 
 /** A healthy owner hands over to a node with at least this many times its processor capacity. */
 const STRONGER_PROCESSOR_RATIO = 1.5;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -25,7 +25,9 @@
 import { OwnershipShell } from './ownershipShell';
 import type { NodePorts } from './ports';
 import { RelayedStore } from './relayedStore';
-import { FollowerTable, FOLLOWER_TIMEOUT_MS } from './followerTable';
+import { FollowerTable } from './followerTable';
+import { LeaseQuorum } from './leaseQuorum';
+import { writeVoterSet } from './ownerRows';
 import { Router, tryParseSubmissionId } from './router';
 import { CANCELS_TABLE, getSubmissionPart, SUBMISSIONS_TABLE } from './tables';
 import { throwRejection } from '../types/debug';
@@ -101,6 +103,9 @@
 
   #ownerHost: OwnerHost | undefined;
 
+  /** Set while this node owns the fleet. */
+  #lease: LeaseQuorum | undefined;
+
   #followers = new FollowerTable();
 
   /** The last ownership of this process that has ended. */
@@ -159,12 +164,17 @@
       this.#members,
       handlers,
       {
-        onBegin: (epoch, rowVersion) => this.#beginOwning(epoch, rowVersion),
+        onBegin: (epoch, rowVersion, votersVersion) =>
+          this.#beginOwning(epoch, rowVersion, votersVersion),
         onEnd: (reason) => this.#endOwning(reason),
         onFormerOwnersEnded: (epoch) => this.#onFormerOwnersEnded(epoch),
         onOperatorVersion: (version, link) => this.#onOperatorVersion(version, link),
         getOperatorVersion: () => this.#operator.snapshot.changeVersion,
         isStoreReachable: () => this.#store.isReachable,
+        isStopping: () => this.#isStopping,
+        yieldLease: () => {
+          this.#lease?.yield(ports.clock.nowMs());
+        },
       },
     );
     this.#server = new PeerServer(handlers, (link) => this.#onFollowerClosed(link));
@@ -249,11 +259,18 @@
     const { mode } = this.#ownership.core;
     if (mode.kind !== 'owning') return;
     this.#ports.logger.info({ epoch: mode.epoch, successorId, reason }, 'ownership handed over');
-    const advice = this.#ownerHost?.core?.getHandedAdvice(this.#ports.clock.nowMs()) ?? [];
+    const nowMs = this.#ports.clock.nowMs();
+    const advice = this.#ownerHost?.core?.getHandedAdvice(nowMs) ?? [];
+    // Without the store no successor can claim at once, and the voters are needed until one does.
+    const isYielding = this.#store.isReachable;
+    const votersVersion = isYielding ? this.#lease?.yield(nowMs) : undefined;
     const successorLink = this.#followers.getLink(successorId);
     this.#followers.links.forEach((link) => {
       const isSuccessor = link === successorLink;
-      const params = { epoch: mode.epoch, successorId, ...(isSuccessor ? { advice } : {}) };
+      const params = {
+        ...{ epoch: mode.epoch, successorId, isYielding, votersVersion },
+        ...(isSuccessor ? { advice } : {}),
+      };
       link.call('resign', params, OWNER_TIMEOUT_MS).catch((error: unknown) => {
         this.#ports.logger.info({ reason: String(error) }, 'resignation not delivered');
       });
@@ -307,21 +324,35 @@
       link.close();
       this.#updateLanes();
     });
-    const { length: memberCount } = this.#members.members;
-    // A list that has not been read says nothing about who the others follow.
-    const isMajority = memberCount > 0 && (this.#followers.count + 1) * 2 > memberCount;
-    if (!isMajority) return;
-    const { epoch } = this.#ownership.core;
-    this.#ownership.dispatch({
-      kind: 'majorityHeard',
-      epoch,
-      sinceMs: nowMs - FOLLOWER_TIMEOUT_MS,
-    });
+    this.#confirmLease(nowMs);
+  }
+
+  #confirmLease(nowMs: number): void {
+    const { mode } = this.#ownership.core;
+    if (mode.kind !== 'owning' || this.#lease === undefined) return;
+    const { epoch, rowVersion } = mode;
+    if (this.#store.isReachable) this.#writeVoterSet(this.#lease, rowVersion, nowMs);
+    const sinceMs = this.#lease.tryGetConfirmedMs(nowMs);
+    if (sinceMs === undefined) return;
+    this.#ownership.dispatch({ kind: 'leaseConfirmed', epoch, sinceMs });
+  }
+
+  #writeVoterSet(lease: LeaseQuorum, rowVersion: number, nowMs: number): void {
+    const write = lease.tryCreateWrite(nowMs, this.#members.members.length);
+    if (write === undefined) return;
+    writeVoterSet(this.#store, rowVersion, write).then((outcome) => {
+      lease.onWritten(write, outcome);
+      const { voterCount } = lease;
+      const failure = E.isLeft(outcome) ? outcome.left.kind : undefined;
+      this.#ports.logger.info({ voterCount, failure }, 'voter set written');
+    }, throwRejection);
   }
 
-  #beginOwning(epoch: Epoch, rowVersion: number): void {
+  #beginOwning(epoch: Epoch, rowVersion: number, votersVersion: number | undefined): void {
+    const nowMs = this.#ports.clock.nowMs();
     this.#followers.clear();
-    this.#handoverCheckedAtMs = this.#ports.clock.nowMs();
+    this.#lease = new LeaseQuorum(epoch, votersVersion ?? 0, nowMs);
+    this.#handoverCheckedAtMs = nowMs;
     this.#ownerHost = new OwnerHost(
       this.#ports,
       {
@@ -353,6 +384,7 @@
     this.#ownerHost?.stop();
     this.#ended = this.#ownerHost;
     this.#ownerHost = undefined;
+    this.#lease = undefined;
   }
 
   #updateLanes(): void {
@@ -408,20 +440,19 @@
           ? { kind: 'advice', advice: result.right }
           : { kind: 'failed', failure: result.left };
       },
-      isOwnerHeard: ({ epoch }) => ({
-        isHeard: this.#ownership.core.isOwnerHeard(epoch, this.#ports.clock.nowMs()),
-      }),
+      isOwnerHeard: (query) => this.#ownership.queries.answer(query),
       announce: (params) => {
         this.#ownership.dispatch({ kind: 'announced', ...params });
         if (this.#ended === undefined || this.#ownerHost !== undefined) return {};
         const { epoch, areFormerOwnersEnded } = this.#ended;
         return { endedEpoch: epoch, areFormerOwnersEnded };
       },
-      resign: ({ epoch, successorId, advice }) => {
+      resign: ({ epoch, successorId, isYielding, votersVersion, advice }) => {
         const receivedAtMs = this.#ports.clock.nowMs();
         if (successorId === this.#self.nodeId)
           this.#handed = { epoch, receivedAtMs, advice: decodeHandedAdvice(advice) };
-        this.#ownership.dispatch({ kind: 'resigned', epoch, successorId });
+        const resigned = { epoch, successorId, isYielding, votersVersion };
+        this.#ownership.dispatch({ kind: 'resigned', ...resigned });
         return {};
       },
     };
@@ -442,12 +473,15 @@
       operatorVersion: this.#operator.snapshot.changeVersion,
       storeLostForMs: this.#store.unreachableForMs,
       isStoreSlow: this.#store.isSlow,
+      ownerMs: this.#ports.clock.nowMs(),
     };
   }
 
   #recordFollower(params: PeerCalls['heartbeat'], link: PeerLinkHandle): void {
-    const { nodeId } = params;
-    if (!this.#followers.note({ ...params, link }, this.#ports.clock.nowMs())) return;
+    const { nodeId, startedAtMs, acknowledgedMs, votedVersion = 0, isLeaving = false } = params;
+    const nowMs = this.#ports.clock.nowMs();
+    this.#lease?.note({ nodeId, startedAtMs, acknowledgedMs, votedVersion, isLeaving }, nowMs);
+    if (!this.#followers.note({ ...params, link }, nowMs)) return;
     this.#ports.logger.info({ nodeId }, 'node connected');
     if (!this.#members.members.some((member) => member.nodeId === nodeId)) this.#members.refresh();
     this.#updateLanes();
--- a/src/node/ownerRows.ts
+++ b/src/node/ownerRows.ts
@@ -1,17 +1,19 @@
-/** Reads and writes the owner row and the alive row. */
+/** Reads and writes the owner row, the alive row and the voter set. */
 
 import * as E from 'fp-ts/Either';
 import * as z from 'zod';
-import type { RowStore, StoredRow, StoreFailure } from '../store/types';
+import type { Committed, RowStore, StoredRow, StoreFailure, StoreOutcome } from '../store/types';
 import type { Epoch, NodeId } from '../types/ids';
 import { tryParseJson } from '../types/json';
+import type { VoterWrite } from './leaseQuorum';
 import type { OwnerRow, OwnerRowFailure } from './ownershipTypes';
-import { ALIVE_KEY, OWNER_KEY, OWNER_PART, OWNERSHIP_TABLE } from './tables';
+import { ALIVE_KEY, OWNER_KEY, OWNER_PART, OWNERSHIP_TABLE, VOTERS_KEY } from './tables';
+import { decodeVoterSet } from './voterSet';
 
 /** Timeout of each call; a slow store takes 0.6 s for a transaction. */
 const TIMEOUT_MS = 1_500;
 
-/** Page size of a read; the table holds only the owner row and the alive row. */
+/** Page size of a read; the table holds only a few rows. */
 const ROW_LIMIT = 10;
 
 const ownerSchema = z.object({
@@ -32,7 +34,7 @@
 }
 
 /**
- * Reads the owner row and the version of the alive row.
+ * Reads the owner row with the version of the alive row and the voter set.
  * @param store - the store
  * @returns the owner, undefined when there has never been one, or the failure
  */
@@ -54,6 +56,7 @@
     version: row.version,
     aliveVersion: alive?.version ?? 0,
     silenceSinceEpoch: parsed.data.silenceSinceEpoch as Epoch | undefined,
+    voterSet: decodeVoterSet(page.right.rows.find(({ key }) => key === VOTERS_KEY)),
   });
 }
 
@@ -73,16 +76,20 @@
  * @param store - the store
  * @param owner - id, address and epoch of the new owner, and since when silent targets are recorded
  * @param expectedVersion - version of the row to replace
+ * @param votersVersion - version of the voter set on which the claim depends; undefined when it depends on none
  * @returns the row's new version, or the failure
  */
 export async function claimOwnerRow(
   store: RowStore,
   owner: Pick<OwnerRow, 'nodeId' | 'address' | 'epoch' | 'silenceSinceEpoch'>,
   expectedVersion: number,
+  votersVersion?: number,
 ): Promise<E.Either<OwnerRowFailure, number>> {
+  const votersConditions =
+    votersVersion === undefined ? [] : [{ ...toAddress(VOTERS_KEY), version: votersVersion }];
   const outcome = await store.transact(
     {
-      conditions: [{ ...toAddress(OWNER_KEY), version: expectedVersion }],
+      conditions: [{ ...toAddress(OWNER_KEY), version: expectedVersion }, ...votersConditions],
       puts: [{ ...toAddress(OWNER_KEY), value: JSON.stringify(owner) }],
       removals: [],
     },
@@ -112,3 +119,29 @@
   );
   return E.isRight(outcome) ? E.right(outcome.right.version) : E.left(toFailure(outcome.left));
 }
+
+/**
+ * Replaces the voter set, on condition that the owner row and the set are unchanged.
+ * @param store - the store
+ * @param rowVersion - version of the owner row
+ * @param write - the new set and the version of the row that it replaces
+ * @returns the outcome
+ */
+export function writeVoterSet(
+  store: RowStore,
+  rowVersion: number,
+  write: Pick<VoterWrite, 'expectedVersion' | 'value'>,
+): Promise<StoreOutcome<Committed>> {
+  const { expectedVersion, value } = write;
+  return store.transact(
+    {
+      conditions: [
+        { ...toAddress(OWNER_KEY), version: rowVersion },
+        { ...toAddress(VOTERS_KEY), version: expectedVersion },
+      ],
+      puts: [{ ...toAddress(VOTERS_KEY), value }],
+      removals: [],
+    },
+    TIMEOUT_MS,
+  );
+}
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -1,24 +1,25 @@
 /**
- * Elects the owner (leader) of the fleet. Safety rests on the epoch in the owner row alone: it is
- * raised by compare-and-set, and targets reject lower epochs. Everything else in this file only
- * decides when to attempt a claim.
+ * Elects the owner (leader) of the fleet. The epoch in the owner row is raised by compare-and-set, and targets reject
+ * lower epochs. That a former owner ends soon after a claim rests on the rule in voterSet.ts.
  */
 
 import * as E from 'fp-ts/Either';
 import { assertNever } from '../types/debug';
-import { getHash } from '../types/hash';
 import type { Epoch, NodeId } from '../types/ids';
 import { toEpoch } from '../types/ids';
-import { OWNER_AUTHORITY_MS } from '../owner/constants';
+import { OWNER_AUTHORITY_MS, STORELESS_LIMIT_MS } from '../owner/constants';
 import type {
   OwnerRow,
   OwnershipEffect,
   OwnerCandidate,
   OwnershipEvent,
   OwnershipMode,
-  PeerAnswerCounts,
   SuspicionReason,
 } from './ownershipTypes';
+import { createModeState } from './ownershipState';
+import type { ModeState } from './ownershipState';
+import { SuspectedOwner } from './suspectedOwner';
+import { decodeVoterSet } from './voterSet';
 
 /** An owner that has not answered for this long is suspected; covers three heartbeats. */
 const OWNER_SILENCE_TIMEOUT_MS = 700;
@@ -29,15 +30,6 @@
  */
 const HEARTBEAT_FRESH_MS = 450;
 
-/** Delay of a claim per rank, so that candidates do not compete; a claim takes about 10 ms. */
-const CLAIM_STAGGER_MS = 120;
-
-/**
- * With a slow store, a candidate waits the duration of this many reads for each higher-ranked
- * candidate; a claim takes two.
- */
-const READS_PER_RANK = 3;
-
 /** Interval between reads of the owner row while there is no owner to follow. */
 const READ_INTERVAL_MS = 250;
 
@@ -53,54 +45,12 @@
  */
 const STORE_STABLE_MS = 300;
 
-/** A node that reaches no peer claims only when the alive row has not changed for this long. */
-const ISOLATED_CLAIM_DELAY_MS = 2_500;
+/** An unanswered call to the store or to peers is not waited for any longer; each has a shorter timeout of its own. */
+const CALL_LIMIT_MS = 5_000;
 
 /** Interval at which the owner renews the alive row: three times before its authority would lapse. */
 const RENEW_INTERVAL_MS = 600;
 
-/** Mutable state that belongs to the current mode. */
-interface ModeState {
-  enteredAtMs: number;
-  lastContactAtMs: number;
-  isConnected: boolean;
-  /** The owner has answered a heartbeat, not only accepted the connection. */
-  hasAnswered: boolean;
-  nextAttemptAtMs: number;
-  isReading: boolean;
-  isAskingPeers: boolean;
-  peerAnswers: PeerAnswerCounts | undefined;
-  aliveVersion: number;
-  aliveChangedAtMs: number;
-  /** Duration of the last read of the owner row. */
-  readDurationMs: number;
-  readSentAtMs: number;
-  successorId: NodeId | undefined;
-  /** Since when this node has reached the store while the owner has not. */
-  storeReachableSinceMs: number | undefined;
-  confirmedAtMs: number;
-}
-
-function createModeState(nowMs: number): ModeState {
-  return {
-    enteredAtMs: nowMs,
-    lastContactAtMs: nowMs,
-    isConnected: false,
-    hasAnswered: false,
-    nextAttemptAtMs: nowMs,
-    isReading: false,
-    isAskingPeers: false,
-    peerAnswers: undefined,
-    aliveVersion: -1,
-    aliveChangedAtMs: nowMs,
-    readDurationMs: 0,
-    readSentAtMs: nowMs,
-    successorId: undefined,
-    storeReachableSinceMs: undefined,
-    confirmedAtMs: nowMs,
-  };
-}
-
 /** The ownership state machine of one node. */
 export class OwnershipCore {
   #nodeId: NodeId;
@@ -109,9 +59,18 @@
 
   #state: ModeState = createModeState(0);
 
+  /** Set in mode `suspecting`. */
+  #suspected: SuspectedOwner | undefined;
+
   /** Undefined until the list of nodes has been read. */
   #candidates: readonly OwnerCandidate[] | undefined;
 
+  /** Version of the last voter set against which this node has voted. */
+  #votedVersion = 0;
+
+  /** Time of the last attempt to connect to an owner. */
+  #connectedAtMs = -Infinity;
+
   #isStopping = false;
 
   #isStoreReachable: () => boolean;
@@ -159,10 +118,26 @@
   /**
    * Checks whether this node may still act as the owner.
    * @param nowMs - current time, read right before a call is sent
-   * @returns true while the store or a majority of nodes has confirmed the ownership recently
+   * @returns true while the store or a quorum of voters has confirmed the ownership recently
    */
   isAuthorized(nowMs: number): boolean {
-    return this.#mode.kind === 'owning' && nowMs < this.#state.confirmedAtMs + OWNER_AUTHORITY_MS;
+    if (this.#mode.kind !== 'owning') return false;
+    const { confirmedAtMs, storeConfirmedAtMs } = this.#state;
+    const isWithinLimit = nowMs < storeConfirmedAtMs + STORELESS_LIMIT_MS;
+    return isWithinLimit && nowMs < confirmedAtMs + OWNER_AUTHORITY_MS;
+  }
+
+  /** Version of the last voter set against which this node has voted; 0 when it never has. */
+  get votedVersion(): number {
+    return this.#votedVersion;
+  }
+
+  /**
+   * Votes for a claim: from now on this node does not confirm the owner against whose voter set it votes.
+   * @param votersVersion - version of the voter set
+   */
+  vote(votersVersion: number): void {
+    this.#votedVersion = Math.max(this.#votedVersion, votersVersion);
   }
 
   /**
@@ -196,7 +171,7 @@
         return;
       case 'membersKnown':
         // No node could be asked before.
-        if (this.#candidates === undefined) this.#state.peerAnswers = undefined;
+        if (this.#candidates === undefined) this.#suspected?.forgetAnswers();
         this.#candidates = event.candidates;
         return;
       case 'rowRead':
@@ -226,7 +201,7 @@
       case 'renewed':
         this.#onRenewed(event);
         return;
-      case 'majorityHeard':
+      case 'leaseConfirmed':
         if (this.#mode.kind !== 'owning' || this.#mode.epoch !== event.epoch) return;
         this.#state.confirmedAtMs = Math.max(this.#state.confirmedAtMs, event.sinceMs);
         return;
@@ -251,9 +226,11 @@
         this.#checkOwner(this.#mode.row, nowMs);
         return;
       case 'suspecting':
-        this.#tryReplaceOwner(this.#mode.row, this.#mode.suspicion, nowMs);
+        this.#tryReplaceOwner(nowMs);
         return;
       case 'claiming':
+        // Should the claim take effect later, the row names this node, which then claims again.
+        if (nowMs >= this.#state.enteredAtMs + CALL_LIMIT_MS) this.#search(nowMs);
         return;
       case 'owning':
         if (nowMs < this.#state.nextAttemptAtMs) return;
@@ -270,7 +247,8 @@
   }
 
   #tryReadOwnerRow(nowMs: number): void {
-    if (this.#state.isReading || nowMs < this.#state.nextAttemptAtMs) return;
+    const isPending = this.#state.isReading && nowMs < this.#state.readSentAtMs + CALL_LIMIT_MS;
+    if (isPending || nowMs < this.#state.nextAttemptAtMs) return;
     this.#state.isReading = true;
     this.#state.readSentAtMs = nowMs;
     this.#state.nextAttemptAtMs = nowMs + READ_INTERVAL_MS;
@@ -284,76 +262,53 @@
     }
     if (this.#state.isConnected || nowMs < this.#state.nextAttemptAtMs) return;
     this.#state.nextAttemptAtMs = nowMs + RECONNECT_INTERVAL_MS;
+    this.#connectedAtMs = nowMs;
     this.#effects.push({ kind: 'openLink', address: row.address, epoch: row.epoch });
   }
 
   /** Refreshes the owner row and claims the ownership as soon as the conditions for it hold. */
-  #tryReplaceOwner(row: OwnerRow, suspicion: SuspicionReason, nowMs: number): void {
+  #tryReplaceOwner(nowMs: number): void {
     this.#tryReadOwnerRow(nowMs);
-    if (this.#isStopping || !this.#canClaim(row, suspicion, nowMs)) return;
+    const suspected = this.#suspected;
+    if (this.#mode.kind !== 'suspecting' || suspected === undefined) return;
+    const { row } = this.#mode;
+    const self = { nodeId: this.#nodeId, candidates: this.#candidates };
+    const step = suspected.getNextStep(row, self, nowMs);
+    // A node that stops asks as well, as the owner may only be lost to this node.
+    if (step === 'ask' && suspected.takeAsk(nowMs)) this.#askPeers(row, suspected);
+    if (step !== 'claim' || this.#isStopping) return;
     const epoch = toEpoch(row.epoch + 1);
-    this.#log('ownership claimed', { formerOwner: row.nodeId, epoch, suspicion });
+    const { suspicion } = suspected;
+    const voteCount = suspected.votedIds.size;
+    this.#log('ownership claimed', { formerOwner: row.nodeId, epoch, suspicion, voteCount });
     const silenceSinceEpoch = row.silenceSinceEpoch ?? epoch;
-    this.#mode = { kind: 'claiming', epoch, silenceSinceEpoch };
-    this.#effects.push({ kind: 'claim', epoch, expectedVersion: row.version, silenceSinceEpoch });
-  }
-
-  #canClaim(row: OwnerRow, suspicion: SuspicionReason, nowMs: number): boolean {
-    const state = this.#state;
-    // A named successor claims at once; if another node has claimed meanwhile, the row's version
-    // makes the claim fail.
-    const isSuccessor = state.successorId === this.#nodeId && row.version >= 0;
-    if (isSuccessor) return true;
-    // Every other candidate has to read the row again first, as another node may have claimed.
-    if (state.aliveVersion < 0) return false;
-    const rankDelayMs = Math.max(CLAIM_STAGGER_MS, state.readDurationMs * READS_PER_RANK);
-    if (nowMs < state.enteredAtMs + this.#getRank(row) * rankDelayMs) return false;
-    const isCertain =
-      suspicion === 'resigned' || suspicion === 'withoutStore' || suspicion === 'none';
-    if (isCertain || row.nodeId === this.#nodeId) return true;
-    if (state.peerAnswers === undefined) {
-      this.#askPeers(row);
-      return false;
-    }
-    if (state.peerAnswers.answeredCount > 0 || this.#hasNoPeers(row)) return true;
-    return nowMs > state.aliveChangedAtMs + ISOLATED_CLAIM_DELAY_MS;
-  }
-
-  /** A node without peers has nobody to ask, but one that does not know them yet may be wrong about the owner. */
-  #hasNoPeers(row: OwnerRow): boolean {
-    const isPeer = ({ nodeId }: OwnerCandidate) => nodeId !== this.#nodeId && nodeId !== row.nodeId;
-    return this.#candidates !== undefined && !this.#candidates.some(isPeer);
-  }
-
-  #askPeers(row: OwnerRow): void {
-    if (this.#state.isAskingPeers) return;
-    this.#state.isAskingPeers = true;
-    this.#effects.push({ kind: 'askPeers', epoch: row.epoch });
+    const votersVersion = row.voterSet?.version ?? suspected.votersVersion;
+    this.#mode = { kind: 'claiming', epoch, silenceSinceEpoch, votersVersion };
+    this.#suspected = undefined;
+    this.#state = createModeState(nowMs);
+    this.#effects.push({
+      ...{ kind: 'claim', epoch, expectedVersion: row.version },
+      ...{ votersVersion, silenceSinceEpoch },
+    });
   }
 
-  /**
-   * Position of this node among the candidates. A successor named by the owner comes first, then nodes with
-   * more processor capacity; among equals the order is pseudo-random and differs from epoch to epoch.
-   */
-  #getRank(row: OwnerRow): number {
-    if (row.nodeId === this.#nodeId) return 0;
-    const successorOffset = this.#state.successorId === undefined ? 0 : 1;
-    const candidates = this.#candidates ?? [];
-    const own = candidates.find(({ nodeId }) => nodeId === this.#nodeId);
-    const ownMillis = own?.processorMillis ?? 0;
-    const getScore = (nodeId: NodeId) => getHash(`${row.epoch}|${nodeId}`);
-    const ownScore = getScore(this.#nodeId);
-    const higherRanked = candidates.filter(({ nodeId, processorMillis }) => {
-      if (nodeId === this.#nodeId || nodeId === row.nodeId) return false;
-      if (processorMillis !== ownMillis) return processorMillis > ownMillis;
-      return getScore(nodeId) > ownScore;
+  #askPeers(row: OwnerRow, suspected: SuspectedOwner): void {
+    const { voterSet } = row;
+    const votersVersion = voterSet?.epoch === row.epoch ? voterSet.version : undefined;
+    // Only a node that may claim asks for votes, and it votes itself.
+    const isCandidate = votersVersion !== undefined && !this.#isStopping;
+    if (isCandidate) this.vote(votersVersion);
+    this.#effects.push({
+      ...{ kind: 'askPeers', row, suspicion: suspected.suspicion },
+      votersVersion: isCandidate ? votersVersion : undefined,
+      votedIds: [...suspected.votedIds],
     });
-    return successorOffset + higherRanked.length;
   }
 
   #onRowRead({ result, nowMs }: Extract<OwnershipEvent, { kind: 'rowRead' }>): void {
     this.#state.isReading = false;
-    this.#state.readDurationMs = nowMs - this.#state.readSentAtMs;
+    if (this.#suspected !== undefined)
+      this.#suspected.readDurationMs = nowMs - this.#state.readSentAtMs;
     if (E.isLeft(result)) return;
     const row = result.right;
     if (this.#mode.kind === 'following') this.#state.storeReachableSinceMs ??= nowMs;
@@ -364,22 +319,33 @@
       return;
     }
     if (this.#mode.kind === 'suspecting' && this.#mode.row.epoch === row.epoch) {
-      this.#recordAliveVersion(row, nowMs);
-      this.#mode = { ...this.#mode, row };
-      this.#tryReplaceOwner(row, this.#mode.suspicion, nowMs);
+      this.#onSuspectRead(row, nowMs);
       return;
     }
     if (row.nodeId === this.#nodeId) {
       // The row still names this node, which has restarted since.
       this.#mode = { kind: 'following', row };
       this.#suspect('none', nowMs);
-      this.#recordAliveVersion(row, nowMs);
-      this.#tryReplaceOwner(row, 'none', nowMs);
+      this.#onSuspectRead(row, nowMs);
       return;
     }
     this.#follow(row, nowMs);
   }
 
+  #onSuspectRead(row: OwnerRow, nowMs: number): void {
+    const suspected = this.#suspected;
+    if (this.#mode.kind !== 'suspecting' || suspected === undefined) return;
+    suspected.onRead(row, nowMs);
+    if (suspected.hasRenewed) {
+      if (suspected.suspicion === 'withoutStore') {
+        this.#follow(row, nowMs);
+        return;
+      }
+    }
+    this.#mode = { ...this.#mode, row };
+    this.#tryReplaceOwner(nowMs);
+  }
+
   /**
    * Called while the owner reports that it cannot reach the store. The owner is suspected only after
    * this node has reached the store for a while: during an outage for all nodes, no replacement could
@@ -391,11 +357,6 @@
     else if (nowMs >= storeReachableSinceMs + STORE_STABLE_MS) this.#suspect('withoutStore', nowMs);
   }
 
-  #recordAliveVersion(row: OwnerRow, nowMs: number): void {
-    if (this.#state.aliveVersion !== row.aliveVersion) this.#state.aliveChangedAtMs = nowMs;
-    this.#state.aliveVersion = row.aliveVersion;
-  }
-
   #onNoOwner(nowMs: number): void {
     const row: OwnerRow = {
       nodeId: '' as NodeId,
@@ -403,22 +364,32 @@
       epoch: toEpoch(0),
       version: 0,
       aliveVersion: 0,
+      voterSet: decodeVoterSet(undefined),
     };
     if (this.#mode.kind !== 'suspecting') {
       this.#mode = { kind: 'following', row };
       this.#suspect('none', nowMs);
     }
-    this.#recordAliveVersion(row, nowMs);
-    this.#tryReplaceOwner(row, 'none', nowMs);
+    this.#onSuspectRead(row, nowMs);
   }
 
   #follow(row: OwnerRow, nowMs: number): void {
     this.#log('owner followed', { owner: row.nodeId, epoch: row.epoch });
+    this.#effects.push({ kind: 'closeLink' });
+    this.#connect(row, nowMs, nowMs);
+  }
+
+  #connect(row: OwnerRow, nowMs: number, connectAtMs: number): void {
     this.#mode = { kind: 'following', row };
+    this.#suspected = undefined;
     this.#state = createModeState(nowMs);
-    this.#effects.push({ kind: 'closeLink' });
-    this.#state.nextAttemptAtMs = nowMs + RECONNECT_INTERVAL_MS;
-    this.#effects.push({ kind: 'openLink', address: row.address, epoch: row.epoch });
+    this.#state.nextAttemptAtMs = connectAtMs;
+    this.#checkOwner(row, nowMs);
+  }
+
+  /** The owner is alive, but its connection was lost; connects again, at most once per interval. */
+  #reconnect(row: OwnerRow, nowMs: number): void {
+    this.#connect(row, nowMs, Math.max(nowMs, this.#connectedAtMs + RECONNECT_INTERVAL_MS));
   }
 
   #onLinkOpened({ epoch, nowMs }: Extract<OwnershipEvent, { kind: 'linkOpened' }>): void {
@@ -448,9 +419,12 @@
   #suspect(suspicion: SuspicionReason, nowMs: number): void {
     if (this.#mode.kind !== 'following') return;
     const { row } = this.#mode;
-    this.#log('owner suspected', { owner: row.nodeId, epoch: row.epoch, suspicion });
-    this.#mode = { kind: 'suspecting', row, suspicion };
+    const { nodeId, epoch } = row;
+    this.#log('owner suspected', { owner: nodeId, epoch, suspicion });
+    // The voter set may have been replaced since the row was read.
+    this.#mode = { kind: 'suspecting', row: { ...row, voterSet: undefined }, suspicion };
     this.#state = createModeState(nowMs);
+    this.#suspected = new SuspectedOwner(suspicion, nowMs);
     // An owner that resigns goes on working until it is replaced, so its connection stays open.
     if (suspicion !== 'resigned') this.#effects.push({ kind: 'closeLink' });
     this.#tryReadOwnerRow(nowMs);
@@ -459,25 +433,52 @@
   #onResigned(event: Extract<OwnershipEvent, { kind: 'resigned' }>): void {
     if (this.#mode.kind !== 'following' || this.#mode.row.epoch !== event.epoch) return;
     this.#suspect('resigned', event.nowMs);
-    this.#state.successorId = event.successorId;
-    this.#tryReplaceOwner(this.#mode.row, 'resigned', event.nowMs);
+    const suspected = this.#suspected;
+    if (suspected === undefined) return;
+    suspected.successorId = event.successorId;
+    suspected.votersVersion = event.votersVersion;
+    if (event.isYielding === true) suspected.onYielding();
+    this.#tryReplaceOwner(event.nowMs);
   }
 
   #onPeersAnswered(event: Extract<OwnershipEvent, { kind: 'peersAnswered' }>): void {
-    if (this.#mode.kind !== 'suspecting' || this.#mode.row.epoch !== event.epoch) return;
-    this.#state.isAskingPeers = false;
+    const suspected = this.#suspected;
+    if (this.#mode.kind !== 'suspecting' || suspected === undefined) return;
+    if (this.#mode.row.epoch !== event.epoch) return;
     const { answers, nowMs } = event;
-    this.#log('nodes asked for the owner', { ...answers, epoch: event.epoch });
-    if (answers.heardCount > 0) {
-      // Only this node's connection is lost; the owner is alive.
-      const { row } = this.#mode;
-      this.#mode = { kind: 'following', row };
-      this.#state = createModeState(nowMs);
-      this.#state.nextAttemptAtMs = nowMs + RECONNECT_INTERVAL_MS;
-      return;
+    const { votedIds = [], ...counts } = answers;
+    const logged = { ...counts, voteCount: votedIds.length, epoch: event.epoch };
+    this.#log('nodes asked for the owner', logged);
+    suspected.onAnswered(answers);
+    const { row } = this.#mode;
+    switch (suspected.suspicion) {
+      case 'resigned':
+        break;
+      case 'withoutStore':
+        // The owner reaches the store again.
+        if (answers.isOwnerReached === true && answers.isOwnerYielding !== true) {
+          this.#reconnect(row, nowMs);
+          return;
+        }
+        break;
+      case 'linkLost':
+      case 'silent':
+      case 'notOwning':
+      case 'none':
+        // Only this node's connection is lost; the owner is alive.
+        if (answers.isOwnerReached === true) {
+          this.#reconnect(row, nowMs);
+          return;
+        }
+        if (answers.heardCount > 0) {
+          this.#connect(row, nowMs, nowMs + RECONNECT_INTERVAL_MS);
+          return;
+        }
+        break;
+      default:
+        assertNever(suspected.suspicion);
     }
-    this.#state.peerAnswers = answers;
-    this.#tryReplaceOwner(this.#mode.row, this.#mode.suspicion, nowMs);
+    this.#tryReplaceOwner(nowMs);
   }
 
   #onAnnounced(event: Extract<OwnershipEvent, { kind: 'announced' }>): void {
@@ -492,24 +493,30 @@
 
   #onClaimed({ epoch, result, nowMs }: Extract<OwnershipEvent, { kind: 'claimed' }>): void {
     if (this.#mode.kind !== 'claiming' || this.#mode.epoch !== epoch) return;
-    const { silenceSinceEpoch } = this.#mode;
-    this.#state = createModeState(nowMs);
+    const { silenceSinceEpoch, votersVersion } = this.#mode;
+    const claimedAtMs = this.#state.enteredAtMs;
     if (E.isLeft(result)) {
       this.#log('claim failed', { epoch, failure: result.left });
-      this.#mode = { kind: 'searching' };
-      this.#tryReadOwnerRow(nowMs);
+      this.#search(nowMs);
       return;
     }
+    this.#state = createModeState(nowMs);
+    // Another node may have claimed since, so the authority counts from the sending of the claim.
+    this.#state.confirmedAtMs = claimedAtMs;
+    this.#state.storeConfirmedAtMs = claimedAtMs;
     this.#mode = { kind: 'owning', epoch, rowVersion: result.right };
     this.#log('ownership taken', { epoch });
-    const rowVersion = result.right;
-    this.#effects.push({ kind: 'beginOwning', epoch, rowVersion, silenceSinceEpoch });
+    this.#effects.push({
+      ...{ kind: 'beginOwning', epoch, rowVersion: result.right },
+      ...{ votersVersion, silenceSinceEpoch },
+    });
   }
 
   #onRenewed(event: Extract<OwnershipEvent, { kind: 'renewed' }>): void {
     if (this.#mode.kind !== 'owning' || this.#mode.epoch !== event.epoch) return;
     if (E.isRight(event.result)) {
       this.#state.confirmedAtMs = Math.max(this.#state.confirmedAtMs, event.sentAtMs);
+      this.#state.storeConfirmedAtMs = Math.max(this.#state.storeConfirmedAtMs, event.sentAtMs);
       return;
     }
     if (event.result.left.kind === 'conflict') {
@@ -521,9 +528,14 @@
     if (this.#mode.kind !== 'owning') return;
     const { epoch } = this.#mode;
     this.#log('ownership ended', { epoch, reason });
+    this.#effects.push({ kind: 'endOwning', epoch, reason });
+    this.#search(nowMs);
+  }
+
+  #search(nowMs: number): void {
     this.#mode = { kind: 'searching' };
+    this.#suspected = undefined;
     this.#state = createModeState(nowMs);
-    this.#effects.push({ kind: 'endOwning', epoch, reason });
     this.#tryReadOwnerRow(nowMs);
   }
 
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -9,6 +9,7 @@
 import type { Epoch, NodeId } from '../types/ids';
 import type { DistributiveOmit } from '../types/distributiveOmit';
 import type { MemberList, Member } from './memberList';
+import { OwnerQueries } from './ownerQueries';
 import { OwnershipCore } from './ownership';
 import type { OwnerRow, OwnershipEffect, OwnershipEvent, OwnershipMode } from './ownershipTypes';
 import { claimOwnerRow, readOwnerRow, renewAliveRow } from './ownerRows';
@@ -20,18 +21,12 @@
 /** Timeout for the answer to a heartbeat. */
 const HEARTBEAT_TIMEOUT_MS = 600;
 
-/** Timeout for asking a peer whether it hears from the owner. */
-const PEER_QUERY_TIMEOUT_MS = 250;
-
-/** How many peers are asked whether they hear from the owner. */
-const MAX_PEERS_ASKED = 8;
-
 /** Timeout for announcing a new owner to one node. */
 const ANNOUNCE_TIMEOUT_MS = 500;
 
 /** Callbacks and queries that the shell uses on its node. */
 export interface OwnershipDelegate {
-  onBegin(epoch: Epoch, rowVersion: number): void;
+  onBegin(epoch: Epoch, rowVersion: number, votersVersion: number | undefined): void;
   onEnd(reason: string): void;
   /** Called when the owner before an epoch of this node has confirmed that no former owner acts any more. */
   onFormerOwnersEnded(epoch: Epoch): void;
@@ -39,6 +34,10 @@
   onOperatorVersion(version: number, link: PeerLink): void;
   getOperatorVersion(): number;
   isStoreReachable(): boolean;
+  /** Whether this node is being stopped. */
+  isStopping(): boolean;
+  /** Makes this owner rely on the store alone. */
+  yieldLease(): void;
 }
 
 type EventBody = DistributiveOmit<OwnershipEvent, 'nowMs'>;
@@ -71,8 +70,13 @@
 
   #link: PeerLink | undefined;
 
+  #queries: OwnerQueries;
+
   #isHeartbeatPending = false;
 
+  /** Reading of the owner's clock in its last answer on the open connection. */
+  #acknowledgedMs: number | undefined;
+
   #ownerStoreLostForMs = 0;
 
   #isOwnerStoreSlow = false;
@@ -104,6 +108,20 @@
     this.#delegate = delegate;
     this.#startedAtMs = ports.clock.wallMs();
     this.#core = new OwnershipCore(self.nodeId, () => delegate.isStoreReachable());
+    this.#queries = new OwnerQueries({
+      ...{ selfId: self.nodeId, core: this.#core },
+      getNowMs: () => ports.clock.nowMs(),
+      getMembers: () => members.members,
+      isStoreReachable: () => delegate.isStoreReachable(),
+      getOwnerStoreLostForMs: () => this.#ownerStoreLostForMs,
+      yieldLease: () => delegate.yieldLease(),
+      query: (address, query, timeoutMs) => callPeerOnce(address, 'isOwnerHeard', query, timeoutMs),
+    });
+  }
+
+  /** Answers the questions of other nodes about the owner. */
+  get queries(): OwnerQueries {
+    return this.#queries;
   }
 
   /** The state machine, for queries. */
@@ -151,11 +169,15 @@
       isStoreReachable: this.#delegate.isStoreReachable(),
       startedAtMs: this.#startedAtMs,
       processorMillis: this.#self.processorMillis,
+      acknowledgedMs: this.#acknowledgedMs,
+      votedVersion: this.#core.votedVersion,
+      isLeaving: this.#delegate.isStopping(),
     };
     link
       .call('heartbeat', params, HEARTBEAT_TIMEOUT_MS)
       .then((reply) => {
         const { ownedEpoch, storeLostForMs } = reply;
+        if (link === this.#link) this.#acknowledgedMs = reply.ownerMs;
         this.#ownerStoreLostForMs = storeLostForMs;
         this.#isOwnerStoreSlow = reply.isStoreSlow ?? false;
         this.dispatch({ kind: 'heartbeatAnswered', epoch, ownedEpoch, storeLostForMs });
@@ -190,15 +212,15 @@
         this.#link = undefined;
         return;
       case 'askPeers':
-        this.#dispatchResult(this.#askPeers(effect.epoch), (answers) => ({
-          ...{ kind: 'peersAnswered' as const, epoch: effect.epoch, answers },
+        this.#dispatchResult(this.#queries.ask(effect), (answers) => ({
+          ...{ kind: 'peersAnswered' as const, epoch: effect.row.epoch, answers },
         }));
         return;
       case 'claim': {
-        const { epoch, expectedVersion, silenceSinceEpoch } = effect;
+        const { epoch, expectedVersion, votersVersion, silenceSinceEpoch } = effect;
         const { nodeId, address } = this.#self;
         const owner = { nodeId, address, epoch, silenceSinceEpoch };
-        const claimed = claimOwnerRow(this.#claimStore, owner, expectedVersion);
+        const claimed = claimOwnerRow(this.#claimStore, owner, expectedVersion, votersVersion);
         this.#dispatchResult(claimed, (result) => ({ kind: 'claimed', epoch, result }));
         return;
       }
@@ -213,7 +235,7 @@
       case 'beginOwning':
         this.#link?.close();
         this.#link = undefined;
-        this.#delegate.onBegin(effect.epoch, effect.rowVersion);
+        this.#delegate.onBegin(effect.epoch, effect.rowVersion, effect.votersVersion);
         this.#announce(effect.epoch, effect.rowVersion, effect.silenceSinceEpoch);
         return;
       case 'endOwning':
@@ -237,6 +259,7 @@
     if (E.isLeft(opened)) return { kind: 'linkLost', epoch, detail: opened.left };
     this.#link?.close();
     this.#link = opened.right;
+    this.#acknowledgedMs = undefined;
     this.#isHeartbeatPending = false;
     return { kind: 'linkOpened', epoch };
   }
@@ -247,25 +270,6 @@
     this.dispatch({ kind: 'linkLost', epoch, detail: 'closed' });
   }
 
-  async #askPeers(epoch: Epoch) {
-    const { mode } = this.#core;
-    const ownerId = mode.kind === 'suspecting' ? mode.row.nodeId : undefined;
-    const asked = this.#getOtherMembers()
-      .filter(({ nodeId }) => nodeId !== ownerId)
-      .slice(0, MAX_PEERS_ASKED);
-    const replies = await Promise.all(
-      asked.map(({ address }) =>
-        callPeerOnce(address, 'isOwnerHeard', { epoch }, PEER_QUERY_TIMEOUT_MS),
-      ),
-    );
-    const answers = replies.flatMap((reply) => (E.isRight(reply) ? [reply.right] : []));
-    return {
-      askedCount: asked.length,
-      answeredCount: answers.length,
-      heardCount: answers.filter(({ isHeard }) => isHeard).length,
-    };
-  }
-
   #getOtherMembers(): readonly Member[] {
     return this.#members.members.filter(({ nodeId }) => nodeId !== this.#self.nodeId);
   }
--- a/src/node/ownershipTypes.ts
+++ b/src/node/ownershipTypes.ts
@@ -2,6 +2,7 @@
 
 import type * as E from 'fp-ts/Either';
 import type { Epoch, NodeId } from '../types/ids';
+import type { VoterSet } from './voterSet';
 
 /** The owner of the fleet as recorded in the store. */
 export interface OwnerRow {
@@ -14,6 +15,8 @@
   readonly aliveVersion: number;
   /** Epoch since which all owners have kept the record of silent targets; undefined after one that does not. */
   readonly silenceSinceEpoch?: Epoch | undefined;
+  /** The stored voter set; undefined for an owner that was announced and whose row has not been read. */
+  readonly voterSet?: VoterSet | undefined;
 }
 
 /** Why a read or write of the owner row failed. */
@@ -27,11 +30,19 @@
   readonly processorMillis: number;
 }
 
-/** Counts of the peers that were asked about the owner, that answered, and that still hear from it. */
-export interface PeerAnswerCounts {
+/** What the peers that were asked about the owner have answered. */
+export interface PeerAnswers {
   readonly askedCount: number;
   readonly answeredCount: number;
+  /** Peers that still hear from the owner. */
   readonly heardCount: number;
+  /** Whether the owner itself has answered on a new connection. */
+  readonly isOwnerReached?: boolean;
+  /** Whether the owner has promised to rely on the store alone. */
+  readonly isOwnerYielding?: boolean;
+  /** Version of the voter set against which the peers were asked to vote, and those that have done so. */
+  readonly votersVersion?: number;
+  readonly votedIds?: readonly NodeId[];
 }
 
 /** Input events of the state machine. */
@@ -51,7 +62,7 @@
       readonly ownedEpoch: number;
       readonly storeLostForMs: number;
     }
-  | { readonly kind: 'peersAnswered'; readonly epoch: Epoch; readonly answers: PeerAnswerCounts }
+  | { readonly kind: 'peersAnswered'; readonly epoch: Epoch; readonly answers: PeerAnswers }
   | {
       readonly kind: 'announced';
       readonly epoch: Epoch;
@@ -66,6 +77,10 @@
       readonly kind: 'resigned';
       readonly epoch: Epoch;
       readonly successorId: NodeId | undefined;
+      /** Whether the owner has promised to rely on the store alone. */
+      readonly isYielding?: boolean | undefined;
+      /** Version of the stored voter set; undefined when the owner is not certain of it. */
+      readonly votersVersion?: number | undefined;
     }
   | {
       readonly kind: 'claimed';
@@ -78,8 +93,8 @@
       readonly sentAtMs: number;
       readonly result: E.Either<OwnerRowFailure, number>;
     }
-  /** A majority of the nodes has sent this owner a heartbeat since `sinceMs`. */
-  | { readonly kind: 'majorityHeard'; readonly epoch: Epoch; readonly sinceMs: number }
+  /** The voters have confirmed this owner since `sinceMs`. */
+  | { readonly kind: 'leaseConfirmed'; readonly epoch: Epoch; readonly sinceMs: number }
   | { readonly kind: 'superseded'; readonly epoch: Epoch; readonly reason: string }
   | { readonly kind: 'stopRequested' }
 );
@@ -89,11 +104,21 @@
   | { readonly kind: 'readOwnerRow' }
   | { readonly kind: 'openLink'; readonly address: string; readonly epoch: Epoch }
   | { readonly kind: 'closeLink' }
-  | { readonly kind: 'askPeers'; readonly epoch: Epoch }
+  /** Ask peers whether they hear the owner, and for their votes if they do not. */
+  | {
+      readonly kind: 'askPeers';
+      readonly row: OwnerRow;
+      readonly suspicion: SuspicionReason;
+      /** Votes are asked for only when a version is given. */
+      readonly votersVersion: number | undefined;
+      readonly votedIds: readonly NodeId[];
+    }
   | {
       readonly kind: 'claim';
       readonly epoch: Epoch;
       readonly expectedVersion: number;
+      /** Version of the voter set against which the votes were cast; undefined when it has not been read. */
+      readonly votersVersion?: number | undefined;
       readonly silenceSinceEpoch: Epoch;
     }
   | { readonly kind: 'renew'; readonly epoch: Epoch; readonly rowVersion: number }
@@ -101,6 +126,8 @@
       readonly kind: 'beginOwning';
       readonly epoch: Epoch;
       readonly rowVersion: number;
+      /** Version of the former owner's voter set; undefined when it is not known. */
+      readonly votersVersion?: number | undefined;
       readonly silenceSinceEpoch: Epoch;
     }
   | { readonly kind: 'endOwning'; readonly epoch: Epoch; readonly reason: string }
@@ -119,5 +146,10 @@
   | { readonly kind: 'searching' }
   | { readonly kind: 'following'; readonly row: OwnerRow }
   | { readonly kind: 'suspecting'; readonly row: OwnerRow; readonly suspicion: SuspicionReason }
-  | { readonly kind: 'claiming'; readonly epoch: Epoch; readonly silenceSinceEpoch: Epoch }
+  | {
+      readonly kind: 'claiming';
+      readonly epoch: Epoch;
+      readonly silenceSinceEpoch: Epoch;
+      readonly votersVersion: number | undefined;
+    }
   | { readonly kind: 'owning'; readonly epoch: Epoch; readonly rowVersion: number };
--- /dev/null
+++ b/src/node/suspectedOwner.ts
@@ -0,0 +1,220 @@
+/**
+ * What a node knows of an owner that it suspects, and when that suffices for a claim. A claim is safe by the rule in
+ * voterSet.ts; everything else here avoids needless takeovers.
+ */
+
+import { getHash } from '../types/hash';
+import type { NodeId } from '../types/ids';
+import type { OwnerCandidate, OwnerRow, PeerAnswers, SuspicionReason } from './ownershipTypes';
+import { isVoteQuorum } from './voterSet';
+import { STORELESS_LIMIT_MS } from '../owner/constants';
+
+/** Delay of a claim per rank, so that candidates do not compete; a claim takes about 10 ms. */
+const CLAIM_STAGGER_MS = 120;
+
+/**
+ * With a slow store, a candidate waits the duration of this many reads for each higher-ranked
+ * candidate; a claim takes two.
+ */
+const READS_PER_RANK = 3;
+
+/** Upper bound of the delay by rank: higher-ranked candidates may all be lost, and the store decides in the end. */
+const MAX_RANK_DELAY_MS = 3_000;
+
+/** A node that reaches no peer claims only when the alive row has not changed for this long. */
+const ISOLATED_CLAIM_DELAY_MS = 2_500;
+
+/** An owner that renews the alive row is replaced only when no node that was asked has reached it for this long. */
+const UNREACHED_OWNER_DELAY_MS = 5_000;
+
+/** Added to the time after which an owner without the store has ended, for clocks of different speed. */
+const STORELESS_MARGIN_MS = 3_000;
+
+/** Interval at which peers are asked. */
+const ASK_INTERVAL_MS = 400;
+
+/** An unanswered question is repeated after this time at the latest. */
+const ASK_TIMEOUT_MS = 2_000;
+
+/** The suspicion of one owner. */
+export class SuspectedOwner {
+  readonly enteredAtMs: number;
+
+  readonly suspicion: SuspicionReason;
+
+  /** Successor named by an owner that resigns. */
+  successorId: NodeId | undefined;
+
+  /** Version of the voter set when the owner resigned, if it was certain of it. */
+  votersVersion: number | undefined;
+
+  /** Duration of the last read of the owner row. */
+  readDurationMs = 0;
+
+  #isYielding = false;
+
+  #aliveVersion: number | undefined;
+
+  #aliveChangedAtMs: number;
+
+  /** The owner has renewed the alive row since it was suspected. */
+  #hasRenewed = false;
+
+  #answers: PeerAnswers | undefined;
+
+  #votedIds = new Set<NodeId>();
+
+  #votedVersion: number | undefined;
+
+  #askedAtMs: number | undefined;
+
+  #isAsking = false;
+
+  /**
+   * @param suspicion - why the owner is suspected
+   * @param nowMs - current time
+   */
+  constructor(suspicion: SuspicionReason, nowMs: number) {
+    this.suspicion = suspicion;
+    this.enteredAtMs = nowMs;
+    this.#aliveChangedAtMs = nowMs;
+  }
+
+  /** Whether the owner has renewed the alive row since it was suspected. */
+  get hasRenewed(): boolean {
+    return this.#hasRenewed;
+  }
+
+  /** Nodes that have voted against the stored voter set. */
+  get votedIds(): ReadonlySet<NodeId> {
+    return this.#votedIds;
+  }
+
+  /**
+   * Records what was read of the owner.
+   * @param row - the rows of the owner
+   * @param nowMs - current time
+   */
+  onRead({ aliveVersion }: OwnerRow, nowMs: number): void {
+    if (this.#aliveVersion === aliveVersion) return;
+    this.#hasRenewed = this.#aliveVersion !== undefined;
+    this.#aliveVersion = aliveVersion;
+    this.#aliveChangedAtMs = nowMs;
+  }
+
+  /** The owner has promised to rely on the store alone. */
+  onYielding(): void {
+    this.#isYielding = true;
+  }
+
+  /**
+   * Records the answers of peers.
+   * @param answers - the answers
+   */
+  onAnswered(answers: PeerAnswers): void {
+    this.#isAsking = false;
+    this.#answers = answers;
+    if (answers.isOwnerYielding === true) this.#isYielding = true;
+    const { votersVersion, votedIds = [] } = answers;
+    if (votersVersion === undefined) return;
+    if (votersVersion !== this.#votedVersion) this.#votedIds.clear();
+    this.#votedVersion = votersVersion;
+    votedIds.forEach((nodeId) => this.#votedIds.add(nodeId));
+  }
+
+  /** Peers have to be asked anew, as no node could be asked before. */
+  forgetAnswers(): void {
+    this.#answers = undefined;
+    this.#askedAtMs = undefined;
+  }
+
+  /**
+   * Checks whether peers should be asked now; the caller asks when it returns true.
+   * @param nowMs - current time
+   * @returns true at most once per interval
+   */
+  takeAsk(nowMs: number): boolean {
+    const askedAtMs = this.#askedAtMs ?? -Infinity;
+    const pauseMs = this.#isAsking ? ASK_TIMEOUT_MS : ASK_INTERVAL_MS;
+    if (nowMs < askedAtMs + pauseMs) return false;
+    this.#askedAtMs = nowMs;
+    this.#isAsking = true;
+    return true;
+  }
+
+  /**
+   * Checks whether a claim is safe and no other candidate should be preferred.
+   * @param row - the owner
+   * @param self - this node and all candidates; these are undefined until the list of nodes has been read
+   * @param nowMs - current time
+   * @returns 'claim', or what is missing
+   */
+  getNextStep(
+    row: OwnerRow,
+    self: { readonly nodeId: NodeId; readonly candidates: readonly OwnerCandidate[] | undefined },
+    nowMs: number,
+  ): 'claim' | 'wait' | 'ask' {
+    const { nodeId, candidates } = self;
+    const isSafe = this.#isClaimSafe(row, nowMs);
+    // If another node has claimed meanwhile, the row's version makes the claim of the named successor fail.
+    if (this.successorId === nodeId && row.version >= 0 && isSafe) return 'claim';
+    // Every other candidate has to read the row again first, as another node may have claimed.
+    if (this.#aliveVersion === undefined) return 'wait';
+    if (nowMs < this.enteredAtMs + this.#getRankDelayMs(row, nodeId, candidates ?? []))
+      return 'wait';
+    if (this.suspicion === 'none' || row.nodeId === nodeId) return 'claim';
+    const isCertain = this.suspicion === 'resigned' || this.suspicion === 'withoutStore';
+    const isNeeded = isCertain || this.#isReplacementNeeded(row, nodeId, candidates, nowMs);
+    return isSafe && isNeeded ? 'claim' : 'ask';
+  }
+
+  /** Whether the former owner ends within its authority of a claim that is sent now; see voterSet.ts. */
+  #isClaimSafe({ voterSet, epoch }: OwnerRow, nowMs: number): boolean {
+    if (this.#isYielding && this.votersVersion !== undefined) return true;
+    if (voterSet === undefined) return false;
+    if (this.#isYielding) return true;
+    // An owner without a voter set of its own relies on the store alone.
+    if (voterSet.epoch !== epoch) return true;
+    if (voterSet.version === this.#votedVersion && isVoteQuorum(voterSet, this.#votedIds))
+      return true;
+    return nowMs >= this.#aliveChangedAtMs + STORELESS_LIMIT_MS + STORELESS_MARGIN_MS;
+  }
+
+  /** Whether the owner seems lost to all nodes, not only to this one. */
+  #isReplacementNeeded(
+    row: OwnerRow,
+    selfId: NodeId,
+    candidates: readonly OwnerCandidate[] | undefined,
+    nowMs: number,
+  ): boolean {
+    const answers = this.#answers;
+    if (answers === undefined) return false;
+    const isSilentLong = nowMs > this.#aliveChangedAtMs + ISOLATED_CLAIM_DELAY_MS;
+    if (this.#hasRenewed && !isSilentLong) {
+      return answers.answeredCount > 0 && nowMs >= this.enteredAtMs + UNREACHED_OWNER_DELAY_MS;
+    }
+    // A node without peers has nobody to ask, but one that does not know them yet may be wrong about the owner.
+    const isPeer = ({ nodeId }: OwnerCandidate) => nodeId !== selfId && nodeId !== row.nodeId;
+    const hasNoPeers = candidates !== undefined && !candidates.some(isPeer);
+    return answers.answeredCount > 0 || hasNoPeers || isSilentLong;
+  }
+
+  /**
+   * Delay by the position of this node among the candidates. A successor named by the owner comes first, then nodes
+   * with more processor capacity; among equals the order is pseudo-random and differs from epoch to epoch.
+   */
+  #getRankDelayMs(row: OwnerRow, selfId: NodeId, candidates: readonly OwnerCandidate[]): number {
+    if (row.nodeId === selfId) return 0;
+    const successorOffset = this.successorId === undefined ? 0 : 1;
+    const ownMillis = candidates.find(({ nodeId }) => nodeId === selfId)?.processorMillis ?? 0;
+    const getScore = (nodeId: NodeId) => getHash(`${row.epoch}|${nodeId}`);
+    const ownScore = getScore(selfId);
+    const higherRanked = candidates.filter(({ nodeId, processorMillis }) => {
+      if (nodeId === selfId || nodeId === row.nodeId) return false;
+      if (processorMillis !== ownMillis) return processorMillis > ownMillis;
+      return getScore(nodeId) > ownScore;
+    });
+    const perRankMs = Math.max(CLAIM_STAGGER_MS, this.readDurationMs * READS_PER_RANK);
+    return Math.min(MAX_RANK_DELAY_MS, (successorOffset + higherRanked.length) * perRankMs);
+  }
+}
--- a/src/node/tables.ts
+++ b/src/node/tables.ts
@@ -61,3 +61,6 @@
 
 /** Key of the row in the ownership table that names the last epoch for which the used targets are all recorded. */
 export const RECORDED_KEY = 'recorded';
+
+/** Key of the row in the ownership table that names the voters of the owner. */
+export const VOTERS_KEY = 'voters';
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -88,6 +88,9 @@
 /** A former owner stops by itself when its ownership has not been confirmed for this long. */
 export const OWNER_AUTHORITY_MS = 2_000;
 
+/** An owner stops by itself when the store has not confirmed it for this long, whoever else does. */
+export const STORELESS_LIMIT_MS = 60_000;
+
 /**
  * How long an owner that hands over prepares that at most, apart from departures: much less than the time in which a
  * node has to stop. What is not stored by then the successor waits for as after any other takeover.
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -25,6 +25,15 @@
      * as owner.
      */
     readonly processorMillis: number;
+    /**
+     * Reading of the owner's clock in the last answer that the node has received on this connection, which proves
+     * that the node follows the owner since then; not sent by earlier builds.
+     */
+    readonly acknowledgedMs?: number | undefined;
+    /** Version of the last voter set against which the node has voted; not sent by earlier builds. */
+    readonly votedVersion?: number | undefined;
+    /** Whether the node is being stopped; not sent by earlier builds. */
+    readonly isLeaving?: boolean | undefined;
   };
   submitted: { readonly text: string };
   cancelled: { readonly submissionId: SubmissionId };
@@ -50,7 +59,7 @@
     readonly timeoutMs: number;
   };
   /** Sent by any node to a peer: does it receive heartbeat answers from the owner of this epoch? */
-  isOwnerHeard: { readonly epoch: Epoch };
+  isOwnerHeard: OwnerQuery;
   /** Sent by a new owner to every node. */
   announce: {
     readonly epoch: Epoch;
@@ -64,11 +73,38 @@
   resign: {
     readonly epoch: Epoch;
     readonly successorId: NodeId;
+    /**
+     * Whether the owner relies on the store alone from now on, so that the successor needs no votes; not sent by
+     * earlier builds.
+     */
+    readonly isYielding?: boolean | undefined;
+    /** Version of the stored voter set, if the owner is certain of it. */
+    readonly votersVersion?: number | undefined;
     /** Advice that the successor can use; sent to the successor only, and not by earlier builds. */
     readonly advice?: readonly HandedAdvice[];
   };
 }
 
+/** Question about the owner of an epoch, and request to vote for its replacement. */
+export interface OwnerQuery {
+  readonly epoch: Epoch;
+  /** The asking node only checks whether the owner can be reached; not sent by earlier builds. */
+  readonly isProbe?: boolean | undefined;
+  /** Voter set against which a vote is asked for; not sent when none is needed, and by earlier builds. */
+  readonly votersVersion?: number | undefined;
+  /** The owner has reported that it does not reach the store, which the asking node does. */
+  readonly isOwnerWithoutStore?: boolean | undefined;
+}
+
+/** Answer to an {@link OwnerQuery}. */
+export interface OwnerQueryReply {
+  readonly isHeard: boolean;
+  /** The answering node has voted: it does not confirm the owner any more. */
+  readonly isVoting?: boolean | undefined;
+  /** The answering node is that owner and relies on the store alone from now on. */
+  readonly isYielding?: boolean | undefined;
+}
+
 /** Answer of an owner that has taken a notice. */
 export interface NoticeReply {
   /** Epoch of the owner; nodes of earlier builds do not report it. */
@@ -85,6 +121,8 @@
     readonly storeLostForMs: number;
     /** Whether the store answers the node late; nodes of earlier builds do not report it. */
     readonly isStoreSlow?: boolean;
+    /** Reading of the owner's clock; nodes of earlier builds do not report it. */
+    readonly ownerMs?: number | undefined;
   };
   submitted: NoticeReply;
   cancelled: NoticeReply;
@@ -95,7 +133,7 @@
   storeRow: DelegatedOutcome;
   ping: Record<string, never>;
   advise: AdviseReply;
-  isOwnerHeard: { readonly isHeard: boolean };
+  isOwnerHeard: OwnerQueryReply;
   announce: {
     /** The last epoch that the answering node has owned in its process; nodes of earlier builds do not report it. */
     readonly endedEpoch?: number | undefined;
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -6,7 +6,7 @@
   OwnerRow,
   OwnershipEffect,
   OwnershipEvent,
-  PeerAnswerCounts,
+  PeerAnswers,
 } from '../src/node/ownershipTypes';
 import type { NodeId } from '../src/types/ids';
 import { toEpoch } from '../src/types/ids';
@@ -16,6 +16,11 @@
 const OTHER = 'node-2' as NodeId;
 const TICK_INTERVAL_MS = 50;
 
+const CLAIM = { kind: 'claim', epoch: 5, expectedVersion: 40, silenceSinceEpoch: 5 };
+
+/** Written by no owner of the epoch, so that a claim needs no votes. */
+const NO_VOTERS = { version: 0, epoch: toEpoch(0), voters: [] };
+
 type EventBody = DistributiveOmit<OwnershipEvent, 'nowMs'>;
 
 /** One state machine with a simulated clock and a record of its effects. */
@@ -56,6 +61,7 @@
 function createRow(overrides: Partial<OwnerRow> = {}): OwnerRow {
   return {
     ...{ nodeId: OTHER, address: 'a:1', epoch: toEpoch(4), version: 40, aliveVersion: 41 },
+    voterSet: NO_VOTERS,
     ...overrides,
   };
 }
@@ -79,7 +85,7 @@
   return harness;
 }
 
-function answerPeers(harness: Harness, answers: PeerAnswerCounts): void {
+function answerPeers(harness: Harness, answers: PeerAnswers): void {
   harness.send({ kind: 'peersAnswered', epoch: toEpoch(4), answers });
 }
 
@@ -174,7 +180,13 @@
     const harness = new Harness();
     harness.send({ kind: 'tick' });
     harness.send({ kind: 'rowRead', result: E.right(undefined) });
-    const claim = { kind: 'claim', epoch: 1, expectedVersion: 0, silenceSinceEpoch: 1 };
+    const claim = {
+      kind: 'claim',
+      epoch: 1,
+      expectedVersion: 0,
+      votersVersion: 0,
+      silenceSinceEpoch: 1,
+    };
     expect(harness.effects).toContainEqual(claim);
   });
 
@@ -188,16 +200,16 @@
     const row = createRow({ nodeId: SELF, silenceSinceEpoch: formerEpoch });
     harness.send({ kind: 'rowRead', result: E.right(row) });
     const since = { silenceSinceEpoch: sinceEpoch };
-    const claim = { kind: 'claim', epoch: 5, expectedVersion: 40, ...since };
+    const claim = { kind: 'claim', epoch: 5, expectedVersion: 40, votersVersion: 0, ...since };
     expect(harness.effects).toContainEqual(claim);
     harness.send({ kind: 'claimed', epoch: toEpoch(5), result: E.right(50) });
-    const begin = { kind: 'beginOwning', epoch: 5, rowVersion: 50, ...since };
+    const begin = { kind: 'beginOwning', epoch: 5, rowVersion: 50, votersVersion: 0, ...since };
     expect(harness.effects).toContainEqual(begin);
   });
 
   test('is claimed again by a restarted node that the owner row still names', () => {
     const harness = createOwner();
-    const claim = { kind: 'claim', epoch: 5, expectedVersion: 40, silenceSinceEpoch: 5 };
+    const claim = { ...CLAIM, votersVersion: 0 };
     expect(harness.effects).toContainEqual(claim);
     expect(harness.has('beginOwning')).toBe(true);
   });
@@ -208,7 +220,7 @@
     harness.send({ kind: 'rowRead', result: E.right(createRow()) });
     expect(harness.has('claim')).toBe(false);
     answerPeers(harness, { askedCount: 3, answeredCount: 3, heardCount: 0 });
-    const claim = { kind: 'claim', epoch: 5, expectedVersion: 40, silenceSinceEpoch: 5 };
+    const claim = { ...CLAIM, votersVersion: 0 };
     expect(harness.effects).toContainEqual(claim);
   });
 
@@ -290,11 +302,12 @@
 
   test('is claimed by the named successor without asking peers, but not while it is stopping', () => {
     const harness = createFollower();
-    harness.send({ kind: 'resigned', epoch: toEpoch(4), successorId: SELF });
-    expect(harness.has('claim')).toBe(true);
+    const yielded = { isYielding: true, votersVersion: 7 };
+    harness.send({ kind: 'resigned', epoch: toEpoch(4), successorId: SELF, ...yielded });
+    expect(harness.effects).toContainEqual({ ...CLAIM, votersVersion: 7 });
     const stopping = createFollower();
     stopping.send({ kind: 'stopRequested' });
-    stopping.send({ kind: 'resigned', epoch: toEpoch(4), successorId: SELF });
+    stopping.send({ kind: 'resigned', epoch: toEpoch(4), successorId: SELF, ...yielded });
     stopping.advance(3_000, createRow());
     expect(stopping.has('claim')).toBe(false);
   });
@@ -323,12 +336,12 @@
     expect(harness.has('endOwning')).toBe(true);
   });
 
-  test('gives no authority 2 s after the last confirmation by the store or a majority', () => {
+  test('gives no authority 2 s after the last confirmation by the store or the voters', () => {
     const harness = createOwner();
     const startMs = harness.nowMs;
     expect(harness.core.isAuthorized(startMs + 1_900)).toBe(true);
     expect(harness.core.isAuthorized(startMs + 2_100)).toBe(false);
-    harness.send({ kind: 'majorityHeard', epoch: toEpoch(5), sinceMs: startMs + 1_000 });
+    harness.send({ kind: 'leaseConfirmed', epoch: toEpoch(5), sinceMs: startMs + 1_000 });
     expect(harness.core.isAuthorized(startMs + 2_100)).toBe(true);
     const result = E.right(51);
     harness.send({ kind: 'renewed', epoch: toEpoch(5), sentAtMs: startMs + 3_000, result });
--- a/tests/ownershipShell.test.ts
+++ b/tests/ownershipShell.test.ts
@@ -70,6 +70,8 @@
       onOperatorVersion: () => undefined,
       getOperatorVersion: () => 0,
       isStoreReachable: () => false,
+      isStopping: () => false,
+      yieldLease: () => undefined,
     },
   );
   try {
--- /dev/null
+++ b/tests/support/ownershipStore.ts
@@ -0,0 +1,71 @@
+/** The rows of the store that concern the ownership, and what happens to calls. */
+
+import * as E from 'fp-ts/Either';
+import type { OwnerRow, OwnershipEffect } from '../../src/node/ownershipTypes';
+import { decodeVoterSet } from '../../src/node/voterSet';
+import type { Committed, StoreOutcome } from '../../src/store/types';
+import type { NodeId } from '../../src/types/ids';
+import { toEpoch } from '../../src/types/ids';
+
+/** When the ownership of an epoch was taken. */
+export interface Takeover {
+  readonly epoch: number;
+  readonly nodeId: NodeId;
+  readonly committedAtMs: number;
+}
+
+type Claim = Extract<OwnershipEffect, { kind: 'claim' }>;
+type Written = E.Either<{ readonly kind: 'conflict' }, number>;
+
+/** Rows with versions from one counter. */
+export class OwnershipStore {
+  #version = 1;
+
+  #owner: { nodeId: NodeId; epoch: number; version: number } | undefined;
+
+  #aliveVersion = 0;
+
+  #voters = { value: '', version: 0 };
+
+  readonly takeovers: Takeover[] = [];
+
+  read(): OwnerRow | undefined {
+    if (this.#owner === undefined) return undefined;
+    const { nodeId, epoch, version } = this.#owner;
+    return {
+      ...{ nodeId, address: nodeId, epoch: toEpoch(epoch), version },
+      aliveVersion: this.#aliveVersion,
+      voterSet: decodeVoterSet(this.#voters),
+    };
+  }
+
+  claim(nodeId: NodeId, claim: Claim, nowMs: number): Written {
+    const { epoch, expectedVersion, votersVersion } = claim;
+    const isCurrent = (this.#owner?.version ?? 0) === expectedVersion;
+    const isVoted = votersVersion === undefined || votersVersion === this.#voters.version;
+    if (!isCurrent || !isVoted) return E.left({ kind: 'conflict' });
+    this.#owner = { nodeId, epoch, version: this.#getNextVersion() };
+    this.takeovers.push({ epoch, nodeId, committedAtMs: nowMs });
+    return E.right(this.#owner.version);
+  }
+
+  renew(rowVersion: number): Written {
+    if (this.#owner?.version !== rowVersion) return E.left({ kind: 'conflict' });
+    this.#aliveVersion = this.#getNextVersion();
+    return E.right(this.#aliveVersion);
+  }
+
+  writeVoters(rowVersion: number, expected: number, value: string): StoreOutcome<Committed> {
+    if (this.#owner?.version !== rowVersion || this.#voters.version !== expected) {
+      const row = { table: 'ownership', part: 'p', key: 'voters', ...this.#voters };
+      return E.left({ kind: 'conflict', rows: [row] });
+    }
+    this.#voters = { value, version: this.#getNextVersion() };
+    return E.right({ version: this.#voters.version });
+  }
+
+  #getNextVersion(): number {
+    this.#version += 1;
+    return this.#version;
+  }
+}
