A node that loses its channel to a living owner calls it again, and goes on asking

Cause: a lost channel was taken for a lost owner. A node asked once, always the first eight of the list, and nobody tried the owner itself; if nobody answered, only an alive row that stands still could end the state.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -213,6 +213,8 @@
 
   /** True when the load balancer may send new connections to this node. */
   get isReady(): boolean {
+    // States can be told only by the owner, to which other nodes may have a connection.
+    if (this.#ownership.core.isCutFromLiveOwner(this.#ports.clock.nowMs())) return false;
     const canServe = this.#store.isReachable || this.#ownership.link !== undefined;
     return !this.#isStopping && this.#operator.snapshot.operator.config !== undefined && canServe;
   }
--- a/src/node/ownerQueries.ts
+++ b/src/node/ownerQueries.ts
@@ -1,6 +1,6 @@
 /** Asks other nodes about a suspected owner, and answers such questions. */
 
-import type * as E from 'fp-ts/Either';
+import * as E from 'fp-ts/Either';
 import type { OwnerQuery, OwnerQueryReply } from '../peer/types';
 import type { Epoch, NodeId } from '../types/ids';
 import { throwRejection } from '../types/debug';
@@ -46,6 +46,9 @@
 export class OwnerQueries {
   #ports: QueryPorts;
 
+  /** Rotates the peers that are asked, as those in front may all be lost. */
+  #askCount = 0;
+
   /**
    * @param ports - the node
    */
@@ -53,6 +56,18 @@
     this.#ports = ports;
   }
 
+  /**
+   * Calls the owner on a new connection.
+   * @param address - `ip:port` of the owner
+   * @param epoch - its epoch
+   * @returns true when it answers that it owns the epoch
+   */
+  async probe(address: string, epoch: Epoch): Promise<boolean> {
+    const query: OwnerQuery = { epoch, isProbe: true };
+    const reply = await this.#ports.query(address, query, PROBE_TIMEOUT_MS);
+    return E.isRight(reply) && reply.right.isHeard;
+  }
+
   /**
    * Asks the owner and a number of peers.
    * @param effect - what to ask
@@ -77,7 +92,8 @@
   }
 
   /**
-   * Answers the question of another node.
+   * Answers the question of another node. A node that does not hear the owner tries to reach it before it votes, as
+   * all channels may have been reset at the same time.
    * @param query - the question
    * @returns the answer
    */
@@ -87,6 +103,8 @@
     const isHeard = core.isOwnerHeard(epoch, this.#ports.getNowMs());
     if (isHeard && isOwnerWithoutStore) return this.#answerWithoutStore(epoch, votersVersion);
     if (isHeard || isProbe) return { isHeard };
+    const address = core.tryGetUnheardAddress(epoch);
+    if (address !== undefined && (await this.probe(address, epoch))) return { isHeard: true };
     return { isHeard: false, ...this.#vote(votersVersion) };
   }
 
@@ -107,13 +125,15 @@
     return { isVoting: true };
   }
 
-  /** Voters that have not voted yet come first. */
+  /** Voters that have not voted yet come first, in an order that changes from one question to the next. */
   #choosePeers({ row, votersVersion, votedIds }: AskEffect): readonly Member[] {
     const { selfId, getMembers } = this.#ports;
     const isPeer = ({ nodeId }: Member) => nodeId !== selfId && nodeId !== row.nodeId;
     const peers = getMembers().filter(isPeer);
     if (peers.length === 0) return [];
-    const rotated = peers;
+    const offset = (this.#askCount * MIN_PEERS_ASKED) % peers.length;
+    this.#askCount += 1;
+    const rotated = [...peers.slice(offset), ...peers.slice(0, offset)];
     const voters = row.voterSet?.voters ?? [];
     if (votersVersion === undefined || voters.length === 0)
       return rotated.slice(0, MIN_PEERS_ASKED);
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -16,6 +16,7 @@
   OwnershipMode,
   SuspicionReason,
 } from './ownershipTypes';
+import { OwnerContact } from './ownerContact';
 import { createModeState } from './ownershipState';
 import type { ModeState } from './ownershipState';
 import { SuspectedOwner } from './suspectedOwner';
@@ -71,6 +72,8 @@
   /** Time of the last attempt to connect to an owner. */
   #connectedAtMs = -Infinity;
 
+  #contact = new OwnerContact();
+
   #isStopping = false;
 
   #isStoreReachable: () => boolean;
@@ -140,6 +143,29 @@
     this.#votedVersion = Math.max(this.#votedVersion, votersVersion);
   }
 
+  /**
+   * Gets the owner of an epoch that this node knows but does not hear.
+   * @param epoch - the epoch
+   * @returns its address; undefined when this node does not know it, or knows that it resigns
+   */
+  tryGetUnheardAddress(epoch: Epoch): string | undefined {
+    const mode = this.#mode;
+    const isKnown = mode.kind === 'following' || mode.kind === 'suspecting';
+    if (!isKnown || mode.row.epoch !== epoch || mode.row.address === '') return undefined;
+    return mode.kind === 'suspecting' && mode.suspicion === 'resigned'
+      ? undefined
+      : mode.row.address;
+  }
+
+  /**
+   * Checks whether this node lacks a connection to an owner that serves other nodes.
+   * @param nowMs - current time
+   * @returns true once that has lasted for a while
+   */
+  isCutFromLiveOwner(nowMs: number): boolean {
+    return this.#contact.isCutFromLiveOwner(nowMs);
+  }
+
   /**
    * Checks whether this node receives heartbeat answers from the owner of an epoch.
    * @param epoch - the epoch; a later one counts as well
@@ -195,6 +221,9 @@
       case 'resigned':
         this.#onResigned(event);
         return;
+      case 'ownerProbed':
+        this.#onOwnerProbed(event);
+        return;
       case 'claimed':
         this.#onClaimed(event);
         return;
@@ -218,6 +247,7 @@
   }
 
   #onTick(nowMs: number): void {
+    this.#checkConnection(nowMs);
     switch (this.#mode.kind) {
       case 'searching':
         this.#tryReadOwnerRow(nowMs);
@@ -246,6 +276,16 @@
     }
   }
 
+  #checkConnection(nowMs: number): void {
+    const { kind } = this.#mode;
+    const isResigned = kind === 'suspecting' && this.#suspected?.suspicion === 'resigned';
+    const isFollowing = kind === 'following' && this.#state.isConnected;
+    const fields = this.#contact.update(isFollowing || isResigned || kind === 'owning', nowMs);
+    if (fields === undefined) return;
+    const line = { mode: kind, epoch: this.epoch, ...fields };
+    this.#log('not connected to the owner; still trying', line);
+  }
+
   #tryReadOwnerRow(nowMs: number): void {
     const isPending = this.#state.isReading && nowMs < this.#state.readSentAtMs + CALL_LIMIT_MS;
     if (isPending || nowMs < this.#state.nextAttemptAtMs) return;
@@ -337,6 +377,7 @@
     if (this.#mode.kind !== 'suspecting' || suspected === undefined) return;
     suspected.onRead(row, nowMs);
     if (suspected.hasRenewed) {
+      this.#contact.noteSignOfLife(nowMs);
       if (suspected.suspicion === 'withoutStore') {
         this.#follow(row, nowMs);
         return;
@@ -419,7 +460,7 @@
   #suspect(suspicion: SuspicionReason, nowMs: number): void {
     if (this.#mode.kind !== 'following') return;
     const { row } = this.#mode;
-    const { nodeId, epoch } = row;
+    const { nodeId, address, epoch } = row;
     this.#log('owner suspected', { owner: nodeId, epoch, suspicion });
     // The voter set may have been replaced since the row was read.
     this.#mode = { kind: 'suspecting', row: { ...row, voterSet: undefined }, suspicion };
@@ -427,6 +468,9 @@
     this.#suspected = new SuspectedOwner(suspicion, nowMs);
     // An owner that resigns goes on working until it is replaced, so its connection stays open.
     if (suspicion !== 'resigned') this.#effects.push({ kind: 'closeLink' });
+    // Only the connection may be lost.
+    if (suspicion === 'linkLost' || suspicion === 'silent')
+      this.#effects.push({ kind: 'probeOwner', address, epoch });
     this.#tryReadOwnerRow(nowMs);
   }
 
@@ -441,6 +485,14 @@
     this.#tryReplaceOwner(event.nowMs);
   }
 
+  #onOwnerProbed(event: Extract<OwnershipEvent, { kind: 'ownerProbed' }>): void {
+    if (this.#mode.kind !== 'suspecting' || this.#mode.row.epoch !== event.epoch) return;
+    if (!event.isOwning) return;
+    this.#contact.noteSignOfLife(event.nowMs);
+    this.#log('owner answers on a new connection', { epoch: event.epoch });
+    this.#reconnect(this.#mode.row, event.nowMs);
+  }
+
   #onPeersAnswered(event: Extract<OwnershipEvent, { kind: 'peersAnswered' }>): void {
     const suspected = this.#suspected;
     if (this.#mode.kind !== 'suspecting' || suspected === undefined) return;
@@ -449,6 +501,8 @@
     const { votedIds = [], ...counts } = answers;
     const logged = { ...counts, voteCount: votedIds.length, epoch: event.epoch };
     this.#log('nodes asked for the owner', logged);
+    if (answers.isOwnerReached === true || answers.heardCount > 0)
+      this.#contact.noteSignOfLife(nowMs);
     suspected.onAnswered(answers);
     const { row } = this.#mode;
     switch (suspected.suspicion) {
@@ -488,6 +542,7 @@
     }
     const { nodeId, address, epoch, rowVersion, silenceSinceEpoch } = event;
     const row = { nodeId, address, epoch, version: rowVersion, aliveVersion: 0, silenceSinceEpoch };
+    this.#contact.noteSignOfLife(event.nowMs);
     this.#follow(row, event.nowMs);
   }
 
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -216,6 +216,13 @@
           ...{ kind: 'peersAnswered' as const, epoch: effect.row.epoch, answers },
         }));
         return;
+      case 'probeOwner': {
+        const { address, epoch } = effect;
+        this.#dispatchResult(this.#queries.probe(address, epoch), (isOwning) => ({
+          ...{ kind: 'ownerProbed' as const, epoch, isOwning },
+        }));
+        return;
+      }
       case 'claim': {
         const { epoch, expectedVersion, votersVersion, silenceSinceEpoch } = effect;
         const { nodeId, address } = this.#self;
--- a/src/node/ownershipTypes.ts
+++ b/src/node/ownershipTypes.ts
@@ -82,6 +82,8 @@
       /** Version of the stored voter set; undefined when the owner is not certain of it. */
       readonly votersVersion?: number | undefined;
     }
+  /** The owner was called on a new connection after the usual one was lost. */
+  | { readonly kind: 'ownerProbed'; readonly epoch: Epoch; readonly isOwning: boolean }
   | {
       readonly kind: 'claimed';
       readonly epoch: Epoch;
@@ -113,6 +115,7 @@
       readonly votersVersion: number | undefined;
       readonly votedIds: readonly NodeId[];
     }
+  | { readonly kind: 'probeOwner'; readonly address: string; readonly epoch: Epoch }
   | {
       readonly kind: 'claim';
       readonly epoch: Epoch;
--- a/tests/support/ownershipNode.ts
+++ b/tests/support/ownershipNode.ts
@@ -316,6 +316,16 @@
           .catch((error: unknown) => this.#model.violations.push(String(error)));
         return;
       }
+      case 'probeOwner': {
+        const { address, epoch } = effect;
+        this.queries
+          .probe(address, epoch)
+          .then((isOwning) =>
+            this.run(() => this.dispatch({ kind: 'ownerProbed', epoch, isOwning })),
+          )
+          .catch((error: unknown) => this.#model.violations.push(String(error)));
+        return;
+      }
       case 'claim':
         this.#callStore(
           () => this.#model.store.claim(this.nodeId, effect, this.#model.time.nowMs),
