Nodes renew their entries in the list of nodes, and departed ones leave it

Nobody was ever removed from the list, and 500 rows of it were read at most.

Now a node renews its row each 30 s and removes it when it is stopped. A row is not listed after 100 s without a renewal, which is measured by the store's clock, and only while the reader has read without a gap: rows that could not be renewed during an outage stay. A node that the owner hears is listed whatever its row says, as nodes of an earlier build do not renew. The owner removes lapsed rows under their versions. Of two rows with one address the later one counts. All pages are read.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -150,12 +150,14 @@
     this.#operator = new OperatorFollower(this.#ports, (snapshot) =>
       this.#onOperatorSnapshot(snapshot),
     );
-    this.#members = new MemberList(this.#store, this.#self, (members) =>
-      this.#ownership.dispatch({
-        kind: 'membersKnown',
-        candidates: members,
-      }),
-    );
+    this.#members = new MemberList({
+      ...{ store: this.#store, self: this.#self },
+      onChanged: (candidates) => this.#ownership.dispatch({ kind: 'membersKnown', candidates }),
+      isHeard: (memberId) => this.#followers.getLink(memberId) !== undefined,
+      isRemover: () => this.#ownerHost !== undefined,
+      onRemoved: (nodeIds) =>
+        ports.logger.info({ nodeIds }, 'departed nodes removed from the list of nodes'),
+    });
     const handlers = this.#createHandlers();
     this.#ownership = new OwnershipShell(
       this.#ports,
@@ -242,6 +244,7 @@
   beginStop(): void {
     this.#isStopping = true;
     this.#ownership.dispatch({ kind: 'stopRequested' });
+    this.#members.leave();
     if (this.#followers.getSuccessorId() !== undefined) this.#ownerHost?.prepareHandover();
   }
 
@@ -387,6 +390,7 @@
     this.#ended = this.#ownerHost;
     this.#ownerHost = undefined;
     this.#lease = undefined;
+    this.#followers.clear();
   }
 
   #updateLanes(): void {
--- a/tests/ownershipShell.test.ts
+++ b/tests/ownershipShell.test.ts
@@ -56,7 +56,10 @@
   );
   await server.listen(HOST, PORT);
   const ports = createStorelessPorts();
-  const members = new MemberList(ports.store, SELF, () => undefined);
+  const members = new MemberList({
+    ...{ store: ports.store, self: SELF, isHeard: () => false, isRemover: () => false },
+    onChanged: () => undefined,
+  });
   const shell = new OwnershipShell(
     ports,
     SELF,
