A resignation releases its successor from votes for good, and the voter set is written seldom

Cause: in a slow store the voter set was written at each planned restart, twice; while a write was under way a named successor had to read the rows before its claim, which the busy part then refused.

Now an owner that resigns promises to rely on the store alone for the rest of its epoch, so that a claim depends on no voter set; and a set that confirms the owner is replaced each 5 s at most, also in a slow store. A node that stops stays a voter for 5 s, as it may be back.

--- a/src/node/leaseQuorum.ts
+++ b/src/node/leaseQuorum.ts
@@ -14,9 +14,18 @@
 /** Minimum interval between writes, so that nodes that connect one after another cost one write. */
 const WRITE_INTERVAL_MS = 1_000;
 
+/** The same while the present set serves its purpose or the store is slow, as the owner has other rows to write. */
+const CALM_WRITE_INTERVAL_MS = 5_000;
+
 /** A node that has not been heard for this long is no voter any more. */
 const VOTER_RETENTION_MS = 30_000;
 
+/** The same for a node that was being stopped; one that is restarted is back by then. */
+const LEAVING_RETENTION_MS = 5_000;
+
+/** A voter whose last confirmation is older does not confirm the owner at present. */
+const RECENT_MS = 1_500;
+
 /** After the owner has yielded to a claimant, the claim has this much time before a new voter set is written. */
 const YIELD_MS = 3_000;
 
@@ -66,10 +75,12 @@
 
   #isWriting = false;
 
-  #nextWriteAtMs: number;
+  #lastWriteAtMs: number;
 
   #yieldedAtMs: number | undefined;
 
+  #isResigned = false;
+
   /**
    * @param epoch - the epoch
    * @param rowVersion - version of the row with the voter set of a former owner; 0 when it is not known
@@ -78,7 +89,7 @@
   constructor(epoch: Epoch, rowVersion: number, nowMs: number) {
     this.#epoch = epoch;
     this.#expectedVersion = rowVersion;
-    this.#nextWriteAtMs = nowMs + WRITE_INTERVAL_MS / 2;
+    this.#lastWriteAtMs = nowMs - WRITE_INTERVAL_MS / 2;
   }
 
   /** Number of nodes in the stored voter set; undefined while none is stored. */
@@ -100,17 +111,21 @@
    * Creates the next write if the voter set has to change.
    * @param nowMs - current time
    * @param memberCount - number of nodes in the list, with the owner; 0 while it has not been read
+   * @param isStoreSlow - whether the store answers late
    * @returns undefined when nothing has to be written now
    */
-  tryCreateWrite(nowMs: number, memberCount: number): VoterWrite | undefined {
-    if (this.#isWriting || nowMs < this.#nextWriteAtMs) return undefined;
+  tryCreateWrite(nowMs: number, memberCount: number, isStoreSlow = false): VoterWrite | undefined {
+    if (this.#isWriting || this.#isResigned) return undefined;
+    if (nowMs < this.#lastWriteAtMs + WRITE_INTERVAL_MS) return undefined;
+    const isCalm = isStoreSlow || !this.#isChangeUrgent(nowMs);
+    if (isCalm && nowMs < this.#lastWriteAtMs + CALM_WRITE_INTERVAL_MS) return undefined;
     if (this.#yieldedAtMs !== undefined && nowMs < this.#yieldedAtMs + YIELD_MS) return undefined;
     const voters = this.#getDesiredVoters(nowMs);
     // If the few nodes of a small set were lost, the others would have to wait long for their votes.
     const isMajority = memberCount > 0 && (voters.length + 1) * 2 > memberCount;
     if (!isMajority || this.#isUpToDate(voters)) return undefined;
     this.#isWriting = true;
-    this.#nextWriteAtMs = nowMs + WRITE_INTERVAL_MS;
+    this.#lastWriteAtMs = nowMs;
     this.#uncertain = [...this.#uncertain, voters];
     const value = encodeVoterSet(this.#epoch, voters);
     return { expectedVersion: this.#expectedVersion, value, voters, sentAtMs: nowMs };
@@ -134,7 +149,8 @@
    */
   tryGetConfirmedMs(nowMs: number): number | undefined {
     const committed = this.#committed;
-    if (committed === undefined || this.#yieldedAtMs !== undefined) return undefined;
+    if (committed === undefined || this.#isResigned || this.#yieldedAtMs !== undefined)
+      return undefined;
     const sets = [committed.voters, ...this.#uncertain];
     const times = sets.map((voters) => this.#getQuorumMs(voters, committed.version, nowMs));
     const oldestMs = Math.min(...times);
@@ -144,16 +160,31 @@
   /**
    * Promises to rely on the store alone until a voter set is stored that is written later.
    * @param nowMs - current time
-   * @returns version of the stored voter set, on which the claim depends; undefined while it is not certain
    */
-  yield(nowMs: number): number | undefined {
+  yield(nowMs: number): void {
     this.#yieldedAtMs = nowMs;
-    return this.#isWriting || this.#uncertain.length > 0 ? undefined : this.#committed?.version;
+  }
+
+  /** Promises to rely on the store alone for good, so that the successor's claim depends on no voter set. */
+  resign(): void {
+    this.#isResigned = true;
+  }
+
+  /** Whether the stored set does not confirm the owner at present. */
+  #isChangeUrgent(nowMs: number): boolean {
+    const committed = this.#committed;
+    if (committed === undefined || this.#yieldedAtMs !== undefined) return true;
+    const { voters, version } = committed;
+    const recent = voters.filter(
+      (voter) => this.#getConfirmedMs(voter, version) >= nowMs - RECENT_MS,
+    );
+    return recent.length < getLeaseQuorum(voters.length);
   }
 
   #getDesiredVoters(nowMs: number): readonly Voter[] {
     this.#nodes.forEach(({ holder, heardAtMs }, nodeId) => {
-      if (holder.isLeaving || nowMs >= heardAtMs + VOTER_RETENTION_MS) this.#nodes.delete(nodeId);
+      const retentionMs = holder.isLeaving ? LEAVING_RETENTION_MS : VOTER_RETENTION_MS;
+      if (nowMs >= heardAtMs + retentionMs) this.#nodes.delete(nodeId);
     });
     return [...this.#nodes.values()].map(({ holder: { nodeId, startedAtMs } }) => ({
       ...{ nodeId, startedAtMs },
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -174,9 +174,7 @@
         getOperatorVersion: () => this.#operator.snapshot.changeVersion,
         isStoreReachable: () => this.#store.isReachable,
         isStopping: () => this.#isStopping,
-        yieldLease: () => {
-          this.#lease?.yield(ports.clock.nowMs());
-        },
+        yieldLease: () => this.#lease?.yield(ports.clock.nowMs()),
       },
     );
     this.#server = new PeerServer(handlers, (link) => this.#onFollowerClosed(link));
@@ -268,12 +266,12 @@
     const advice = this.#ownerHost?.core?.getHandedAdvice(nowMs) ?? [];
     // Without the store no successor can claim at once, and the voters are needed until one does.
     const isYielding = this.#store.isReachable;
-    const votersVersion = isYielding ? this.#lease?.yield(nowMs) : undefined;
+    if (isYielding) this.#lease?.resign();
     const successorLink = this.#followers.getLink(successorId);
     this.#followers.links.forEach((link) => {
       const isSuccessor = link === successorLink;
       const params = {
-        ...{ epoch: mode.epoch, successorId, isYielding, votersVersion },
+        ...{ epoch: mode.epoch, successorId, isYielding },
         ...(isSuccessor ? { advice } : {}),
       };
       link.call('resign', params, OWNER_TIMEOUT_MS).catch((error: unknown) => {
@@ -343,7 +341,7 @@
   }
 
   #writeVoterSet(lease: LeaseQuorum, rowVersion: number, nowMs: number): void {
-    const write = lease.tryCreateWrite(nowMs, this.#members.members.length);
+    const write = lease.tryCreateWrite(nowMs, this.#members.members.length, this.#store.isSlow);
     if (write === undefined) return;
     writeVoterSet(this.#store, rowVersion, write).then((outcome) => {
       lease.onWritten(write, outcome);
@@ -453,12 +451,11 @@
         const { epoch, areFormerOwnersEnded } = this.#ended;
         return { endedEpoch: epoch, areFormerOwnersEnded };
       },
-      resign: ({ epoch, successorId, isYielding, votersVersion, advice }) => {
+      resign: ({ epoch, successorId, isYielding, advice }) => {
         const receivedAtMs = this.#ports.clock.nowMs();
         if (successorId === this.#self.nodeId)
           this.#handed = { epoch, receivedAtMs, advice: decodeHandedAdvice(advice) };
-        const resigned = { epoch, successorId, isYielding, votersVersion };
-        this.#ownership.dispatch({ kind: 'resigned', ...resigned });
+        this.#ownership.dispatch({ kind: 'resigned', epoch, successorId, isYielding });
         return {};
       },
     };
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -322,7 +322,7 @@
     const voteCount = suspected.votedIds.size;
     this.#log('ownership claimed', { formerOwner: row.nodeId, epoch, suspicion, voteCount });
     const silenceSinceEpoch = row.silenceSinceEpoch ?? epoch;
-    const votersVersion = row.voterSet?.version ?? suspected.votersVersion;
+    const votersVersion = suspected.isReleased ? undefined : row.voterSet?.version;
     this.#mode = { kind: 'claiming', epoch, silenceSinceEpoch, votersVersion };
     this.#suspected = undefined;
     this.#state = createModeState(nowMs);
@@ -480,8 +480,7 @@
     const suspected = this.#suspected;
     if (suspected === undefined) return;
     suspected.successorId = event.successorId;
-    suspected.votersVersion = event.votersVersion;
-    if (event.isYielding === true) suspected.onYielding();
+    if (event.isYielding === true) suspected.onReleased();
     this.#tryReplaceOwner(event.nowMs);
   }
 
--- a/src/node/ownershipTypes.ts
+++ b/src/node/ownershipTypes.ts
@@ -38,7 +38,7 @@
   readonly heardCount: number;
   /** Whether the owner itself has answered on a new connection. */
   readonly isOwnerReached?: boolean;
-  /** Whether the owner has promised to rely on the store alone. */
+  /** Whether the owner has promised to rely on the store alone until it has stored another voter set. */
   readonly isOwnerYielding?: boolean;
   /** Version of the voter set against which the peers were asked to vote, and those that have done so. */
   readonly votersVersion?: number;
@@ -77,10 +77,8 @@
       readonly kind: 'resigned';
       readonly epoch: Epoch;
       readonly successorId: NodeId | undefined;
-      /** Whether the owner has promised to rely on the store alone. */
+      /** Whether the owner has promised to rely on the store alone for good. */
       readonly isYielding?: boolean | undefined;
-      /** Version of the stored voter set; undefined when the owner is not certain of it. */
-      readonly votersVersion?: number | undefined;
     }
   /** The owner was called on a new connection after the usual one was lost. */
   | { readonly kind: 'ownerProbed'; readonly epoch: Epoch; readonly isOwning: boolean }
--- a/src/node/suspectedOwner.ts
+++ b/src/node/suspectedOwner.ts
@@ -45,14 +45,14 @@
   /** Successor named by an owner that resigns. */
   successorId: NodeId | undefined;
 
-  /** Version of the voter set when the owner resigned, if it was certain of it. */
-  votersVersion: number | undefined;
-
   /** Duration of the last read of the owner row. */
   readDurationMs = 0;
 
+  /** The owner has promised to rely on the store alone until it has stored another voter set. */
   #isYielding = false;
 
+  #isReleased = false;
+
   #aliveVersion: number | undefined;
 
   #aliveChangedAtMs: number;
@@ -102,9 +102,14 @@
     this.#aliveChangedAtMs = nowMs;
   }
 
-  /** The owner has promised to rely on the store alone. */
-  onYielding(): void {
-    this.#isYielding = true;
+  /** Whether the owner has promised to rely on the store alone for good, so that a claim depends on no voter set. */
+  get isReleased(): boolean {
+    return this.#isReleased;
+  }
+
+  /** Records that promise. */
+  onReleased(): void {
+    this.#isReleased = true;
   }
 
   /**
@@ -170,7 +175,7 @@
 
   /** Whether the former owner ends within its authority of a claim that is sent now; see voterSet.ts. */
   #isClaimSafe({ voterSet, epoch }: OwnerRow, nowMs: number): boolean {
-    if (this.#isYielding && this.votersVersion !== undefined) return true;
+    if (this.#isReleased) return true;
     if (voterSet === undefined) return false;
     if (this.#isYielding) return true;
     // An owner without a voter set of its own relies on the store alone.
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -78,8 +78,6 @@
      * earlier builds.
      */
     readonly isYielding?: boolean | undefined;
-    /** Version of the stored voter set, if the owner is certain of it. */
-    readonly votersVersion?: number | undefined;
     /** Advice that the successor can use; sent to the successor only, and not by earlier builds. */
     readonly advice?: readonly HandedAdvice[];
   };
