An approved target that takes no runs does not keep the advice service from being asked

Such a target now counts as full after 1 s. `tasks wait` tells what is known of the targets of steps that need advice.

Evidence: the new test of tests/lastingTasks.test.ts fails without the line in adviceChoice.ts. Not reproduced with real processes.

--- a/src/owner/adviceChoice.ts
+++ b/src/owner/adviceChoice.ts
@@ -10,6 +10,7 @@
   ADVICE_APPROVAL_FRACTION,
   ADVICE_MAX_PAUSE_MS,
   ADVICE_MAX_TARGETS,
+  ADVICE_SILENCE_MS,
   ADVICE_WIDE_TARGETS,
 } from './constants';
 import { getSpreadHeadroom, isColocationAllowed } from './placement';
@@ -38,9 +39,17 @@
   return Math.max(0, Math.floor(ratio));
 }
 
-/** Number of tasks without a place that fit on a target now; a paused one takes tasks only when no other does. */
-function countFittingTasks(step: StepState, target: TargetState, nowMs: number): number {
+/**
+ * Counts the tasks without a place that fit on a target now.
+ * @param step - the step
+ * @param target - the target
+ * @param nowMs - elapsed time of this process
+ * @returns 0 for a target that has taken no runs for a while; a paused one takes tasks only when no other does
+ */
+export function countFittingTasks(step: StepState, target: TargetState, nowMs: number): number {
   if (target.pausedUntilMs > nowMs + ADVICE_MAX_PAUSE_MS) return 0;
+  const { unplannableSinceMs } = target;
+  if (unplannableSinceMs !== undefined && nowMs >= unplannableSinceMs + ADVICE_SILENCE_MS) return 0;
   const fittingCount = countFittingByDemand(step.charge, target.free);
   if (fittingCount === 0 || !isColocationAllowed(step, target)) return 0;
   return Math.max(0, Math.min(fittingCount, getSpreadHeadroom(step, target), step.unplacedCount));
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -178,7 +178,7 @@
 /** Added to the expected duration of a call for advice to get its timeout. */
 export const ADVICE_TIMEOUT_MARGIN_MS = 1_000;
 
-/** The service is not asked about a target that has been silent for this long. */
+/** The service is not asked about a target that has been silent, or has taken no runs, for this long. */
 export const ADVICE_SILENCE_MS = 1_000;
 
 /** A target with a longer pause than this has no room for tasks that need advice. */
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -90,6 +90,7 @@
     this.#planTrials(steps);
     for (const target of state.watch.unusual) {
       if (target.trial !== undefined) target.isPlannable = false;
+      if (!target.isPlannable) target.unplannableSinceMs ??= state.nowMs;
     }
     if (steps.length > 0) this.#planSteps(steps);
     this.#relocator.plan({
@@ -106,6 +107,7 @@
     const { watch } = this.#state;
     for (const target of watch.unusual) {
       target.isPlannable = isInventoryKnown(target);
+      if (target.isPlannable && target.trial === undefined) target.unplannableSinceMs = undefined;
       target.checkUnsettledRuns();
       if (target.isUsual) watch.unusual.delete(target);
     }
--- a/src/owner/targetState.ts
+++ b/src/owner/targetState.ts
@@ -114,6 +114,9 @@
   /** Whether the planning pass in progress may start runs here, apart from a pause. */
   isPlannable = false;
 
+  /** Since when no runs may be started there; undefined while they may. */
+  unplannableSinceMs: number | undefined;
+
   /** Its position in the table of targets, which decides between targets of equal cost. */
   position = 0;
 
--- a/src/owner/waitMonitor.ts
+++ b/src/owner/waitMonitor.ts
@@ -2,6 +2,7 @@
 
 import type { TargetId, TaskKey } from '../types/ids';
 import { toTaskKey } from '../work/taskKeys';
+import { getAdviceSummary } from './adviceSummary';
 import type { OwnerState } from './ownerState';
 import type { StepState } from './stepState';
 import { getStepWaitReason } from './taskBelief';
@@ -21,6 +22,7 @@
   readonly taskCount: number;
   readonly sinceMs: number;
   readonly targetId?: TargetId;
+  readonly step?: StepState;
 }
 
 /** Waiting tasks of a step with the same reason. */
@@ -85,7 +87,7 @@
         if (first === undefined) return [];
         const sinceMs = former.find((wait) => wait.reason === reason)?.sinceMs;
         const task = toTaskKey(step.key, first);
-        return [{ reason, task, taskCount, sinceMs: sinceMs ?? this.#state.nowMs }];
+        return [{ reason, task, taskCount, sinceMs: sinceMs ?? this.#state.nowMs, step }];
       });
       this.#stepWaits.set(step, waits);
     });
@@ -126,6 +128,10 @@
     this.#state.emit({ kind: 'record', name: `task_wait_${reason}`, durationMs: longestMs });
     if (nowMs < (this.#nextLogAtMs.get(reason) ?? 0)) return;
     this.#nextLogAtMs.set(reason, nowMs + LOG_INTERVAL_MS);
+    const advice = longest.flatMap(({ step }) => {
+      const needsAdvice = step !== undefined && step.record.queue.advice !== undefined;
+      return needsAdvice ? [getAdviceSummary(this.#state, step)] : [];
+    });
     const targetIds = longest.flatMap(({ targetId }) => targetId ?? []);
     this.#state.log('tasks wait', {
       reason,
@@ -133,6 +139,7 @@
       longestMs: Math.round(longestMs),
       tasks: longest.map(({ task }) => task),
       ...(targetIds.length > 0 ? { targetIds } : {}),
+      ...(advice.length > 0 ? { advice } : {}),
       ...(reason === 'unseenRuns' ? { unresolvedTargetIds: [...unresolvedTargets] } : {}),
     });
   }
--- a/tests/lastingTasks.test.ts
+++ b/tests/lastingTasks.test.ts
@@ -114,6 +114,18 @@
     expect(chooseTargetsToQuery(step, targets, COSTS, NOW_MS)[0]).toBe(other);
   });
 
+  // Its runs are not known, say, or it is reserved for a trial: nothing may be started there, whatever room it has.
+  test('and one that takes no runs for a while do not keep the service from being asked', () => {
+    const { paused, other, step } = createPausedAndOther();
+    paused.pausedUntilMs = 0;
+    paused.unplannableSinceMs = NOW_MS - 900;
+    const targets = [paused, other];
+    expect(isFurtherAdviceUseful(step, targets, () => true, NOW_MS)).toBe(false);
+    paused.unplannableSinceMs = NOW_MS - 1_000;
+    expect(isFurtherAdviceUseful(step, targets, () => true, NOW_MS)).toBe(true);
+    expect(chooseTargetsToQuery(step, targets, COSTS, NOW_MS)[0]).toBe(other);
+  });
+
   // A starving step uses it all the same, for which it needs a ticket.
   test('is named when there is no other one', () => {
     const { paused, step } = createPausedAndOther();
