A node that waits while it suspects the owner goes on calling it; votes that were not needed end with the next voter set

Found on reading the change.

Evidence: a new test in tests/ownershipResets.test.ts fails without the repeated call. The second case has no test.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -334,6 +334,8 @@
     const { mode } = this.#ownership.core;
     if (mode.kind !== 'owning' || this.#lease === undefined) return;
     const { epoch, rowVersion } = mode;
+    // A claim that was sent without votes may still take effect when this node reaches the store again.
+    if (this.#ownership.core.isStorelessLimitReached(nowMs)) this.#lease.yield(nowMs);
     if (this.#store.isReachable) this.#writeVoterSet(this.#lease, rowVersion, nowMs);
     const sinceMs = this.#lease.tryGetConfirmedMs(nowMs);
     if (sinceMs === undefined) return;
--- a/src/node/ownerQueries.ts
+++ b/src/node/ownerQueries.ts
@@ -8,6 +8,7 @@
 import type { OwnershipCore } from './ownership';
 import { OwnerQueryRound } from './ownerQueryRound';
 import type { AskEffect } from './ownerQueryRound';
+import { OWNER_STORE_TIMEOUT_MS } from './ownershipState';
 import type { PeerAnswers } from './ownershipTypes';
 import { getVoteQuorum } from './voterSet';
 
@@ -20,9 +21,6 @@
 /** How many peers are asked at least, if there are as many. */
 const MIN_PEERS_ASKED = 8;
 
-/** An owner that does not reach the store for this long is replaced by a node that does. */
-const OWNER_STORE_TIMEOUT_MS = 900;
-
 /** What the answers depend on. */
 export interface QueryPorts {
   readonly selfId: NodeId;
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -17,10 +17,9 @@
   SuspicionReason,
 } from './ownershipTypes';
 import { OwnerContact } from './ownerContact';
-import { createModeState } from './ownershipState';
+import { createModeState, createVacantRow, OWNER_STORE_TIMEOUT_MS } from './ownershipState';
 import type { ModeState } from './ownershipState';
 import { SuspectedOwner } from './suspectedOwner';
-import { decodeVoterSet } from './voterSet';
 
 /** An owner that has not answered for this long is suspected; covers three heartbeats. */
 const OWNER_SILENCE_TIMEOUT_MS = 700;
@@ -37,9 +36,6 @@
 /** Delay before reconnecting to an owner that other nodes still reach. */
 const RECONNECT_INTERVAL_MS = 400;
 
-/** An owner that has not reached the store for this long is replaced by a node that does. */
-const OWNER_STORE_TIMEOUT_MS = 900;
-
 /**
  * A node must have reached the store for this long before it replaces an owner that does not. When
  * the store recovers for all nodes, the owner notices within this time of the first other node.
@@ -130,6 +126,16 @@
     return isWithinLimit && nowMs < confirmedAtMs + OWNER_AUTHORITY_MS;
   }
 
+  /**
+   * Checks whether this owner has been without the store for so long that claims need no votes.
+   * @param nowMs - current time
+   * @returns true once it has
+   */
+  isStorelessLimitReached(nowMs: number): boolean {
+    const isOwning = this.#mode.kind === 'owning';
+    return isOwning && nowMs >= this.#state.storeConfirmedAtMs + STORELESS_LIMIT_MS;
+  }
+
   /** Version of the last voter set against which this node has voted; 0 when it never has. */
   get votedVersion(): number {
     return this.#votedVersion;
@@ -265,11 +271,7 @@
       case 'owning':
         if (nowMs < this.#state.nextAttemptAtMs) return;
         this.#state.nextAttemptAtMs = nowMs + RENEW_INTERVAL_MS;
-        this.#effects.push({
-          kind: 'renew',
-          epoch: this.#mode.epoch,
-          rowVersion: this.#mode.rowVersion,
-        });
+        this.#effects.push({ ...this.#mode, kind: 'renew' });
         return;
       default:
         assertNever(this.#mode);
@@ -314,6 +316,7 @@
     const { row } = this.#mode;
     const self = { nodeId: this.#nodeId, candidates: this.#candidates };
     const step = suspected.getNextStep(row, self, nowMs);
+    if (step === 'wait') this.#tryProbeOwner(nowMs);
     // A node that stops asks as well, as the owner may only be lost to this node.
     if (step === 'ask' && suspected.takeAsk(nowMs)) this.#askPeers(row, suspected);
     if (step !== 'claim' || this.#isStopping) return;
@@ -332,6 +335,12 @@
     });
   }
 
+  #tryProbeOwner(nowMs: number): void {
+    if (this.#mode.kind !== 'suspecting' || this.#suspected?.takeProbe(nowMs) !== true) return;
+    const { address, epoch } = this.#mode.row;
+    this.#effects.push({ kind: 'probeOwner', address, epoch });
+  }
+
   #askPeers(row: OwnerRow, suspected: SuspectedOwner): void {
     const { voterSet } = row;
     const votersVersion = voterSet?.epoch === row.epoch ? voterSet.version : undefined;
@@ -399,14 +408,7 @@
   }
 
   #onNoOwner(nowMs: number): void {
-    const row: OwnerRow = {
-      nodeId: '' as NodeId,
-      address: '',
-      epoch: toEpoch(0),
-      version: 0,
-      aliveVersion: 0,
-      voterSet: decodeVoterSet(undefined),
-    };
+    const row = createVacantRow();
     if (this.#mode.kind !== 'suspecting') {
       this.#mode = { kind: 'following', row };
       this.#suspect('none', nowMs);
@@ -460,7 +462,7 @@
   #suspect(suspicion: SuspicionReason, nowMs: number): void {
     if (this.#mode.kind !== 'following') return;
     const { row } = this.#mode;
-    const { nodeId, address, epoch } = row;
+    const { nodeId, epoch } = row;
     this.#log('owner suspected', { owner: nodeId, epoch, suspicion });
     // The voter set may have been replaced since the row was read.
     this.#mode = { kind: 'suspecting', row: { ...row, voterSet: undefined }, suspicion };
@@ -468,9 +470,7 @@
     this.#suspected = new SuspectedOwner(suspicion, nowMs);
     // An owner that resigns goes on working until it is replaced, so its connection stays open.
     if (suspicion !== 'resigned') this.#effects.push({ kind: 'closeLink' });
-    // Only the connection may be lost.
-    if (suspicion === 'linkLost' || suspicion === 'silent')
-      this.#effects.push({ kind: 'probeOwner', address, epoch });
+    this.#tryProbeOwner(nowMs);
     this.#tryReadOwnerRow(nowMs);
   }
 
--- a/src/node/ownershipState.ts
+++ b/src/node/ownershipState.ts
@@ -1,5 +1,13 @@
 /** State of the ownership state machine that belongs to its current mode. */
 
+import type { NodeId } from '../types/ids';
+import { toEpoch } from '../types/ids';
+import type { OwnerRow } from './ownershipTypes';
+import { decodeVoterSet } from './voterSet';
+
+/** An owner that has not reached the store for this long is replaced by a node that does. */
+export const OWNER_STORE_TIMEOUT_MS = 900;
+
 /** Mutable state that belongs to the current mode. */
 export interface ModeState {
   enteredAtMs: number;
@@ -37,3 +45,14 @@
     storeConfirmedAtMs: nowMs,
   };
 }
+
+/**
+ * Creates the row that stands for the owner while there has never been one.
+ * @returns a row that any node may replace
+ */
+export function createVacantRow(): OwnerRow {
+  return {
+    ...{ nodeId: '' as NodeId, address: '', epoch: toEpoch(0), version: 0, aliveVersion: 0 },
+    voterSet: decodeVoterSet(undefined),
+  };
+}
--- a/src/node/suspectedOwner.ts
+++ b/src/node/suspectedOwner.ts
@@ -70,6 +70,8 @@
 
   #isAsking = false;
 
+  #probedAtMs = -Infinity;
+
   /**
    * @param suspicion - why the owner is suspected
    * @param nowMs - current time
@@ -147,6 +149,19 @@
     return true;
   }
 
+  /**
+   * Checks whether the owner should be called on a new connection now, as only the usual one may be lost; the caller
+   * does so when it returns true. The store is not needed for it.
+   * @param nowMs - current time
+   * @returns true at most once per interval
+   */
+  takeProbe(nowMs: number): boolean {
+    const isSuspectedByChannel = this.suspicion === 'linkLost' || this.suspicion === 'silent';
+    if (!isSuspectedByChannel || nowMs < this.#probedAtMs + ASK_INTERVAL_MS) return false;
+    this.#probedAtMs = nowMs;
+    return true;
+  }
+
   /**
    * Checks whether a claim is safe and no other candidate should be preferred.
    * @param row - the owner
--- a/tests/ownershipResets.test.ts
+++ b/tests/ownershipResets.test.ts
@@ -38,6 +38,22 @@
     expect(hasAllFollowers(model)).toBe(true);
   });
 
+  // Without the store nobody asks, and one attempt to connect may fail.
+  test('is found again while the store is away, by a node that was cut off from it for a while', async () => {
+    const model = await createModel(5);
+    const owner = getOwner(model);
+    const node = [...model.nodes.values()].find((other) => other !== owner);
+    model.isStoreUp = false;
+    const cut = { from: new Set([owner.nodeId]), to: new Set([node?.nodeId ?? STORE]) };
+    model.cuts.add(cut);
+    await model.runFor(3_000);
+    expect(node?.core.mode.kind).toBe('suspecting');
+    model.cuts.clear();
+    await model.runFor(RECONNECT_MS);
+    expect(hasAllFollowers(model)).toBe(true);
+    expect(owner.isActing).toBe(true);
+  });
+
   // review/7: only nodes were asked that had left, and the node neither asked again nor connected again.
   test('is found again by nodes that have lost it, whatever nodes have departed before', async () => {
     const model = await createModel(7);
--- a/tests/support/ownershipNode.ts
+++ b/tests/support/ownershipNode.ts
@@ -198,6 +198,7 @@
       this.#followers.delete(nodeId);
       this.#model.resetLink(link, false);
     });
+    if (this.core.isStorelessLimitReached(nowMs)) this.#lease.yield(nowMs);
     if (this.isStoreReachable) this.#writeVoters(this.#lease, mode.rowVersion);
     const sinceMs = this.#lease.tryGetConfirmedMs(nowMs);
     if (sinceMs !== undefined)
