--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -152,6 +152,8 @@
     const nowMs = this.#ports.clock.nowMs();
     const effects = this.#core.reduce({ ...event, nowMs } as OwnershipEvent);
     effects.forEach((effect) => this.#perform(effect));
+    // The owner learns at once that this node is a lane for advice and a voter.
+    if (event.kind === 'linkOpened') this.sendHeartbeat();
   }
 
   /** Sends a heartbeat on the open connection unless the previous one is unanswered. */
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -348,6 +348,17 @@
     expect(harness.core.isAuthorized(startMs + 4_900)).toBe(true);
   });
 
+  // Nodes that lack the votes of lost voters wait for this.
+  test('gives no authority 60 s after the last confirmation by the store, whatever voters confirm', () => {
+    const harness = createOwner();
+    const startMs = harness.nowMs;
+    harness.send({ kind: 'leaseConfirmed', epoch: toEpoch(5), sinceMs: startMs + 59_900 });
+    expect(harness.core.isAuthorized(startMs + 59_950)).toBe(true);
+    expect(harness.core.isStorelessLimitReached(startMs + 59_950)).toBe(false);
+    expect(harness.core.isAuthorized(startMs + 60_050)).toBe(false);
+    expect(harness.core.isStorelessLimitReached(startMs + 60_050)).toBe(true);
+  });
+
   test('follows the new owner after losing a claim to it', () => {
     const harness = new Harness();
     harness.send({ kind: 'tick' });
