--- a/tests/memberList.test.ts
+++ b/tests/memberList.test.ts
@@ -167,14 +167,20 @@
   // An absence of renewals proves nothing while the store was away for all.
   test('are told from nodes that could not renew their rows', async () => {
     const table = new RowTable();
-    const list = start(table, SELF, true);
+    const read: number[] = [];
+    const ports = { store: table.store, self: SELF, isHeard: () => false, isRemover: () => true };
+    const list = new MemberList({ ...ports, onChanged: ({ length }) => read.push(length) });
+    lists.push(list);
+    list.start();
     start(table, OTHER);
     await table.pass(60);
     table.isUp = false;
     await table.pass(200);
     expect(getNames(list)).toEqual(['node-1', 'node-2']);
     table.isUp = true;
+    read.length = 0;
     await table.pass(20);
+    expect(new Set(read)).toEqual(new Set([2]));
     expect(getNames(list)).toEqual(['node-1', 'node-2']);
     await table.pass(60);
     expect(getNames(list)).toEqual(['node-1', 'node-2']);
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -348,6 +348,38 @@
     expect(harness.core.isAuthorized(startMs + 4_900)).toBe(true);
   });
 
+  // Another node may have claimed since the claim took effect (TWICE).
+  test('gives authority from the sending of the claim, however late its answer comes', () => {
+    const harness = new Harness();
+    harness.send({ kind: 'tick' });
+    harness.send({ kind: 'rowRead', result: E.right(createRow({ nodeId: SELF })) });
+    const sentAtMs = harness.nowMs;
+    harness.nowMs += 1_500;
+    harness.send({ kind: 'claimed', epoch: toEpoch(5), result: E.right(50) });
+    expect(harness.core.isAuthorized(sentAtMs + 1_900)).toBe(true);
+    expect(harness.core.isAuthorized(sentAtMs + 2_100)).toBe(false);
+  });
+
+  // Each of these takeovers was not announced, and its successor waited for what is silent.
+  test('is not claimed while the owner renews the alive row, unless nobody reaches it for 5 s', () => {
+    const harness = createFollower();
+    harness.send({ kind: 'linkLost', epoch: toEpoch(4), detail: 'closed' });
+    const unheard = { askedCount: 3, answeredCount: 3, heardCount: 0 };
+    for (let aliveVersion = 41; aliveVersion < 49; aliveVersion += 1) {
+      harness.advance(TICK_INTERVAL_MS, createRow({ aliveVersion }));
+      harness.send({ kind: 'rowRead', result: E.right(createRow({ aliveVersion })) });
+      if (aliveVersion > 41) answerPeers(harness, unheard);
+      expect(harness.has('claim')).toBe(false);
+      harness.advance(600 - TICK_INTERVAL_MS);
+    }
+    harness.send({ kind: 'rowRead', result: E.right(createRow({ aliveVersion: 50 })) });
+    harness.advance(TICK_INTERVAL_MS, createRow({ aliveVersion: 50 }));
+    answerPeers(harness, unheard);
+    harness.advance(600, createRow({ aliveVersion: 50 }));
+    answerPeers(harness, unheard);
+    expect(harness.has('claim')).toBe(true);
+  });
+
   // Nodes that lack the votes of lost voters wait for this.
   test('gives no authority 60 s after the last confirmation by the store, whatever voters confirm', () => {
     const harness = createOwner();
