Waits name the team limit apart from room, keep their clock, and tell what each approved target lacks

A reservation for a trial ended without a line, and nothing told what became of calls for advice. No decision of the planner changes; the check of a team's limit moves to teamLimits.ts, which the monitor shares.

--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -107,7 +107,9 @@
     this.#pending.delete(event.stepKey);
     if (step === undefined) return;
     step.advice.isCallPending = false;
+    const durationMs = nowMs - event.sentAtMs;
     if (E.isLeft(event.result)) {
+      this.#state.adviceUsage.onFailed(durationMs);
       if (lane !== undefined) lane.notBeforeMs = nowMs + ADVICE_RETRY_DELAY_MS;
       this.#state.count(`advice_${event.result.left.kind}`);
       this.#state.log('no advice', {
@@ -119,12 +121,14 @@
     }
     const { grants, validMs } = event.result.right;
     step.advice.addAnswer(
+      nowMs,
       event.targetIds,
       grants,
       nowMs + validMs,
       (targetId) => targets.get(targetId)?.entry.incarnationStartMs ?? 0,
     );
-    this.#state.emit({ kind: 'record', name: 'advice', durationMs: nowMs - event.sentAtMs });
+    this.#state.adviceUsage.onAnswered(step, durationMs, nowMs + validMs);
+    this.#state.emit({ kind: 'record', name: 'advice', durationMs });
     this.#state.isPlanDue = true;
   }
 
@@ -173,6 +177,7 @@
   /** Sends calls for steps that need advice over idle lanes, most urgent steps first. */
   dispatch(): void {
     const { nowMs } = this.#state;
+    this.#state.adviceUsage.check(this.#lanes);
     const idleLanes = this.#lanes.filter((lane) => !lane.isBusy && lane.notBeforeMs <= nowMs);
     if (idleLanes.length === 0) return;
     const steps = sortSteps(this.#getStepsNeedingAdvice(), this.#state.wallMs);
@@ -230,8 +235,8 @@
     if (unplacedCount === 0) return false;
     const { nowMs, eligibleTargets } = this.#state;
     if (!advice.hasUsableTicket(nowMs)) return true;
-    if (step.readyAtMs === undefined || nowMs < advice.lastCallAtMs + ADVICE_REFRESH_DELAY_MS)
-      return false;
+    const refreshAtMs = (advice.lastCallAtMs ?? 0) + ADVICE_REFRESH_DELAY_MS;
+    if (step.readyAtMs === undefined || nowMs < refreshAtMs) return false;
     const roomy = roomyTargets.get(eligibleTargets.get(step), step.charge);
     return isFurtherAdviceUseful(step, roomy, (target) => isCandidate(step, target, nowMs), nowMs);
   }
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -11,6 +11,7 @@
   MAX_START_TIMEOUT_MS,
   STOP_RETRY_DELAY_MS,
 } from './constants';
+import { AdviceUsage } from './adviceUsage';
 import { EligibleTargets } from './eligibleTargets';
 import { ResponseTimes } from './responseTimes';
 import { ProgressWriter } from './progressWriter';
@@ -20,6 +21,7 @@
 import { TargetRecord } from './targetRecord';
 import type { TargetState } from './targetState';
 import { TargetWatch } from './targetWatch';
+import { TeamLimits } from './teamLimits';
 import { TeamRates } from './teamRates';
 import { TeamUsage } from './teamUsage';
 import type {
@@ -87,8 +89,13 @@
 
   readonly teamUsage = new TeamUsage();
 
+  /** Follows {@link OwnerState.teamUsage}. */
+  readonly teamLimits = new TeamLimits(this);
+
   readonly teamRates = new TeamRates();
 
+  readonly adviceUsage = new AdviceUsage(this);
+
   readonly writer = new ProgressWriter();
 
   readonly responseTimes = new ResponseTimes();
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -1,8 +1,7 @@
 /** Selects the tasks to start: visits waiting steps in scheduling order and places their tasks on eligible targets. */
 
-import type { TargetId, TeamId } from '../types/ids';
-import { addDemand, isDemandFitting, NO_DEMAND } from '../work/types';
-import type { TaskDemand } from '../work/types';
+import type { TargetId } from '../types/ids';
+import { isDemandFitting } from '../work/types';
 import type { OwnerState } from './ownerState';
 import { CandidateCosts, chooseCandidate, isStarved, isLastAttempt } from './candidates';
 import type { Candidate } from './candidates';
@@ -51,11 +50,6 @@
 
   #runManager: RunManager;
 
-  #unseenUsage = new Map<TeamId, TaskDemand>();
-
-  /** Whether targets may run tasks of submissions that have not been read, of any team and of any size. */
-  #mayRunUnread = false;
-
   #preemptions = new PreemptionTable(() => [], 0);
 
   #passCosts = new PassCosts();
@@ -85,8 +79,7 @@
       return;
     this.#readmitSteps();
     const steps = this.#getPlannableSteps();
-    this.#unseenUsage = this.#getUnseenUsage();
-    this.#mayRunUnread = this.#findUnreadRuns();
+    state.teamLimits.refresh();
     this.#planTrials(steps);
     for (const target of state.watch.unusual) {
       if (target.trial !== undefined) target.isPlannable = false;
@@ -200,18 +193,9 @@
       steps,
       getTargets: () => this.#getPlannableTargets(),
       getCandidates: (step, allowed) => this.#getCandidates(step, allowed),
-      isWithinTeamLimit: (step, taskCount) =>
-        this.#isWithinTeamLimit(step, addDemand(NO_DEMAND, step.charge, taskCount)),
     });
   }
 
-  #isWithinTeamLimit(step: StepState, demand: TaskDemand): boolean {
-    const { teamId } = step.record.submission;
-    const { teamUsage } = this.#state;
-    if (this.#mayRunUnread && teamUsage.hasLimit(teamId)) return false;
-    return teamUsage.isWithinLimit(teamId, demand, this.#unseenUsage.get(teamId));
-  }
-
   /** Starts a second copy of stragglers where capacity is left (speculative execution). */
   #startSpeculativeCopies(): void {
     const { nowMs, targets, open: records } = this.#state;
@@ -227,7 +211,7 @@
 
   #startSpeculativeCopy(step: StepState, index: number, currentId: TargetId): void {
     const { nowMs } = this.#state;
-    if (!this.#isWithinTeamLimit(step, step.charge)) return;
+    if (!this.#state.teamLimits.isWithinLimit(step)) return;
     const alternatives = this.#getPlannableTargets().filter(
       (target) =>
         target.pausedUntilMs <= nowMs &&
@@ -258,8 +242,7 @@
     let canContinue = targets.length > 0;
     const maxCount = Math.min(waitingCount, MAX_PREEMPTING_TASKS);
     for (let count = 0; count < maxCount && canContinue; count += 1) {
-      const totalDemand = addDemand(NO_DEMAND, step.charge, count + 1);
-      if (!this.#isWithinTeamLimit(step, totalDemand)) return;
+      if (!this.#state.teamLimits.isWithinLimit(step, count + 1)) return;
       canContinue = this.#preemptForOneTask(step, targets);
     }
   }
@@ -274,33 +257,6 @@
     return true;
   }
 
-  /**
-   * Until a part of the store has been read, nobody knows whose the runs are that targets list of its submissions; they
-   * are counted once their targets have listed them again.
-   */
-  #findUnreadRuns(): boolean {
-    const { areSubmissionPartsUnread, unresolvedTargets, targets, steadyMs } = this.#state;
-    if (!this.#state.wereSubmissionPartsUnread) return false;
-    if (areSubmissionPartsUnread && unresolvedTargets.size > 0) return true;
-    return [...targets.values()].some(
-      ({ hasUnreadRuns, orphanRuns, lease }) =>
-        hasUnreadRuns && orphanRuns.size > 0 && !lease.isExpired(steadyMs),
-    );
-  }
-
-  /** Demand by team that may be running on targets which have not listed their runs since the takeover. */
-  #getUnseenUsage(): Map<TeamId, TaskDemand> {
-    const unseen = new Map<TeamId, TaskDemand>();
-    if (this.#state.unresolvedTargets.size === 0) return unseen;
-    this.#state.ready.forEach((step) => {
-      if (!step.mayRunUnseen) return;
-      const { teamId } = step.record.submission;
-      const previous = unseen.get(teamId) ?? NO_DEMAND;
-      unseen.set(teamId, addDemand(previous, step.charge, step.waiting.size));
-    });
-    return unseen;
-  }
-
   #getCandidates(step: StepState, allowed: readonly TargetState[]): Candidate[] {
     const state = this.#state;
     const needsTicket = step.record.queue.advice !== undefined;
@@ -355,7 +311,7 @@
     getRegularTasks(step).forEach((index) => {
       const isCautious = isLastAttempt(step, index) && !isStarved(step, this.#state.nowMs);
       if (!hasCapacity || (isCautious && !hasCapacityForLastAttempt)) return;
-      if (!this.#isWithinTeamLimit(step, step.charge)) return;
+      if (!this.#state.teamLimits.isWithinLimit(step)) return;
       const isPlaced = costs.tryPlace(isCautious, ({ target, ticket }) => {
         this.#passCosts.onPlaced(target);
         const run = this.#runManager.allocateRunNumber(step);
@@ -371,8 +327,7 @@
   #startGang(step: StepState, candidates: readonly Candidate[]): void {
     if (candidates.length === 0) return;
     if (getRegularTasks(step).length < step.spec.taskCount) return;
-    const totalDemand = addDemand(NO_DEMAND, step.charge, step.spec.taskCount);
-    if (!this.#isWithinTeamLimit(step, totalDemand)) return;
+    if (this.#state.teamLimits.isReached(step)) return;
     const { nowMs } = this.#state;
     const placements = placeGang(step, candidates, nowMs);
     if (placements === undefined) return;
--- a/src/owner/runManager.ts
+++ b/src/owner/runManager.ts
@@ -109,6 +109,7 @@
       ticket,
       timeoutMs: this.#state.responseTimes.responseTimeoutMs,
     });
+    if (ticket !== undefined) this.#recordTicketUse(step, target);
     const waitedMs = step.readyAtMs === undefined ? 0 : nowMs - step.readyAtMs;
     this.#recordWaits(step, waitedMs);
     this.#state.log('run started', {
@@ -122,6 +123,14 @@
     });
   }
 
+  #recordTicketUse(step: StepState, { id }: TargetState): void {
+    const { nowMs, adviceUsage } = this.#state;
+    adviceUsage.onTicketUsed(step);
+    const durationMs = step.advice.getTicketAgeMs(id, nowMs);
+    if (durationMs !== undefined)
+      this.#state.emit({ kind: 'record', name: 'ticket_age', durationMs });
+  }
+
   /** Records how long a task has waited since its step was ready, and a submission until its first start. */
   #recordWaits(step: StepState, waitedMs: number): void {
     const { record } = step;
--- a/src/owner/stepAdvice.ts
+++ b/src/owner/stepAdvice.ts
@@ -9,6 +9,8 @@
   readonly ticket: Ticket;
   readonly incarnationStartMs: number;
   readonly usableUntilMs: number;
+  /** When this owner has received it. */
+  readonly receivedAtMs: number;
 }
 
 /**
@@ -29,17 +31,19 @@
   /** Whether a call for this step is in progress. */
   isCallPending = false;
 
-  /** Time of the last call. */
-  lastCallAtMs = 0;
+  /** Time of the last call; undefined before the first one. */
+  lastCallAtMs: number | undefined;
 
   /**
    * Applies an answer.
+   * @param receivedAtMs - elapsed time of this process
    * @param queriedTargetIds - the targets about which the service was queried
    * @param grants - the approved targets with their tickets
    * @param usableUntilMs - expiry of the tickets, in elapsed time of this process
    * @param getIncarnationStartMs - gets the incarnation of a target for which its ticket is valid
    */
   addAnswer(
+    receivedAtMs: number,
     queriedTargetIds: readonly TargetId[],
     grants: readonly TicketGrant[],
     usableUntilMs: number,
@@ -59,6 +63,7 @@
         ticket,
         incarnationStartMs: getIncarnationStartMs(targetId),
         usableUntilMs: usableUntilMs - TICKET_MARGIN_MS,
+        receivedAtMs,
       });
     });
   }
@@ -95,7 +100,10 @@
       if (ownIds.has(targetId)) return;
       const usableUntilMs = sentAtMs + remainingMs;
       this.#approved.set(targetId, incarnationStartMs);
-      this.#tickets.set(targetId, { ticket, incarnationStartMs, usableUntilMs });
+      this.#tickets.set(targetId, {
+        ...{ ticket, incarnationStartMs, usableUntilMs },
+        receivedAtMs: sentAtMs,
+      });
       this.#latestUsableUntilMs = Math.max(this.#latestUsableUntilMs, usableUntilMs);
     });
   }
@@ -112,6 +120,16 @@
     return held.usableUntilMs > nowMs ? held.ticket : undefined;
   }
 
+  /**
+   * @param targetId - the target
+   * @param nowMs - elapsed time of this process
+   * @returns how long ago its ticket was received, if there is one
+   */
+  getTicketAgeMs(targetId: TargetId, nowMs: number): number | undefined {
+    const held = this.#tickets.get(targetId);
+    return held && nowMs - held.receivedAtMs;
+  }
+
   /**
    * @param nowMs - elapsed time of this process
    * @returns the targets with valid tickets
--- a/src/owner/stepState.ts
+++ b/src/owner/stepState.ts
@@ -214,6 +214,25 @@
     return this.#lastConfirmed.get(index);
   }
 
+  /**
+   * Finds the task that has been without a confirmed run for longest, as far as this owner knows.
+   * @param indexes - waiting tasks of the step
+   * @returns the task and since when it waits, on the owner's clock; undefined when there is none
+   */
+  getLongestWait(
+    indexes: Iterable<number>,
+  ): { readonly index: number; readonly sinceMs: number } | undefined {
+    const readyAtMs = this.readyAtMs ?? Number.NEGATIVE_INFINITY;
+    let longest: { readonly index: number; readonly sinceMs: number } | undefined;
+    for (const index of indexes) {
+      const endedAtMs = this.#lastConfirmed.get(index)?.endedAtMs;
+      const sinceMs = Math.max(readyAtMs, endedAtMs ?? Number.NEGATIVE_INFINITY);
+      if (longest === undefined || sinceMs < longest.sinceMs) longest = { index, sinceMs };
+      if (endedAtMs === undefined) break;
+    }
+    return longest;
+  }
+
   /**
    * @param key - a run
    * @returns the time at which its end was detected; undefined while it may be running
--- a/src/owner/taskBelief.ts
+++ b/src/owner/taskBelief.ts
@@ -1,6 +1,7 @@
 /** Decides what the owner believes of a task that has no confirmed run on a target that answers. */
 
 import { assertNever } from '../types/debug';
+import { countFittingTasks } from './adviceChoice';
 import { MAX_START_TIMEOUT_MS } from './constants';
 import type { OwnerState } from './ownerState';
 import type { Run } from './run';
@@ -19,9 +20,11 @@
   | 'unreadCancellation'
   /** It is suspected of having crashed targets, and no trial of it has been started. */
   | 'trial'
-  /** The advice service has approved no target with a ticket that is still valid. */
+  /** Its team has reached its limit. */
+  | 'teamLimit'
+  /** Targets have room for it, and it has a valid ticket for none of them. */
   | 'advice'
-  /** No target has room for it, or its team has reached its limit. */
+  /** No target that it may use has room for it, or those that have are closed to new runs. */
   | 'capacity';
 
 /** What the owner believes of a task because of a run. */
@@ -69,6 +72,24 @@
   return lostAtMs === undefined ? undefined : nowMs - lostAtMs;
 }
 
+/** Checks whether targets that the service has not refused have room, and the step has a ticket for none of these. */
+function isAdviceMissing(
+  { eligibleTargets, nowMs }: Pick<OwnerState, 'eligibleTargets' | 'nowMs'>,
+  step: StepState,
+): boolean {
+  const { advice } = step;
+  let hasRoom = false;
+  for (const target of eligibleTargets.get(step)) {
+    const { id, entry } = target;
+    const isRoomy =
+      !advice.isRefused(id, entry.incarnationStartMs) && countFittingTasks(step, target, nowMs) > 0;
+    if (isRoomy && advice.getTicket(id, entry.incarnationStartMs, nowMs) !== undefined)
+      return false;
+    hasRoom ||= isRoomy;
+  }
+  return hasRoom;
+}
+
 /**
  * Gets what the tasks of a step wait for that are not suspected of having crashed a target.
  * @param state - the owner's state
@@ -76,14 +97,15 @@
  * @returns the reason
  */
 export function getStepWaitReason(
-  { nowMs }: Pick<OwnerState, 'nowMs'>,
+  state: Pick<OwnerState, 'eligibleTargets' | 'nowMs' | 'teamLimits'>,
   step: StepState,
 ): TaskWaitReason {
   if (step.mayRunUnseen) return 'unseenRuns';
   if (!step.record.isServiceRecorded) return 'serviceRecord';
   if (step.record.isCancellationUnread) return 'unreadCancellation';
+  if (state.teamLimits.isReached(step)) return 'teamLimit';
   const needsTicket = step.record.queue.advice !== undefined;
-  return needsTicket && !step.advice.hasUsableTicket(nowMs) ? 'advice' : 'capacity';
+  return needsTicket && isAdviceMissing(state, step) ? 'advice' : 'capacity';
 }
 
 function getWaitBelief(state: OwnerState, step: StepState, index: number): TaskBelief | undefined {
@@ -93,7 +115,8 @@
     return untilMs === undefined ? undefined : { kind: 'setAside', untilMs };
   }
   const isTrialDue = !step.isHeld && step.progress.isSuspect(index);
-  return { kind: 'waiting', reason: isTrialDue ? 'trial' : getStepWaitReason(state, step) };
+  const reason = getStepWaitReason(state, step);
+  return { kind: 'waiting', reason: isTrialDue && reason !== 'teamLimit' ? 'trial' : reason };
 }
 
 /** Gets what is believed because of a run; undefined for a confirmed one. */
--- a/src/owner/trialPlanner.ts
+++ b/src/owner/trialPlanner.ts
@@ -50,9 +50,21 @@
   /** Gets the targets with a known inventory, at the beginning of a pass. */
   getTargets(): readonly TargetState[];
   getCandidates(step: StepState, targets: readonly TargetState[]): Candidate[];
-  isWithinTeamLimit(step: StepState, taskCount: number): boolean;
 }
 
+/** Why a reserved trial cannot start any more. */
+type TrialObstacle =
+  /** Its targets have been reserved for too long. */
+  | 'time'
+  /** Its task no longer waits. */
+  | 'task'
+  /** A target has left or restarted. */
+  | 'target'
+  /** The runs of a target are not known any more. */
+  | 'inventory'
+  /** A ticket has expired, or a target may no longer be used. */
+  | 'ticket';
+
 /** Processor time that a crash of a target would cost its present runs. */
 function getRisk(target: TargetState, nowMs: number): number {
   return [...target.runs.values()].reduce(
@@ -144,7 +156,7 @@
         const trials = [...this.#getTrials()];
         const reservedCount = trials.reduce((sum, { placements }) => sum + placements.length, 0);
         if (reservedCount >= maxReserved && !step.isGang) return;
-        if (!input.isWithinTeamLimit(step, step.isGang ? step.spec.taskCount : 1)) return;
+        if (this.#state.teamLimits.isReached(step)) return;
         const ofSubmission = trials.filter((trial) => trial.step.record === step.record);
         if (ofSubmission.length >= MAX_TRIALS_PER_SUBMISSION) return;
         const isPlanned = ofSubmission.some(
@@ -222,19 +234,9 @@
     const candidates = new Map<TargetId, Candidate>(
       input.getCandidates(step, targets).map((candidate) => [candidate.target.id, candidate]),
     );
-    const isPossible =
-      nowMs < trial.reservedAtMs + MAX_RESERVATION_MS &&
-      this.#state.ready.has(step) &&
-      placements.every(({ index }) => step.waiting.has(index)) &&
-      targets.every(
-        (target) =>
-          // A target that has restarted since the reservation is another incarnation.
-          this.#state.targets.get(target.id) === target &&
-          candidates.has(target.id) &&
-          isInventoryKnown(target),
-      );
-    if (!isPossible) {
-      this.#cancel(trial);
+    const obstacle = this.#findObstacle(trial, targets, candidates);
+    if (obstacle !== undefined) {
+      this.#giveUp(trial, obstacle);
       return;
     }
     const isPatient =
@@ -249,10 +251,25 @@
       step.record.durableChangeCount >= trial.change &&
       targets.every((target) => isQuiet(target, nowMs)) &&
       TrialPlanner.#isFitting(trial) &&
-      input.isWithinTeamLimit(step, placements.length);
+      this.#state.teamLimits.isWithinLimit(step, placements.length);
     if (isReady) this.#start(trial, candidates);
   }
 
+  /** Finds out why a reserved trial cannot start any more. */
+  #findObstacle(
+    { step, placements, reservedAtMs }: Trial,
+    targets: readonly TargetState[],
+    candidates: ReadonlyMap<TargetId, Candidate>,
+  ): TrialObstacle | undefined {
+    if (this.#state.nowMs >= reservedAtMs + MAX_RESERVATION_MS) return 'time';
+    const isWaiting = placements.every(({ index }) => step.waiting.has(index));
+    if (!this.#state.ready.has(step) || !isWaiting) return 'task';
+    // A target that has restarted since the reservation is another incarnation.
+    if (targets.some((target) => this.#state.targets.get(target.id) !== target)) return 'target';
+    if (!targets.every((target) => isInventoryKnown(target))) return 'inventory';
+    return targets.every(({ id }) => candidates.has(id)) ? undefined : 'ticket';
+  }
+
   static #isFitting({ step, placements }: Trial): boolean {
     const demands = new Map<TargetState, TaskDemand>();
     placements.forEach(({ target }) => {
@@ -291,6 +308,26 @@
     if (!isPending) this.#cancel(trial);
   }
 
+  /** Ends a reservation whose trial has not started. */
+  #giveUp(trial: Trial, reason: TrialObstacle): void {
+    const { nowMs } = this.#state;
+    const { step, placements, reservedAtMs, change } = trial;
+    this.#state.count(`trials_given_up_${reason}`);
+    this.#state.log('reservation for a trial given up; the task waits for its next turn', {
+      reason,
+      tasks: placements.map(({ index }) => toTaskKey(step.key, index)),
+      targetIds: placements.map(({ target }) => target.id),
+      reservedForMs: Math.round(nowMs - reservedAtMs),
+      isReportDurable: step.record.durableChangeCount >= change,
+      isQuiet: placements.every(({ target }) => isQuiet(target, nowMs)),
+      isFitting: TrialPlanner.#isFitting(trial),
+      ...(step.advice.lastCallAtMs === undefined
+        ? {}
+        : { lastCallAgoMs: Math.round(nowMs - step.advice.lastCallAtMs) }),
+    });
+    this.#cancel(trial);
+  }
+
   #noteCancellation({ step, placements }: Trial): void {
     const cancelledAtMs = this.#cancelledAtMs.get(step) ?? new Map<number, number>();
     placements.forEach(({ index }) => cancelledAtMs.set(index, this.#state.nowMs));
--- a/src/owner/waitMonitor.ts
+++ b/src/owner/waitMonitor.ts
@@ -17,22 +17,15 @@
 /** Tasks of a step that wait for the same reason, or a start in doubt. */
 interface Wait {
   readonly reason: WaitReason;
-  /** The first of the tasks. */
+  /** The task that has waited longest. */
   readonly task: TaskKey;
   readonly taskCount: number;
+  /** Since when that task has had no confirmed run, for whatever reasons. */
   readonly sinceMs: number;
   readonly targetId?: TargetId;
   readonly step?: StepState;
 }
 
-/** Waiting tasks of a step with the same reason. */
-interface TaskGroup {
-  readonly reason: WaitReason;
-  /** Index of the first task; undefined when the group is empty. */
-  readonly first: number | undefined;
-  readonly taskCount: number;
-}
-
 const CHECK_INTERVAL_MS = 1_000;
 
 /** A shorter wait is not logged. */
@@ -48,9 +41,6 @@
 export class WaitMonitor {
   #state: OwnerState;
 
-  /** Waits of steps at the last check. */
-  #stepWaits = new Map<StepState, readonly Wait[]>();
-
   #nextCheckAtMs = 0;
 
   #nextLogAtMs = new Map<WaitReason, number>();
@@ -67,9 +57,9 @@
     const { nowMs } = this.#state;
     if (nowMs < this.#nextCheckAtMs) return;
     this.#nextCheckAtMs = nowMs + CHECK_INTERVAL_MS;
-    this.#observeSteps();
+    const stepWaits = [...this.#state.ready].flatMap((step) => this.#getStepWaits(step));
     const byReason = new Map<WaitReason, Wait[]>();
-    [...this.#stepWaits.values(), this.#getStartsInDoubt()].flat().forEach((wait) => {
+    [...stepWaits, ...this.#getStartsInDoubt()].forEach((wait) => {
       if (nowMs < wait.sinceMs + MIN_WAIT_MS) return;
       const waits = byReason.get(wait.reason);
       if (waits === undefined) byReason.set(wait.reason, [wait]);
@@ -78,37 +68,33 @@
     byReason.forEach((waits, reason) => this.#report(reason, waits));
   }
 
-  #observeSteps(): void {
-    const formerWaits = this.#stepWaits;
-    this.#stepWaits = new Map();
-    this.#state.ready.forEach((step) => {
-      const former = formerWaits.get(step) ?? [];
-      const waits = this.#getGroups(step).flatMap(({ reason, first, taskCount }) => {
-        if (first === undefined) return [];
-        const sinceMs = former.find((wait) => wait.reason === reason)?.sinceMs;
-        const task = toTaskKey(step.key, first);
-        return [{ reason, task, taskCount, sinceMs: sinceMs ?? this.#state.nowMs, step }];
-      });
-      this.#stepWaits.set(step, waits);
-    });
-  }
-
   /** Groups the waiting tasks of a step by reason; only suspected ones differ from the others. */
-  #getGroups(step: StepState): readonly TaskGroup[] {
+  #getStepWaits(step: StepState): readonly Wait[] {
     const { waiting, progress, isHeld } = step;
+    const longest = step.getLongestWait(waiting);
+    if (longest === undefined || this.#state.nowMs < longest.sinceMs + MIN_WAIT_MS) return [];
     const reason = getStepWaitReason(this.#state, step);
-    if (isHeld || !progress.hasSuspect) {
-      const [first] = waiting;
-      return [{ reason, first, taskCount: waiting.size }];
-    }
+    if (isHeld || !progress.hasSuspect) return WaitMonitor.#createWaits(step, reason, [...waiting]);
     const suspects = [...waiting].filter((index) => progress.isSuspect(index));
     const others = [...waiting].filter((index) => !progress.isSuspect(index));
     return [
-      { reason: 'trial', first: suspects[0], taskCount: suspects.length },
-      { reason, first: others[0], taskCount: others.length },
+      ...WaitMonitor.#createWaits(step, reason === 'teamLimit' ? reason : 'trial', suspects),
+      ...WaitMonitor.#createWaits(step, reason, others),
     ];
   }
 
+  static #createWaits(
+    step: StepState,
+    reason: WaitReason,
+    indexes: readonly number[],
+  ): readonly Wait[] {
+    const longest = step.getLongestWait(indexes);
+    if (longest === undefined) return [];
+    const { index, sinceMs } = longest;
+    const task = toTaskKey(step.key, index);
+    return [{ reason, task, taskCount: indexes.length, sinceMs, step }];
+  }
+
   /** Only targets with unsettled runs can have unanswered starts, and these are among the unusual ones. */
   #getStartsInDoubt(): readonly Wait[] {
     return this.#state.watch.getUnusual().flatMap(({ id: targetId, runs }) =>
--- a/tests/handedAdvice.test.ts
+++ b/tests/handedAdvice.test.ts
@@ -17,7 +17,7 @@
 function createAdvice(): StepAdvice {
   const advice = new StepAdvice();
   const grants = [{ targetId: GRANTED_ID, ticket: 'ticket-1' as Ticket }];
-  advice.addAnswer([GRANTED_ID, REFUSED_ID], grants, 1_000, () => 7);
+  advice.addAnswer(0, [GRANTED_ID, REFUSED_ID], grants, 1_000, () => 7);
   return advice;
 }
 
@@ -46,7 +46,7 @@
   test('does not replace what the successor has been told itself', () => {
     const successor = new StepAdvice();
     const grants = [{ targetId: REFUSED_ID, ticket: 'ticket-2' as Ticket }];
-    successor.addAnswer([GRANTED_ID, REFUSED_ID], grants, 9_000, () => 7);
+    successor.addAnswer(0, [GRANTED_ID, REFUSED_ID], grants, 9_000, () => 7);
     successor.adoptHanded(hand(createAdvice(), 400), 400);
     expect(successor.getTicket(GRANTED_ID, 7, 500)).toBeUndefined();
     expect(successor.getTicket(REFUSED_ID, 7, 500)).toBe('ticket-2');
--- a/tests/lastingTasks.test.ts
+++ b/tests/lastingTasks.test.ts
@@ -98,6 +98,7 @@
     const step = createStep({ taskCount: 2 });
     const ids = [paused.id];
     step.advice.addAnswer(
+      NOW_MS,
       ids,
       ids.map((targetId) => ({ targetId, ticket: 'ticket' as Ticket })),
       NOW_MS + 2_000,
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -3,7 +3,6 @@
  * with fault injection. It checks the scheduler's guarantees from the targets' point of view.
  */
 
-import * as E from 'fp-ts/Either';
 import { OWNER_AUTHORITY_MS } from '../../src/owner/constants';
 import { OwnerCore } from '../../src/owner/core';
 import type { EndedEntry, OwnerEffect, OwnerEvent } from '../../src/owner/types';
@@ -14,6 +13,7 @@
 import type { EndKind, StepSpec, Submission, TaskDemand } from '../../src/work/types';
 import { FakeTarget, type FakeRun, type RunPlan } from '../../standins/fakeTarget';
 import { DirectNetwork } from './directNetwork';
+import { AdviceModel } from './adviceModel';
 import { HandoverModel } from './handoverModel';
 import { isStillCurrent, NetworkModel, refuseForOthers } from './networkModel';
 import type { Network, TargetCall } from './networkModel';
@@ -31,7 +31,6 @@
   findStep,
   findWriteObstacle,
   getDependencyKeys,
-  getAdvice,
   getGangMembers,
   getTeamDemand,
   getTotalDemand,
@@ -86,6 +85,9 @@
 
   areWriteAnswersLost = false;
 
+  /** The advice service; it answers each lane in turn. */
+  readonly advice = new AdviceModel();
+
   readonly handovers = new HandoverModel(this.time, {
     getOwner: () => this.#owner,
     takeOver: () => this.takeOver(true),
@@ -455,9 +457,9 @@
   #advise(owner: Owner, effect: Extract<OwnerEffect, { kind: 'askAdvice' }>): void {
     const { laneId, stepKey, targetIds } = effect;
     const sentAtMs = this.time.nowMs + this.clockOffsetMs;
-    const result = E.right(getAdvice(stepKey, targetIds));
+    const { result, delayMs } = this.advice.answer(stepKey, targetIds);
     const event = { kind: 'advised', laneId, stepKey, targetIds, sentAtMs, result };
-    this.time.after(30, () => this.#dispatch(owner, event));
+    this.time.after(delayMs, () => this.#dispatch(owner, event));
   }
 
   #write(owner: Owner, { rows, batch }: Extract<OwnerEffect, { kind: 'writeProgress' }>): void {
--- a/tests/taskBeliefs.test.ts
+++ b/tests/taskBeliefs.test.ts
@@ -159,7 +159,8 @@
 
   test('advice', () => {
     const scenario = new Scenario();
-    scenario.submit({ demand: LARGER_THAN_ANY_TARGET }, { advice: 'cheap' });
+    scenario.world.advice.isAvailable = false;
+    scenario.submit({}, { advice: 'cheap' });
     scenario.world.run(10_000);
     expect(scenario.getBeliefs('waiting', 'advice')).not.toEqual([]);
   });
