A soak of real node processes with an advice service, which checks that lasting tasks run

The stand-ins of targets take part: tickets, half-open and reset connections, restarts at the same address.

--- a/standins/fakeWorker.ts
+++ b/standins/fakeWorker.ts
@@ -7,13 +7,15 @@
 import type { PollCall, StartCall, StopCall } from '../src/node/ports';
 import type { Inventory, TargetFailure } from '../src/owner/types';
 import type { Checkpoint, Epoch, TargetId, TaskKey } from '../src/types/ids';
+import type { TaskDemand } from '../src/work/types';
+import { DeafSockets } from './deafSockets';
 import { FakeTarget } from './fakeTarget';
 import type { FakeTargetEvents } from './fakeTarget';
 import type { FakeRowStore } from './fakeRowStore';
 import { systemTimeSource } from './timeSource';
 
 const REGISTRATION_INTERVAL_MS = 300;
-const CAPACITY = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 };
+const DEFAULT_CAPACITY = { cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0 };
 
 const REFUSAL_REASONS: Partial<Record<TargetFailure['kind'], string>> = {
   fenced: 'fence',
@@ -30,6 +32,7 @@
   readonly 'last-seen'?: number;
   readonly 'wait-ms'?: number;
   readonly 'last-save'?: string;
+  readonly ticket?: string;
 }
 
 async function readCall(message: IncomingMessage): Promise<WireCall> {
@@ -51,6 +54,13 @@
   };
 }
 
+/** Properties of a worker beside its behaviour. */
+export interface FakeWorkerOptions {
+  readonly capacity?: TaskDemand;
+  /** Checks the ticket of a start; without it any start is accepted. */
+  readonly isTicketValid?: (ticket: string | undefined, taskKey: string, id: string) => boolean;
+}
+
 /** Serves a fake target over HTTP; the test chooses how long each task runs. */
 export class FakeWorker {
   readonly target: FakeTarget;
@@ -59,6 +69,12 @@
 
   #store: FakeRowStore;
 
+  #options: FakeWorkerOptions;
+
+  #sockets: DeafSockets;
+
+  #registrationIntervalMs = REGISTRATION_INTERVAL_MS;
+
   #registrationTimer: NodeJS.Timeout | undefined;
 
   #address = '';
@@ -68,22 +84,62 @@
   /** Number of polls received. */
   pollCount = 0;
 
-  constructor(id: string, store: FakeRowStore, events: FakeTargetEvents) {
+  constructor(
+    id: string,
+    store: FakeRowStore,
+    events: FakeTargetEvents,
+    options: FakeWorkerOptions = {},
+  ) {
     this.#store = store;
-    this.target = new FakeTarget(id as TargetId, CAPACITY, systemTimeSource, events, 1);
+    this.#options = options;
+    const capacity = options.capacity ?? DEFAULT_CAPACITY;
+    this.target = new FakeTarget(id as TargetId, capacity, systemTimeSource, events, 1);
     this.#server = createServer((message, response) => {
       this.#handle(message, response).catch(() => response.destroy());
     });
+    this.#sockets = new DeafSockets(this.#server);
   }
 
   /** Starts listening and registers periodically. */
   async start(registrationIntervalMs = REGISTRATION_INTERVAL_MS): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.#server.listen(0, '127.0.0.1', resolve);
-    });
+    this.#registrationIntervalMs = registrationIntervalMs;
+    await this.#listen(0);
     this.#address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    this.#startRegistering();
+  }
+
+  /** The process ends: all runs are lost and all connections are closed. */
+  crash(): void {
+    this.target.crashProcess();
+    this.stop();
+  }
+
+  /** The process starts again at the same address. */
+  async restart(): Promise<void> {
+    await this.#listen(Number(this.#address.split(':')[1]));
+    this.target.restart();
+    this.#startRegistering();
+  }
+
+  /** Makes all present connections half-open. */
+  deafen(): void {
+    this.#sockets.deafen();
+  }
+
+  /** Closes all present connections. */
+  resetConnections(): void {
+    this.#server.closeAllConnections();
+  }
+
+  #listen(port: number): Promise<void> {
+    return new Promise<void>((resolve) => {
+      this.#server.listen(port, '127.0.0.1', resolve);
+    });
+  }
+
+  #startRegistering(): void {
     this.register();
-    this.#registrationTimer = setInterval(() => this.register(), registrationIntervalMs);
+    this.#registrationTimer = setInterval(() => this.register(), this.#registrationIntervalMs);
   }
 
   /** Writes the worker's row to the target registry. */
@@ -96,7 +152,7 @@
       version: 'v1',
       slots: 8,
       state: this.state,
-      capacity: { cpu: CAPACITY.cpuMillis, 'mem-mb': CAPACITY.memoryMb },
+      capacity: { cpu: entry.capacity.cpuMillis, 'mem-mb': entry.capacity.memoryMb },
       labels: entry.labels,
       born: entry.incarnationStartMs,
     });
@@ -111,6 +167,7 @@
 
   async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const wireCall = await readCall(message);
+    if (this.#sockets.isDeaf(message.socket)) return;
     if (message.headers['expect-instance'] !== this.target.id) {
       FakeWorker.#sendJson(response, 421, {});
       return;
@@ -128,6 +185,11 @@
     };
     switch (message.url) {
       case '/api/run-start':
+        if (!this.#isStartPermitted(wireCall)) {
+          const refusal = { 'clock-ms': this.target.clockMs, reason: 'ticket' };
+          FakeWorker.#sendJson(response, 409, refusal);
+          return;
+        }
         this.#sendResult(response, this.target.start(call as unknown as StartCall));
         return;
       case '/api/run-stop':
@@ -147,6 +209,11 @@
     }
   }
 
+  #isStartPermitted({ ticket, task = '' }: WireCall): boolean {
+    const { isTicketValid } = this.#options;
+    return isTicketValid === undefined || isTicketValid(ticket, task, this.target.id);
+  }
+
   #sendResult(response: ServerResponse, result: E.Either<TargetFailure, unknown>): void {
     if (E.isRight(result)) {
       FakeWorker.#sendJson(response, 200, {
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -13,6 +13,7 @@
   ['bench', 'bench/main.ts'],
   ['owner-probe', 'bench/ownerProbe.ts'],
   ['soak', 'bench/soak.ts'],
+  ['fleet-soak', 'bench/fleet/main.ts'],
 ]
   .filter(([, entry]) => existsSync(entry))
   .filter(([name]) => !process.argv.includes('--platform') || name === 'hemlockway-node');
