Calls for advice go first to steps that can start, and lasting tasks never wait behind batch work for them

Cause: calls were made in the order of scheduling, in which a team beyond its rate comes after all others, and the few lanes were taken by batch steps, over a third of the time by steps that their team's limit kept from starting anything and that were asked for anew whenever their tickets had expired.

Now a step whose lasting tasks have room comes first, beside the short calls of urgent ones; a step without room comes last; of the steps that a limit keeps back only the first of each team is asked for, when a run of the team is about to end.

--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -5,7 +5,7 @@
  */
 
 import * as E from 'fp-ts/Either';
-import type { NodeId, TargetId } from '../types/ids';
+import type { NodeId, TargetId, TeamId } from '../types/ids';
 import { tryParseTaskKey } from '../work/taskKeys';
 import { isDemandFitting } from '../work/types';
 import type { AdviceCosts } from '../work/types';
@@ -21,7 +21,9 @@
   SHORT_ADVICE_MS,
   SHORT_LANE_FRACTION,
 } from './constants';
-import { chooseTargetsToQuery, isFurtherAdviceUseful } from './adviceChoice';
+import { chooseTargetsToQuery, countFittingTasks, isFurtherAdviceUseful } from './adviceChoice';
+import { sortForAdvice } from './adviceOrder';
+import { getRunRemainingEstimateMs, LimitForecast } from './limitForecast';
 import type { OwnerState } from './ownerState';
 import { RoomyTargets } from './roomyTargets';
 import { sortSteps } from './stepOrder';
@@ -65,6 +67,13 @@
   return costs === undefined || getCallMs(costs, 1) <= SHORT_ADVICE_MS;
 }
 
+/** Time before a ticket is needed at which to ask for it, so that it is valid then. */
+function getLeadMs({ record }: StepState): number {
+  const costs = record.queue.advice;
+  if (costs === undefined) return 0;
+  return getCallMs(costs, ADVICE_COSTLY_TARGETS) + costs.ticketValidMs * PREFETCH_TICKET_FRACTION;
+}
+
 /** Assigns advice calls to lanes. */
 export class AdviceDispatcher {
   #state: OwnerState;
@@ -73,11 +82,14 @@
 
   #pending = new Map<string, StepState>();
 
+  #forecast: LimitForecast;
+
   /**
    * @param state - the owner's state
    */
   constructor(state: OwnerState) {
     this.#state = state;
+    this.#forecast = new LimitForecast(state.open);
   }
 
   /**
@@ -180,8 +192,7 @@
     this.#state.adviceUsage.check(this.#lanes);
     const idleLanes = this.#lanes.filter((lane) => !lane.isBusy && lane.notBeforeMs <= nowMs);
     if (idleLanes.length === 0) return;
-    const steps = sortSteps(this.#getStepsNeedingAdvice(), this.#state.wallMs);
-    steps.forEach((step) => {
+    this.#getStepsInOrder().forEach((step) => {
       // Targets are chosen only while a lane is idle that may take the call.
       const isLaneIdle = idleLanes.some(({ isShortOnly }) => !isShortOnly || mayBeShort(step));
       const request = isLaneIdle ? this.#createRequest(step) : undefined;
@@ -211,8 +222,48 @@
     this.#state.count('advice_asked');
   }
 
-  #getStepsNeedingAdvice(): StepState[] {
+  /** The steps for which to ask, most urgent steps first; those that their team's limit keeps back come last. */
+  #getStepsInOrder(): readonly StepState[] {
     const roomyTargets = new RoomyTargets(() => true);
+    const { wallMs, teamLimits } = this.#state;
+    const steps = this.#getStepsNeedingAdvice(roomyTargets);
+    // A task that is to be moved is stopped first, so that the limit does not keep it back.
+    const isKeptBack = (step: StepState) =>
+      step.relocatingCount === 0 && teamLimits.isReached(step);
+    const demands = steps
+      .filter((step) => !isKeptBack(step))
+      .map((step) => ({
+        step,
+        isShort: mayBeShort(step),
+        hasRoom: this.#hasRoom(step, roomyTargets),
+      }));
+    const keptBack = this.#getDueAtLimit(sortSteps(steps.filter(isKeptBack), wallMs));
+    return [...sortForAdvice(demands, wallMs), ...keptBack];
+  }
+
+  #hasRoom(step: StepState, roomyTargets: RoomyTargets): boolean {
+    const { nowMs, eligibleTargets } = this.#state;
+    return roomyTargets
+      .get(eligibleTargets.get(step), step.charge)
+      .some(
+        (target) => isCandidate(step, target, nowMs) && countFittingTasks(step, target, nowMs) > 0,
+      );
+  }
+
+  /** Of steps that their teams' limits keep back, the first of each team whose runs end while a ticket is valid. */
+  #getDueAtLimit(sorted: readonly StepState[]): readonly StepState[] {
+    const { nowMs } = this.#state;
+    const firstByTeam = new Map<TeamId, StepState>();
+    sorted.forEach((step) => {
+      const { teamId } = step.record.submission;
+      if (!firstByTeam.has(teamId)) firstByTeam.set(teamId, step);
+    });
+    return [...firstByTeam.values()].filter((step) =>
+      this.#forecast.isEndExpected(step, getLeadMs(step), nowMs),
+    );
+  }
+
+  #getStepsNeedingAdvice(roomyTargets: RoomyTargets): readonly StepState[] {
     const { chained, open, ready, relocatingSteps } = this.#state;
     // Tasks that are to be moved keep their runs until there is a ticket for another target.
     const steps = [...new Set([...ready, ...relocatingSteps])].filter((step) =>
@@ -257,10 +308,7 @@
 
   /** Checks whether all dependencies of a step are expected to be done while a ticket requested now is valid. */
   #isPrefetchDue(step: StepState): boolean {
-    const costs = step.record.queue.advice;
-    if (costs === undefined) return false;
-    const leadMs =
-      getCallMs(costs, ADVICE_COSTLY_TARGETS) + costs.ticketValidMs * PREFETCH_TICKET_FRACTION;
+    const leadMs = getLeadMs(step);
     return step.spec.after.every((dependency) => {
       const predecessor = step.record.getStep(step.occurrence, dependency);
       if (predecessor === undefined) return false;
@@ -271,11 +319,7 @@
   #getRemainingMs(step: StepState): number {
     if (step.waiting.size > 0) return Number.POSITIVE_INFINITY;
     const { nowMs } = this.#state;
-    const remaining = step.getRuns().map((run) => {
-      const ranMs = run.percentReportedAtMs - run.sentAtMs;
-      const totalMs = run.percent > 0 ? (ranMs * 100) / run.percent : step.spec.estimateMs;
-      return run.sentAtMs + totalMs - nowMs;
-    });
+    const remaining = step.getRuns().map((run) => getRunRemainingEstimateMs(run, nowMs));
     return Math.max(0, ...remaining);
   }
 }
