A trial waits for the store and renews its ticket instead of being given up with it

Cause: a trial needs a ticket, a reservation, a durable report, a quiet target and room, one after the other, and the ticket, valid for 2 s from before the first of these, had to be valid still at the last. Once it had expired the reservation was given up and the task went to the end of the line, each time anew while the store was slow; meanwhile no call was made, as the ticket counted as usable.

A reservation no longer ends with the ticket: a call for the reserved targets is made as soon as another one would come too late, ahead of batch calls. Its time limit counts from the moment at which its report is durable, with 4 s for that.

--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -12,6 +12,7 @@
 import {
   ADVICE_REFRESH_DELAY_MS,
   ADVICE_COSTLY_TARGETS,
+  ADVICE_MAX_TARGETS,
   ADVICE_RETRY_DELAY_MS,
   ADVICE_SILENCE_MS,
   ADVICE_TIMEOUT_MARGIN_MS,
@@ -29,10 +30,14 @@
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
+import { getReservedTargets } from './trial';
 import type { HandedAdvice, OwnerEvent } from './types';
 
 type AdvisedEvent = Extract<OwnerEvent, { kind: 'advised' }>;
 
+/** A ticket is renewed this long before a call for it would come too late. */
+const RENEWAL_MARGIN_MS = 100;
+
 /** A node through which one call at a time is made. */
 interface Lane {
   readonly nodeId: NodeId;
@@ -234,7 +239,7 @@
       .filter((step) => !isKeptBack(step))
       .map((step) => ({
         step,
-        isShort: mayBeShort(step),
+        isUrgent: mayBeShort(step) || this.#getTargetsToRenew(step).length > 0,
         hasRoom: this.#hasRoom(step, roomyTargets),
       }));
     const keptBack = this.#getDueAtLimit(sortSteps(steps.filter(isKeptBack), wallMs));
@@ -286,17 +291,41 @@
     if (unplacedCount === 0) return false;
     const { nowMs, eligibleTargets } = this.#state;
     if (!advice.hasUsableTicket(nowMs)) return true;
+    if (this.#getTargetsToRenew(step).length > 0) return true;
     const refreshAtMs = (advice.lastCallAtMs ?? 0) + ADVICE_REFRESH_DELAY_MS;
     if (step.readyAtMs === undefined || nowMs < refreshAtMs) return false;
     const roomy = roomyTargets.get(eligibleTargets.get(step), step.charge);
     return isFurtherAdviceUseful(step, roomy, (target) => isCandidate(step, target, nowMs), nowMs);
   }
 
+  /** Targets that are reserved for a trial and whose tickets would expire before another call is answered. */
+  #getTargetsToRenew(step: StepState): readonly TargetState[] {
+    const costs = step.record.queue.advice;
+    const { nowMs, watch } = this.#state;
+    if (costs === undefined || !step.progress.hasSuspect) return [];
+    const reserved = getReservedTargets(step, watch.getUnusual());
+    const callMs = getCallMs(costs, reserved.length);
+    return reserved.filter(
+      ({ id, entry }) =>
+        step.advice.getTicketLifeMs(id, entry.incarnationStartMs, nowMs) <
+        callMs + RENEWAL_MARGIN_MS,
+    );
+  }
+
   #createRequest(step: StepState): AdviceRequest | undefined {
     const costs = step.record.queue.advice;
     if (costs === undefined) return undefined;
-    const targets = chooseTargetsToQuery(step, this.#getCandidates(step), costs, this.#state.nowMs);
-    const targetIds = targets.map((target) => target.id);
+    const { nowMs } = this.#state;
+    const renewed = this.#getTargetsToRenew(step);
+    // A call for a reserved target alone is answered sooner.
+    const isRenewal = renewed.length > 0 && step.advice.hasUsableTicket(nowMs);
+    const others = isRenewal
+      ? []
+      : chooseTargetsToQuery(step, this.#getCandidates(step), costs, nowMs);
+    const targetIds = [...new Set([...renewed, ...others].map((target) => target.id))].slice(
+      0,
+      ADVICE_MAX_TARGETS,
+    );
     return targetIds.length === 0 ? undefined : { step, costs, targetIds };
   }
 
--- a/src/owner/adviceOrder.ts
+++ b/src/owner/adviceOrder.ts
@@ -13,8 +13,8 @@
 /** What the order depends on besides the order of scheduling. */
 export interface AdviceDemand {
   readonly step: StepState;
-  /** Whether a call for it occupies its lane only for a short time. */
-  readonly isShort: boolean;
+  /** Whether a call for it occupies its lane only for a short time, or a target is reserved until it is answered. */
+  readonly isUrgent: boolean;
   /** Whether a target that the service has not refused has room for a task now. */
   readonly hasRoom: boolean;
 }
@@ -22,8 +22,8 @@
 /** Classes of steps; those of a lower one come first. */
 const CLASSES = { prompt: 0, startable: 1, full: 2 } as const;
 
-function getClass({ step, isShort, hasRoom }: AdviceDemand): number {
-  if (isShort || (step.isLongRunning && hasRoom)) return CLASSES.prompt;
+function getClass({ step, isUrgent, hasRoom }: AdviceDemand): number {
+  if (isUrgent || (step.isLongRunning && hasRoom)) return CLASSES.prompt;
   // Lasting tasks within the rate of their team may preempt batch runs, for which they need a ticket first.
   const mayPreempt = step.isLongRunning && !step.record.isExcess;
   return hasRoom || mayPreempt ? CLASSES.startable : CLASSES.full;
--- a/src/owner/stepAdvice.ts
+++ b/src/owner/stepAdvice.ts
@@ -120,6 +120,18 @@
     return held.usableUntilMs > nowMs ? held.ticket : undefined;
   }
 
+  /**
+   * @param targetId - the target
+   * @param incarnationStartMs - its current incarnation
+   * @param nowMs - elapsed time of this process
+   * @returns how long its ticket can still be used; 0 when there is none
+   */
+  getTicketLifeMs(targetId: TargetId, incarnationStartMs: number, nowMs: number): number {
+    const held = this.#tickets.get(targetId);
+    if (held === undefined || held.incarnationStartMs !== incarnationStartMs) return 0;
+    return Math.max(0, held.usableUntilMs - nowMs);
+  }
+
   /**
    * @param targetId - the target
    * @param nowMs - elapsed time of this process
--- a/src/owner/trial.ts
+++ b/src/owner/trial.ts
@@ -17,6 +17,21 @@
   readonly reservedAtMs: number;
   /** Change count of the submission with the reports of the trial; it starts once they are durable. */
   readonly change: number;
+  /** When the reports were found durable; undefined before that. */
+  durableAtMs: number | undefined;
   /** Number of the run; undefined until it has been started. */
   run: number | undefined;
 }
+
+/**
+ * Gets the targets that are reserved for trials of a step which have not started.
+ * @param step - the step
+ * @param targets - targets with something unusual, among them all reserved ones
+ * @returns the reserved targets
+ */
+export function getReservedTargets(
+  step: StepState,
+  targets: readonly TargetState[],
+): readonly TargetState[] {
+  return targets.filter(({ trial }) => trial?.step === step && trial.run === undefined);
+}
--- a/src/owner/trialPlanner.ts
+++ b/src/owner/trialPlanner.ts
@@ -15,7 +15,12 @@
 import { placeGang } from './gangPlacement';
 import type { CrashReport } from '../work/stepProgress';
 import type { OwnerState } from './ownerState';
-import { isColocationAllowed, isInventoryKnown, isSpreadAllowed } from './placement';
+import {
+  isColocationAllowed,
+  isInventoryKnown,
+  isSpreadAllowed,
+  isTargetEligible,
+} from './placement';
 import type { RunManager } from './runManager';
 import { toRunKey } from './run';
 import { toTaskKey } from '../work/taskKeys';
@@ -35,9 +40,12 @@
 /** A trial waits this long for the runs on its target to end, which a crash would lose. */
 const EMPTY_TARGET_PATIENCE_MS = 600;
 
-/** A trial that could not start by then looks for other targets. */
+/** A trial that could not start this long after its reports were durable looks for other targets. */
 const MAX_RESERVATION_MS = 2_000;
 
+/** Reports that are not durable by then may not become so soon; the targets are needed for other work. */
+const MAX_REPORT_WRITE_MS = 4_000;
+
 /** Time that a crash costs each run on the target besides its work: the target's restart. */
 const RESTART_COST_MS = 3_000;
 
@@ -54,16 +62,16 @@
 
 /** Why a reserved trial cannot start any more. */
 type TrialObstacle =
-  /** Its targets have been reserved for too long. */
+  /** Its reports were not stored in time. */
+  | 'store'
+  /** Its targets were not quiet, or had no room, or there was no ticket for them, for too long. */
   | 'time'
   /** Its task no longer waits. */
   | 'task'
-  /** A target has left or restarted. */
+  /** A target has left or restarted, or may no longer be used. */
   | 'target'
   /** The runs of a target are not known any more. */
-  | 'inventory'
-  /** A ticket has expired, or a target may no longer be used. */
-  | 'ticket';
+  | 'inventory';
 
 /** Processor time that a crash of a target would cost its present runs. */
 function getRisk(target: TargetState, nowMs: number): number {
@@ -190,7 +198,10 @@
     if (placements === undefined) return;
     placements.forEach((placement) => this.#crashTracker.reportTrial(step, placement));
     const change = step.record.changeCount;
-    const trial: Trial = { step, placements, reservedAtMs: nowMs, change, run: undefined };
+    const trial: Trial = {
+      ...{ step, placements, reservedAtMs: nowMs, change },
+      ...{ durableAtMs: undefined, run: undefined },
+    };
     placements.forEach(({ target }) => Object.assign(target, { trial }));
   }
 
@@ -227,14 +238,16 @@
     return members?.map(({ index, candidate }) => ({ index, target: candidate.target }));
   }
 
-  #tryStart(trial: Trial, input: TrialPlannerInput): void {
+  #tryStart(reserved: Trial, input: TrialPlannerInput): void {
+    const trial = reserved;
     const { nowMs } = this.#state;
     const { step, placements } = trial;
+    if (step.record.durableChangeCount >= trial.change) trial.durableAtMs ??= nowMs;
     const targets = [...new Set(placements.map(({ target }) => target))];
     const candidates = new Map<TargetId, Candidate>(
       input.getCandidates(step, targets).map((candidate) => [candidate.target.id, candidate]),
     );
-    const obstacle = this.#findObstacle(trial, targets, candidates);
+    const obstacle = this.#findObstacle(trial, targets);
     if (obstacle !== undefined) {
       this.#giveUp(trial, obstacle);
       return;
@@ -248,7 +261,9 @@
     const isReady =
       !isPatient &&
       !step.isHeld &&
-      step.record.durableChangeCount >= trial.change &&
+      trial.durableAtMs !== undefined &&
+      // A ticket that has expired is renewed while the targets are reserved.
+      targets.every(({ id }) => candidates.has(id)) &&
       targets.every((target) => isQuiet(target, nowMs)) &&
       TrialPlanner.#isFitting(trial) &&
       this.#state.teamLimits.isWithinLimit(step, placements.length);
@@ -257,17 +272,23 @@
 
   /** Finds out why a reserved trial cannot start any more. */
   #findObstacle(
-    { step, placements, reservedAtMs }: Trial,
+    { step, placements, reservedAtMs, durableAtMs }: Trial,
     targets: readonly TargetState[],
-    candidates: ReadonlyMap<TargetId, Candidate>,
   ): TrialObstacle | undefined {
-    if (this.#state.nowMs >= reservedAtMs + MAX_RESERVATION_MS) return 'time';
+    const { nowMs } = this.#state;
+    if (durableAtMs === undefined) {
+      if (nowMs >= reservedAtMs + MAX_REPORT_WRITE_MS) return 'store';
+    } else if (nowMs >= durableAtMs + MAX_RESERVATION_MS) return 'time';
     const isWaiting = placements.every(({ index }) => step.waiting.has(index));
     if (!this.#state.ready.has(step) || !isWaiting) return 'task';
     // A target that has restarted since the reservation is another incarnation.
-    if (targets.some((target) => this.#state.targets.get(target.id) !== target)) return 'target';
-    if (!targets.every((target) => isInventoryKnown(target))) return 'inventory';
-    return targets.every(({ id }) => candidates.has(id)) ? undefined : 'ticket';
+    const areUsable = targets.every(
+      (target) =>
+        this.#state.targets.get(target.id) === target &&
+        isTargetEligible(this.#state, step, target),
+    );
+    if (!areUsable) return 'target';
+    return targets.every((target) => isInventoryKnown(target)) ? undefined : 'inventory';
   }
 
   static #isFitting({ step, placements }: Trial): boolean {
@@ -321,6 +342,11 @@
       isReportDurable: step.record.durableChangeCount >= change,
       isQuiet: placements.every(({ target }) => isQuiet(target, nowMs)),
       isFitting: TrialPlanner.#isFitting(trial),
+      hasTickets: placements.every(
+        ({ target }) =>
+          step.record.queue.advice === undefined ||
+          step.advice.getTicket(target.id, target.entry.incarnationStartMs, nowMs) !== undefined,
+      ),
       ...(step.advice.lastCallAtMs === undefined
         ? {}
         : { lastCallAgoMs: Math.round(nowMs - step.advice.lastCallAtMs) }),
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -470,7 +470,7 @@
       this.store.tryWrite(rows, this.#findWriteObstacle(owner), isAnswerLost, (result) =>
         this.#dispatch(owner, { kind: 'progressWritten', batch, result }),
       );
-    this.time.after(limits.STORE_LATENCY_MS / 2, write);
+    this.time.after(this.store.latencyMs / 2, write);
   }
 
   #findWriteObstacle({ epoch }: Owner) {
--- a/tests/support/progressStore.ts
+++ b/tests/support/progressStore.ts
@@ -25,6 +25,9 @@
 
 /** Keeps the progress of submissions. */
 export class ProgressStore {
+  /** Time from a write to its answer. */
+  latencyMs = STORE_LATENCY_MS;
+
   #version = FIRST_VERSION;
 
   #rows = new Map<SubmissionId, StoredRow>();
@@ -58,7 +61,7 @@
     const written = obstacle === undefined ? this.write(rows) : E.left(obstacle);
     const unavailable = E.left({ kind: 'unavailable', detail: 'response lost' });
     const answer = E.isRight(written) && isAnswerLost() ? unavailable : written;
-    this.#time.after(STORE_LATENCY_MS / 2, () => onAnswered(answer));
+    this.#time.after(this.latencyMs / 2, () => onAnswered(answer));
   }
 
   /** Writes all rows or, when a version is not the expected one or a limit is exceeded, none of them. */
--- /dev/null
+++ b/tests/ticketChains.test.ts
@@ -0,0 +1,74 @@
+/** Guards against steps towards a start that together take longer than the ticket that they rest on is valid (LOST). */
+
+import type { OwnerEffect } from '../src/owner/types';
+import { Random } from '../src/types/random';
+import type { TargetId } from '../src/types/ids';
+import type { StepSpec } from '../src/work/types';
+import { createSubmission, NO_FAULTS, OwnerWorld, toSubmissionId } from './support/ownerWorld';
+
+const TARGET_COUNT = 12;
+const TICKET_VALID_MS = 2_000;
+const TASK_COUNT = 4;
+
+const LASTING: Partial<StepSpec> = {
+  taskCount: TASK_COUNT,
+  maxTasksPerTarget: 1,
+  estimateMs: 600_000,
+  policy: { kind: 'standing', latencyTargetMs: 0, maxUnavailableCount: 0 },
+};
+
+/** The rule: 3 s beside room, from 6 s after the last run. */
+const START_LIMIT_MS = 9_000;
+
+function countRuns(world: OwnerWorld): number {
+  return [...world.targets.values()]
+    .flatMap(({ runs }) => [...runs.keys()])
+    .filter((key) => key.startsWith(toSubmissionId(1))).length;
+}
+
+/** Lasting tasks are suspected, as their targets crash right after their first starts. */
+function playCrash(
+  seed: number,
+  { storeLatencyMs, callMs, transitMs }: Record<'storeLatencyMs' | 'callMs' | 'transitMs', number>,
+): OwnerWorld {
+  const world = new OwnerWorld({ seed, targetCount: TARGET_COUNT, faults: NO_FAULTS });
+  Object.assign(world.advice, { callMs, transitMs, perTargetMs: 6.5 });
+  world.advice.ticketValidMs = TICKET_VALID_MS;
+  const crashed = new Set<TargetId>();
+  world.onEffect = (_epoch, effect: OwnerEffect) => {
+    if (effect.kind !== 'startRun' || crashed.size >= 3 || crashed.has(effect.targetId)) return;
+    crashed.add(effect.targetId);
+    world.time.after(40, () => world.crashProcess(effect.targetId, 300));
+  };
+  world.takeOver();
+  world.run(1_000);
+  world.submit(createSubmission(1, [LASTING], { advice: 'costly' }));
+  world.run(1_200);
+  world.store.latencyMs = storeLatencyMs;
+  return world;
+}
+
+describe('a suspected lasting task is tried', () => {
+  // The report of the trial was durable only after its ticket had expired, so that each reservation was given up.
+  test.each([1, 2, 3, 4])(
+    'although the store takes nearly the life of a ticket, seed %i',
+    (seed) => {
+      const world = playCrash(seed, { storeLatencyMs: 1_800, callMs: 450, transitMs: 0 });
+      world.run(START_LIMIT_MS + 4 * 1_800);
+      expect(countRuns(world)).toBe(TASK_COUNT);
+      expect(world.broken).toEqual([]);
+    },
+  );
+
+  test.each([1, 2, 3, 4, 5, 6, 7, 8])('with drawn delays of store and service, seed %i', (seed) => {
+    const random = new Random(seed);
+    const world = playCrash(seed, {
+      storeLatencyMs: 4 + random.nextInt(1_500),
+      callMs: 100 + random.nextInt(700),
+      transitMs: random.nextInt(400),
+    });
+    world.run(START_LIMIT_MS + 4 * world.store.latencyMs);
+    expect(countRuns(world)).toBe(TASK_COUNT);
+    expect(world.broken).toEqual([]);
+  });
+});
