The life of a ticket counts from the earliest time at which it can have been issued

A call cannot be decided before its sending plus its stated duration, so the life counts from there, or from the receipt if that is earlier.

--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -46,6 +46,13 @@
   notBeforeMs: number;
 }
 
+/** A call in flight. */
+interface PendingCall {
+  readonly step: StepState;
+  /** When the service can have answered at the earliest. */
+  readonly issuedAfterMs: number;
+}
+
 /** A call to make for a step. */
 interface AdviceRequest {
   readonly step: StepState;
@@ -85,7 +92,7 @@
 
   #lanes: Lane[] = [];
 
-  #pending = new Map<string, StepState>();
+  #pending = new Map<string, PendingCall>();
 
   #forecast: LimitForecast;
 
@@ -120,9 +127,10 @@
     const { nowMs, targets } = this.#state;
     const lane = this.#lanes.find(({ nodeId }) => nodeId === event.laneId);
     if (lane !== undefined) lane.isBusy = false;
-    const step = this.#pending.get(event.stepKey);
+    const call = this.#pending.get(event.stepKey);
     this.#pending.delete(event.stepKey);
-    if (step === undefined) return;
+    if (call === undefined) return;
+    const { step, issuedAfterMs } = call;
     step.advice.isCallPending = false;
     const durationMs = nowMs - event.sentAtMs;
     if (E.isLeft(event.result)) {
@@ -137,14 +145,16 @@
       return;
     }
     const { grants, validMs } = event.result.right;
+    // The answer may have been under way for some time.
+    const usableUntilMs = Math.min(nowMs, issuedAfterMs) + validMs;
     step.advice.addAnswer(
       nowMs,
       event.targetIds,
       grants,
-      nowMs + validMs,
+      usableUntilMs,
       (targetId) => targets.get(targetId)?.entry.incarnationStartMs ?? 0,
     );
-    this.#state.adviceUsage.onAnswered(step, durationMs, nowMs + validMs);
+    this.#state.adviceUsage.onAnswered(step, durationMs, usableUntilMs);
     this.#state.emit({ kind: 'record', name: 'advice', durationMs });
     this.#state.isPlanDue = true;
   }
@@ -213,10 +223,14 @@
   }
 
   #send(lane: Lane, { step, costs, targetIds }: AdviceRequest): void {
+    const { nowMs } = this.#state;
     lane.isBusy = true;
     step.advice.isCallPending = true;
-    step.advice.lastCallAtMs = this.#state.nowMs;
-    this.#pending.set(step.key, step);
+    step.advice.lastCallAtMs = nowMs;
+    this.#pending.set(step.key, {
+      step,
+      issuedAfterMs: nowMs + getCallMs(costs, targetIds.length),
+    });
     this.#state.emit({
       kind: 'askAdvice',
       laneId: lane.nodeId,
--- a/tests/support/adviceModel.ts
+++ b/tests/support/adviceModel.ts
@@ -2,7 +2,7 @@
 
 import * as E from 'fp-ts/Either';
 import type { Advice, AdviceFailure } from '../../src/owner/types';
-import type { StepKey, TargetId } from '../../src/types/ids';
+import type { StepKey, TargetId, Ticket } from '../../src/types/ids';
 import { getAdvice } from './worldChecks';
 
 /** An answer and the time after which it arrives. */
@@ -25,15 +25,24 @@
 
   ticketValidMs = 2_500;
 
-  /** Number of calls by step. */
-  readonly callCounts = new Map<StepKey, number>();
+  /** Whether tickets tell when they were issued, which {@link AdviceModel.getIssuedAtMs} reads. */
+  areTicketsDated = false;
+
+  /** Gets the time at which a dated ticket was issued. */
+  static getIssuedAtMs(ticket: Ticket): number {
+    return Number(ticket.split('@')[1]);
+  }
 
   /** Decides a call. */
-  answer(stepKey: StepKey, targetIds: readonly TargetId[]): ModelAnswer {
-    this.callCounts.set(stepKey, (this.callCounts.get(stepKey) ?? 0) + 1);
-    const delayMs = this.callMs + this.perTargetMs * targetIds.length + this.transitMs;
+  answer(stepKey: StepKey, targetIds: readonly TargetId[], nowMs: number): ModelAnswer {
+    const decisionMs = this.callMs + this.perTargetMs * targetIds.length;
+    const delayMs = decisionMs + this.transitMs;
     if (!this.isAvailable) return { result: E.left({ kind: 'busy' }), delayMs };
-    const { grants } = getAdvice(stepKey, targetIds);
+    const { grants: undated } = getAdvice(stepKey, targetIds);
+    const ticket = `ticket@${nowMs + decisionMs}` as Ticket;
+    const grants = this.areTicketsDated
+      ? undated.map(({ targetId }) => ({ targetId, ticket }))
+      : undated;
     return { result: E.right({ grants, validMs: this.ticketValidMs }), delayMs };
   }
 }
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -457,7 +457,7 @@
   #advise(owner: Owner, effect: Extract<OwnerEffect, { kind: 'askAdvice' }>): void {
     const { laneId, stepKey, targetIds } = effect;
     const sentAtMs = this.time.nowMs + this.clockOffsetMs;
-    const { result, delayMs } = this.advice.answer(stepKey, targetIds);
+    const { result, delayMs } = this.advice.answer(stepKey, targetIds, this.time.nowMs);
     const event = { kind: 'advised', laneId, stepKey, targetIds, sentAtMs, result };
     this.time.after(delayMs, () => this.#dispatch(owner, event));
   }
--- a/tests/ticketChains.test.ts
+++ b/tests/ticketChains.test.ts
@@ -4,6 +4,7 @@
 import { Random } from '../src/types/random';
 import type { TargetId } from '../src/types/ids';
 import type { StepSpec } from '../src/work/types';
+import { AdviceModel } from './support/adviceModel';
 import { createSubmission, NO_FAULTS, OwnerWorld, toSubmissionId } from './support/ownerWorld';
 
 const TARGET_COUNT = 12;
@@ -20,6 +21,8 @@
 /** The rule: 3 s beside room, from 6 s after the last run. */
 const START_LIMIT_MS = 9_000;
 
+const LARGE = { cpuMillis: 8_000, memoryMb: 4_096, accelerators: 0 };
+
 function countRuns(world: OwnerWorld): number {
   return [...world.targets.values()]
     .flatMap(({ runs }) => [...runs.keys()])
@@ -72,3 +75,28 @@
     expect(world.broken).toEqual([]);
   });
 });
+
+describe('a ticket', () => {
+  // Its life was counted from the receipt of the answer, so that targets rejected the start.
+  test.each([0, 300, 900])(
+    'is not used after it has expired when its answer takes %i ms',
+    (transitMs) => {
+      const world = new OwnerWorld({ seed: 1, targetCount: 3, faults: NO_FAULTS });
+      Object.assign(world.advice, { callMs: 450, perTargetMs: 6.5, transitMs });
+      Object.assign(world.advice, { ticketValidMs: TICKET_VALID_MS, areTicketsDated: true });
+      const agesMs: number[] = [];
+      world.onEffect = (_epoch, effect: OwnerEffect) => {
+        if (effect.kind !== 'startRun' || effect.ticket === undefined) return;
+        agesMs.push(world.time.nowMs - AdviceModel.getIssuedAtMs(effect.ticket));
+      };
+      world.takeOver();
+      world.run(1_000);
+      // Each task takes about as long as a ticket is valid, so that many starts are due near its end.
+      const step = { taskCount: 60, estimateMs: 1_600, demand: LARGE };
+      world.submit(createSubmission(1, [step], { advice: 'costly' }));
+      world.run(30_000);
+      expect(agesMs.length).toBeGreaterThan(10);
+      expect(Math.max(...agesMs)).toBeLessThan(TICKET_VALID_MS);
+    },
+  );
+});
