An answer of the advice service holds for the incarnations about which it was asked

A step could be kept off a restarted target for good (found by reading, shown by a test). Cause: approvals and refusals were recorded for the incarnation known at the arrival of the answer, be it one that had started while the call was under way; the service decides for a life.

Evidence: tests/ticketChains.test.ts, 'and a refusal hold for the incarnation ...': the restarted target was never asked about before.

--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -21,6 +21,7 @@
   PREFETCH_TICKET_FRACTION,
   SHORT_ADVICE_MS,
   SHORT_LANE_FRACTION,
+  UNKNOWN_INCARNATION_MS,
 } from './constants';
 import { chooseTargetsToQuery, countFittingTasks, isFurtherAdviceUseful } from './adviceChoice';
 import { sortForAdvice } from './adviceOrder';
@@ -51,6 +52,8 @@
   readonly step: StepState;
   /** When the service can have answered at the earliest. */
   readonly issuedAfterMs: number;
+  /** Incarnations of the targets about which it was asked. */
+  readonly incarnations: ReadonlyMap<TargetId, number>;
 }
 
 /** A call to make for a step. */
@@ -124,13 +127,13 @@
    * @param event - the result
    */
   onAdvised(event: AdvisedEvent): void {
-    const { nowMs, targets } = this.#state;
+    const { nowMs } = this.#state;
     const lane = this.#lanes.find(({ nodeId }) => nodeId === event.laneId);
     if (lane !== undefined) lane.isBusy = false;
     const call = this.#pending.get(event.stepKey);
     this.#pending.delete(event.stepKey);
     if (call === undefined) return;
-    const { step, issuedAfterMs } = call;
+    const { step, issuedAfterMs, incarnations } = call;
     step.advice.isCallPending = false;
     const durationMs = nowMs - event.sentAtMs;
     if (E.isLeft(event.result)) {
@@ -145,14 +148,14 @@
       return;
     }
     const { grants, validMs } = event.result.right;
-    // The answer may have been under way for some time.
+    // The answer may have been under way for some time, during which a target may have restarted.
     const usableUntilMs = Math.min(nowMs, issuedAfterMs) + validMs;
     step.advice.addAnswer(
       nowMs,
       event.targetIds,
       grants,
       usableUntilMs,
-      (targetId) => targets.get(targetId)?.entry.incarnationStartMs ?? 0,
+      (targetId) => incarnations.get(targetId) ?? UNKNOWN_INCARNATION_MS,
     );
     this.#state.adviceUsage.onAnswered(step, durationMs, usableUntilMs);
     this.#state.emit({ kind: 'record', name: 'advice', durationMs });
@@ -223,13 +226,19 @@
   }
 
   #send(lane: Lane, { step, costs, targetIds }: AdviceRequest): void {
-    const { nowMs } = this.#state;
+    const { nowMs, targets } = this.#state;
     lane.isBusy = true;
     step.advice.isCallPending = true;
     step.advice.lastCallAtMs = nowMs;
     this.#pending.set(step.key, {
       step,
       issuedAfterMs: nowMs + getCallMs(costs, targetIds.length),
+      incarnations: new Map(
+        targetIds.flatMap((id) => {
+          const incarnationStartMs = targets.get(id)?.entry.incarnationStartMs;
+          return incarnationStartMs === undefined ? [] : [[id, incarnationStartMs]];
+        }),
+      ),
     });
     this.#state.emit({
       kind: 'askAdvice',
--- a/tests/ticketChains.test.ts
+++ b/tests/ticketChains.test.ts
@@ -2,10 +2,11 @@
 
 import type { OwnerEffect } from '../src/owner/types';
 import { Random } from '../src/types/random';
-import type { TargetId } from '../src/types/ids';
+import type { StepKey, TargetId } from '../src/types/ids';
 import type { StepSpec } from '../src/work/types';
 import { AdviceModel } from './support/adviceModel';
 import { createSubmission, NO_FAULTS, OwnerWorld, toSubmissionId } from './support/ownerWorld';
+import { getAdvice } from './support/worldChecks';
 
 const TARGET_COUNT = 12;
 const TICKET_VALID_MS = 2_000;
@@ -21,8 +22,13 @@
 /** The rule: 3 s beside room, from 6 s after the last run. */
 const START_LIMIT_MS = 9_000;
 
+const TARGET = 'target-0' as TargetId;
 const LARGE = { cpuMillis: 8_000, memoryMb: 4_096, accelerators: 0 };
 
+function getStepKey(number: number): StepKey {
+  return `${toSubmissionId(number)}.0.0` as StepKey;
+}
+
 function countRuns(world: OwnerWorld): number {
   return [...world.targets.values()]
     .flatMap(({ runs }) => [...runs.keys()])
@@ -99,4 +105,25 @@
       expect(Math.max(...agesMs)).toBeLessThan(TICKET_VALID_MS);
     },
   );
+
+  // The answer was taken for one about the present incarnation, so that a refusal held for it for good.
+  test('and a refusal hold for the incarnation about which the service was asked', () => {
+    const world = new OwnerWorld({ seed: 1, targetCount: 1, faults: NO_FAULTS });
+    const asked: number[] = [];
+    world.advice.callMs = 1_000;
+    world.onEffect = (_epoch, effect: OwnerEffect) => {
+      if (effect.kind === 'askAdvice') asked.push(effect.targetIds.length);
+    };
+    world.takeOver();
+    world.run(1_000);
+    const refused = Array.from({ length: 20 }, (_, index) => index + 1).find(
+      (number) => getAdvice(getStepKey(number), [TARGET]).grants.length === 0,
+    );
+    world.submit(createSubmission(refused ?? 0, [LASTING], { advice: 'cheap' }));
+    world.run(200);
+    expect(asked).toEqual([1]);
+    world.crashProcess(TARGET, 300);
+    world.run(4_000);
+    expect(asked).toEqual([1, 1]);
+  });
 });
