No run is stopped for a task whose ticket may expire before the stop is over

Cause: the stop was sent while the ticket was valid, however shortly, and the start comes after the stop and the poll that tells its end.

--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -148,6 +148,12 @@
 /** A ticket is not used within this time before its expiry, to allow for the latency of the start. */
 export const TICKET_MARGIN_MS = 150;
 
+/**
+ * A run is not stopped for a task whose ticket is valid for less than this: the stop, and the answer of the poll that
+ * tells its end, come before the start.
+ */
+export const MIN_TICKET_LIFE_AFTER_STOP_MS = 500;
+
 /** Maximum targets per call for advice; the limit of the service is 100. */
 export const ADVICE_MAX_TARGETS = 100;
 
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -8,6 +8,7 @@
 import {
   SPECULATION_CHECK_INTERVAL_MS,
   MAX_PREEMPTING_TASKS,
+  MIN_TICKET_LIFE_AFTER_STOP_MS,
   PREEMPTION_DELAY_MS,
 } from './constants';
 import { PassCosts } from './passCosts';
@@ -88,7 +89,10 @@
     if (steps.length > 0) this.#planSteps(steps);
     this.#relocator.plan({
       getCandidates: (step) =>
-        this.#getFittingCandidates(step, state.eligibleTargets.get(step), false),
+        this.#keepLongTickets(
+          step,
+          this.#getFittingCandidates(step, state.eligibleTargets.get(step), false),
+        ),
     });
     if (state.nowMs < this.#nextSpeculationAtMs) return;
     this.#nextSpeculationAtMs = state.nowMs + SPECULATION_CHECK_INTERVAL_MS;
@@ -234,9 +238,10 @@
     const waitingCount = getRegularTasks(step).length;
     if (waitingCount === 0) return;
     const usable = this.#state.eligibleTargets.get(step);
-    const targets = this.#getOpenCandidates(step, usable, isDesperate, (target) =>
+    const open = this.#getOpenCandidates(step, usable, isDesperate, (target) =>
       this.#preemptions.mayFit(step, target),
-    )
+    );
+    const targets = this.#keepLongTickets(step, open)
       .map(({ target }) => target)
       .filter((target) => isSpreadAllowed(step, target) && isColocationAllowed(step, target));
     let canContinue = targets.length > 0;
@@ -272,6 +277,17 @@
     return candidates;
   }
 
+  /** Leaves out targets whose tickets may expire before a run has been stopped for the task. */
+  #keepLongTickets(step: StepState, candidates: readonly Candidate[]): readonly Candidate[] {
+    if (step.record.queue.advice === undefined) return candidates;
+    const { nowMs } = this.#state;
+    return candidates.filter(
+      ({ target: { id, entry } }) =>
+        step.advice.getTicketLifeMs(id, entry.incarnationStartMs, nowMs) >=
+        MIN_TICKET_LIFE_AFTER_STOP_MS,
+    );
+  }
+
   /**
    * Gets those of the usable targets on which this pass may start tasks of a step. A step that needs tickets has them
    * for few targets, so these are examined if they are fewer.
--- a/tests/ticketChains.test.ts
+++ b/tests/ticketChains.test.ts
@@ -1,8 +1,10 @@
 /** Guards against steps towards a start that together take longer than the ticket that they rest on is valid (LOST). */
 
+import { MIN_TICKET_LIFE_AFTER_STOP_MS } from '../src/owner/constants';
 import type { OwnerEffect } from '../src/owner/types';
 import { Random } from '../src/types/random';
 import type { StepKey, TargetId } from '../src/types/ids';
+import { NO_DEMAND } from '../src/work/types';
 import type { StepSpec } from '../src/work/types';
 import { AdviceModel } from './support/adviceModel';
 import { createSubmission, NO_FAULTS, OwnerWorld, toSubmissionId } from './support/ownerWorld';
@@ -127,3 +129,45 @@
     expect(asked).toEqual([1, 1]);
   });
 });
+
+describe('a run is stopped for another start', () => {
+  /** Tasks of others fill all targets but one, which drains, and end one after another. */
+  function playMove(seed: number): readonly number[] {
+    const world = new OwnerWorld({ seed, targetCount: 6, faults: NO_FAULTS });
+    Object.assign(world.advice, { callMs: 450, perTargetMs: 6.5, ticketValidMs: TICKET_VALID_MS });
+    const stoppedAtMs: number[] = [];
+    const gapsMs: number[] = [];
+    const isMoved = (taskKey: string) => taskKey.startsWith(toSubmissionId(1));
+    world.onEffect = (_epoch, effect: OwnerEffect) => {
+      if (effect.kind === 'stopRun' && isMoved(effect.taskKey)) stoppedAtMs.push(world.time.nowMs);
+      if (effect.kind !== 'startRun' || !isMoved(effect.taskKey)) return;
+      const stoppedMs = stoppedAtMs.pop();
+      if (stoppedMs !== undefined) gapsMs.push(world.time.nowMs - stoppedMs);
+    };
+    world.takeOver();
+    world.run(1_000);
+    const capacity = world.targets.get(TARGET)?.capacity ?? NO_DEMAND;
+    const demand = { ...capacity, memoryMb: 1 };
+    world.submit(createSubmission(1, [{ ...LASTING, taskCount: 1, demand }], { advice: 'cheap' }));
+    world.run(3_000);
+    const fillers = [{ taskCount: 5, demand, estimateMs: 4_000 }];
+    world.submit(createSubmission(2, fillers, { priority: 0 }));
+    world.run(1_000);
+    [...world.targets.values()]
+      .filter(({ runs }) => [...runs.keys()].some(isMoved))
+      .forEach((target) => {
+        const entry = target.startDraining();
+        world.readRegistry({ kind: 'targetChanged', entry });
+      });
+    world.run(12_000);
+    expect(world.broken).toEqual([]);
+    return gapsMs;
+  }
+
+  // The ticket expired while the run was being stopped, so that the task had no run until another call was answered.
+  test('only with a ticket that outlives the stop', () => {
+    const gapsMs = Array.from({ length: 120 }, (_, index) => playMove(index + 1)).flat();
+    expect(gapsMs.length).toBeGreaterThan(10);
+    expect(Math.max(...gapsMs)).toBeLessThan(MIN_TICKET_LIFE_AFTER_STOP_MS);
+  });
+});
