--- a/bench/fleet/fleet.ts
+++ b/bench/fleet/fleet.ts
@@ -132,6 +132,8 @@
 
   #version = 4;
 
+  #isClosed = false;
+
   #lapses = new Map<FakeWorker, NodeJS.Timeout>();
 
   /**
@@ -217,15 +219,14 @@
     if (!worker.target.isUp) return;
     worker.crash();
     const { id } = worker.target;
-    this.#lapses.set(
-      worker,
-      setTimeout(() => this.store.remove('servers', id), LAPSE_MS),
-    );
+    const lapse = setTimeout(() => this.store.remove('servers', id), LAPSE_MS);
+    this.#lapses.set(worker, lapse.unref());
     if (downMs === undefined) return;
     setTimeout(() => {
+      if (this.#isClosed) return;
       clearTimeout(this.#lapses.get(worker));
       worker.restart().catch((error: unknown) => console.error('no restart', id, error));
-    }, downMs);
+    }, downMs).unref();
   }
 
   /** Demand in use on a target. */
@@ -258,6 +259,7 @@
 
   /** Ends everything. */
   close(): void {
+    this.#isClosed = true;
     this.nodes.forEach((node) => node.close());
     this.#lapses.forEach((timer) => clearTimeout(timer));
     this.workers.forEach((worker) => worker.stop());
--- a/bench/fleet/nodeProcess.ts
+++ b/bench/fleet/nodeProcess.ts
@@ -76,7 +76,7 @@
     child.on('exit', () => {
       if (this.#isClosed) return;
       if (!this.#isEndingAsked) this.exitCount += 1;
-      setTimeout(() => !this.#isClosed && this.start(), RESTART_DELAY_MS);
+      setTimeout(() => !this.#isClosed && this.start(), RESTART_DELAY_MS).unref();
     });
   }
 
--- a/bench/fleet/traffic.ts
+++ b/bench/fleet/traffic.ts
@@ -129,7 +129,7 @@
         this.#scheduleNext(kind);
       },
       drawExponential(this.#random, SECOND_MS / rate),
-    );
+    ).unref();
   }
 
   /** Submits work of a kind, of one team or of any. */
@@ -197,7 +197,7 @@
       submission.state = status < 300 ? 'accepted' : 'rejected';
     if (isFinal || attempt >= MAX_ATTEMPTS) return;
     await new Promise((resolve) => {
-      setTimeout(resolve, RETRY_DELAY_MS * attempt);
+      setTimeout(resolve, RETRY_DELAY_MS * attempt).unref();
     });
     await this.#send(submission, method, attempt + 1);
   }
--- a/bench/fleet/troubles.ts
+++ b/bench/fleet/troubles.ts
@@ -36,7 +36,7 @@
 
 /** Repeats an action at an interval. */
 function repeat(count: number, intervalMs: number, action: () => void): number {
-  for (let index = 0; index < count; index += 1) setTimeout(action, index * intervalMs);
+  for (let index = 0; index < count; index += 1) setTimeout(action, index * intervalMs).unref();
   return count * intervalMs;
 }
 
@@ -68,7 +68,9 @@
     name: 'nodes are stopped in turn',
     start({ fleet, random }) {
       const nodes = pick(random, fleet.nodes, 2);
-      nodes.forEach((node, index) => setTimeout(() => node.signal('SIGTERM'), index * 1_500));
+      nodes.forEach((node, index) =>
+        setTimeout(() => node.signal('SIGTERM'), index * 1_500).unref(),
+      );
       return nodes.length * 1_500 + 1_000;
     },
   },
@@ -85,7 +87,7 @@
       const [node] = pick(random, fleet.nodes, 1);
       return repeat(6, 700, () => {
         node?.signal('SIGSTOP');
-        setTimeout(() => node?.signal('SIGCONT'), PAUSE_MS);
+        setTimeout(() => node?.signal('SIGCONT'), PAUSE_MS).unref();
       });
     },
   },
@@ -119,7 +121,7 @@
       pickWorkers(context, 0.09).forEach((worker) => context.fleet.crash(worker, 200));
       setTimeout(() => {
         store.delayMs = 0;
-      }, 4_000);
+      }, 4_000).unref();
       return 4_000;
     },
   },
@@ -129,7 +131,7 @@
       advice.slowness = 2;
       setTimeout(() => {
         advice.slowness = 1;
-      }, 4_000);
+      }, 4_000).unref();
       return 4_000;
     },
   },
--- a/tools/mutants.mjs
+++ b/tools/mutants.mjs
@@ -14,6 +14,7 @@
 import { join, resolve } from 'node:path';
 
 const COPIED_PATHS = [
+  'bench',
   'src',
   'standins',
   'platform',
