Steps that may preempt, or whose runs are moved, renew their tickets in time for a stop

Follows: for the last 0.5 s of each ticket nothing was preempted for an urgent step, and no call was made, as the ticket still counted as usable.

--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -18,6 +18,7 @@
   ADVICE_TIMEOUT_MARGIN_MS,
   HANDOVER_TRANSIT_MS,
   MAX_HANDED_ADVICE,
+  MIN_TICKET_LIFE_AFTER_STOP_MS,
   PREFETCH_TICKET_FRACTION,
   SHORT_ADVICE_MS,
   SHORT_LANE_FRACTION,
@@ -313,7 +314,8 @@
     if (record.queue.advice === undefined || advice.isCallPending || mayRunUnseen) return false;
     if (unplacedCount === 0) return false;
     const { nowMs, eligibleTargets } = this.#state;
-    if (!advice.hasUsableTicket(nowMs)) return true;
+    const neededUntilMs = nowMs + (this.#mayStopRuns(step) ? MIN_TICKET_LIFE_AFTER_STOP_MS : 0);
+    if (!advice.hasUsableTicket(neededUntilMs)) return true;
     if (this.#getTargetsToRenew(step).length > 0) return true;
     const refreshAtMs = (advice.lastCallAtMs ?? 0) + ADVICE_REFRESH_DELAY_MS;
     if (step.readyAtMs === undefined || nowMs < refreshAtMs) return false;
@@ -321,6 +323,14 @@
     return isFurtherAdviceUseful(step, roomy, (target) => isCandidate(step, target, nowMs), nowMs);
   }
 
+  /** Checks whether runs may be stopped for a step, which needs a ticket that outlives the stop. */
+  #mayStopRuns({ relocatingCount, isGang, record: { isExcess, queue } }: StepState): boolean {
+    const { config } = this.#state.operator;
+    const mayPreempt =
+      !isGang && !isExcess && config?.queues.some(({ priority }) => priority > queue.priority);
+    return relocatingCount > 0 || mayPreempt === true;
+  }
+
   /** Targets that are reserved for a trial and whose tickets would expire before another call is answered. */
   #getTargetsToRenew(step: StepState): readonly TargetState[] {
     const costs = step.record.queue.advice;
--- a/tests/ticketChains.test.ts
+++ b/tests/ticketChains.test.ts
@@ -171,3 +171,29 @@
     expect(Math.max(...gapsMs)).toBeLessThan(MIN_TICKET_LIFE_AFTER_STOP_MS);
   });
 });
+
+// Between the time from which a ticket was too short for a stop and its end, nothing was preempted and no call was made.
+test('an urgent step that waits for room keeps a ticket that outlives a stop', () => {
+  const world = new OwnerWorld({ seed: 1, targetCount: 8, faults: NO_FAULTS });
+  Object.assign(world.advice, { callMs: 24, ticketValidMs: TICKET_VALID_MS });
+  const askedAtMs: number[] = [];
+  world.onEffect = (_epoch, effect: OwnerEffect) => {
+    if (effect.kind === 'askAdvice') askedAtMs.push(world.time.nowMs);
+  };
+  const urgent = { priority: 0, advice: 'cheap' as const };
+  const queues = [urgent, { priority: 1 }, { priority: 2 }];
+  world.operator.setQueues(queues.map((queue) => createSubmission(9, [{}], queue).queue));
+  world.takeOver();
+  world.run(1_000);
+  const capacity = world.targets.get(TARGET)?.capacity ?? NO_DEMAND;
+  const demand = { ...capacity, memoryMb: 1 };
+  // Lasting tasks are not preempted.
+  const filler = { ...LASTING, taskCount: 8, demand };
+  world.submit(createSubmission(1, [filler], { priority: 1 }));
+  world.run(1_000);
+  world.submit(createSubmission(2, [{ demand }], urgent));
+  world.run(10_000);
+  const gapsMs = askedAtMs.slice(1).map((atMs, index) => atMs - (askedAtMs[index] ?? atMs));
+  expect(gapsMs.length).toBeGreaterThan(3);
+  expect(Math.max(...gapsMs)).toBeLessThan(TICKET_VALID_MS - MIN_TICKET_LIFE_AFTER_STOP_MS + 100);
+});
