--- a/tests/ticketChains.test.ts
+++ b/tests/ticketChains.test.ts
@@ -172,7 +172,7 @@
   });
 });
 
-// Between the time from which a ticket was too short for a stop and its end, nothing was preempted and no call was made.
+// From the time at which a ticket was too short for a stop to its end nothing was preempted and no call was made.
 test('an urgent step that waits for room keeps a ticket that outlives a stop', () => {
   const world = new OwnerWorld({ seed: 1, targetCount: 8, faults: NO_FAULTS });
   Object.assign(world.advice, { callMs: 24, ticketValidMs: TICKET_VALID_MS });
