--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -279,17 +279,21 @@
       );
   }
 
-  /** Of steps that their teams' limits keep back, the first of each team whose runs end while a ticket is valid. */
+  /**
+   * Of steps that their teams' limits keep back, those with short calls and the first of each team, if runs of their
+   * teams end while a ticket is valid.
+   */
   #getDueAtLimit(sorted: readonly StepState[]): readonly StepState[] {
     const { nowMs } = this.#state;
-    const firstByTeam = new Map<TeamId, StepState>();
-    sorted.forEach((step) => {
+    const teamsWithLongCall = new Set<TeamId>();
+    return sorted.filter((step) => {
       const { teamId } = step.record.submission;
-      if (!firstByTeam.has(teamId)) firstByTeam.set(teamId, step);
+      if (!this.#forecast.isEndExpected(step, getLeadMs(step), nowMs)) return false;
+      if (mayBeShort(step)) return true;
+      const isFirst = !teamsWithLongCall.has(teamId);
+      teamsWithLongCall.add(teamId);
+      return isFirst;
     });
-    return [...firstByTeam.values()].filter((step) =>
-      this.#forecast.isEndExpected(step, getLeadMs(step), nowMs),
-    );
   }
 
   #getStepsNeedingAdvice(roomyTargets: RoomyTargets): readonly StepState[] {
