Runs are stopped for tickets of any life

Follows: where tickets are valid for less than 0.65 s nothing would ever have been moved or preempted, and calls would have been made without end. Found by reading the change. Evidence: tests/ticketChains.test.ts, tickets of 550 ms: no move before. Where tickets are valid for 1.15 s or more, no decision changes.

--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -18,7 +18,6 @@
   ADVICE_TIMEOUT_MARGIN_MS,
   HANDOVER_TRANSIT_MS,
   MAX_HANDED_ADVICE,
-  MIN_TICKET_LIFE_AFTER_STOP_MS,
   PREFETCH_TICKET_FRACTION,
   SHORT_ADVICE_MS,
   SHORT_LANE_FRACTION,
@@ -29,6 +28,7 @@
 import { getRunRemainingEstimateMs, LimitForecast } from './limitForecast';
 import type { OwnerState } from './ownerState';
 import { RoomyTargets } from './roomyTargets';
+import { getMinLifeAfterStopMs } from './stepAdvice';
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
@@ -315,10 +315,11 @@
 
   #needsAdvice(step: StepState, roomyTargets: RoomyTargets): boolean {
     const { record, advice, unplacedCount, mayRunUnseen } = step;
-    if (record.queue.advice === undefined || advice.isCallPending || mayRunUnseen) return false;
+    const costs = record.queue.advice;
+    if (costs === undefined || advice.isCallPending || mayRunUnseen) return false;
     if (unplacedCount === 0) return false;
     const { nowMs, eligibleTargets } = this.#state;
-    const neededUntilMs = nowMs + (this.#mayStopRuns(step) ? MIN_TICKET_LIFE_AFTER_STOP_MS : 0);
+    const neededUntilMs = nowMs + (this.#mayStopRuns(step) ? getMinLifeAfterStopMs(costs) : 0);
     if (!advice.hasUsableTicket(neededUntilMs)) return true;
     if (this.#getTargetsToRenew(step).length > 0) return true;
     const refreshAtMs = (advice.lastCallAtMs ?? 0) + ADVICE_REFRESH_DELAY_MS;
--- a/src/owner/planner.ts
+++ b/src/owner/planner.ts
@@ -8,7 +8,6 @@
 import {
   SPECULATION_CHECK_INTERVAL_MS,
   MAX_PREEMPTING_TASKS,
-  MIN_TICKET_LIFE_AFTER_STOP_MS,
   PREEMPTION_DELAY_MS,
 } from './constants';
 import { PassCosts } from './passCosts';
@@ -23,6 +22,7 @@
 import { PreemptionTable } from './preemption';
 import { Relocator } from './relocator';
 import type { RunManager } from './runManager';
+import { getMinLifeAfterStopMs } from './stepAdvice';
 import { sortSteps } from './stepOrder';
 import type { StepState } from './stepState';
 import type { TargetState } from './targetState';
@@ -279,12 +279,13 @@
 
   /** Leaves out targets whose tickets may expire before a run has been stopped for the task. */
   #keepLongTickets(step: StepState, candidates: readonly Candidate[]): readonly Candidate[] {
-    if (step.record.queue.advice === undefined) return candidates;
+    const costs = step.record.queue.advice;
+    if (costs === undefined) return candidates;
     const { nowMs } = this.#state;
+    const minLifeMs = getMinLifeAfterStopMs(costs);
     return candidates.filter(
       ({ target: { id, entry } }) =>
-        step.advice.getTicketLifeMs(id, entry.incarnationStartMs, nowMs) >=
-        MIN_TICKET_LIFE_AFTER_STOP_MS,
+        step.advice.getTicketLifeMs(id, entry.incarnationStartMs, nowMs) >= minLifeMs,
     );
   }
 
--- a/src/owner/stepAdvice.ts
+++ b/src/owner/stepAdvice.ts
@@ -1,9 +1,19 @@
 /** Answers of the advice service for one step. */
 
 import type { TargetId, Ticket } from '../types/ids';
-import { TICKET_MARGIN_MS } from './constants';
+import type { AdviceCosts } from '../work/types';
+import { MIN_TICKET_LIFE_AFTER_STOP_MS, TICKET_MARGIN_MS } from './constants';
 import type { HandedAdvice, TicketGrant } from './types';
 
+/**
+ * Gets how long a ticket has to be valid for a run to be stopped for its use.
+ * @param costs - the properties of the queue's advice
+ * @returns the time; shorter where tickets are not valid for long, as none would do otherwise
+ */
+export function getMinLifeAfterStopMs({ ticketValidMs }: AdviceCosts): number {
+  return Math.min(MIN_TICKET_LIFE_AFTER_STOP_MS, (ticketValidMs - TICKET_MARGIN_MS) / 2);
+}
+
 /** A ticket for one incarnation of a target. */
 interface HeldTicket {
   readonly ticket: Ticket;
--- a/tests/ticketChains.test.ts
+++ b/tests/ticketChains.test.ts
@@ -132,9 +132,9 @@
 
 describe('a run is stopped for another start', () => {
   /** Tasks of others fill all targets but one, which drains, and end one after another. */
-  function playMove(seed: number): readonly number[] {
+  function playMove(seed: number, ticketValidMs = TICKET_VALID_MS): readonly number[] {
     const world = new OwnerWorld({ seed, targetCount: 6, faults: NO_FAULTS });
-    Object.assign(world.advice, { callMs: 450, perTargetMs: 6.5, ticketValidMs: TICKET_VALID_MS });
+    Object.assign(world.advice, { callMs: 450, perTargetMs: 6.5, ticketValidMs });
     const stoppedAtMs: number[] = [];
     const gapsMs: number[] = [];
     const isMoved = (taskKey: string) => taskKey.startsWith(toSubmissionId(1));
@@ -148,7 +148,9 @@
     world.run(1_000);
     const capacity = world.targets.get(TARGET)?.capacity ?? NO_DEMAND;
     const demand = { ...capacity, memoryMb: 1 };
-    world.submit(createSubmission(1, [{ ...LASTING, taskCount: 1, demand }], { advice: 'cheap' }));
+    const submission = createSubmission(1, [{ ...LASTING, taskCount: 1, demand }]);
+    const advice = { callMs: 450, perTargetMs: 6.5, ticketValidMs };
+    world.submit({ ...submission, queue: { ...submission.queue, advice } });
     world.run(3_000);
     const fillers = [{ taskCount: 5, demand, estimateMs: 4_000 }];
     world.submit(createSubmission(2, fillers, { priority: 0 }));
@@ -170,6 +172,12 @@
     expect(gapsMs.length).toBeGreaterThan(10);
     expect(Math.max(...gapsMs)).toBeLessThan(MIN_TICKET_LIFE_AFTER_STOP_MS);
   });
+
+  // No ticket was ever valid for long enough.
+  test('also where tickets are valid for less than that', () => {
+    const gapsMs = [1, 2, 3, 4, 5].map((seed) => playMove(seed, 550)).flat();
+    expect(gapsMs.length).toBeGreaterThan(0);
+  });
 });
 
 // From the time at which a ticket was too short for a stop to its end nothing was preempted and no call was made.
