Log what the owner's time goes to

While the owner is overloaded its log told so once, and what its time went to stood in counters on the metrics address alone; the hypotheses of the incident differ in just that. A line each second while it is overloaded, each 5 s otherwise: processor, garbage collection, time and number by kind of work.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 
 import { hideBin } from 'yargs/helpers';
 import yargs from 'yargs';
+import { burst } from './burst';
 import { capacity } from './capacity';
 import { charge } from './charge';
 import { configuration } from './configuration';
@@ -24,6 +25,7 @@
 import type { Benchmark, Figure } from './types';
 
 const BENCHMARKS: readonly Benchmark[] = [
+  burst,
   capacity,
   charge,
   configuration,
--- a/src/node/ownerLoad.ts
+++ b/src/node/ownerLoad.ts
@@ -1,11 +1,13 @@
 /** Measures how busy the owner's process is and what its thread spends the time on. */
 
 import { performance } from 'node:perf_hooks';
+import { CollectionTimes } from '../observe/collectionTimes';
 import type { Logger } from '../observe/logger';
 import type { Metrics } from '../observe/metrics';
 import type { OwnerEffect } from '../owner/types';
 import { assertNever } from '../types/debug';
 import type { Epoch } from '../types/ids';
+import { WorkSums } from './workSums';
 
 /** Processor time that one thread can use, in thousandths of a core. */
 const ONE_THREAD_MILLIS = 1_000;
@@ -17,6 +19,10 @@
 const OVERLOADED_SHARE = 0.8;
 const RELIEVED_SHARE = 0.6;
 
+/** Interval at which the load is logged while the owner is overloaded, and otherwise. */
+const OVERLOAD_LOG_INTERVAL_MS = 1_000;
+const LOG_INTERVAL_MS = 5_000;
+
 /** Percentile of the delay that is logged. */
 const LOGGED_DELAY_FRACTION = 0.99;
 
@@ -30,8 +36,12 @@
   processorMicros(): number;
   /** Time in which the event loop was not waiting for events. */
   activeMs(): number;
+  /** Time of garbage collections since the first reading. */
+  collectionMs(): number;
 }
 
+const COLLECTION_TIMES = new CollectionTimes();
+
 const PROCESS_SOURCES: LoadSources = {
   nowMs: () => performance.now(),
   processorMicros: () => {
@@ -39,6 +49,7 @@
     return user + system;
   },
   activeMs: () => performance.eventLoopUtilization().active,
+  collectionMs: () => COLLECTION_TIMES.readMs(),
 };
 
 /** What waits for the owner or for its calls. */
@@ -112,6 +123,17 @@
 
   #isOverloaded = false;
 
+  /** What has been measured since the last line about the load. */
+  #loggedWork = new WorkSums();
+
+  #loggedAtMs: number;
+
+  #loggedMicros: number;
+
+  #loggedActiveMs: number;
+
+  #loggedCollectionMs: number;
+
   /**
    * @param ports - logger, metrics and capacity
    * @param sources - readings of the process
@@ -123,6 +145,10 @@
     this.#windowStartMs = sources.nowMs();
     this.#windowStartMicros = sources.processorMicros();
     this.#windowStartActiveMs = sources.activeMs();
+    this.#loggedAtMs = this.#windowStartMs;
+    this.#loggedMicros = this.#windowStartMicros;
+    this.#loggedActiveMs = this.#windowStartActiveMs;
+    this.#loggedCollectionMs = sources.collectionMs();
   }
 
   /** Begins a piece of work; the next one begins where this one ends. */
@@ -137,6 +163,7 @@
   endWork(work: string): void {
     const nowMs = this.#sources.nowMs();
     this.#add(work, nowMs - this.#lapStartMs);
+    this.#loggedWork.add(work, nowMs - this.#lapStartMs);
     this.#lapStartMs = nowMs;
   }
 
@@ -173,6 +200,7 @@
     this.#windowStartActiveMs = activeMs;
     this.#countWork();
     this.#setLoad(usedMillis);
+    this.#logLoad(nowMs);
     this.#delaysMs = [];
   }
 
@@ -210,6 +238,34 @@
     else logger.info(fields, 'owner no longer overloaded');
   }
 
+  /** Tells what the time goes to, more often while there is too little of it. */
+  #logLoad(nowMs: number): void {
+    const elapsedMs = nowMs - this.#loggedAtMs;
+    if (elapsedMs < (this.#isOverloaded ? OVERLOAD_LOG_INTERVAL_MS : LOG_INTERVAL_MS)) return;
+    const { logger, epoch, processorMillis } = this.#ports;
+    const micros = this.#sources.processorMicros();
+    const activeMs = this.#sources.activeMs();
+    const collectionMs = this.#sources.collectionMs();
+    logger.info(
+      {
+        epoch,
+        elapsedMs: Math.round(elapsedMs),
+        usedMillis: Math.round((micros - this.#loggedMicros) / elapsedMs),
+        processorMillis,
+        activeMs: Math.round(activeMs - this.#loggedActiveMs),
+        collectionMs: Math.round(collectionMs - this.#loggedCollectionMs),
+        work: this.#loggedWork.takeLongest(),
+        delayP99Ms: this.#getDelayMs(LOGGED_DELAY_FRACTION),
+        ...this.#ports.getBacklog(),
+      },
+      'owner load',
+    );
+    this.#loggedAtMs = nowMs;
+    this.#loggedMicros = micros;
+    this.#loggedActiveMs = activeMs;
+    this.#loggedCollectionMs = collectionMs;
+  }
+
   #getDelayMs(fraction: number): number {
     const sorted = [...this.#delaysMs].sort((left, right) => left - right);
     return Math.round(sorted[Math.ceil(sorted.length * fraction) - 1] ?? 0);
--- a/tests/ownerLoad.test.ts
+++ b/tests/ownerLoad.test.ts
@@ -8,6 +8,7 @@
 import { createSubmission, NO_FAULTS, OwnerWorld } from './support/ownerWorld';
 
 const TICK_INTERVAL_MS = 10;
+const LOAD_MESSAGE = 'owner load';
 
 interface Line {
   readonly msg: string;
@@ -44,6 +45,7 @@
         nowMs: () => this.nowMs,
         processorMicros: () => this.#micros,
         activeMs: () => this.#activeMs,
+        collectionMs: () => this.#activeMs / 10,
       },
     );
   }
@@ -58,11 +60,21 @@
     }
   }
 
-  readLines(): readonly Line[] {
+  #readAll(): readonly Line[] {
     const text = String(this.#stream.read() ?? '').trimEnd();
     return text === '' ? [] : text.split('\n').map((line) => JSON.parse(line) as Line);
   }
 
+  /** Reads the lines that mark a change. */
+  readLines(): readonly Line[] {
+    return this.#readAll().filter(({ msg }) => msg !== LOAD_MESSAGE);
+  }
+
+  /** Reads the lines that come at intervals. */
+  readLoadLines(): readonly Line[] {
+    return this.#readAll().filter(({ msg }) => msg === LOAD_MESSAGE);
+  }
+
   getCounter(name: string): number | undefined {
     return this.metrics.dump().counters.find((counter) => counter.name === name)?.value;
   }
@@ -88,6 +100,24 @@
   expect(fixture.readLines()).toEqual([]);
 });
 
+test('what the time goes to is logged each second while the owner is overloaded, and else each five', () => {
+  const fixture = new LoadFixture(500);
+  for (let second = 0; second < 5; second += 1) fixture.runSecond(0.2);
+  expect(fixture.readLoadLines()).toHaveLength(1);
+  fixture.load.beginWork();
+  fixture.nowMs += 4;
+  fixture.load.endWork('decide_tick');
+  fixture.runSecond(0.45);
+  fixture.runSecond(0.45);
+  const lines = fixture.readLoadLines();
+  expect(lines).toHaveLength(2);
+  expect(lines[0]).toMatchObject({
+    ...{ epoch: 3, processorMillis: 500, activeMs: 450, collectionMs: 45 },
+    ...{ work: { decide_tick: { count: 1, ms: 4 } }, readyStepCount: 5, callsInFlightCount: 7 },
+  });
+  expect(lines[1]).toMatchObject({ usedMillis: 450, work: {} });
+});
+
 test('a larger machine does not help the one thread', () => {
   const fixture = new LoadFixture(4_000);
   fixture.runSecond(0.9);
--- a/tests/support/adviceModel.ts
+++ b/tests/support/adviceModel.ts
@@ -2,7 +2,8 @@
 
 import * as E from 'fp-ts/Either';
 import type { Advice, AdviceFailure } from '../../src/owner/types';
-import type { StepKey, TargetId, Ticket } from '../../src/types/ids';
+import type { NodeId, StepKey, TargetId, Ticket } from '../../src/types/ids';
+import type { AdviceCosts } from '../../src/work/types';
 import { getAdvice } from './worldChecks';
 
 /** An answer and the time after which it arrives. */
@@ -25,9 +26,19 @@
 
   ticketValidMs = 2_500;
 
+  /** Number of nodes through which one call at a time is made. */
+  laneCount = 3;
+
+  /** Gets the costs of a call for a step; without it the times above hold for all. */
+  getCosts: ((stepKey: StepKey) => AdviceCosts | undefined) | undefined;
+
   /** Whether tickets tell when they were issued, which {@link AdviceModel.getIssuedAtMs} reads. */
   areTicketsDated = false;
 
+  get laneIds(): readonly NodeId[] {
+    return Array.from({ length: this.laneCount }, (_, index) => `n-${index + 1}` as NodeId);
+  }
+
   /** Gets the time at which a dated ticket was issued. */
   static getIssuedAtMs(ticket: Ticket): number {
     return Number(ticket.split('@')[1]);
@@ -35,7 +46,8 @@
 
   /** Decides a call. */
   answer(stepKey: StepKey, targetIds: readonly TargetId[], nowMs: number): ModelAnswer {
-    const decisionMs = this.callMs + this.perTargetMs * targetIds.length;
+    const { callMs, perTargetMs, ticketValidMs } = this.getCosts?.(stepKey) ?? this;
+    const decisionMs = callMs + perTargetMs * targetIds.length;
     const delayMs = decisionMs + this.transitMs;
     if (!this.isAvailable) return { result: E.left({ kind: 'busy' }), delayMs };
     const { grants: undated } = getAdvice(stepKey, targetIds);
@@ -43,6 +55,6 @@
     const grants = this.areTicketsDated
       ? undated.map(({ targetId }) => ({ targetId, ticket }))
       : undated;
-    return { result: E.right({ grants, validMs: this.ticketValidMs }), delayMs };
+    return { result: E.right({ grants, validMs: ticketValidMs }), delayMs };
   }
 }
--- a/tests/support/ownerWorld.ts
+++ b/tests/support/ownerWorld.ts
@@ -9,7 +9,7 @@
 import type { PollCall, StartCall } from '../../src/node/ports';
 import { Random } from '../../src/types/random';
 import { toEpoch } from '../../src/types/ids';
-import type { NodeId, SubmissionId, TargetId, TaskKey } from '../../src/types/ids';
+import type { SubmissionId, TargetId, TaskKey } from '../../src/types/ids';
 import type { EndKind, StepSpec, Submission, TaskDemand } from '../../src/work/types';
 import { FakeTarget, type FakeRun, type RunPlan } from '../../standins/fakeTarget';
 import { DirectNetwork } from './directNetwork';
@@ -230,7 +230,7 @@
     this.#owners.push(owner);
     this.parts.begin();
     this.readOperator();
-    this.#dispatch(owner, { kind: 'lanesChanged', nodeIds: ['n-1', 'n-2', 'n-3'] as NodeId[] });
+    this.#dispatch(owner, { kind: 'lanesChanged', nodeIds: this.advice.laneIds });
     const entries = this.registry?.entries ?? [...this.targets.values()].map(({ entry }) => entry);
     this.#dispatch(owner, this.registryListing ?? { kind: 'targetsListed', entries });
     this.#tick(owner);
