Leave most of the owner's thread to calls while planning passes take long

Cause: a pass was due a fixed time, at most 60 ms, after the last one had begun. Now the pause counts from the end of a pass and is twice its duration, at most 150 ms. In virtual time passes take no time, so decisions of simulations do not change. The histogram planning_pass shows the durations.

--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -174,7 +174,10 @@
     const record = decodeTargetRecord(this.#epoch, usedTargets.rows, ownership.rows, readAt);
     const clocks = this.#getClockReadings();
     const lapseMs = this.#ports.registry.lapseMs ?? 0;
-    this.#core = new OwnerCore(this.#epoch, submissions, clocks, maxLeaseMs, record, lapseMs);
+    this.#core = new OwnerCore(
+      ...([this.#epoch, submissions, clocks, maxLeaseMs, record, lapseMs] as const),
+      () => performance.now(),
+    );
     if (!unread.isEmpty) {
       unread.logStart();
       this.#dispatch(unread.describe());
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -12,6 +12,7 @@
 import { TargetPoller } from './targetPoller';
 import { Occurrences } from './occurrences';
 import { OwnerState } from './ownerState';
+import { PassPacer } from './passPacer';
 import { Planner } from './planner';
 import { RunManager } from './runManager';
 import { RunResponses } from './runResponses';
@@ -37,21 +38,15 @@
 /** Interval between checks for expired submissions. */
 const CLEANUP_INTERVAL_MS = 5_000;
 
-/** Minimum interval between planning passes, so that a burst of events leads to a single pass. */
-const MIN_PLAN_INTERVAL_MS = 8;
-
-/** Added to the interval for each waiting step, so that a long queue does not use the whole processor. */
-const PLAN_INTERVAL_PER_STEP_MS = 0.25;
-
-/** Upper bound of that interval, as waiting steps get neither targets nor advice between passes. */
-const MAX_PLAN_INTERVAL_MS = 60;
-
-/** Interval of planning passes that run without a preceding change. */
-const REPLAN_INTERVAL_MS = 200;
-
 /** Without a record, every registered target may hold runs of a former owner. */
 const NO_RECORD: StoredTargetRecord = { isComplete: false, targets: [], malformed: [] };
 
+/** Reads a clock in milliseconds that runs while code does. */
+export type Stopwatch = () => number;
+
+/** In virtual time code takes no time. */
+const STOPPED: Stopwatch = () => 0;
+
 /** Schedules the runs of the fleet, that is, of all targets. */
 export class OwnerCore {
   #state: OwnerState;
@@ -88,9 +83,9 @@
 
   #nextCleanupAtMs = 0;
 
-  #nextReplanAtMs = 0;
+  #pacer = new PassPacer();
 
-  #nextPlanAtMs = 0;
+  #stopwatch: Stopwatch;
 
   #areTeamRatesSet = false;
 
@@ -101,6 +96,7 @@
    * @param maxLeaseMs - longest lease that a target grants, on its own clock
    * @param record - the stored record of the targets that former owners used
    * @param registryLapseMs - time of silence after which the registry drops a target at the earliest; 0 if not known
+   * @param stopwatch - measures the duration of planning passes
    */
   constructor(
     epoch: Epoch,
@@ -109,7 +105,9 @@
     maxLeaseMs = DEFAULT_MAX_LEASE_MS,
     record: StoredTargetRecord = NO_RECORD,
     registryLapseMs: number | undefined = undefined,
+    stopwatch: Stopwatch = STOPPED,
   ) {
+    this.#stopwatch = stopwatch;
     this.#state = new OwnerState(epoch, maxLeaseMs, record, registryLapseMs);
     this.#state.setClocks(clocks);
     this.#state.setFormerAuthorityEnd(clocks.steadyMs + OWNER_AUTHORITY_MS);
@@ -351,24 +349,27 @@
   /** Work that is due after every event: planning, polls and writes. */
   #runFollowUps(event: OwnerEvent): void {
     const { nowMs, writer } = this.#state;
-    if (nowMs >= this.#nextReplanAtMs) {
-      this.#nextReplanAtMs = nowMs + REPLAN_INTERVAL_MS;
-      this.#state.isPlanDue = true;
-    }
-    if (this.#state.isPlanDue && nowMs >= this.#nextPlanAtMs) {
-      const intervalMs = MIN_PLAN_INTERVAL_MS + this.#state.ready.size * PLAN_INTERVAL_PER_STEP_MS;
-      this.#nextPlanAtMs = nowMs + Math.min(intervalMs, MAX_PLAN_INTERVAL_MS);
-      this.#state.isPlanDue = false;
-      this.#recorder.refresh();
-      this.#planner.plan();
-      this.#adviceDispatcher.dispatch();
-    }
+    if (this.#pacer.takeReplan(nowMs)) this.#state.isPlanDue = true;
+    if (this.#state.isPlanDue && this.#pacer.isPassAllowed(nowMs)) this.#runPass();
     this.#pollTargets(event);
     this.#handover.check(event.kind);
     const write = writer.tryCreateBatch(nowMs);
     if (write !== undefined) this.#state.emit(write);
   }
 
+  #runPass(): void {
+    const { nowMs, ready } = this.#state;
+    const waitingStepCount = ready.size;
+    const startedAtMs = this.#stopwatch();
+    this.#state.isPlanDue = false;
+    this.#recorder.refresh();
+    this.#planner.plan();
+    this.#adviceDispatcher.dispatch();
+    const durationMs = this.#stopwatch() - startedAtMs;
+    this.#pacer.onPass(nowMs, waitingStepCount, durationMs);
+    this.#state.emit({ kind: 'record', name: 'planning_pass', durationMs });
+  }
+
   /** Polls all targets on a tick; between ticks only the target of the event. */
   #pollTargets(event: OwnerEvent): void {
     if (event.kind === 'tick') {
