--- a/src/owner/adviceChoice.ts
+++ b/src/owner/adviceChoice.ts
@@ -62,8 +62,16 @@
   return (fittingTaskCount > 0 ? 0 : 2) + (isApproved ? 0 : 1);
 }
 
+function isSortedByFreeCpu(ratedTargets: readonly RatedTarget[]): boolean {
+  return ratedTargets.every(
+    ({ freeCpuMillis }, index) =>
+      index === 0 || (ratedTargets[index - 1]?.freeCpuMillis ?? 0) >= freeCpuMillis,
+  );
+}
+
 /** Many targets have the same free capacity, so few amounts have to be sorted. */
-function sortByFreeCpu(ratedTargets: readonly RatedTarget[]): RatedTarget[] {
+function sortByFreeCpu(ratedTargets: readonly RatedTarget[]): readonly RatedTarget[] {
+  if (isSortedByFreeCpu(ratedTargets)) return ratedTargets;
   const byFreeCpu = new Map<number, RatedTarget[]>();
   ratedTargets.forEach((rated) => {
     const same = byFreeCpu.get(rated.freeCpuMillis);
--- a/src/owner/adviceDispatcher.ts
+++ b/src/owner/adviceDispatcher.ts
@@ -25,6 +25,8 @@
 } from './constants';
 import { chooseTargetsToQuery, countFittingTasks, isFurtherAdviceUseful } from './adviceChoice';
 import { sortForAdvice } from './adviceOrder';
+import type { AdviceDemand } from './adviceOrder';
+import { EmptiestFirst } from './emptiestFirst';
 import { getRunRemainingEstimateMs, LimitForecast } from './limitForecast';
 import type { OwnerState } from './ownerState';
 import { RoomyTargets } from './roomyTargets';
@@ -211,10 +213,11 @@
     this.#state.adviceUsage.check(this.#lanes);
     const idleLanes = this.#lanes.filter((lane) => !lane.isBusy && lane.notBeforeMs <= nowMs);
     if (idleLanes.length === 0) return;
+    const emptiest = new EmptiestFirst();
     this.#getStepsInOrder().forEach((step) => {
       // Targets are chosen only while a lane is idle that may take the call.
       const isLaneIdle = idleLanes.some(({ isShortOnly }) => !isShortOnly || mayBeShort(step));
-      const request = isLaneIdle ? this.#createRequest(step) : undefined;
+      const request = isLaneIdle ? this.#createRequest(step, emptiest) : undefined;
       if (request === undefined) return;
       const isShort = getCallMs(request.costs, request.targetIds.length) <= SHORT_ADVICE_MS;
       const position = idleLanes.findIndex((lane) => isShort === lane.isShortOnly);
@@ -255,19 +258,18 @@
   #getStepsInOrder(): readonly StepState[] {
     const roomyTargets = new RoomyTargets(() => true);
     const { wallMs, teamLimits } = this.#state;
-    const steps = this.#getStepsNeedingAdvice(roomyTargets);
-    // A task that is to be moved is stopped first, so that the limit does not keep it back.
-    const isKeptBack = (step: StepState) =>
-      step.relocatingCount === 0 && teamLimits.isReached(step);
-    const demands = steps
-      .filter((step) => !isKeptBack(step))
-      .map((step) => ({
-        step,
-        isUrgent: mayBeShort(step) || this.#getTargetsToRenew(step).length > 0,
-        hasRoom: this.#hasRoom(step, roomyTargets),
-      }));
-    const keptBack = this.#getDueAtLimit(sortSteps(steps.filter(isKeptBack), wallMs));
-    return [...sortForAdvice(demands, wallMs), ...keptBack];
+    const keptBack: StepState[] = [];
+    const demands: AdviceDemand[] = [];
+    this.#getStepsNeedingAdvice(roomyTargets).forEach((step) => {
+      // A task that is to be moved is stopped first, so that the limit does not keep it back.
+      if (step.relocatingCount === 0 && teamLimits.isReached(step)) {
+        keptBack.push(step);
+        return;
+      }
+      const isUrgent = mayBeShort(step) || this.#getTargetsToRenew(step).length > 0;
+      demands.push({ step, isUrgent, hasRoom: isUrgent || this.#hasRoom(step, roomyTargets) });
+    });
+    return [...sortForAdvice(demands, wallMs), ...this.#getDueAtLimit(keptBack)];
   }
 
   #hasRoom(step: StepState, roomyTargets: RoomyTargets): boolean {
@@ -283,13 +285,13 @@
    * Of steps that their teams' limits keep back, those with short calls and the first of each team, if runs of their
    * teams end while a ticket is valid.
    */
-  #getDueAtLimit(sorted: readonly StepState[]): readonly StepState[] {
-    const { nowMs } = this.#state;
+  #getDueAtLimit(steps: readonly StepState[]): readonly StepState[] {
+    const { nowMs, wallMs } = this.#state;
+    const due = steps.filter((step) => this.#forecast.isEndExpected(step, getLeadMs(step), nowMs));
     const teamsWithLongCall = new Set<TeamId>();
-    return sorted.filter((step) => {
-      const { teamId } = step.record.submission;
-      if (!this.#forecast.isEndExpected(step, getLeadMs(step), nowMs)) return false;
+    return sortSteps(due, wallMs).filter((step) => {
       if (mayBeShort(step)) return true;
+      const { teamId } = step.record.submission;
       const isFirst = !teamsWithLongCall.has(teamId);
       teamsWithLongCall.add(teamId);
       return isFirst;
@@ -350,7 +352,7 @@
     );
   }
 
-  #createRequest(step: StepState): AdviceRequest | undefined {
+  #createRequest(step: StepState, emptiest: EmptiestFirst): AdviceRequest | undefined {
     const costs = step.record.queue.advice;
     if (costs === undefined) return undefined;
     const { nowMs } = this.#state;
@@ -359,7 +361,7 @@
     const isRenewal = renewed.length > 0 && step.advice.hasUsableTicket(nowMs);
     const others = isRenewal
       ? []
-      : chooseTargetsToQuery(step, this.#getCandidates(step), costs, nowMs);
+      : chooseTargetsToQuery(step, this.#getCandidates(step, emptiest), costs, nowMs);
     const targetIds = [...new Set([...renewed, ...others].map((target) => target.id))].slice(
       0,
       ADVICE_MAX_TARGETS,
@@ -368,9 +370,11 @@
   }
 
   /** Eligible targets that may be used now, without those that the service has refused. */
-  #getCandidates(step: StepState): TargetState[] {
+  #getCandidates(step: StepState, emptiest: EmptiestFirst): TargetState[] {
     const { eligibleTargets, nowMs } = this.#state;
-    return eligibleTargets.get(step).filter((target) => isCandidate(step, target, nowMs));
+    return emptiest
+      .sort(eligibleTargets.get(step))
+      .filter((target) => isCandidate(step, target, nowMs));
   }
 
   /** Checks whether all dependencies of a step are expected to be done while a ticket requested now is valid. */
@@ -386,7 +390,12 @@
   #getRemainingMs(step: StepState): number {
     if (step.waiting.size > 0) return Number.POSITIVE_INFINITY;
     const { nowMs } = this.#state;
-    const remaining = step.getRuns().map((run) => getRunRemainingEstimateMs(run, nowMs));
-    return Math.max(0, ...remaining);
+    let longestMs = 0;
+    step.runs.forEach((runs) =>
+      runs.forEach((run) => {
+        longestMs = Math.max(longestMs, getRunRemainingEstimateMs(run, nowMs));
+      }),
+    );
+    return longestMs;
   }
 }
