--- a/bench/burst.ts
+++ b/bench/burst.ts
@@ -57,13 +57,12 @@
   advice: COSTLY_ADVICE,
 };
 
-/** Factors on the rates of urgent and of batch submissions, in this order. */
+/** Factors on the rates of urgent and of batch submissions; work of `backlogMs` is submitted at once before a phase. */
 const PHASES = [
-  { name: 'usual', durationMs: 6_000, urgent: 1, batch: 1 },
-  { name: 'burst of urgent work', durationMs: 4_000, urgent: 2.2, batch: 1 },
-  { name: 'after it', durationMs: 4_000, urgent: 1, batch: 1 },
-  { name: 'burst of batch work', durationMs: 4_000, urgent: 1, batch: 1.9 },
-  { name: 'end', durationMs: 4_000, urgent: 1, batch: 1 },
+  { name: 'usual', durationMs: 6_000, urgent: 1, batch: 1, backlogMs: 0 },
+  { name: 'burst of urgent work', durationMs: 4_000, urgent: 2.2, batch: 1, backlogMs: 0 },
+  { name: 'burst of batch work', durationMs: 4_000, urgent: 1, batch: 1.9, backlogMs: 0 },
+  { name: 'backlog', durationMs: 6_000, urgent: 1, batch: 1, backlogMs: 15_000 },
 ] as const;
 
 const TEAM_COUNT = 29;
@@ -116,7 +115,9 @@
   measure(): readonly Figure[] {
     this.#world.takeOver();
     this.#play(WARM_UP_MS, 1, 1);
-    return PHASES.flatMap(({ name, durationMs, urgent, batch }) => {
+    return PHASES.flatMap(({ name, durationMs, urgent, batch, backlogMs }) => {
+      this.#submitDue(URGENT, backlogMs);
+      this.#submitDue(BATCH, backlogMs);
       const startsBefore = this.#world.startCount;
       this.#waits = [];
       this.#times.clear();
@@ -154,16 +155,17 @@
   #play(durationMs: number, urgent: number, batch: number): void {
     const endMs = this.#world.time.nowMs + durationMs;
     while (this.#world.time.nowMs < endMs) {
-      this.#submitDue(URGENT, urgent);
-      this.#submitDue(BATCH, batch);
-      this.#submitDue(LASTING, 1);
+      this.#submitDue(URGENT, urgent * STEP_MS);
+      this.#submitDue(BATCH, batch * STEP_MS);
+      this.#submitDue(LASTING, STEP_MS);
       this.#world.run(STEP_MS);
     }
   }
 
-  #submitDue(kind: LoadKind, factor: number): void {
+  /** Submits what comes in a time at the usual rate. */
+  #submitDue(kind: LoadKind, durationMs: number): void {
     const scale = this.#targetCount / FULL_TARGET_COUNT;
-    const added = (kind.perSecond * scale * factor * STEP_MS) / MS_PER_SECOND;
+    const added = (kind.perSecond * scale * durationMs) / MS_PER_SECOND;
     let due = (this.#due.get(kind) ?? 0) + added;
     for (; due >= 1; due -= 1) this.#submit(kind);
     this.#due.set(kind, due);
