--- a/tests/passPacer.test.ts
+++ b/tests/passPacer.test.ts
@@ -38,7 +38,7 @@
   expect(playPasses(400).longestPauseMs).toBeLessThanOrEqual(160);
 });
 
-test('short passes follow each other as before', () => {
+test('short passes follow each other at a fixed interval', () => {
   const pacer = new PassPacer();
   pacer.onPass(0, 0, 1);
   expect(pacer.isPassAllowed(8)).toBe(false);
