--- a/bench/burst.ts
+++ b/bench/burst.ts
@@ -21,7 +21,7 @@
 ] as const;
 const FULL_TARGET_COUNT = 378;
 
-/** Properties of one kind of submissions. */
+/** A kind of submissions; numbers, durations and demands vary by half around the given ones. */
 interface LoadKind {
   readonly perSecond: number;
   readonly stepCount: number;
@@ -92,6 +92,7 @@
 
   #targetCount: number;
 
+  /** @param size - number of targets and nodes */
   constructor({ targetCount, nodeCount }: (typeof SIZES)[number]) {
     this.#targetCount = targetCount;
     const limitMillis =
@@ -112,6 +113,7 @@
     };
   }
 
+  /** Plays all phases and returns the figures of each. */
   measure(): readonly Figure[] {
     this.#world.takeOver();
     this.#play(WARM_UP_MS, 1, 1);
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -12,7 +12,8 @@
 import { TargetPoller } from './targetPoller';
 import { Occurrences } from './occurrences';
 import { OwnerState } from './ownerState';
-import { PassPacer } from './passPacer';
+import { getPlanIntervalMs, STOPPED } from './passTiming';
+import type { Stopwatch } from './passTiming';
 import { Planner } from './planner';
 import { RunManager } from './runManager';
 import { RunResponses } from './runResponses';
@@ -38,15 +39,12 @@
 /** Interval between checks for expired submissions. */
 const CLEANUP_INTERVAL_MS = 5_000;
 
+/** Interval of planning passes that run without a preceding change. */
+const REPLAN_INTERVAL_MS = 200;
+
 /** Without a record, every registered target may hold runs of a former owner. */
 const NO_RECORD: StoredTargetRecord = { isComplete: false, targets: [], malformed: [] };
 
-/** Reads a clock in milliseconds that runs while code does. */
-export type Stopwatch = () => number;
-
-/** In virtual time code takes no time. */
-const STOPPED: Stopwatch = () => 0;
-
 /** Schedules the runs of the fleet, that is, of all targets. */
 export class OwnerCore {
   #state: OwnerState;
@@ -83,7 +81,9 @@
 
   #nextCleanupAtMs = 0;
 
-  #pacer = new PassPacer();
+  #nextReplanAtMs = 0;
+
+  #nextPlanAtMs = 0;
 
   #stopwatch: Stopwatch;
 
@@ -349,8 +349,14 @@
   /** Work that is due after every event: planning, polls and writes. */
   #runFollowUps(event: OwnerEvent): void {
     const { nowMs, writer } = this.#state;
-    if (this.#pacer.takeReplan(nowMs)) this.#state.isPlanDue = true;
-    if (this.#state.isPlanDue && this.#pacer.isPassAllowed(nowMs)) this.#runPass();
+    if (nowMs >= this.#nextReplanAtMs) {
+      this.#nextReplanAtMs = nowMs + REPLAN_INTERVAL_MS;
+      this.#state.isPlanDue = true;
+    }
+    if (this.#state.isPlanDue && nowMs >= this.#nextPlanAtMs) {
+      this.#nextPlanAtMs = nowMs + getPlanIntervalMs(this.#state.ready.size);
+      this.#runPass();
+    }
     this.#pollTargets(event);
     this.#handover.check(event.kind);
     const write = writer.tryCreateBatch(nowMs);
@@ -358,15 +364,12 @@
   }
 
   #runPass(): void {
-    const { nowMs, ready } = this.#state;
-    const waitingStepCount = ready.size;
     const startedAtMs = this.#stopwatch();
     this.#state.isPlanDue = false;
     this.#recorder.refresh();
     this.#planner.plan();
     this.#adviceDispatcher.dispatch();
     const durationMs = this.#stopwatch() - startedAtMs;
-    this.#pacer.onPass(nowMs, waitingStepCount, durationMs);
     this.#state.emit({ kind: 'record', name: 'planning_pass', durationMs });
   }
 
