--- a/tests/ownerIndexes.test.ts
+++ b/tests/ownerIndexes.test.ts
@@ -4,6 +4,7 @@
 import { chooseTargetsToQuery, isFurtherAdviceUseful } from '../src/owner/adviceChoice';
 import { CandidateCosts, chooseCandidate } from '../src/owner/candidates';
 import type { Candidate } from '../src/owner/candidates';
+import { EmptiestFirst } from '../src/owner/emptiestFirst';
 import { isTargetEligible } from '../src/owner/placement';
 import { PreemptionTable } from '../src/owner/preemption';
 import { PassCosts } from '../src/owner/passCosts';
@@ -174,6 +175,10 @@
           const selected = chooseTargetsToQuery(step, targets, costs, NOW_MS);
           const expected = choosePlainTargetsToQuery(step, targets, costs);
           expect(selected.map(({ id }) => id)).toEqual(expected.map(({ id }) => id));
+          const emptiest = new EmptiestFirst();
+          const sorted = emptiest.sort(targets);
+          expect(emptiest.sort(targets)).toBe(sorted);
+          expect(chooseTargetsToQuery(step, sorted, costs, NOW_MS)).toEqual(selected);
           expect(isFurtherAdviceUseful(step, targets, () => true, NOW_MS)).toBe(
             isPlainFurtherAdviceUseful(step, targets, NOW_MS),
           );
