--- a/tests/untrustedClients.test.ts
+++ b/tests/crowds/untrustedClients.test.ts
@@ -8,8 +8,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { build } from 'esbuild';
-import { Fleet } from '../bench/fleet/fleet';
-import { NO_DEMAND } from '../src/work/types';
+import { Fleet } from '../../bench/fleet/fleet';
+import { NO_DEMAND } from '../../src/work/types';
 import {
   HostileCrowd,
   IDLE,
@@ -17,7 +17,7 @@
   ONE_BYTE_CHUNKS,
   PIPELINED,
   TRAILERS,
-} from './support/hostileClients';
+} from '../support/hostileClients';
 
 const TEST_TIMEOUT_MS = 120_000;
 const ANSWER_TIMEOUT_MS = 60_000;
--- /dev/null
+++ b/tests/support/processWatch.ts
@@ -0,0 +1,92 @@
+/** Memory and descriptors that a machine counts for a process, from the proc file system of Linux. */
+
+import { existsSync, readdirSync, readFileSync } from 'node:fs';
+
+const SAMPLE_INTERVAL_MS = 50;
+const KB_PER_MB = 1_024;
+const BYTES_PER_MB = 1_048_576;
+const HEX = 16;
+const LISTENING_STATE = '0A';
+const SOCKET_TABLES = ['/proc/net/tcp', '/proc/net/tcp6'];
+
+/** Resident memory of a process; 0 when it has ended. */
+function readResidentMb(pid: number): number {
+  try {
+    const text = readFileSync(`/proc/${pid}/status`, 'utf8');
+    return Number(/VmRSS:\s+(\d+)/.exec(text)?.[1] ?? 0) / KB_PER_MB;
+  } catch {
+    return 0;
+  }
+}
+
+/** Number of open descriptors of a process; 0 when it has ended. */
+function countDescriptors(pid: number): number {
+  try {
+    return readdirSync(`/proc/${pid}/fd`).length;
+  } catch {
+    return 0;
+  }
+}
+
+/** Bytes that the kernel holds for a port, those of connections that are not accepted yet included. */
+function readUnreadMb(port: number): number {
+  const portText = port.toString(HEX).toUpperCase().padStart(4, '0');
+  const lines = SOCKET_TABLES.filter((path) => existsSync(path)).flatMap((path) =>
+    readFileSync(path, 'utf8').split('\n').slice(1),
+  );
+  const unreadBytes = lines.reduce((sum, line) => {
+    const [, local, , state, queues] = line.trim().split(/\s+/);
+    // The receive queue of a listening socket is a number of connections.
+    if (local === undefined || !local.endsWith(`:${portText}`) || state === LISTENING_STATE)
+      return sum;
+    return sum + parseInt(queues?.split(':')[1] ?? '0', HEX);
+  }, 0);
+  return unreadBytes / BYTES_PER_MB;
+}
+
+/** Follows a process for as long as it lives and keeps the peaks. */
+export class ProcessWatch {
+  /** Resident memory at the first sample. */
+  readonly startMb: number;
+
+  residentMb = 0;
+
+  unreadMb = 0;
+
+  /** Peak of the sum of resident memory and unread bytes at the same moment. */
+  countedMb = 0;
+
+  descriptorCount = 0;
+
+  #pid: number;
+
+  #port: number;
+
+  #timer: NodeJS.Timeout;
+
+  /**
+   * @param pid - the process
+   * @param port - its port that clients connect to
+   */
+  constructor(pid: number, port: number) {
+    this.#pid = pid;
+    this.#port = port;
+    this.startMb = readResidentMb(pid);
+    this.#timer = setInterval(() => this.#sample(), SAMPLE_INTERVAL_MS);
+  }
+
+  /** Takes a last sample and stops. */
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#sample();
+  }
+
+  #sample(): void {
+    const residentMb = readResidentMb(this.#pid);
+    const unreadMb = readUnreadMb(this.#port);
+    this.residentMb = Math.max(this.residentMb, residentMb);
+    this.unreadMb = Math.max(this.unreadMb, unreadMb);
+    this.countedMb = Math.max(this.countedMb, residentMb + unreadMb);
+    this.descriptorCount = Math.max(this.descriptorCount, countDescriptors(this.#pid));
+  }
+}
--- a/tools/runTests.mjs
+++ b/tools/runTests.mjs
@@ -17,19 +17,27 @@
     .map((line) => line.slice('test: '.length).trim());
 };
 
-const run = spawnSync('npx', ['jest', '--ci', '--json', `--outputFile=${reportFile}`], {
-  stdio: ['ignore', 'ignore', 'inherit'],
-});
-if (!existsSync(reportFile)) {
-  console.error(`jest wrote no report (exit status ${run.status})`);
-  process.exit(1);
-}
-const report = JSON.parse(readFileSync(reportFile, 'utf8'));
+const runSuites = (configFile) => {
+  rmSync(reportFile, { force: true });
+  const run = spawnSync(
+    'npx',
+    ['jest', '--ci', '--json', `--config=${configFile}`, `--outputFile=${reportFile}`],
+    { stdio: ['ignore', 'ignore', 'inherit'] },
+  );
+  if (!existsSync(reportFile)) {
+    console.error(`jest wrote no report (exit status ${run.status})`);
+    process.exit(1);
+  }
+  return JSON.parse(readFileSync(reportFile, 'utf8')).testResults;
+};
+
+// Crowds of clients are measured one at a time, apart from all other tests.
+const suites = ['jest.config.json', 'jest.crowds.config.json'].flatMap(runSuites);
 rmSync(directory, { recursive: true });
 
 const knownRed = readKnownRed();
-const results = report.testResults.flatMap((suite) => suite.assertionResults);
-const brokenSuites = report.testResults.filter(
+const results = suites.flatMap((suite) => suite.assertionResults);
+const brokenSuites = suites.filter(
   (suite) => suite.status === 'failed' && suite.assertionResults.length === 0,
 );
 const failed = results.filter((result) => result.status === 'failed');
