Release buffers of request bodies when they are parsed or answered

Cause: each read of a socket returns a buffer of up to 64 KB outside the heap, the parser passes on a copy of the body, and a body's buffer is copied as it grows. V8 frees these with the next collection, which up to 32 MB of the new generation and 64 MB of the old one do not bring about. The budget counted only what was still referenced.

Change: the memory of a read is released after its last slice has been parsed, that of a piece once it has been copied, and that of a body with its answer or refusal, by transferring it to a closed message port. A body of known length gets one buffer of that length.

--- a/src/rpc/bodyRead.ts
+++ b/src/rpc/bodyRead.ts
@@ -7,6 +7,16 @@
 import type { Result } from '../types/outcomes';
 import { GrowingBuffer } from './growingBuffer';
 
+/**
+ * Gets the length of a body that the head of its request tells.
+ * @param message - the request
+ * @returns number of bytes; undefined for a chunked body and for a request without a body
+ */
+export function getContentLength(message: IncomingMessage): number | undefined {
+  const length = message.headers['content-length'];
+  return length === undefined ? undefined : Number(length);
+}
+
 /** A body that is being read, or is held until its request is answered. */
 export class BodyRead {
   /** The complete body, or why reading was aborted. */
@@ -14,7 +24,7 @@
 
   #message: IncomingMessage;
 
-  #buffer = new GrowingBuffer();
+  #buffer: GrowingBuffer;
 
   #countedBytes = 0;
 
@@ -41,8 +51,9 @@
     this.result = new Promise((resolve) => {
       this.#resolve = resolve;
     });
+    this.#buffer = new GrowingBuffer({ expectedBytes: getContentLength(message), isOwner: true });
     const tooLarge = createDiagnostic('bodyTooLarge', `${maxBytes} bytes`);
-    if (Number(message.headers['content-length'] ?? 0) > maxBytes) {
+    if ((getContentLength(message) ?? 0) > maxBytes) {
       this.abort(tooLarge);
       return;
     }
@@ -87,7 +98,7 @@
     this.#message.pause();
   }
 
-  /** Releases the body. */
+  /** Releases the body; the buffer that `result` resolved with is empty afterwards. */
   release(): void {
     this.#buffer.clear();
     this.#onMemory(-this.#countedBytes);
--- a/src/rpc/clientConnection.ts
+++ b/src/rpc/clientConnection.ts
@@ -8,9 +8,12 @@
 import type { Socket } from 'node:net';
 import { createDiagnostic } from '../types/diagnostics';
 import type { BodyBuffer } from './bodyBuffer';
+import { getContentLength } from './bodyRead';
 import type { BodyRead } from './bodyRead';
 import type { BudgetShare, ClientLimit } from './budgetShare';
+import { releaseBuffer } from './bufferMemory';
 import type { ConnectionBudget } from './connectionBudget';
+import { HeldInput } from './heldInput';
 import type { InputTurns } from './inputTurns';
 
 /**
@@ -71,7 +74,7 @@
   #share: BudgetShare;
 
   /** Input that has not been parsed. */
-  #input: Buffer[] = [];
+  #input = new HeldInput();
 
   #countedInputBytes = 0;
 
@@ -205,18 +208,21 @@
   }
 
   #receive(input: Buffer): void {
-    if (this.#isDiscarding) return;
-    this.#input.push(input);
+    if (this.#isDiscarding) {
+      releaseBuffer(input);
+      return;
+    }
+    this.#input.add(input);
     this.#pump();
   }
 
   #pump(): void {
     let isOver = false;
-    while (!isOver && this.#input.length > 0 && this.#canParse()) {
+    while (!isOver && !this.#input.isEmpty && this.#canParse()) {
       const request = this.#request;
       const isChunked = request !== undefined && this.#getMissingBytes(request.body) === undefined;
-      this.#parseSlice(this.#takeSlice());
-      isOver = isChunked && this.#input.length > 0;
+      this.#input.parseSlice(this.#getSliceBytes(), (slice) => this.#parseSlice(slice));
+      isOver = isChunked && !this.#input.isEmpty;
     }
     if (isOver && this.#canParse()) this.#waitForTurn();
     this.#holdInput();
@@ -251,27 +257,18 @@
 
   /** Number of bytes until the end of the body; undefined when that is not known. */
   #getMissingBytes(body: BodyRead): number | undefined {
-    const length = this.#request?.message.headers['content-length'];
-    const missingBytes = Number(length ?? 0) - body.parsedBytes;
+    const message = this.#request?.message;
+    const lengthBytes = (message && getContentLength(message)) ?? 0;
+    const missingBytes = lengthBytes - body.parsedBytes;
     return missingBytes > 0 ? missingBytes : undefined;
   }
 
-  /** Takes input that has the end of at most one request, so that no further ones are parsed with it. */
-  #takeSlice(): Buffer {
-    const [input = Buffer.alloc(0)] = this.#input;
-    const endBytes = this.#getSliceBytes(input);
-    if (endBytes >= input.length) {
-      this.#input.shift();
-      return input;
-    }
-    this.#input[0] = input.subarray(endBytes);
-    return input.subarray(0, endBytes);
-  }
-
-  #getSliceBytes(input: Buffer): number {
+  /** Size of input that has the end of at most one request, so that no further ones are parsed with it. */
+  #getSliceBytes(): number {
     const request = this.#request;
     const missingBytes = request && this.#getMissingBytes(request.body);
     if (missingBytes !== undefined) return missingBytes;
+    const input = this.#input.first;
     const headEnd = input.indexOf(HEAD_END);
     const endBytes = headEnd < 0 ? input.length : headEnd + HEAD_END.length;
     return request === undefined ? endBytes : Math.min(endBytes, CHUNKED_SLICE_BYTES);
@@ -279,13 +276,13 @@
 
   /** Pauses the socket while there is input that must not be parsed yet, and counts what is held. */
   #holdInput(): void {
-    const isHeld = this.#input.length > 0 && !this.#isDiscarding;
+    const isHeld = !this.#input.isEmpty && !this.#isDiscarding;
     if (isHeld !== this.#isHeld) {
       this.#isHeld = isHeld;
       if (isHeld) this.#socket.pause();
       else this.#socket.resume();
     }
-    const inputBytes = this.#input.reduce((sum, { buffer }) => sum + buffer.byteLength, 0);
+    const inputBytes = this.#input.memoryBytes;
     const headBytes = this.#request === undefined ? HEAD_COPIES * this.#headBytes : 0;
     const change = inputBytes - this.#countedInputBytes + headBytes - this.#countedHeadBytes;
     this.#countedInputBytes = inputBytes;
@@ -319,12 +316,12 @@
     this.#share.sinceMs = performance.now();
     if (this.#share.stage === 'answering') this.#share.stage = 'reading';
     // Without a turn, all requests of the held input would be answered before the event loop goes on.
-    if (this.#queue.length > 0 || this.#input.length > 0) this.#waitForTurn();
+    if (this.#queue.length > 0 || !this.#input.isEmpty) this.#waitForTurn();
   }
 
   #discardInput(): void {
     this.#isDiscarding = true;
-    this.#input = [];
+    this.#input.clear();
     this.#queue = [];
     this.#holdInput();
   }
@@ -340,7 +337,7 @@
 
   #onClosed(): void {
     this.#context.turns.remove(this.#takeTurn);
-    this.#input = [];
+    this.#input.clear();
     this.#queue = [];
     this.#share.close();
   }
