Close a connection that sends more than one body a second

Seen: 300 clients that pipeline complete bodies of 262 KB make the kernel hold 261 MB for a process on a machine of 190 MB (resident and unread 383 MB); found by a trial while the cost of a connection was worked out.

Cause: the kernel enlarges the receive window of a connection that is read fast, from 64 KB to megabytes, and the client fills it while a request is handled and nothing more is read. Node.js 20 cannot set the size of the receive buffer.

Change: a connection whose input exceeds a body and a head in one second is closed with its next response, and counted as `input_rate`. Its client continues on a new one, whose window is small. Nothing that was handed on is dropped.

--- a/src/rpc/budgetShare.ts
+++ b/src/rpc/budgetShare.ts
@@ -6,6 +6,7 @@
   | 'held_bytes'
   | 'body_bytes'
   | 'body_time'
+  | 'input_rate'
   | 'response_time'
   | 'head_bytes'
   | 'head_time'
--- a/src/rpc/clientConnection.ts
+++ b/src/rpc/clientConnection.ts
@@ -36,8 +36,16 @@
 /** Memory of trailers relative to their text: the shortest take more, but the number of headers is limited. */
 const TRAILER_COPIES = 4;
 
-/** Time limits of a connection. */
+/** Time over which the input of a connection is compared with `maxFastBytes`. */
+const FAST_INPUT_INTERVAL_MS = 1_000;
+
+/** Limits of a connection. */
 export interface ConnectionLimits {
+  /**
+   * Input in one second after which the connection is closed with its next response. The kernel enlarges the receive
+   * window of a connection that is read fast, up to some megabytes that it may fill later.
+   */
+  readonly maxFastBytes: number;
   /** Time for the body of a request, from the end of its head. */
   readonly bodyTimeoutMs: number;
   /** Time for the client to take a response. */
@@ -93,6 +101,13 @@
 
   #responseBytes = 0;
 
+  /** Input since `#fastSinceMs`. */
+  #fastBytes = 0;
+
+  #fastSinceMs = 0;
+
+  #hasFastInput = false;
+
   #isHeld = false;
 
   #isTurnPending = false;
@@ -117,6 +132,11 @@
     return this.#share.address;
   }
 
+  /** Whether the client has sent so fast that its receive window may have grown. */
+  get hasFastInput(): boolean {
+    return this.#hasFastInput;
+  }
+
   /**
    * Counts what a handler makes of a body.
    * @param body - the complete body
@@ -212,10 +232,24 @@
       releaseBuffer(input);
       return;
     }
+    this.#countFastInput(input.length);
     this.#input.add(input);
     this.#pump();
   }
 
+  #countFastInput(bytes: number): void {
+    const nowMs = performance.now();
+    if (nowMs - this.#fastSinceMs >= FAST_INPUT_INTERVAL_MS) {
+      this.#fastSinceMs = nowMs;
+      this.#fastBytes = 0;
+    }
+    this.#fastBytes += bytes;
+    const { budget, limits } = this.#context;
+    if (this.#hasFastInput || this.#fastBytes <= limits.maxFastBytes) return;
+    this.#hasFastInput = true;
+    budget.report('input_rate', this.address);
+  }
+
   #pump(): void {
     let isOver = false;
     while (!isOver && !this.#input.isEmpty && this.#canParse()) {
--- a/src/rpc/httpListener.ts
+++ b/src/rpc/httpListener.ts
@@ -147,10 +147,11 @@
     this.#bodies = new BodyBuffer(limits);
     this.#maxHeaders = limits.maxHeaders ?? DEFAULT_MAX_HEADERS;
     const { bodyTimeoutMs, responseTimeoutMs = DEFAULT_RESPONSE_TIMEOUT_MS } = limits;
+    const maxFastBytes = limits.maxBodyBytes + (limits.maxHeadBytes ?? DEFAULT_MAX_HEAD_BYTES);
     this.#checkIntervalMs = Math.min(CHECK_INTERVAL_MS, Math.ceil(bodyTimeoutMs / 4));
     this.#context = {
       ...{ budget, bodies: this.#bodies, turns: new InputTurns() },
-      limits: { bodyTimeoutMs, responseTimeoutMs },
+      limits: { maxFastBytes, bodyTimeoutMs, responseTimeoutMs },
       serve: (connection, request) => {
         this.#serve(connection, request).catch((error: unknown) => this.#onError(error));
       },
@@ -252,7 +253,7 @@
       });
       // `complete` is only meaningful after the body has been read.
       const isComplete = message.complete && !body.isAborted;
-      const isClosing = this.#isClosing || !isComplete;
+      const isClosing = this.#isClosing || !isComplete || connection.hasFastInput;
       const content = typeof answer.body === 'string' ? Buffer.from(answer.body) : answer.body;
       connection.beginResponse(body, content.length, isClosing);
       send(response, answer, content, isClosing);
--- a/tests/crowds/returningClients.test.ts
+++ b/tests/crowds/returningClients.test.ts
@@ -50,6 +50,7 @@
   `${CHUNKED_HEAD}${BODY_BYTES.toString(16)}\r\n${'a'.repeat(BODY_BYTES - MISSING_BYTES)}`,
 );
 const ONE_BYTE_CHUNKS = Buffer.from(`${CHUNKED_HEAD}${'1\r\na\r\n'.repeat(100_000)}`);
+const PIPELINED = Buffer.concat(Array.from({ length: 40 }, () => COMPLETE));
 const TRAILERS = Buffer.from(`${CHUNKED_HEAD}2\r\n{}\r\n0\r\n${'a:\r\n'.repeat(60_000)}`);
 
 const CROWDS: readonly (readonly [string, CrowdTraffic])[] = [
@@ -57,6 +58,7 @@
   ['whole short bodies that return', { connectionCount: 400, input: SHORT, ...RETURNS }],
   ['many short bodies that return', { connectionCount: 2_500, input: SHORT, ...RETURNS }],
   ['complete bodies that return', { connectionCount: 1_000, input: COMPLETE, ...RETURNS }],
+  ['pipelined bodies that return', { connectionCount: 300, input: PIPELINED, ...RETURNS }],
   ['large chunks that return', { connectionCount: 400, input: ONE_CHUNK, ...RETURNS }],
   ['one-byte chunks that return', { connectionCount: 400, input: ONE_BYTE_CHUNKS, ...RETURNS }],
   ['trailers that return', { connectionCount: 400, input: TRAILERS, ...RETURNS }],
@@ -72,6 +74,7 @@
     'whole short bodies',
     'many short bodies that return',
     'complete bodies that return',
+    'pipelined bodies that return',
     'one-byte chunks that return',
     'one-byte chunks in pieces',
   ].includes(name),
