--- a/src/rpc/bufferMemory.ts
+++ b/src/rpc/bufferMemory.ts
@@ -3,8 +3,6 @@
  * in the new generation and 64 MB in the old one before V8 collects them.
  */
 
-import { MessageChannel } from 'node:worker_threads';
-
 /** Smaller buffers are left to the garbage collector, for which the buffer objects themselves count enough. */
 const MIN_RELEASED_BYTES = 1_024;
 
--- a/src/rpc/httpListener.ts
+++ b/src/rpc/httpListener.ts
@@ -71,6 +71,8 @@
   readonly headTimeoutMs?: number;
   /** Time for a client to take a response. */
   readonly responseTimeoutMs?: number;
+  /** Number of connections that may wait to be accepted; the default of Node.js, 511, when omitted. */
+  readonly listenBacklog?: number;
 }
 
 /** Answers requests. `refuse` is called instead of `handle` when the request could not be read. */
@@ -126,6 +128,8 @@
 
   #checkTimer: NodeJS.Timeout | undefined;
 
+  #listenBacklog: number | undefined;
+
   /**
    * @param handler - answers each request
    * @param limits - limits of requests and idle connections
@@ -146,6 +150,7 @@
     this.#budget = budget;
     this.#bodies = new BodyBuffer(limits);
     this.#maxHeaders = limits.maxHeaders ?? DEFAULT_MAX_HEADERS;
+    this.#listenBacklog = limits.listenBacklog;
     const { bodyTimeoutMs, responseTimeoutMs = DEFAULT_RESPONSE_TIMEOUT_MS } = limits;
     const maxFastBytes = limits.maxBodyBytes + (limits.maxHeadBytes ?? DEFAULT_MAX_HEAD_BYTES);
     this.#checkIntervalMs = Math.min(CHECK_INTERVAL_MS, Math.ceil(bodyTimeoutMs / 4));
@@ -179,7 +184,8 @@
     this.#checkTimer = setInterval(() => this.#checkTimes(), this.#checkIntervalMs).unref();
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
-      this.#server.listen(port, host, () => {
+      const backlog = this.#listenBacklog;
+      this.#server.listen({ port, host, ...(backlog === undefined ? {} : { backlog }) }, () => {
         resolve((this.#server.address() as AddressInfo).port);
       });
     });
