Count the read that a paused socket still returns

Seen: the owner of a loaded fleet reached 182 MB of 190 (152 resident) beside clients with chunks of one byte that return.

Cause: a paused socket of Node.js reads once more, up to 64 KB, and keeps that until it is resumed. The budget did not count it, so that connections held up to 64 KB more than it knew.

Change: a connection that holds input back counts one read more.

The new test in tests/connectionBudget.test.ts failed before.

--- a/src/rpc/clientConnection.ts
+++ b/src/rpc/clientConnection.ts
@@ -36,6 +36,9 @@
 /** Memory of trailers relative to their text: the shortest take more, but the number of headers is limited. */
 const TRAILER_COPIES = 4;
 
+/** A paused socket still keeps what its next read returns, at most this. */
+const READ_BYTES = 65_536;
+
 /** Time over which the input of a connection is compared with `maxFastBytes`. */
 const FAST_INPUT_INTERVAL_MS = 1_000;
 
@@ -316,7 +319,7 @@
       if (isHeld) this.#socket.pause();
       else this.#socket.resume();
     }
-    const inputBytes = this.#input.memoryBytes;
+    const inputBytes = this.#input.memoryBytes + (isHeld ? READ_BYTES : 0);
     const headBytes = this.#request === undefined ? HEAD_COPIES * this.#headBytes : 0;
     const change = inputBytes - this.#countedInputBytes + headBytes - this.#countedHeadBytes;
     this.#countedInputBytes = inputBytes;
--- a/tests/connectionBudget.test.ts
+++ b/tests/connectionBudget.test.ts
@@ -184,6 +184,17 @@
     test.listener.closeAll();
   });
 
+  // Node.js reads once more after a pause; what it returns is memory of the process already.
+  test('count the read that follows a pause', async () => {
+    const test = await new TestListener(10, 1_000 * KB, () => new Promise(() => {})).start();
+    const connection = test.open('GET /x HTTP/1.1\r\nHost: x\r\n\r\n');
+    await waitFor(() => test.handled.length === 1, 'not handed on');
+    connection.socket.write('b'.repeat(400 * KB));
+    await waitFor(() => test.budget.heldBytes > CONNECTION_BYTES + 64 * KB, 'not counted');
+    expect(test.budget.heldBytes).toBeGreaterThan(CONNECTION_BYTES + 2 * 64 * KB);
+    test.listener.closeAll();
+  });
+
   // Such clients have a receive window of megabytes, which they may fill while nothing is read.
   test('are closed with the response once they sent more than a body in a second', async () => {
     const test = await new TestListener(10, 1_000 * KB).start();
