Count a body of known length when its head arrives

Seen: a body that has no room was begun and refused with 503 only once part of it had been read, and several bodies were begun that could not all fit.

Cause: its memory was counted with its first piece, although the head tells the length.

Change: the length is counted with the head. Without room the request is refused before its body is parsed; otherwise the room is kept for it. Chunked bodies are counted as they arrive.

Evidence: the new test in tests/connectionBudget.test.ts sends a head only and failed before.

--- a/src/rpc/bodyRead.ts
+++ b/src/rpc/bodyRead.ts
@@ -28,6 +28,9 @@
 
   #countedBytes = 0;
 
+  /** Size of the body that the head tells; 0 when it does not. */
+  #expectedBytes: number;
+
   #onMemory: (bytes: number) => Diagnostic | undefined;
 
   #resolve!: (result: Result<Buffer>) => void;
@@ -51,9 +54,11 @@
     this.result = new Promise((resolve) => {
       this.#resolve = resolve;
     });
-    this.#buffer = new GrowingBuffer({ expectedBytes: getContentLength(message), isOwner: true });
+    const expectedBytes = getContentLength(message);
+    this.#expectedBytes = expectedBytes ?? 0;
+    this.#buffer = new GrowingBuffer({ expectedBytes, isOwner: true });
     const tooLarge = createDiagnostic('bodyTooLarge', `${maxBytes} bytes`);
-    if ((getContentLength(message) ?? 0) > maxBytes) {
+    if (this.#expectedBytes > maxBytes) {
       this.abort(tooLarge);
       return;
     }
@@ -86,6 +91,11 @@
     return this.#countedBytes;
   }
 
+  /** Counts the memory of a body of known length before it is read; without room the body is aborted. */
+  reserve(): void {
+    if (!this.#isSettled) this.#count();
+  }
+
   /**
    * Stops reading and releases what was read; without effect once the body is complete.
    * @param diagnostic - the reason
@@ -106,7 +116,8 @@
   }
 
   #count(): void {
-    const bytes = this.#buffer.capacityBytes - this.#countedBytes;
+    const heldBytes = Math.max(this.#buffer.capacityBytes, this.#expectedBytes);
+    const bytes = heldBytes - this.#countedBytes;
     if (bytes === 0) return;
     this.#countedBytes += bytes;
     const refusal = this.#onMemory(bytes);
--- a/src/rpc/clientConnection.ts
+++ b/src/rpc/clientConnection.ts
@@ -338,6 +338,7 @@
     const headBytes = HEAD_COPIES * this.#headBytes + HEADER_BYTES * message.rawHeaders.length;
     this.#headBytes = 0;
     this.#addRequestBytes(REQUEST_BYTES + headBytes);
+    body.reserve();
     this.#context.serve(this, this.#request);
   }
 
--- a/tests/connectionBudget.test.ts
+++ b/tests/connectionBudget.test.ts
@@ -184,6 +184,17 @@
     test.listener.closeAll();
   });
 
+  test('are refused at the head when their body would have no room', async () => {
+    const test = await new TestListener(10, 50 * KB).start();
+    const refused = test.open(`${HEAD}Content-Length: 60000\r\n\r\n`);
+    await waitFor(() => refused.text.includes('overloaded'), 'not refused');
+    expect(refused.text).toMatch(/^HTTP\/1.1 503 /);
+    const served = test.open(`${HEAD}Content-Length: 2\r\n\r\n{}`);
+    await waitFor(() => served.text.includes('200 OK'), 'not served');
+    await test.expectAllReleased();
+    test.listener.closeAll();
+  });
+
   // Node.js reads once more after a pause; what it returns is memory of the process already.
   test('count the read that follows a pause', async () => {
     const test = await new TestListener(10, 1_000 * KB, () => new Promise(() => {})).start();
