--- a/tests/crowds/returningClients.test.ts
+++ b/tests/crowds/returningClients.test.ts
@@ -9,7 +9,7 @@
 import { join } from 'node:path';
 import { ClientCrowd } from '../support/clientCrowd';
 import type { CrowdTraffic } from '../support/clientCrowd';
-import { buildNodeProgram, LoadedNode } from '../support/loadedNode';
+import { buildNodeProgram, IDLE_FLEET, LoadedNode } from '../support/loadedNode';
 import type { FleetLoad } from '../support/loadedNode';
 import { ProcessWatch } from '../support/processWatch';
 
@@ -22,8 +22,6 @@
 /** Leaves 90 MB beside the heap, nearly as the deploy file does on the smallest machine (158 of 250 MB). */
 const FLAGS = ['--max-old-space-size=100', '--max-semi-space-size=2'];
 
-const IDLE: FleetLoad = { targetCount: 1, submissionCount: 0, tasksPerSubmission: 0 };
-
 /** Hands in as many tasks as run at the size to design for. */
 const LOADED: FleetLoad = { targetCount: 120, submissionCount: 215, tasksPerSubmission: 20 };
 
@@ -131,7 +129,7 @@
 
   test.each(CROWDS)(
     'an idle node and %s',
-    (name, traffic) => meet(name, traffic, IDLE),
+    (name, traffic) => meet(name, traffic, IDLE_FLEET),
     TEST_TIMEOUT_MS,
   );
 
--- a/tests/support/loadedNode.ts
+++ b/tests/support/loadedNode.ts
@@ -22,13 +22,18 @@
   });
 }
 
-/** Size of the fleet that a node owns. */
+/** Size of the fleet that a node owns; one that is idle has no submissions. */
 export interface FleetLoad {
   readonly targetCount: number;
   readonly submissionCount: number;
   readonly tasksPerSubmission: number;
 }
 
+/** A node that owns next to nothing. */
+export const IDLE_FLEET: FleetLoad = {
+  ...{ targetCount: 1, submissionCount: 0, tasksPerSubmission: 0 },
+};
+
 /**
  * Builds the program of a node.
  * @param directory - where it goes
--- a/tests/support/processWatch.ts
+++ b/tests/support/processWatch.ts
@@ -9,13 +9,15 @@
 const LISTENING_STATE = '0A';
 const SOCKET_TABLES = ['/proc/net/tcp', '/proc/net/tcp6'];
 
-/** Resident memory of a process; 0 when it has ended. */
-function readResidentMb(pid: number): number {
+/** Resident memory of a process now and at its peak; 0 when it has ended. */
+function readResident(pid: number): { readonly nowMb: number; readonly peakMb: number } {
   try {
     const text = readFileSync(`/proc/${pid}/status`, 'utf8');
-    return Number(/VmRSS:\s+(\d+)/.exec(text)?.[1] ?? 0) / KB_PER_MB;
+    const getMb = (name: string) =>
+      Number(new RegExp(`${name}:\\s+(\\d+)`).exec(text)?.[1] ?? 0) / KB_PER_MB;
+    return { nowMb: getMb('VmRSS'), peakMb: getMb('VmHWM') };
   } catch {
-    return 0;
+    return { nowMb: 0, peakMb: 0 };
   }
 }
 
@@ -49,11 +51,12 @@
   /** Resident memory at the first sample. */
   readonly startMb: number;
 
+  /** Peak of the resident memory since the process started. */
   residentMb = 0;
 
   unreadMb = 0;
 
-  /** Peak of the sum of resident memory and unread bytes at the same moment. */
+  /** Peak of the sum of resident memory and unread bytes at the same moment, or of the resident memory if larger. */
   countedMb = 0;
 
   descriptorCount = 0;
@@ -71,7 +74,7 @@
   constructor(pid: number, port: number) {
     this.#pid = pid;
     this.#port = port;
-    this.startMb = readResidentMb(pid);
+    this.startMb = readResident(pid).nowMb;
     this.#timer = setInterval(() => this.#sample(), SAMPLE_INTERVAL_MS);
   }
 
@@ -82,11 +85,11 @@
   }
 
   #sample(): void {
-    const residentMb = readResidentMb(this.#pid);
+    const { nowMb, peakMb } = readResident(this.#pid);
     const unreadMb = readUnreadMb(this.#port);
-    this.residentMb = Math.max(this.residentMb, residentMb);
+    this.residentMb = Math.max(this.residentMb, peakMb);
     this.unreadMb = Math.max(this.unreadMb, unreadMb);
-    this.countedMb = Math.max(this.countedMb, residentMb + unreadMb);
+    this.countedMb = Math.max(this.countedMb, peakMb, nowMb + unreadMb);
     this.descriptorCount = Math.max(this.descriptorCount, countDescriptors(this.#pid));
   }
 }
