Limit the input rate of untrusted clients only, as a setting

Seen by reading: the limit of the input of a connection held for all listeners, so also for schedulers, whose gates send many calls over one connection, and for the stand-ins: they would be made to connect again several times a second under load.

Change: `maxInputBytesPerSecond` is a limit of a listener, unlimited when omitted.

--- a/src/rpc/clientConnection.ts
+++ b/src/rpc/clientConnection.ts
@@ -39,16 +39,16 @@
 /** A paused socket still keeps what its next read returns, at most this. */
 const READ_BYTES = 65_536;
 
-/** Time over which the input of a connection is compared with `maxFastBytes`. */
-const FAST_INPUT_INTERVAL_MS = 1_000;
+/** Time over which the input of a connection is compared with `maxInputBytesPerSecond`. */
+const INPUT_RATE_INTERVAL_MS = 1_000;
 
 /** Limits of a connection. */
 export interface ConnectionLimits {
   /**
-   * Input in one second after which the connection is closed with its next response. The kernel enlarges the receive
-   * window of a connection that is read fast, up to some megabytes that it may fill later.
+   * Input in one second beyond which the connection is closed with its next response. The kernel enlarges the receive
+   * buffer of a connection that is read fast, up to some megabytes that the client may fill later.
    */
-  readonly maxFastBytes: number;
+  readonly maxInputBytesPerSecond: number;
   /** Time for the body of a request, from the end of its head. */
   readonly bodyTimeoutMs: number;
   /** Time for the client to take a response. */
@@ -104,12 +104,12 @@
 
   #responseBytes = 0;
 
-  /** Input since `#fastSinceMs`. */
-  #fastBytes = 0;
+  /** Input since `#recentSinceMs`. */
+  #recentInputBytes = 0;
 
-  #fastSinceMs = 0;
+  #recentSinceMs = 0;
 
-  #hasFastInput = false;
+  #isInputTooFast = false;
 
   #isHeld = false;
 
@@ -135,9 +135,9 @@
     return this.#share.address;
   }
 
-  /** Whether the client has sent so fast that its receive window may have grown. */
-  get hasFastInput(): boolean {
-    return this.#hasFastInput;
+  /** Whether the client has sent more in a second than its limit. */
+  get isInputTooFast(): boolean {
+    return this.#isInputTooFast;
   }
 
   /**
@@ -235,21 +235,21 @@
       releaseBuffer(input);
       return;
     }
-    this.#countFastInput(input.length);
+    this.#countInputRate(input.length);
     this.#input.add(input);
     this.#pump();
   }
 
-  #countFastInput(bytes: number): void {
+  #countInputRate(bytes: number): void {
     const nowMs = performance.now();
-    if (nowMs - this.#fastSinceMs >= FAST_INPUT_INTERVAL_MS) {
-      this.#fastSinceMs = nowMs;
-      this.#fastBytes = 0;
+    if (nowMs - this.#recentSinceMs >= INPUT_RATE_INTERVAL_MS) {
+      this.#recentSinceMs = nowMs;
+      this.#recentInputBytes = 0;
     }
-    this.#fastBytes += bytes;
+    this.#recentInputBytes += bytes;
     const { budget, limits } = this.#context;
-    if (this.#hasFastInput || this.#fastBytes <= limits.maxFastBytes) return;
-    this.#hasFastInput = true;
+    if (this.#isInputTooFast || this.#recentInputBytes <= limits.maxInputBytesPerSecond) return;
+    this.#isInputTooFast = true;
     budget.report('input_rate', this.address);
   }
 
--- a/src/rpc/httpListener.ts
+++ b/src/rpc/httpListener.ts
@@ -71,6 +71,8 @@
   readonly headTimeoutMs?: number;
   /** Time for a client to take a response. */
   readonly responseTimeoutMs?: number;
+  /** Limit of the input of one connection, which is closed with its next response; unlimited when omitted. */
+  readonly maxInputBytesPerSecond?: number;
   /** Number of connections that may wait to be accepted; the default of Node.js, 511, when omitted. */
   readonly listenBacklog?: number;
 }
@@ -152,11 +154,11 @@
     this.#maxHeaders = limits.maxHeaders ?? DEFAULT_MAX_HEADERS;
     this.#listenBacklog = limits.listenBacklog;
     const { bodyTimeoutMs, responseTimeoutMs = DEFAULT_RESPONSE_TIMEOUT_MS } = limits;
-    const maxFastBytes = limits.maxBodyBytes + (limits.maxHeadBytes ?? DEFAULT_MAX_HEAD_BYTES);
+    const { maxInputBytesPerSecond = Number.POSITIVE_INFINITY } = limits;
     this.#checkIntervalMs = Math.min(CHECK_INTERVAL_MS, Math.ceil(bodyTimeoutMs / 4));
     this.#context = {
       ...{ budget, bodies: this.#bodies, turns: new InputTurns() },
-      limits: { maxFastBytes, bodyTimeoutMs, responseTimeoutMs },
+      limits: { maxInputBytesPerSecond, bodyTimeoutMs, responseTimeoutMs },
       serve: (connection, request) => {
         this.#serve(connection, request).catch((error: unknown) => this.#onError(error));
       },
@@ -259,7 +261,7 @@
       });
       // `complete` is only meaningful after the body has been read.
       const isComplete = message.complete && !body.isAborted;
-      const isClosing = this.#isClosing || !isComplete || connection.hasFastInput;
+      const isClosing = this.#isClosing || !isComplete || connection.isInputTooFast;
       const content = typeof answer.body === 'string' ? Buffer.from(answer.body) : answer.body;
       connection.beginResponse(body, content.length, isClosing);
       send(response, answer, content, isClosing);
