--- a/tests/connectionBudget.test.ts
+++ b/tests/connectionBudget.test.ts
@@ -184,6 +184,19 @@
     test.listener.closeAll();
   });
 
+  test.each([
+    ['known', `Content-Length: ${64 * KB}\r\n\r\n`, ''],
+    ['unknown', `Transfer-Encoding: chunked\r\n\r\n${(64 * KB).toString(16)}\r\n`, '\r\n0\r\n\r\n'],
+  ])('serve a body of the largest size, length %s', async (_name, headEnd, bodyEnd) => {
+    const test = await new TestListener(10, 1_000 * KB).start();
+    const body = 'ab'.repeat(32 * KB);
+    const connection = test.open(`${HEAD}${headEnd}${body}${bodyEnd}`);
+    await waitFor(() => connection.text.includes('200 OK'), 'not served');
+    expect(test.limits).toEqual([]);
+    await test.expectAllReleased();
+    test.listener.closeAll();
+  });
+
   test('are refused at the head when their body would have no room', async () => {
     const test = await new TestListener(10, 50 * KB).start();
     const refused = test.open(`${HEAD}Content-Length: 60000\r\n\r\n`);
