--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -343,6 +343,11 @@
     });
   }
 
+  /** Ends a run from outside, as a task that fails by itself does. */
+  endRun(run, how) {
+    this.#end(run, how);
+  }
+
   /** Ends what is done, and everything when the lease has run out. */
   #advance() {
     if (this.live.size > 0 && this.clock > this.deadline)
@@ -368,12 +373,25 @@
     this.live.delete(run.task);
     Object.assign(run.entry, { endMs: now(), how });
     this.#record.add(`${this.id} ${run.task} run ${run.run} ends ${how}`);
+    if (how === 'crash' && run.gang !== undefined) this.#endGang(run);
     if (how === 'crash') return;
     this.#noteHighest(run.task, run.run);
     this.endCount += 1;
     const saved = how === 'done' ? '' : this.#getSave(run);
     this.ends.push([this.endCount, run.task, run.run, how, saved]);
     [...this.#waits].forEach((resolve) => resolve());
+    if (run.gang !== undefined) this.#endGang(run, how);
+  }
+
+  /** The members of a gang end together: all `done`, or the others `broken`. */
+  #endGang(run, how = 'crash') {
+    const { gang } = run;
+    if (gang.isOver) return;
+    gang.isOver = true;
+    gang.members.forEach(({ w: worker, run: member }) => {
+      if (worker.live.get(member.task) === member)
+        worker.endRun(member, how === 'done' ? 'done' : 'broken');
+    });
   }
 
   #noteHighest(task, run) {
@@ -470,7 +488,10 @@
     this.#extend(body['deadline-ms']);
     const lastSeen = body['last-seen'] ?? 0;
     const forgotten = this.ends.filter(([number]) => number <= lastSeen);
-    forgotten.forEach(([, task, run]) => this.onSeen?.(task, run));
+    forgotten.forEach(([, task, run]) => {
+      const entry = this.runs.find((one) => one.task === task && one.run === run);
+      if (entry !== undefined) entry.seenMs ??= now();
+    });
     this.ends = this.ends.filter(([number]) => number > lastSeen);
     const waitMs = body['wait-ms'] ?? 0;
     if (waitMs > 0 && this.ends.length === 0) {
