--- a/review/12/play.mjs
+++ b/review/12/play.mjs
@@ -1,17 +1,17 @@
 /**
- * One of eight workers crashes twice, each time right after it was given a task, and is back 2 s later. The seven others
- * are sound and nearly empty. The task never ends `failed`, and its submission is shown as `failed`.
+ * One of eight workers crashes four times, each time right after it was given a task, and is back 2 s later. The seven
+ * others are sound and have room. Tasks that never end `failed` are given up, and their submissions shown as `failed`.
  */
 
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { call, createConfig, isTrouble, main, sleep, Worker } from '../lib-3/fleet.mjs';
 
-const CRASH_COUNT = 2;
+const CRASH_COUNT = Number(process.env.CRASH_COUNT ?? 4);
 const CRASH_AFTER_MS = 40;
 const DOWN_MS = Number(process.env.DOWN_MS ?? 2_000);
-const SUBMISSION_COUNT = 12;
-const INTERVAL_MS = 700;
+const SUBMISSION_COUNT = Number(process.env.SUBMISSION_COUNT ?? 30);
+const INTERVAL_MS = Number(process.env.INTERVAL_MS ?? 300);
 const WORK_MS = 3_000;
 
 const STEP = { count: 1, cpu: 2_000, 'mem-mb': 1_024, 'est-ms': WORK_MS };
