--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -274,6 +274,8 @@
 
   #waits = new Set();
 
+  #entries = new Map();
+
   isUp = false;
 
   state = 'ready';
@@ -479,6 +481,7 @@
     Object.assign(started, { beganAt: performance.now(), restoreMs: save === '' ? 0 : 100 });
     this.live.set(task, started);
     this.runs.push(entry);
+    this.#entries.set(`${task} ${run}`, entry);
     this.#record.add(`${this.id} ${task} run ${run} starts${save === '' ? '' : ` from ${save}`}`);
     answer(response, 200, { 'clock-ms': this.clock });
     this.onStart?.(entry, started);
@@ -489,7 +492,7 @@
     const lastSeen = body['last-seen'] ?? 0;
     const forgotten = this.ends.filter(([number]) => number <= lastSeen);
     forgotten.forEach(([, task, run]) => {
-      const entry = this.runs.find((one) => one.task === task && one.run === run);
+      const entry = this.#entries.get(`${task} ${run}`);
       if (entry !== undefined) entry.seenMs ??= now();
     });
     this.ends = this.ends.filter(([number]) => number > lastSeen);
