--- a/review/11/play.mjs
+++ b/review/11/play.mjs
@@ -38,7 +38,7 @@
   const ids = [];
   for (let number = 0; number < SUBMISSION_COUNT; number += 1) {
     const id = (0xd000 + number).toString(16).padStart(16, '0');
-    const { status, text } = await call(others[7].front, 'POST', `/work/${id}`, { body: BODY });
+    const { status, text } = await call(others[7].front, 'POST', `/jobs/${id}`, { body: BODY });
     record.add(`POST ${id}: ${status || text}`);
     if (status === 200) ids.push(id);
   }
@@ -59,7 +59,7 @@
     let state;
     for (let number = 0; number < TRIES && state === undefined; number += 1) {
       const node = left[number % left.length];
-      const { status, text } = await call(node.front, 'GET', `/work/${id}`);
+      const { status, text } = await call(node.front, 'GET', `/jobs/${id}`);
       record.add(`GET ${id} at ${node.name}: ${status || ''} ${text}`);
       if (status === 200) ({ state } = JSON.parse(text));
       else await sleep(500);
@@ -76,7 +76,7 @@
   });
   const untilMs = lostAtMs + Number(process.env.WATCH_MS ?? 0);
   while (now() < untilMs) {
-    const { status } = await call(left[0].front, 'GET', `/work/${ids[0]}`);
+    const { status } = await call(left[0].front, 'GET', `/jobs/${ids[0]}`);
     record.add(`GET ${ids[0]}: ${status}`);
     if (status === 200) break;
     await sleep(1_000);
--- a/review/12/play.mjs
+++ b/review/12/play.mjs
@@ -55,7 +55,7 @@
   const sent = SUBMISSIONS.map(async ([id, body]) => {
     record.add(`POST ${id} at ${frozen.name}`);
     const options = { body: JSON.stringify(body), waitMs: TIME_LIMIT_MS };
-    const { status, text } = await call(frozen.front, 'POST', `/work/${id}`, options);
+    const { status, text } = await call(frozen.front, 'POST', `/jobs/${id}`, options);
     record.add(`POST ${id}: ${status || text}`);
     return status;
   });
@@ -63,7 +63,7 @@
   const cancelledAtMs = new Map();
   for (const [id] of SUBMISSIONS) {
     record.add(`DELETE ${id} at ${other.name}`);
-    const { status, text } = await call(other.front, 'DELETE', `/work/${id}`);
+    const { status, text } = await call(other.front, 'DELETE', `/jobs/${id}`);
     record.add(`DELETE ${id}: ${status || text}`);
     if (status !== 200 && status !== 410) throw new Error('the cancelling was not acknowledged');
     cancelledAtMs.set(id, now());
@@ -74,7 +74,7 @@
 
   const endMs = now();
   for (const [id] of SUBMISSIONS) {
-    const { status, text } = await call(other.front, 'GET', `/work/${id}`);
+    const { status, text } = await call(other.front, 'GET', `/jobs/${id}`);
     record.add(`GET ${id}: ${status} ${text}`);
   }
   const broken = [];
--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -663,7 +663,7 @@
 /** The first desired state: one service, one route, one tenant without limits. */
 export function createConfig(overrides = {}) {
   const route = {
-    ...{ name: 'r-work', host: 'site.example', 'path-prefix': '/work/', kind: 'non_idempotent' },
+    ...{ name: 'r-work', host: 'site.example', 'path-prefix': '/jobs/', kind: 'non_idempotent' },
     ...{ 'timeout-ms': 3_000, 'target-duration-ms': 250, priority: 0, service: 'work' },
     ...{ attempts: 3, stretch: 1.5, public: false },
   };
