Store the voters of a new owner although the list of nodes names lost ones

Cause: a set was written only when the connected nodes were a majority of the list of nodes, and lost nodes stay in the list until their rows lapse.

Change: after 6 s, in which nodes that are up have connected, the connected nodes are the voters, whatever the list says.

Result: the new test in tests/leaseQuorum.test.ts fails without the change and passes with it.

--- a/src/node/leaseQuorum.ts
+++ b/src/node/leaseQuorum.ts
@@ -23,6 +23,12 @@
 /** The same for a node that was being stopped; one that is restarted is back by then. */
 const LEAVING_RETENTION_MS = 5_000;
 
+/**
+ * Nodes that are up have connected to a new owner by then. The list of nodes may name lost ones for longer, so that the
+ * connected ones are not a majority of it.
+ */
+const SETTLE_MS = 6_000;
+
 /** A voter whose last confirmation is older does not confirm the owner at present. */
 const RECENT_MS = 1_500;
 
@@ -77,6 +83,8 @@
 
   #lastWriteAtMs: number;
 
+  #settledAtMs: number;
+
   #yieldedAtMs: number | undefined;
 
   #isResigned = false;
@@ -90,6 +98,7 @@
     this.#epoch = epoch;
     this.#expectedVersion = rowVersion;
     this.#lastWriteAtMs = nowMs - WRITE_INTERVAL_MS / 2;
+    this.#settledAtMs = nowMs + SETTLE_MS;
   }
 
   /** Number of nodes in the stored voter set; undefined while none is stored. */
@@ -121,9 +130,10 @@
     if (isCalm && nowMs < this.#lastWriteAtMs + CALM_WRITE_INTERVAL_MS) return undefined;
     if (this.#yieldedAtMs !== undefined && nowMs < this.#yieldedAtMs + YIELD_MS) return undefined;
     const voters = this.#getDesiredVoters(nowMs);
-    // If the few nodes of a small set were lost, the others would have to wait long for their votes.
+    // If the few nodes of a small set were lost, a claim without their votes would have to follow.
     const isMajority = memberCount > 0 && (voters.length + 1) * 2 > memberCount;
-    if (!isMajority || this.#isUpToDate(voters)) return undefined;
+    const isSettled = memberCount > 0 && nowMs >= this.#settledAtMs;
+    if (!(isMajority || isSettled) || this.#isUpToDate(voters)) return undefined;
     this.#isWriting = true;
     this.#lastWriteAtMs = nowMs;
     this.#uncertain = [...this.#uncertain, voters];
--- a/tests/leaseQuorum.test.ts
+++ b/tests/leaseQuorum.test.ts
@@ -184,7 +184,17 @@
     expect(owner.tryWrite()?.expectedVersion).toBe(9);
   });
 
-  // If the few nodes of a small set are lost, the others wait for votes that never come.
+  // The list of nodes named eight lost ones for 100 s, in which an outage of the store ended the owner.
+  test('stores the set of the connected nodes once all nodes have had time to connect', () => {
+    const owner = new Owner(IDS.slice(0, 3));
+    owner.nowMs = 5_900;
+    expect(owner.tryWrite()).toBeUndefined();
+    owner.nowMs = 6_000;
+    expect(owner.tryWrite()?.voters).toHaveLength(3);
+    expect(owner.lease.tryCreateWrite(owner.nowMs, 0)).toBeUndefined();
+  });
+
+  // If the few nodes of a small set are lost, a claim without votes has to follow.
   test('stores no set of a minority, nor one while it does not know the nodes', () => {
     const owner = new Owner(IDS.slice(0, 3));
     expect(owner.tryWrite()).toBeUndefined();
