Replace an owner without votes when its voters are lost, too

For 63 s states are unknown (503), and lasting tasks run nowhere, though the store, the targets and the other nodes are sound.

Cause: a claim needed votes of a quarter of the recorded voters and one more. Lost voters never vote and new nodes are no voters, so nobody could claim until the owner had to end by itself. Nodes that reach the store cannot tell lost voters from voters that are cut off with the owner, so no other quorum would do.

Change: a claim without votes is sent after 2.2 s of reads without a gap that find the owner unrenewed, on condition of that. Its successor counts the former owner as acting until its storeless limit on targets that have not answered in the new epoch, and on no other; the row `formerOwners` tells later owners. In return an owner that the store has not confirmed for 2 s takes no silent target's lease for expired, and starts no submission that it has learnt of since. The rule is stated at the head of voterSet.ts.

Why it works: what a former owner can do harm with goes through targets, which refuse lower epochs once the successor has reached them.

--- a/src/node/formerOwners.ts
+++ b/src/node/formerOwners.ts
@@ -1,6 +1,7 @@
 /**
- * Learns when no former owner may act any more, and the version of the store at that time: rows of later versions are
- * not known to any of them.
+ * Learns when no former owner may act any more, and a version of the store such that rows of later versions are not
+ * known to any of them. After a claim without votes the version is known long before they have ended, as an owner
+ * starts nothing that it has learnt of without the store; see voterSet.ts.
  */
 
 import * as E from 'fp-ts/Either';
@@ -20,7 +21,7 @@
 export interface FormerOwnersCallbacks {
   /** The former owner has confirmed that neither it nor one before it acts any more. */
   onConfirmed(): void;
-  /** Called once, with a version from the time after all former owners had ended. */
+  /** Called once, with a version from a time after which former owners start no submission that is new to them. */
   onVersionKnown(storeVersion: number): void;
 }
 
@@ -34,9 +35,11 @@
 
   #isVersionKnown = false;
 
+  #isTimeOver = false;
+
   #areEnded = false;
 
-  /** Version of the store when they had ended, until all submissions up to it have been read. */
+  /** That version of the store, until all submissions up to it have been read. */
   #awaitedVersion: number | undefined;
 
   /**
@@ -50,12 +53,18 @@
 
   /** Whether none of them may act any more. */
   get areEnded(): boolean {
-    return this.#areEnded;
+    return this.#areEnded || (this.#isVersionKnown && this.#isTimeOver);
   }
 
-  /** Begins to wait for the end of their authority. */
-  start(): void {
+  /**
+   * Begins to wait for the end of their authority.
+   * @param remainingMs - how long they may still act on targets that have not answered this owner
+   */
+  start(remainingMs = OWNER_AUTHORITY_MS): void {
     this.#scheduleRead(OWNER_AUTHORITY_MS + FORMER_OWNER_MARGIN_MS);
+    setTimeout(() => {
+      this.#isTimeOver = true;
+    }, remainingMs).unref();
   }
 
   /** Ends the wait. */
@@ -68,7 +77,7 @@
    * @param whenLoaded - calls back once the stored state is loaded
    */
   confirm(whenLoaded: (apply: () => void) => void): void {
-    if (this.#areEnded) return;
+    if (this.areEnded) return;
     this.#areEnded = true;
     whenLoaded(() => {
       this.#callbacks.onConfirmed();
@@ -102,7 +111,6 @@
   #onVersionRead(storeVersion: number): void {
     if (this.#isVersionKnown || this.#isStopped) return;
     this.#isVersionKnown = true;
-    this.#areEnded = true;
     this.#awaitedVersion = storeVersion;
     this.#callbacks.onVersionKnown(storeVersion);
   }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -367,6 +367,8 @@
       this.#ports,
       {
         isAuthorized: () => this.#ownership.core.isAuthorized(this.#ports.clock.nowMs()),
+        getStoreUnconfirmedForMs: () =>
+          this.#ownership.core.getStoreUnconfirmedForMs(this.#ports.clock.nowMs()),
         advise: (nodeId, stepKey, targetIds, timeoutMs) =>
           this.#advise(nodeId, stepKey, targetIds, timeoutMs),
         onHandoverPrepared: () => this.#onHandoverPrepared(epoch),
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -29,13 +29,15 @@
 import { OwnerWrites } from './ownerWrites';
 import type { PartRead, PartReader } from './partReader';
 import { countExtraRows } from './progressRows';
-import type { NodePorts, PollCall, StartCall, StopCall } from './ports';
+import type { NodePorts } from './ports';
 import { CANCELS_TABLE, SUBMISSION_PARTS, SUBMISSIONS_TABLE } from './tables';
-import { summarizeLoadedRows, TakeoverLoader } from './takeoverLoader';
+import { decodeLoadedRecord, summarizeLoadedRows, TakeoverLoader } from './takeoverLoader';
 import type { LoadedRows } from './takeoverLoader';
+import { callTarget } from './targetCalls';
+import type { TargetCallEffect } from './targetCalls';
+import { UnconfirmedSubmissions } from './unconfirmedSubmissions';
 import { UnreadParts } from './unreadParts';
 import type { ReadSubmission } from './unreadParts';
-import { decodeTargetRecord } from './usedTargetRows';
 
 /** Interval of tick events; planning that was deferred resumes within it. */
 const TICK_INTERVAL_MS = 10;
@@ -90,6 +92,8 @@
   /** Changes that arrive before the stored state is loaded. */
   #pendingChanges: (() => void)[] = [];
 
+  #unconfirmed: UnconfirmedSubmissions;
+
   #cancellationLog: CancellationLog;
 
   #load: OwnerLoad;
@@ -99,6 +103,8 @@
   /** Evaluated right before a call to a target is written; true cancels the call. */
   #isTooLate = () => this.#isStopped || !this.#callbacks.isAuthorized();
 
+  #getUnconfirmedForMs = () => this.#callbacks.getStoreUnconfirmedForMs?.() ?? 0;
+
   /**
    * @param ports - store, targets, registry, clock and logger
    * @param callbacks - the node
@@ -128,6 +134,10 @@
     this.#loader = new TakeoverLoader(ports);
     this.#writes = new OwnerWrites(ports.store, epoch, rowVersion);
     this.#cancellationLog = new CancellationLog(ports.logger, epoch);
+    this.#unconfirmed = new UnconfirmedSubmissions({
+      ...{ epoch, logger: ports.logger, metrics: ports.metrics },
+      getUnconfirmedForMs: this.#getUnconfirmedForMs,
+    });
     this.#operator = operator;
     this.#formerOwners = new FormerOwners(ports.store, {
       onConfirmed: () => this.#dispatch({ kind: 'formerAuthorityEnded' }),
@@ -169,12 +179,7 @@
     unread.forgetProgress(submissions.map(({ submission }) => submission.id));
     this.#writes.setExtraRowCounts(countExtraRows(loaded.progress.rows));
     const { maxLeaseMs } = this.#ports.targets;
-    const { usedTargets, ownership } = loaded;
-    const readAt =
-      usedTargets.storeMs === undefined
-        ? undefined
-        : { storeMs: usedTargets.storeMs, sentAtMs: startedAtMs };
-    const record = decodeTargetRecord(this.#epoch, usedTargets.rows, ownership.rows, readAt);
+    const record = decodeLoadedRecord(this.#epoch, loaded, startedAtMs);
     const clocks = this.#getClockReadings();
     const lapseMs = this.#ports.registry.lapseMs ?? 0;
     this.#core = new OwnerCore(
@@ -199,7 +204,8 @@
     this.#follow(loaded);
     loaded.parts.follow((read) => this.#onPartRead(read));
     this.#timer = setInterval(() => this.#tick(), TICK_INTERVAL_MS);
-    this.#formerOwners.start();
+    const { formerOwnersRemainingMs } = this.#core;
+    this.#formerOwners.start(formerOwnersRemainingMs);
     this.#dispatchResult(learnt, (result) => ({ kind: 'learntRead', result }));
     const durationMs = Math.round(this.#ports.clock.nowMs() - startedAtMs);
     this.#ports.logger.info(
@@ -207,6 +213,7 @@
         ...{ epoch: this.#epoch, submissionCount: submissions.length, durationMs },
         ...summarizeLoadedRows(loaded),
         ...{ recordedCount: record.targets.length, isRecordComplete: record.isComplete },
+        formerOwnersRemainingMs: Math.round(formerOwnersRemainingMs),
         malformedTargetIds: record.malformed.map(({ targetId }) => targetId),
       },
       'takeover loaded',
@@ -274,7 +281,9 @@
     }
     const { id } = finished.right;
     const submission = E.isRight(decoded) ? decoded.right : undefined;
-    this.#whenLoaded(() => this.#addSubmission({ id, text, submission }, rowVersion));
+    this.#whenLoaded(() =>
+      this.#unconfirmed.add(id, () => this.#addSubmission({ id, text, submission }, rowVersion)),
+    );
   }
 
   /**
@@ -462,7 +471,10 @@
 
   #getClockReadings() {
     const { clock } = this.#ports;
-    return { nowMs: clock.nowMs(), wallMs: clock.wallMs(), steadyMs: clock.steadyMs() };
+    return {
+      ...{ nowMs: clock.nowMs(), wallMs: clock.wallMs(), steadyMs: clock.steadyMs() },
+      storeUnconfirmedForMs: this.#getUnconfirmedForMs(),
+    };
   }
 
   #whenLoaded(apply: () => void): void {
@@ -472,6 +484,7 @@
 
   #tick(): void {
     this.#load.onTick(TICK_INTERVAL_MS);
+    this.#unconfirmed.check();
     this.#checkSubmissionsRead();
     this.#unread?.check();
     this.#dispatch({ kind: 'tick' });
@@ -508,41 +521,22 @@
   }
 
   /** A connection may open after a restart; a call for the former incarnation must not reach the new one. */
-  #createTooLateCheck({ targetId, incarnationStartMs }: PollCall | StartCall | StopCall) {
+  #createTooLateCheck({ targetId, incarnationStartMs }: TargetCallEffect) {
     return () =>
       this.#isTooLate() || this.#core?.isCurrentTarget(targetId, incarnationStartMs) !== true;
   }
 
   #perform(effect: OwnerEffect): void {
-    const { targets, clock } = this.#ports;
+    const { clock } = this.#ports;
     switch (effect.kind) {
-      case 'poll': {
-        const { targetId, address, incarnationStartMs, isProbe } = effect;
-        const sentAtMs = clock.nowMs();
-        this.#dispatchResult(targets.poll(effect, this.#createTooLateCheck(effect)), (result) => ({
-          ...{ kind: 'pollAnswered' as const, targetId, address, incarnationStartMs },
-          ...{ isProbe, sentAtMs, result },
-        }));
-        return;
-      }
-      case 'startRun': {
-        const { targetId, incarnationStartMs, taskKey, run } = effect;
-        const sentAtMs = clock.nowMs();
-        this.#dispatchResult(targets.start(effect, this.#createTooLateCheck(effect)), (result) => ({
-          ...{ kind: 'startAnswered' as const, targetId, incarnationStartMs },
-          ...{ taskKey, run, sentAtMs, result },
-        }));
-        return;
-      }
-      case 'stopRun': {
-        const { targetId, incarnationStartMs, taskKey, run } = effect;
-        const sentAtMs = clock.nowMs();
-        this.#dispatchResult(targets.stop(effect, this.#createTooLateCheck(effect)), (result) => ({
-          ...{ kind: 'stopAnswered' as const, targetId, incarnationStartMs },
-          ...{ taskKey, run, sentAtMs, result },
-        }));
+      case 'poll':
+      case 'startRun':
+      case 'stopRun':
+        this.#dispatchResult(
+          callTarget(effect, this.#ports, this.#createTooLateCheck(effect)),
+          (event) => event,
+        );
         return;
-      }
       case 'askAdvice': {
         const { laneId, stepKey, targetIds, timeoutMs } = effect;
         const sentAtMs = clock.nowMs();
--- a/src/node/ownerQueries.ts
+++ b/src/node/ownerQueries.ts
@@ -8,7 +8,7 @@
 import type { OwnershipCore } from './ownership';
 import { OwnerQueryRound } from './ownerQueryRound';
 import type { AskEffect } from './ownerQueryRound';
-import { OWNER_STORE_TIMEOUT_MS } from './ownershipState';
+import { OWNER_STORE_TIMEOUT_MS, tryGetUnheardAddress } from './ownershipState';
 import type { PeerAnswers } from './ownershipTypes';
 import { getVoteQuorum } from './voterSet';
 
@@ -101,7 +101,7 @@
     const isHeard = core.isOwnerHeard(epoch, this.#ports.getNowMs());
     if (isHeard && isOwnerWithoutStore) return this.#answerWithoutStore(epoch, votersVersion);
     if (isHeard || isProbe) return { isHeard };
-    const address = core.tryGetUnheardAddress(epoch);
+    const address = tryGetUnheardAddress(core.mode, epoch);
     if (address !== undefined && (await this.probe(address, epoch))) return { isHeard: true };
     return { isHeard: false, ...this.#vote(votersVersion) };
   }
--- a/src/node/ownerRows.ts
+++ b/src/node/ownerRows.ts
@@ -6,8 +6,15 @@
 import type { Epoch, NodeId } from '../types/ids';
 import { tryParseJson } from '../types/json';
 import type { VoterWrite } from './leaseQuorum';
-import type { OwnerRow, OwnerRowFailure } from './ownershipTypes';
-import { ALIVE_KEY, OWNER_KEY, OWNER_PART, OWNERSHIP_TABLE, VOTERS_KEY } from './tables';
+import type { OwnerRow, OwnerRowFailure, VotelessClaim } from './ownershipTypes';
+import {
+  ALIVE_KEY,
+  FORMER_OWNERS_KEY,
+  OWNER_KEY,
+  OWNER_PART,
+  OWNERSHIP_TABLE,
+  VOTERS_KEY,
+} from './tables';
 import { decodeVoterSet } from './voterSet';
 
 /** Timeout of each call; a slow store takes 0.6 s for a transaction. */
@@ -24,6 +31,8 @@
   silenceSinceEpoch: z.int().optional(),
 });
 
+const formerOwnersSchema = z.object({ actUntilMs: z.number().optional() });
+
 function toFailure(failure: StoreFailure): OwnerRowFailure {
   if (failure.kind === 'conflict') return { kind: 'conflict' };
   return { kind: 'unavailable', detail: 'detail' in failure ? failure.detail : failure.kind };
@@ -57,9 +66,23 @@
     aliveVersion: alive?.version ?? 0,
     silenceSinceEpoch: parsed.data.silenceSinceEpoch as Epoch | undefined,
     voterSet: decodeVoterSet(page.right.rows.find(({ key }) => key === VOTERS_KEY)),
+    storeMs: page.right.storeMs,
   });
 }
 
+/**
+ * Gets until when former owners may act on targets that have not answered a later one.
+ * @param rows - the rows of the ownership table
+ * @returns a time of the store's clock; infinite when a claim without votes could not tell it; undefined when there
+ *   has been no such claim
+ */
+export function decodeFormerActsUntilMs(rows: readonly StoredRow[]): number | undefined {
+  const row = rows.find(({ key }) => key === FORMER_OWNERS_KEY);
+  if (row === undefined) return undefined;
+  const parsed = formerOwnersSchema.safeParse(tryParseJson(row.value));
+  return (parsed.success ? parsed.data.actUntilMs : undefined) ?? Number.POSITIVE_INFINITY;
+}
+
 /**
  * Gets the epoch since which all owners have kept the record of silent targets.
  * @param rows - the rows of the ownership table
@@ -77,6 +100,7 @@
  * @param owner - id, address and epoch of the new owner, and since when silent targets are recorded
  * @param expectedVersion - version of the row to replace
  * @param votersVersion - version of the voter set on which the claim depends; undefined when it depends on none
+ * @param voteless - set for a claim without votes
  * @returns the row's new version, or the failure
  */
 export async function claimOwnerRow(
@@ -84,13 +108,29 @@
   owner: Pick<OwnerRow, 'nodeId' | 'address' | 'epoch' | 'silenceSinceEpoch'>,
   expectedVersion: number,
   votersVersion?: number,
+  voteless?: VotelessClaim,
 ): Promise<E.Either<OwnerRowFailure, number>> {
   const votersConditions =
     votersVersion === undefined ? [] : [{ ...toAddress(VOTERS_KEY), version: votersVersion }];
+  const aliveConditions =
+    voteless === undefined ? [] : [{ ...toAddress(ALIVE_KEY), version: voteless.aliveVersion }];
+  const formerOwners =
+    voteless === undefined
+      ? []
+      : [
+          {
+            ...toAddress(FORMER_OWNERS_KEY),
+            value: JSON.stringify({ actUntilMs: voteless.formerActsUntilMs }),
+          },
+        ];
   const outcome = await store.transact(
     {
-      conditions: [{ ...toAddress(OWNER_KEY), version: expectedVersion }, ...votersConditions],
-      puts: [{ ...toAddress(OWNER_KEY), value: JSON.stringify(owner) }],
+      conditions: [
+        { ...toAddress(OWNER_KEY), version: expectedVersion },
+        ...votersConditions,
+        ...aliveConditions,
+      ],
+      puts: [{ ...toAddress(OWNER_KEY), value: JSON.stringify(owner) }, ...formerOwners],
       removals: [],
     },
     TIMEOUT_MS,
--- a/src/node/ownership.ts
+++ b/src/node/ownership.ts
@@ -7,7 +7,6 @@
 import { assertNever } from '../types/debug';
 import type { Epoch, NodeId } from '../types/ids';
 import { toEpoch } from '../types/ids';
-import { OWNER_AUTHORITY_MS, STORELESS_LIMIT_MS } from '../owner/constants';
 import type {
   OwnerRow,
   OwnershipEffect,
@@ -16,6 +15,7 @@
   OwnershipMode,
   SuspicionReason,
 } from './ownershipTypes';
+import { OwnerAuthority } from './ownerAuthority';
 import { OwnerContact } from './ownerContact';
 import { createModeState, createVacantRow, OWNER_STORE_TIMEOUT_MS } from './ownershipState';
 import type { ModeState } from './ownershipState';
@@ -56,6 +56,9 @@
 
   #state: ModeState = createModeState(0);
 
+  /** That of the last ownership of this process. */
+  #authority = new OwnerAuthority(-Infinity);
+
   /** Set in mode `suspecting`. */
   #suspected: SuspectedOwner | undefined;
 
@@ -120,10 +123,7 @@
    * @returns true while the store or a quorum of voters has confirmed the ownership recently
    */
   isAuthorized(nowMs: number): boolean {
-    if (this.#mode.kind !== 'owning') return false;
-    const { confirmedAtMs, storeConfirmedAtMs } = this.#state;
-    const isWithinLimit = nowMs < storeConfirmedAtMs + STORELESS_LIMIT_MS;
-    return isWithinLimit && nowMs < confirmedAtMs + OWNER_AUTHORITY_MS;
+    return this.#mode.kind === 'owning' && this.#authority.isValid(nowMs);
   }
 
   /**
@@ -132,8 +132,16 @@
    * @returns true once it has
    */
   isStorelessLimitReached(nowMs: number): boolean {
-    const isOwning = this.#mode.kind === 'owning';
-    return isOwning && nowMs >= this.#state.storeConfirmedAtMs + STORELESS_LIMIT_MS;
+    return this.#mode.kind === 'owning' && this.#authority.isStorelessLimitReached(nowMs);
+  }
+
+  /**
+   * Gets how long the store has not confirmed this owner.
+   * @param nowMs - current time
+   * @returns the time since the confirmed call was sent, in milliseconds; 0 when this node is no owner
+   */
+  getStoreUnconfirmedForMs(nowMs: number): number {
+    return this.#mode.kind === 'owning' ? this.#authority.getStoreUnconfirmedForMs(nowMs) : 0;
   }
 
   /** Version of the last voter set against which this node has voted; 0 when it never has. */
@@ -149,20 +157,6 @@
     this.#votedVersion = Math.max(this.#votedVersion, votersVersion);
   }
 
-  /**
-   * Gets the owner of an epoch that this node knows but does not hear.
-   * @param epoch - the epoch
-   * @returns its address; undefined when this node does not know it, or knows that it resigns
-   */
-  tryGetUnheardAddress(epoch: Epoch): string | undefined {
-    const mode = this.#mode;
-    const isKnown = mode.kind === 'following' || mode.kind === 'suspecting';
-    if (!isKnown || mode.row.epoch !== epoch || mode.row.address === '') return undefined;
-    return mode.kind === 'suspecting' && mode.suspicion === 'resigned'
-      ? undefined
-      : mode.row.address;
-  }
-
   /**
    * Checks whether this node lacks a connection to an owner that serves other nodes.
    * @param nowMs - current time
@@ -238,7 +232,7 @@
         return;
       case 'leaseConfirmed':
         if (this.#mode.kind !== 'owning' || this.#mode.epoch !== event.epoch) return;
-        this.#state.confirmedAtMs = Math.max(this.#state.confirmedAtMs, event.sinceMs);
+        this.#authority.onVotersConfirmed(event.sinceMs);
         return;
       case 'superseded':
         if (this.#mode.kind !== 'owning' || this.#mode.epoch !== event.epoch) return;
@@ -319,11 +313,15 @@
     if (step === 'wait') this.#tryProbeOwner(nowMs);
     // A node that stops asks as well, as the owner may only be lost to this node.
     if (step === 'ask' && suspected.takeAsk(nowMs)) this.#askPeers(row, suspected);
-    if (step !== 'claim' || this.#isStopping) return;
+    if (this.#isStopping || step === 'wait' || step === 'ask') return;
     const epoch = toEpoch(row.epoch + 1);
     const { suspicion } = suspected;
     const voteCount = suspected.votedIds.size;
-    this.#log('ownership claimed', { formerOwner: row.nodeId, epoch, suspicion, voteCount });
+    const voteless = step === 'claimWithoutVotes' ? suspected.getVotelessClaim(row) : undefined;
+    this.#log('ownership claimed', {
+      ...{ formerOwner: row.nodeId, epoch, suspicion, voteCount },
+      ...{ voterCount: row.voterSet?.voters.length, isVoteless: voteless !== undefined },
+    });
     const silenceSinceEpoch = row.silenceSinceEpoch ?? epoch;
     const votersVersion = suspected.isReleased ? undefined : row.voterSet?.version;
     this.#mode = { kind: 'claiming', epoch, silenceSinceEpoch, votersVersion };
@@ -331,7 +329,7 @@
     this.#state = createModeState(nowMs);
     this.#effects.push({
       ...{ kind: 'claim', epoch, expectedVersion: row.version },
-      ...{ votersVersion, silenceSinceEpoch },
+      ...{ votersVersion, voteless, silenceSinceEpoch },
     });
   }
 
@@ -548,16 +546,14 @@
   #onClaimed({ epoch, result, nowMs }: Extract<OwnershipEvent, { kind: 'claimed' }>): void {
     if (this.#mode.kind !== 'claiming' || this.#mode.epoch !== epoch) return;
     const { silenceSinceEpoch, votersVersion } = this.#mode;
-    const claimedAtMs = this.#state.enteredAtMs;
     if (E.isLeft(result)) {
       this.#log('claim failed', { epoch, failure: result.left });
       this.#search(nowMs);
       return;
     }
-    this.#state = createModeState(nowMs);
     // Another node may have claimed since, so the authority counts from the sending of the claim.
-    this.#state.confirmedAtMs = claimedAtMs;
-    this.#state.storeConfirmedAtMs = claimedAtMs;
+    this.#authority = new OwnerAuthority(this.#state.enteredAtMs);
+    this.#state = createModeState(nowMs);
     this.#mode = { kind: 'owning', epoch, rowVersion: result.right };
     this.#log('ownership taken', { epoch });
     this.#effects.push({
@@ -569,8 +565,7 @@
   #onRenewed(event: Extract<OwnershipEvent, { kind: 'renewed' }>): void {
     if (this.#mode.kind !== 'owning' || this.#mode.epoch !== event.epoch) return;
     if (E.isRight(event.result)) {
-      this.#state.confirmedAtMs = Math.max(this.#state.confirmedAtMs, event.sentAtMs);
-      this.#state.storeConfirmedAtMs = Math.max(this.#state.storeConfirmedAtMs, event.sentAtMs);
+      this.#authority.onStoreConfirmed(event.sentAtMs);
       return;
     }
     if (event.result.left.kind === 'conflict') {
--- a/src/node/ownershipShell.ts
+++ b/src/node/ownershipShell.ts
@@ -238,10 +238,12 @@
         return;
       }
       case 'claim': {
-        const { epoch, expectedVersion, votersVersion, silenceSinceEpoch } = effect;
+        const { epoch, expectedVersion, votersVersion, voteless, silenceSinceEpoch } = effect;
         const { nodeId, address } = this.#self;
         const owner = { nodeId, address, epoch, silenceSinceEpoch };
-        const claimed = claimOwnerRow(this.#claimStore, owner, expectedVersion, votersVersion);
+        const claimed = claimOwnerRow(
+          ...([this.#claimStore, owner, expectedVersion, votersVersion, voteless] as const),
+        );
         this.#dispatchResult(claimed, (result) => ({ kind: 'claimed', epoch, result }));
         return;
       }
--- a/src/node/ownershipState.ts
+++ b/src/node/ownershipState.ts
@@ -1,8 +1,8 @@
 /** State of the ownership state machine that belongs to its current mode. */
 
-import type { NodeId } from '../types/ids';
+import type { Epoch, NodeId } from '../types/ids';
 import { toEpoch } from '../types/ids';
-import type { OwnerRow } from './ownershipTypes';
+import type { OwnerRow, OwnershipMode } from './ownershipTypes';
 import { decodeVoterSet } from './voterSet';
 
 /** An owner that has not reached the store for this long is replaced by a node that does. */
@@ -20,10 +20,6 @@
   readSentAtMs: number;
   /** Since when this node has reached the store while the owner has not. */
   storeReachableSinceMs: number | undefined;
-  /** Last confirmation by the store or by the voters. */
-  confirmedAtMs: number;
-  /** Last confirmation by the store. */
-  storeConfirmedAtMs: number;
 }
 
 /**
@@ -41,8 +37,6 @@
     isReading: false,
     readSentAtMs: nowMs,
     storeReachableSinceMs: undefined,
-    confirmedAtMs: nowMs,
-    storeConfirmedAtMs: nowMs,
   };
 }
 
@@ -56,3 +50,16 @@
     voterSet: decodeVoterSet(undefined),
   };
 }
+
+/**
+ * Gets the owner of an epoch that a node knows but does not hear.
+ * @param mode - mode of the node
+ * @param epoch - the epoch
+ * @returns its address; undefined when the node does not know it, or knows that it resigns
+ */
+export function tryGetUnheardAddress(mode: OwnershipMode, epoch: Epoch): string | undefined {
+  const isKnown = mode.kind === 'following' || mode.kind === 'suspecting';
+  if (!isKnown || mode.row.epoch !== epoch || mode.row.address === '') return undefined;
+  const isResigning = mode.kind === 'suspecting' && mode.suspicion === 'resigned';
+  return isResigning ? undefined : mode.row.address;
+}
--- a/src/node/ownershipTypes.ts
+++ b/src/node/ownershipTypes.ts
@@ -17,6 +17,8 @@
   readonly silenceSinceEpoch?: Epoch | undefined;
   /** The stored voter set; undefined for an owner that was announced and whose row has not been read. */
   readonly voterSet?: VoterSet | undefined;
+  /** The store's clock when the rows were read; undefined when it is not known. */
+  readonly storeMs?: number | undefined;
 }
 
 /** Why a read or write of the owner row failed. */
@@ -45,6 +47,14 @@
   readonly votedIds?: readonly NodeId[];
 }
 
+/** What a claim without the votes of a vote quorum depends on, and leaves for its successors; see voterSet.ts. */
+export interface VotelessClaim {
+  /** Version of the alive row, which the owner must not have renewed. */
+  readonly aliveVersion: number;
+  /** On the store's clock: until then former owners may act; undefined when the store does not tell its clock. */
+  readonly formerActsUntilMs: number | undefined;
+}
+
 /** Input events of the state machine. */
 export type OwnershipEvent = { readonly nowMs: number } & (
   | { readonly kind: 'tick' }
@@ -120,6 +130,8 @@
       readonly expectedVersion: number;
       /** Version of the voter set against which the votes were cast; undefined when it has not been read. */
       readonly votersVersion?: number | undefined;
+      /** Set for a claim without votes. */
+      readonly voteless?: VotelessClaim | undefined;
       readonly silenceSinceEpoch: Epoch;
     }
   | { readonly kind: 'renew'; readonly epoch: Epoch; readonly rowVersion: number }
--- a/src/node/suspectedOwner.ts
+++ b/src/node/suspectedOwner.ts
@@ -5,9 +5,14 @@
 
 import { getHash } from '../types/hash';
 import type { NodeId } from '../types/ids';
-import type { OwnerCandidate, OwnerRow, PeerAnswers, SuspicionReason } from './ownershipTypes';
-import { isVoteQuorum } from './voterSet';
-import { STORELESS_LIMIT_MS } from '../owner/constants';
+import type {
+  OwnerCandidate,
+  OwnerRow,
+  PeerAnswers,
+  SuspicionReason,
+  VotelessClaim,
+} from './ownershipTypes';
+import { getFormerActsUntilMs, isVotelessClaimDue, isVoteQuorum } from './voterSet';
 
 /** Delay of a claim per rank, so that candidates do not compete; a claim takes about 10 ms. */
 const CLAIM_STAGGER_MS = 120;
@@ -27,8 +32,8 @@
 /** An owner that renews the alive row is replaced only when no node that was asked has reached it for this long. */
 const UNREACHED_OWNER_DELAY_MS = 5_000;
 
-/** Added to the time after which an owner without the store has ended, for clocks of different speed. */
-const STORELESS_MARGIN_MS = 3_000;
+/** After a longer time without a read, the owner may have renewed the alive row meanwhile. */
+const MAX_READ_GAP_MS = 1_500;
 
 /** Interval at which peers are asked. */
 const ASK_INTERVAL_MS = 400;
@@ -36,6 +41,17 @@
 /** An unanswered question is repeated after this time at the latest. */
 const ASK_TIMEOUT_MS = 2_000;
 
+/** What a candidate does next; a claim without votes depends on the alive row, see voterSet.ts. */
+export type SuspicionStep = 'claim' | 'claimWithoutVotes' | 'wait' | 'ask';
+
+/** A series of reads without a gap that have found the same version of the alive row. */
+interface Observation {
+  readonly sinceMs: number;
+  /** The store's clock at the first read; undefined where the store does not tell it. */
+  readonly sinceStoreMs: number | undefined;
+  readonly lastReadAtMs: number;
+}
+
 /** The suspicion of one owner. */
 export class SuspectedOwner {
   readonly enteredAtMs: number;
@@ -57,6 +73,8 @@
 
   #aliveChangedAtMs: number;
 
+  #observation: Observation | undefined;
+
   /** The owner has renewed the alive row since it was suspected. */
   #hasRenewed = false;
 
@@ -97,13 +115,31 @@
    * @param row - the rows of the owner
    * @param nowMs - current time
    */
-  onRead({ aliveVersion }: OwnerRow, nowMs: number): void {
-    if (this.#aliveVersion === aliveVersion) return;
+  onRead({ aliveVersion, storeMs }: OwnerRow, nowMs: number): void {
+    const isSame = this.#aliveVersion === aliveVersion;
+    const observed = this.#observation;
+    const isGapless = observed !== undefined && nowMs <= observed.lastReadAtMs + MAX_READ_GAP_MS;
+    this.#observation =
+      isSame && isGapless
+        ? { ...observed, lastReadAtMs: nowMs }
+        : { sinceMs: nowMs, sinceStoreMs: storeMs, lastReadAtMs: nowMs };
+    if (isSame) return;
     this.#hasRenewed = this.#aliveVersion !== undefined;
     this.#aliveVersion = aliveVersion;
     this.#aliveChangedAtMs = nowMs;
   }
 
+  /**
+   * Gets what a claim without votes depends on.
+   * @param row - the rows of the owner
+   * @returns the condition of the claim, and what later owners have to know of it
+   */
+  getVotelessClaim({ aliveVersion }: OwnerRow): VotelessClaim {
+    const sinceMs = this.#observation?.sinceStoreMs;
+    const formerActsUntilMs = sinceMs === undefined ? undefined : getFormerActsUntilMs(sinceMs);
+    return { aliveVersion, formerActsUntilMs };
+  }
+
   /** Whether the owner has promised to rely on the store alone for good, so that a claim depends on no voter set. */
   get isReleased(): boolean {
     return this.#isReleased;
@@ -167,13 +203,13 @@
    * @param row - the owner
    * @param self - this node and all candidates; these are undefined until the list of nodes has been read
    * @param nowMs - current time
-   * @returns 'claim', or what is missing
+   * @returns the kind of claim to send, or what is missing
    */
   getNextStep(
     row: OwnerRow,
     self: { readonly nodeId: NodeId; readonly candidates: readonly OwnerCandidate[] | undefined },
     nowMs: number,
-  ): 'claim' | 'wait' | 'ask' {
+  ): SuspicionStep {
     const { nodeId, candidates } = self;
     const isSafe = this.#isClaimSafe(row, nowMs);
     // If another node has claimed meanwhile, the row's version makes the claim of the named successor fail.
@@ -185,7 +221,18 @@
     if (this.suspicion === 'none' || row.nodeId === nodeId) return 'claim';
     const isCertain = this.suspicion === 'resigned' || this.suspicion === 'withoutStore';
     const isNeeded = isCertain || this.#isReplacementNeeded(row, nodeId, candidates, nowMs);
-    return isSafe && isNeeded ? 'claim' : 'ask';
+    if (!isNeeded) return 'ask';
+    if (isSafe) return 'claim';
+    return this.#mayClaimWithoutVotes(row, nowMs) ? 'claimWithoutVotes' : 'ask';
+  }
+
+  /** Whether so many voters seem lost that no vote quorum can be had; those that can be reached are asked before. */
+  #mayClaimWithoutVotes({ voterSet }: OwnerRow, nowMs: number): boolean {
+    const observation = this.#observation;
+    if (voterSet === undefined || observation === undefined || this.#answers === undefined)
+      return false;
+    if (nowMs > observation.lastReadAtMs + MAX_READ_GAP_MS) return false;
+    return isVotelessClaimDue(nowMs - observation.sinceMs);
   }
 
   /** Whether the former owner ends within its authority of a claim that is sent now; see voterSet.ts. */
@@ -197,7 +244,7 @@
     if (voterSet.epoch !== epoch) return true;
     if (voterSet.version === this.#votedVersion && isVoteQuorum(voterSet, this.#votedIds))
       return true;
-    return nowMs >= this.#aliveChangedAtMs + STORELESS_LIMIT_MS + STORELESS_MARGIN_MS;
+    return nowMs >= getFormerActsUntilMs(this.#aliveChangedAtMs);
   }
 
   /** Whether the owner seems lost to all nodes, not only to this one. */
--- a/src/node/tables.ts
+++ b/src/node/tables.ts
@@ -67,3 +67,6 @@
 
 /** Key of the row in the ownership table that names the voters of the owner. */
 export const VOTERS_KEY = 'voters';
+
+/** Key of the row in the ownership table that tells until when former owners may act after a claim without votes. */
+export const FORMER_OWNERS_KEY = 'formerOwners';
--- a/src/node/takeoverLoader.ts
+++ b/src/node/takeoverLoader.ts
@@ -2,13 +2,14 @@
 
 import * as E from 'fp-ts/Either';
 import { OddRowLog } from '../observe/oddRowLog';
-import type { LoadedSubmission, TargetEntry } from '../owner/types';
+import type { LoadedSubmission, StoredTargetRecord, TargetEntry } from '../owner/types';
 import { mergeSnapshots, readPartSnapshot } from '../store/tableFollower';
 import type { PartSnapshot } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
-import type { TargetId } from '../types/ids';
+import type { Epoch, TargetId } from '../types/ids';
 import type { StoredProgress } from '../work/storedProgress';
 import { decodeFinishedSubmission, decodeSubmission } from '../work/submissionSchema';
+import { decodeFormerActsUntilMs } from './ownerRows';
 import { PartReader } from './partReader';
 import type { PartRead } from './partReader';
 import type { NodePorts } from './ports';
@@ -22,6 +23,7 @@
   SUBMISSIONS_TABLE,
   USED_TARGETS_TABLE,
 } from './tables';
+import { decodeTargetRecord } from './usedTargetRows';
 
 /** Timeout for reading one page. */
 const LOAD_TIMEOUT_MS = 2_000;
@@ -79,6 +81,26 @@
   };
 }
 
+/**
+ * Decodes what is stored of former owners and of the targets that they have used.
+ * @param epoch - the epoch of the new owner
+ * @param rows - the loaded rows
+ * @param sentAtMs - when the load began, on the owner's clock
+ * @returns the record
+ */
+export function decodeLoadedRecord(
+  epoch: Epoch,
+  { usedTargets, ownership }: Pick<LoadedRows, 'usedTargets' | 'ownership'>,
+  sentAtMs: number,
+): StoredTargetRecord {
+  const { storeMs } = usedTargets;
+  const readAt = storeMs === undefined ? undefined : { storeMs, sentAtMs };
+  return {
+    ...decodeTargetRecord(epoch, usedTargets.rows, ownership.rows, readAt),
+    formerActsUntilMs: decodeFormerActsUntilMs(ownership.rows),
+  };
+}
+
 /** Reads the tables that a new owner needs. */
 export class TakeoverLoader {
   #ports: NodePorts;
--- a/src/node/voterSet.ts
+++ b/src/node/voterSet.ts
@@ -1,7 +1,16 @@
 /**
- * The rule of ownership: the voters that confirm an owner without the store, and the voters that a claim needs, always
- * have one in common, and a voter that has voted for a claim confirms the former owner no more. So an owner ends within
- * its authority of the moment at which a claim against its voter set may first be sent.
+ * The rule of ownership: a former owner acts on no target that has answered its successor, and on any other one at the
+ * latest until its authority has ended after a claim with the votes of a vote quorum, or until its storeless limit
+ * after a claim without these; and while the store has not confirmed an owner for as long as a claim without votes
+ * waits, it starts no submission that it has learnt of since, and takes no target's silence since then for the end of
+ * a lease.
+ *
+ * The first part is what a successor assumes (FormerOwners, OwnerState.setFormerAuthorityEnd), the second what an owner
+ * itself keeps to (OwnerState.provenMs, OwnerHost). The voters that confirm an owner without the store, and the voters
+ * that a claim needs, always have one in common, and a voter that has voted for a claim confirms the former owner no
+ * more. A claim without votes is for the loss of so many voters that no vote quorum is left. To nodes that reach the
+ * store, that looks like a cut with the owner and its voters on the other side; its harm is limited by the targets,
+ * which refuse lower epochs.
  *
  * This is a leader lease with the store as the arbiter of claims; compare section 6.4.2 of Ongaro, Consensus: Bridging
  * Theory and Practice (2014), where the quorums are majorities. Here the owner's quorum is the larger one, so that few
@@ -9,6 +18,7 @@
  */
 
 import * as z from 'zod';
+import { STORELESS_END_DELAY_MS, VOTELESS_CLAIM_DELAY_MS } from '../owner/constants';
 import type { Epoch, NodeId } from '../types/ids';
 import { tryParseJson } from '../types/json';
 
@@ -35,6 +45,25 @@
   voters: z.array(z.tuple([z.string(), z.number()])),
 });
 
+/**
+ * Gets until when an owner may act that a claim without votes replaces.
+ * @param confirmedMs - when the store had confirmed it for the last time, or any later time
+ * @returns a time of the same clock
+ */
+export function getFormerActsUntilMs(confirmedMs: number): number {
+  return confirmedMs + STORELESS_END_DELAY_MS;
+}
+
+/**
+ * Checks whether a claim without votes may be sent: the store has answered the claimant all the while, and has not
+ * confirmed the owner. The claim also requires that the alive row is as it was observed.
+ * @param observedForMs - for how long the claimant has read the same version of the alive row without a gap
+ * @returns true once the owner takes nothing for certain any more that a successor could change
+ */
+export function isVotelessClaimDue(observedForMs: number): boolean {
+  return observedForMs >= VOTELESS_CLAIM_DELAY_MS;
+}
+
 function getToleratedAbsences(voterCount: number): number {
   return Math.floor(voterCount / VOTERS_PER_ABSENCE);
 }
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -91,6 +91,15 @@
 /** An owner stops by itself when the store has not confirmed it for this long, whoever else does. */
 export const STORELESS_LIMIT_MS = 60_000;
 
+/** An owner that may go on after a claim is waited for this long; the difference is for clocks of different speed. */
+export const STORELESS_END_DELAY_MS = STORELESS_LIMIT_MS + 3_000;
+
+/**
+ * A claim without votes is sent only when the store has not confirmed the owner for this long: longer than
+ * {@link OWNER_AUTHORITY_MS} even on a clock that is 2% fast, and than a renewal that is lost and sent again.
+ */
+export const VOTELESS_CLAIM_DELAY_MS = 2_200;
+
 /**
  * How long an owner that hands over prepares that at most, apart from departures: much less than the time in which a
  * node has to stop. What is not stored by then the successor waits for as after any other takeover.
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -4,7 +4,7 @@
 import { assertNever } from '../types/debug';
 import { AdviceDispatcher } from './adviceDispatcher';
 import { BeliefMonitor } from './beliefMonitor';
-import { DEFAULT_MAX_LEASE_MS, OWNER_AUTHORITY_MS, OUTCOME_RETENTION_MS } from './constants';
+import { DEFAULT_MAX_LEASE_MS, OUTCOME_RETENTION_MS } from './constants';
 import { EarlyCancellations } from './earlyCancellations';
 import { HandoverPreparation } from './handoverPreparation';
 import { Incarnations } from './incarnations';
@@ -54,6 +54,9 @@
   /** Builds the load summary for the gates. */
   readonly load: LoadSampler;
 
+  /** How long former owners could act after the takeover on targets that had not answered this owner. */
+  readonly formerOwnersRemainingMs: number;
+
   #state: OwnerState;
 
   #runManager: RunManager;
@@ -121,7 +124,7 @@
     this.#stopwatch = stopwatch;
     this.#state = new OwnerState(epoch, maxLeaseMs, record, registryLapseMs, options);
     this.#state.setClocks(clocks);
-    this.#state.setFormerAuthorityEnd(clocks.steadyMs + OWNER_AUTHORITY_MS);
+    this.formerOwnersRemainingMs = this.#state.setFormerOwners(record);
     if (record.readAt !== undefined) this.#state.adoptSilences(record.readAt);
     this.#runManager = new RunManager(this.#state);
     const incarnations = new Incarnations(this.#state, this.#runManager);
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -9,7 +9,9 @@
   MAX_CALL_DELAY_MS,
   MAX_CLOCK_DRIFT,
   MAX_START_TIMEOUT_MS,
+  OWNER_AUTHORITY_MS,
   STOP_RETRY_DELAY_MS,
+  STORELESS_END_DELAY_MS,
 } from './constants';
 import { AdviceUsage } from './adviceUsage';
 import { CapacityShares } from './capacityShares';
@@ -169,6 +171,12 @@
   /** Lower bound of the elapsed time. */
   steadyMs = 0;
 
+  /**
+   * The steady time up to which the silence of a target is proof that its lease has ended. It falls behind while the
+   * store does not confirm this owner, as a successor may renew the lease; see voterSet.ts.
+   */
+  provenMs = 0;
+
   /** How long a start that was meant for a former incarnation can hold a lease on a silent one. */
   readonly maxInheritedLeaseMs: number;
 
@@ -217,6 +225,24 @@
     return this.#longUnresolvedUntilMs;
   }
 
+  /**
+   * Sets how long former owners may act on targets that have not answered this owner.
+   * @param record - what has been read at the takeover
+   * @returns the time from now on, in milliseconds
+   */
+  setFormerOwners({ readAt, formerActsUntilMs }: StoredTargetRecord): number {
+    if (readAt !== undefined) this.storeClock.addReading(readAt, this.steadyMs);
+    const reachedMs =
+      formerActsUntilMs === undefined || !Number.isFinite(formerActsUntilMs)
+        ? undefined
+        : this.storeClock.getReachedMs(formerActsUntilMs);
+    const latestMs = reachedMs ?? this.steadyMs + STORELESS_END_DELAY_MS;
+    const usualMs = this.steadyMs + OWNER_AUTHORITY_MS;
+    const endMs = formerActsUntilMs === undefined ? usualMs : Math.max(usualMs, latestMs);
+    this.setFormerAuthorityEnd(endMs);
+    return endMs - this.steadyMs;
+  }
+
   /**
    * Sets when former owners sent their last calls. Whatever these have granted ends a lease later, also when a call is
    * carried out late, as it names the end of the lease.
@@ -333,6 +359,8 @@
     this.nowMs = clocks.nowMs;
     this.wallMs = clocks.wallMs;
     this.steadyMs = clocks.steadyMs;
+    const unconfirmedMs = (clocks.storeUnconfirmedForMs ?? 0) - OWNER_AUTHORITY_MS;
+    this.provenMs = clocks.steadyMs - Math.max(0, unconfirmedMs);
     const offsetMs = clocks.nowMs - clocks.steadyMs;
     const isResumed = offsetMs > (this.#clockOffsetMs ?? offsetMs) + MIN_SUSPENSION_MS;
     if (isResumed) this.resumedAtMs = clocks.steadyMs;
--- a/src/owner/targetTable.ts
+++ b/src/owner/targetTable.ts
@@ -29,6 +29,9 @@
 
   #departures: Departures;
 
+  /** Whether leases have expired that a successor may have renewed. */
+  #isExpiryUnproven = false;
+
   /** The last entry of each target that was taken for an earlier one. */
   #setAside = new Map<TargetId, TargetEntry>();
 
@@ -251,18 +254,35 @@
 
   /** Handles expired leases and removed targets, repeats stops and stops stalled runs. */
   check(): void {
-    const { steadyMs } = this.#state;
+    const { provenMs, steadyMs } = this.#state;
+    const unprovenIds: TargetId[] = [];
     this.#incarnations.checkAwaited();
     this.#departures.takeDeparted().forEach((target) => this.#incarnations.depart(target));
     this.#state.watch.getCheckable().forEach((target) => {
       if (!target.isResponding) this.#runManager.crashTracker.onStillLost(target);
       if (target.mayNeedStops) this.#checkRuns(target);
-      if (!target.isResponding && target.lease.isExpired(steadyMs)) this.#releaseExpired(target);
+      if (!target.isResponding && target.lease.isExpired(provenMs)) this.#releaseExpired(target);
+      else if (!target.isResponding && target.lease.isExpired(steadyMs))
+        unprovenIds.push(target.id);
       if (!target.isRegistered && this.#canRemove(target)) {
         if (TargetTable.#wasReached(target)) this.#state.setVacated(target);
         this.#incarnations.remove(target, 'the target has left the registry', false);
       }
     });
+    this.#logUnproven(unprovenIds);
+  }
+
+  /** Without the store a successor may renew leases that this owner would take for expired. */
+  #logUnproven(targetIds: readonly TargetId[]): void {
+    const wasWaiting = this.#isExpiryUnproven;
+    this.#isExpiryUnproven = targetIds.length > 0;
+    if (wasWaiting === this.#isExpiryUnproven) return;
+    this.#state.log(
+      this.#isExpiryUnproven
+        ? 'runs of silent targets wait until the store confirms this owner'
+        : 'no silent target waits for the store any more',
+      { targetIds },
+    );
   }
 
   /** Repeats stops and stops stalled runs; only an answer to a poll can show that another run has stalled. */
@@ -283,9 +303,9 @@
   }
 
   #releaseExpired(target: TargetState): void {
-    const { steadyMs } = this.#state;
+    const { provenMs } = this.#state;
     const runs = [...target.runs.values()].filter(
-      (run) => steadyMs > getRunEndMs(this.#state, target, run),
+      (run) => provenMs > getRunEndMs(this.#state, target, run),
     );
     if (runs.length > 0) {
       this.#runManager.crashTracker.onLeaseExpired(target);
@@ -316,12 +336,12 @@
 
   /** Checks whether an unregistered target can be removed; it is kept while it may still run something. */
   #canRemove(target: TargetState): boolean {
-    const { steadyMs } = this.#state;
-    if (target.runs.size > 0 || target.lease.mayBeInherited(steadyMs)) return false;
-    if (target.orphanRuns.size > 0 && !target.lease.isExpired(steadyMs)) return false;
+    const { provenMs } = this.#state;
+    if (target.runs.size > 0 || target.lease.mayBeInherited(provenMs)) return false;
+    if (target.orphanRuns.size > 0 && !target.lease.isExpired(provenMs)) return false;
     // Until then polls have to keep former owners' calls from being carried out, also when nothing waits for it.
     if (!TargetTable.#wasReached(target))
-      return steadyMs > this.#state.getFormerCallsUntilMs(target.entry);
+      return provenMs > this.#state.getFormerCallsUntilMs(target.entry);
     return !target.isResponding || target.unacknowledgedEndCount === 0;
   }
 }
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -201,6 +201,11 @@
   readonly malformed: readonly RecordVersion[];
   /** The store's clock when the record was read; undefined when it is not known. */
   readonly readAt?: StoreClockReading | undefined;
+  /**
+   * On the store's clock: until then former owners may act on targets that have not answered a later one. Infinite when
+   * it is not known; undefined when they end with the usual authority.
+   */
+  readonly formerActsUntilMs?: number | undefined;
 }
 
 /** A reading of the store's steady clock. */
@@ -241,6 +246,8 @@
   readonly wallMs: number;
   /** Lower bound of the elapsed time; decides whether a deadline has passed for other processes too. */
   readonly steadyMs: number;
+  /** How long ago the call was sent by which the store has confirmed this owner last; 0 when omitted. */
+  readonly storeUnconfirmedForMs?: number | undefined;
 }
 
 /** A row of what owners learn. */
--- a/src/owner/unseenRuns.ts
+++ b/src/owner/unseenRuns.ts
@@ -87,9 +87,9 @@
   #endWaits(): void {
     const { unresolvedTargets, targets } = this.#state;
     if (unresolvedTargets.size === 0) return;
-    const { steadyMs } = this.#state;
+    const { provenMs } = this.#state;
     const targetIds = [...unresolvedTargets].filter(
-      (id) => steadyMs >= this.#getWaitEndMs(targets.get(id)),
+      (id) => provenMs >= this.#getWaitEndMs(targets.get(id)),
     );
     if (targetIds.length === 0) return;
     this.#state.log(
