Store cancellations ahead of submissions that are not known yet

Cause: the gate took "neither owner nor store knows the id" as proof that there is no such submission, and kept nothing. A request may be on its way in a socket, a group commit, at a committer or in a late call to the store.

Change: before the 410 the cancellation is stored in a row of its own, which names the team or public queue that asked. Owners match it when they meet the submission, in whichever order the rows come.

Why it works: both rows are in the store before either is acknowledged, and an owner reads both tables, so none that knows the submission is without its cancellation for longer than a feed takes.

--- a/src/node/acceptance.ts
+++ b/src/node/acceptance.ts
@@ -150,12 +150,18 @@
   /**
    * Creates one row, through another node if the delegate takes it.
    * @param table - table of the row
-   * @param submissionId - key of the row
+   * @param submissionId - the submission
    * @param value - content of the row
+   * @param key - key of the row, which begins with the id; the id by itself when omitted
    * @returns the outcome; `stored` also when the row existed before
    */
-  write(table: string, submissionId: SubmissionId, value: string): Promise<AcceptOutcome> {
-    const put = { table, part: getSubmissionPart(submissionId), key: submissionId, value };
+  write(
+    table: string,
+    submissionId: SubmissionId,
+    value: string,
+    key: string = submissionId,
+  ): Promise<AcceptOutcome> {
+    const put = { table, part: getSubmissionPart(submissionId), key, value };
     return this.#join(put, () => this.#delegateOrCommit(put));
   }
 
--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -17,13 +17,15 @@
 import type { Submission } from '../work/types';
 import type { AcceptanceWriter, AcceptOutcome } from './acceptance';
 import type { CallerAnswer, CallerCall } from './callerTypes';
+import { CancellationLimit } from './cancellationLimit';
+import { encodeEarlyCancellation, getRequester, getRequesterName } from './cancellationRows';
 import { LateRefusals } from './lateRefusals';
 import type { LateRefusal } from './lateRefusals';
 import { tryParseSubmissionId } from './router';
 import type { OwnerNotice } from './ownerNotifier';
 import { getObjectiveMs, getRetryDelayMs } from './retryDelay';
 import type { RoutedCall, Router } from './router';
-import { CANCELS_TABLE, getSubmissionParts, SUBMISSIONS_TABLE } from './tables';
+import { CANCELS_TABLE, getSubmissionPart, getSubmissionParts, SUBMISSIONS_TABLE } from './tables';
 
 /** Retry delay given to callers when a request was refused for a temporary reason. */
 const RETRY_AFTER_MS = 1_000;
@@ -66,6 +68,8 @@
   isStoreSlow(): boolean;
   /** How long the store has not been reached, in milliseconds; 0 while it is. */
   getStoreLostForMs(): number;
+  /** Number of nodes; 1 when omitted. */
+  getNodeCount?(): number;
   /** Source of jitter; omitted outside tests. */
   readonly random?: Random;
 }
@@ -92,11 +96,14 @@
 
   #lateRefusals: LateRefusals | undefined;
 
+  #cancellationLimit: CancellationLimit;
+
   /**
    * @param ports - store, owner, clock and logger
    */
   constructor(ports: GatePorts) {
     this.#ports = ports;
+    this.#cancellationLimit = new CancellationLimit(ports.clock, () => ports.getNodeCount?.() ?? 1);
     const { refusesLateSubmissions } = ports.scheduling ?? DEFAULT_SCHEDULING_OPTIONS;
     if (!refusesLateSubmissions) return;
     this.#lateRefusals = new LateRefusals(
@@ -241,13 +248,39 @@
     if (view?.kind !== 'known') {
       const isStored = await this.#isStored(submissionId);
       if (isStored === undefined) return refuse('noOwner', RETRY_AFTER_MS);
-      if (!isStored) return { kind: 'noSubmission' };
+      if (!isStored) return this.#cancelAhead(routed, submissionId);
     }
     const outcome = await this.#ports.acceptance.write(CANCELS_TABLE, submissionId, '');
     if (outcome.kind === 'stored') this.#ports.owner.notify({ kind: 'cancelled', submissionId });
     return Gate.#toAnswer(outcome, { kind: 'cancelled' });
   }
 
+  /**
+   * The submission may be on its way, in a connection of another node, in a transaction or at another committer. So the
+   * cancellation is stored for when it comes.
+   */
+  async #cancelAhead(routed: RoutedCall, submissionId: SubmissionId): Promise<CallerAnswer> {
+    const requester = getRequester(routed);
+    const waitMs = this.#cancellationLimit.take(getRequesterName(requester));
+    if (waitMs > 0) {
+      this.#ports.metrics.count('early_cancellations_refused');
+      const detail = 'too many cancellations of submissions that do not exist';
+      return refuse('overloaded', Math.max(RETRY_AFTER_MS, waitMs), detail);
+    }
+    const wallMs = this.#ports.clock.wallMs();
+    const { key, value } = encodeEarlyCancellation(submissionId, requester, wallMs);
+    const outcome = await this.#ports.acceptance.write(CANCELS_TABLE, submissionId, value, key);
+    if (outcome.kind === 'stored') {
+      const row = { part: getSubmissionPart(submissionId), key, value };
+      this.#ports.owner.notify({ kind: 'cancelledAhead', submissionId, row });
+    }
+    this.#ports.logger.info(
+      { submissionId, requester, outcome: outcome.kind },
+      'cancellation of a submission that is not known stored ahead of it',
+    );
+    return Gate.#toAnswer(outcome, { kind: 'noSubmission' });
+  }
+
   async #readQueue({ queue }: RoutedCall): Promise<CallerAnswer> {
     const count = await this.#ports.owner.getWaitingCount(queue.id);
     return count === undefined ? refuse('noOwner', RETRY_AFTER_MS) : { kind: 'waiting', count };
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,5 +1,6 @@
 /** One node: gate, ownership state machine, and the owner's scheduler while it owns the fleet. */
 
+import { setTimeout } from 'node:timers/promises';
 import * as E from 'fp-ts/Either';
 import type { Advice, AdviceFailure, HandedAdvice, SubmissionView } from '../owner/types';
 import type { PeerHandlers, PeerLinkHandle, PeerCalls, PeerReplies } from '../peer/types';
@@ -12,6 +13,7 @@
 import { AcceptanceWriter } from './acceptance';
 import type { DelegatedOutcome } from './acceptance';
 import type { CallerAnswer, CallerCall } from './callerTypes';
+import { tryParseRowKey } from './cancellationRows';
 import { CommitterLinks } from './committerLinks';
 import { Gate } from './gate';
 import { decodeHandedAdvice } from './handedAdvice';
@@ -28,8 +30,8 @@
 import { FollowerTable } from './followerTable';
 import { LeaseQuorum } from './leaseQuorum';
 import { writeVoterSet } from './ownerRows';
-import { Router, tryParseSubmissionId } from './router';
-import { CANCELS_TABLE, getSubmissionPart, SUBMISSIONS_TABLE } from './tables';
+import { Router } from './router';
+import { getSubmissionPart } from './tables';
 import { throwRejection } from '../types/debug';
 
 /** Interval of the ownership checks. */
@@ -63,12 +65,6 @@
   readonly processorMillis: number;
 }
 
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
 /** A call of another node fails while the answer is not known, so that it asks again or gives up. */
 function requireRead<T>(answer: T | undefined): T {
   if (answer === undefined) throw new Error('this node has not read the stored state yet');
@@ -212,6 +208,7 @@
       getServingEpoch: () => this.#ownership.servingEpoch,
       isStoreSlow: () => this.#store.isSlow || this.#store.isLate,
       getStoreLostForMs: () => this.#store.unreachableForMs,
+      getNodeCount: () => this.#members.members.length,
     });
   }
 
@@ -359,16 +356,17 @@
   }
 
   #beginOwning(epoch: Epoch, rowVersion: number, votersVersion: number | undefined): void {
-    const nowMs = this.#ports.clock.nowMs();
+    const { clock } = this.#ports;
+    const { core } = this.#ownership;
+    const nowMs = clock.nowMs();
     this.#followers.clear();
     this.#lease = new LeaseQuorum(epoch, votersVersion ?? 0, nowMs);
     this.#handoverCheckedAtMs = nowMs;
     this.#ownerHost = new OwnerHost(
       this.#ports,
       {
-        isAuthorized: () => this.#ownership.core.isAuthorized(this.#ports.clock.nowMs()),
-        getStoreUnconfirmedForMs: () =>
-          this.#ownership.core.getStoreUnconfirmedForMs(this.#ports.clock.nowMs()),
+        isAuthorized: () => core.isAuthorized(clock.nowMs()),
+        getStoreUnconfirmedForMs: () => core.getStoreUnconfirmedForMs(clock.nowMs()),
         advise: (nodeId, stepKey, targetIds, timeoutMs) =>
           this.#advise(nodeId, stepKey, targetIds, timeoutMs),
         onHandoverPrepared: () => this.#onHandoverPrepared(epoch),
@@ -433,6 +431,9 @@
       cancelled: ({ submissionId }) => ({
         epoch: this.#requireHost().take({ kind: 'cancelled', submissionId }),
       }),
+      cancelledAhead: ({ row }) => ({
+        epoch: this.#requireHost().take({ kind: 'cancelledAhead', row }),
+      }),
       getView: ({ submissionId, teamId }) =>
         requireRead(this.#requireHost().getView(submissionId, teamId)),
       getWaiting: ({ queueId }) => ({
@@ -504,10 +505,9 @@
 
   async #storeRowForPeer(params: PeerCalls['storeRow']): Promise<DelegatedOutcome> {
     const { table, key, value, timeoutMs } = params;
-    const submissionId = tryParseSubmissionId(key);
-    const isKnownTable = table === SUBMISSIONS_TABLE || table === CANCELS_TABLE;
+    const submissionId = tryParseRowKey(table, key);
     const canStore = this.#store.isReachable && !this.#isStopping;
-    if (!canStore || submissionId === undefined || !isKnownTable) return { kind: 'notSent' };
+    if (!canStore || submissionId === undefined) return { kind: 'notSent' };
     const put = { table, part: getSubmissionPart(submissionId), key, value };
     return this.#acceptance.writeForPeer(put, timeoutMs);
   }
@@ -585,7 +585,7 @@
       if (reply !== undefined) return reply;
     }
     if (waitedMs >= OWNER_WAIT_MS) return undefined;
-    await sleep(OWNER_POLL_INTERVAL_MS);
+    await setTimeout(OWNER_POLL_INTERVAL_MS);
     return this.#askOwner(askLocal, askRemote, waitedMs + OWNER_POLL_INTERVAL_MS);
   }
 
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -13,7 +13,7 @@
 import { TableFollower } from '../store/tableFollower';
 import type { FollowedTable, FollowerEvent } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
-import { throwRejection } from '../types/debug';
+import { assertNever, throwRejection } from '../types/debug';
 import type { Epoch, NodeId, QueueId, SubmissionId, TargetId, TeamId } from '../types/ids';
 import type { DistributiveOmit } from '../types/distributiveOmit';
 import { decodeFinishedSubmission, decodeSubmission } from '../work/submissionSchema';
@@ -22,6 +22,7 @@
 import { FormerOwners } from './formerOwners';
 import { readLearntRows } from './learntRows';
 import type { OperatorSnapshot } from './operatorSnapshot';
+import { OwnerCancellations } from './ownerCancellations';
 import { getEffectWork, OwnerLoad } from './ownerLoad';
 import type { OwnerHostCallbacks } from './ownerHostCallbacks';
 import { performMeasure } from './ownerMeasures';
@@ -94,7 +95,7 @@
 
   #unconfirmed: UnconfirmedSubmissions;
 
-  #cancellationLog: CancellationLog;
+  #cancellations: OwnerCancellations;
 
   #load: OwnerLoad;
 
@@ -133,7 +134,12 @@
     });
     this.#loader = new TakeoverLoader(ports);
     this.#writes = new OwnerWrites(ports.store, epoch, rowVersion);
-    this.#cancellationLog = new CancellationLog(ports.logger, epoch);
+    this.#cancellations = new OwnerCancellations({
+      log: new CancellationLog(ports.logger, epoch),
+      whenLoaded: (apply) => this.#whenLoaded(apply),
+      getView: (submissionId) => this.#core?.getView(submissionId) ?? { kind: 'unknown' },
+      dispatch: (event) => this.#dispatch(event),
+    });
     this.#unconfirmed = new UnconfirmedSubmissions({
       ...{ epoch, logger: ports.logger, metrics: ports.metrics },
       getUnconfirmedForMs: this.#getUnconfirmedForMs,
@@ -193,12 +199,11 @@
     }
     this.#dispatch({ kind: 'operatorChanged', operator: this.#operator.operator });
     this.#dispatch({ kind: 'lanesChanged', nodeIds: this.#laneIds });
-    this.#cancelUnread(loaded, submissions);
+    this.#cancellations.onLoaded(loaded.cancels.rows, submissions);
     this.#dispatch({
       kind: 'targetsListed',
       ...this.#loader.decodeRegistry(loaded.registry.rows),
     });
-    this.#cancellationLog.logLoaded(submissions);
     this.#pendingChanges.forEach((apply) => apply());
     this.#pendingChanges = [];
     this.#follow(loaded);
@@ -298,7 +303,7 @@
     const isNew = decoded !== undefined && !unread.progressRows.has(id);
     const loaded = isNew
       ? { submission: decoded, isCancelled: false, progress: undefined, progressVersion: 0 }
-      : this.#loader.decodeSubmission({ key: id, value: text }, unread.progressRows, false);
+      : this.#loader.decodeSubmission({ key: id, value: text }, unread.progressRows);
     if (loaded === undefined) return;
     const isKnown = this.#core?.getView(id).kind === 'known';
     const held: LoadedSubmission = isKnown ? loaded : unread.hold(loaded);
@@ -340,16 +345,12 @@
   }
 
   /**
-   * Applies a stored cancellation.
+   * Applies the cancellation of a submission that its gate knew.
    * @param submissionId - the cancelled submission
    * @param way - how it has become known
    */
   cancel(submissionId: SubmissionId, way: CancellationWay = 'notified'): void {
-    this.#whenLoaded(() => {
-      const view = this.#core?.getView(submissionId) ?? { kind: 'unknown' };
-      this.#cancellationLog.log(submissionId, way, view);
-      this.#dispatch({ kind: 'cancelled', submissionId });
-    });
+    this.#cancellations.onKnown(submissionId, way);
   }
 
   /**
@@ -358,8 +359,19 @@
    * @returns the epoch of this ownership
    */
   take(notice: DeliveredNotice): Epoch {
-    if (notice.kind === 'submitted') this.submit(notice.text);
-    else this.cancel(notice.submissionId);
+    switch (notice.kind) {
+      case 'submitted':
+        this.submit(notice.text);
+        break;
+      case 'cancelled':
+        this.cancel(notice.submissionId);
+        break;
+      case 'cancelledAhead':
+        this.#cancellations.onRows([notice.row], 'notified');
+        break;
+      default:
+        assertNever(notice);
+    }
     return this.#epoch;
   }
 
@@ -376,20 +388,10 @@
       this.#dispatch({ kind: 'submissionsRead' });
   }
 
-  /** The tables are read one after another, so that a cancellation may be read whose submission was not. */
-  #cancelUnread({ cancels }: LoadedRows, submissions: readonly LoadedSubmission[]): void {
-    const readIds = new Set<string>(submissions.map(({ submission }) => submission.id));
-    cancels.rows.forEach(({ key }) => {
-      if (!readIds.has(key))
-        this.#dispatch({ kind: 'cancelled', submissionId: key as SubmissionId });
-    });
-  }
-
   /** Its submissions come in as at the takeover, and wait for targets that may run them. */
   #onPartRead({ table, part, snapshot }: PartRead): void {
     if (this.#isStopped || this.#unread === undefined) return;
-    if (table === CANCELS_TABLE)
-      snapshot.rows.forEach(({ key }) => this.#cancelLate(key as SubmissionId));
+    if (table === CANCELS_TABLE) this.#cancellations.onPartRead(snapshot.rows);
     else snapshot.rows.forEach((row) => this.submit(row.value, row.version));
     const submissionIds = this.#unread.takeReleased();
     if (submissionIds.length > 0) this.#dispatch({ kind: 'cancellationsRead', submissionIds });
@@ -397,12 +399,6 @@
     this.#unread.logRead({ table, part }, snapshot.rows.length);
   }
 
-  /** The cancellation of a submission that is not known is kept for it. */
-  #cancelLate(submissionId: SubmissionId): void {
-    if (this.#core?.getView(submissionId).kind === 'known') this.cancel(submissionId, 'loaded');
-    else this.#dispatch({ kind: 'cancelled', submissionId });
-  }
-
   #restart(): void {
     if (this.#isStopped) return;
     this.start().catch(throwRejection);
@@ -439,9 +435,9 @@
       loaded.submissions.version,
       (event) => OwnerHost.#getRows(event).forEach((row) => this.submit(row.value, row.version)),
     );
-    follow({ ...accepted, table: CANCELS_TABLE }, loaded.cancels.version, (event) => {
-      OwnerHost.#getRows(event).forEach((row) => this.cancel(row.key as SubmissionId, 'feed'));
-    });
+    follow({ ...accepted, table: CANCELS_TABLE }, loaded.cancels.version, (event) =>
+      this.#cancellations.onRows(OwnerHost.#getRows(event), 'feed'),
+    );
   }
 
   static #getRows(event: FollowerEvent): readonly StoredRow[] {
@@ -568,6 +564,11 @@
           isDone ? { kind: 'submissionsDeleted', submissionIds: effect.submissionIds } : undefined,
         );
         return;
+      case 'deleteCancellations':
+        this.#dispatchResult(this.#writes.deleteCancellations(effect.rows), (rows) => ({
+          ...{ kind: 'cancellationsDeleted' as const, rows },
+        }));
+        return;
       case 'stepDown':
         this.#callbacks.onSuperseded(effect.reason);
         return;
--- a/src/node/ownerLoad.ts
+++ b/src/node/ownerLoad.ts
@@ -84,6 +84,7 @@
     case 'recordTargets':
     case 'writeLearnt':
     case 'deleteSubmissions':
+    case 'deleteCancellations':
       return 'store';
     case 'log':
       return 'log';
--- a/src/node/ownerNotifier.ts
+++ b/src/node/ownerNotifier.ts
@@ -10,6 +10,7 @@
 import type { PeerLinkHandle } from '../peer/types';
 import { assertNever } from '../types/debug';
 import type { Epoch, SubmissionId } from '../types/ids';
+import type { StoredText } from '../store/types';
 
 /** Delays between attempts to deliver a notice; doubled each time, as an owner that is late has much to do. */
 const FIRST_RETRY_DELAY_MS = 250;
@@ -33,12 +34,18 @@
 /** A row that the owner should know of. */
 export type OwnerNotice =
   | { readonly kind: 'submitted'; readonly submissionId: SubmissionId; readonly text: string }
-  | { readonly kind: 'cancelled'; readonly submissionId: SubmissionId };
+  | { readonly kind: 'cancelled'; readonly submissionId: SubmissionId }
+  | {
+      readonly kind: 'cancelledAhead';
+      readonly submissionId: SubmissionId;
+      readonly row: StoredText;
+    };
 
 /** What a notice carries to the owner. */
 export type DeliveredNotice =
   | { readonly kind: 'submitted'; readonly text: string }
-  | { readonly kind: 'cancelled'; readonly submissionId: SubmissionId };
+  | { readonly kind: 'cancelled'; readonly submissionId: SubmissionId }
+  | { readonly kind: 'cancelledAhead'; readonly row: StoredText };
 
 /** The owner as this node knows it. */
 export interface NotifiedOwner {
@@ -50,6 +57,20 @@
   deliver(notice: OwnerNotice): Promise<Epoch>;
 }
 
+function callOwner(link: PeerLinkHandle, notice: OwnerNotice, timeoutMs: number) {
+  const { submissionId } = notice;
+  switch (notice.kind) {
+    case 'submitted':
+      return link.call('submitted', { text: notice.text }, timeoutMs);
+    case 'cancelled':
+      return link.call('cancelled', { submissionId }, timeoutMs);
+    case 'cancelledAhead':
+      return link.call('cancelledAhead', { row: notice.row }, timeoutMs);
+    default:
+      return assertNever(notice);
+  }
+}
+
 /**
  * Addresses the owner on another node.
  * @param link - the connection to it
@@ -65,11 +86,7 @@
   return {
     epoch,
     deliver: async (notice) => {
-      const { submissionId } = notice;
-      const reply =
-        notice.kind === 'submitted'
-          ? await link.call('submitted', { text: notice.text }, timeoutMs)
-          : await link.call('cancelled', { submissionId }, timeoutMs);
+      const reply = await callOwner(link, notice, timeoutMs);
       return reply.epoch ?? epoch;
     },
   };
@@ -125,7 +142,8 @@
    */
   notify(notice: OwnerNotice): void {
     const nowMs = this.#ports.getNowMs();
-    const key = `${notice.kind}/${notice.submissionId}`;
+    const { kind, submissionId } = notice;
+    const key = `${kind}/${kind === 'cancelledAhead' ? notice.row.key : submissionId}`;
     const known = this.#notices.get(key);
     if (known !== undefined && known.state.kind !== 'delivered') return;
     const state = { kind: 'waiting', dueAtMs: nowMs, retryDelayMs: FIRST_RETRY_DELAY_MS } as const;
--- a/src/node/ownerWrites.ts
+++ b/src/node/ownerWrites.ts
@@ -4,7 +4,7 @@
  */
 
 import * as E from 'fp-ts/Either';
-import type { OwnerEffect, RecordFailure, WriteFailure } from '../owner/types';
+import type { OwnerEffect, RecordFailure, StoredCancellation, WriteFailure } from '../owner/types';
 import type { RowStore, StoreFailure } from '../store/types';
 import type { Epoch, SubmissionId, TargetId } from '../types/ids';
 import { encodeProgress, getExtraRowKey } from './progressRows';
@@ -22,6 +22,9 @@
 } from './tables';
 import { encodeRecordedEpoch, encodeRecordedTarget } from './usedTargetRows';
 
+/** Rows that are removed in one transaction, of the 100 entries that the store allows. */
+const MAX_REMOVALS = 90;
+
 /** Timeout of each transaction. */
 const WRITE_TIMEOUT_MS = 1_500;
 
@@ -238,6 +241,31 @@
     return E.isRight(progress);
   }
 
+  /**
+   * Deletes cancellations that were stored ahead of submissions which have not come.
+   * @param rows - the rows
+   * @returns those that are deleted
+   */
+  async deleteCancellations(
+    rows: readonly StoredCancellation[],
+  ): Promise<readonly StoredCancellation[]> {
+    const batches = [...new Set(rows.map(({ part }) => part))].flatMap((part) => {
+      const inPart = rows.filter((row) => row.part === part);
+      const count = Math.ceil(inPart.length / MAX_REMOVALS);
+      return Array.from({ length: count }, (_, index) =>
+        inPart.slice(index * MAX_REMOVALS, (index + 1) * MAX_REMOVALS),
+      );
+    });
+    const deleted = await Promise.all(
+      batches.map(async (batch) => {
+        const removals = batch.map(({ part, key }) => ({ table: CANCELS_TABLE, part, key }));
+        const transaction = { conditions: [], puts: [], removals };
+        return E.isRight(await this.#store.transact(transaction, WRITE_TIMEOUT_MS)) ? batch : [];
+      }),
+    );
+    return deleted.flat();
+  }
+
   #deleteAccepted(part: string, ids: readonly SubmissionId[]) {
     const removals = ids.flatMap((key) => [
       { table: CANCELS_TABLE, part, key },
--- a/src/node/takeoverLoader.ts
+++ b/src/node/takeoverLoader.ts
@@ -2,13 +2,20 @@
 
 import * as E from 'fp-ts/Either';
 import { OddRowLog } from '../observe/oddRowLog';
-import type { LoadedSubmission, StoredTargetRecord, TargetEntry } from '../owner/types';
+import { isCancelledBy } from '../owner/earlyCancellations';
+import type {
+  CancellationSource,
+  LoadedSubmission,
+  StoredTargetRecord,
+  TargetEntry,
+} from '../owner/types';
 import { mergeSnapshots, readPartSnapshot } from '../store/tableFollower';
 import type { PartSnapshot } from '../store/tableFollower';
 import type { StoredRow } from '../store/types';
 import type { Epoch, TargetId } from '../types/ids';
 import type { StoredProgress } from '../work/storedProgress';
 import { decodeFinishedSubmission, decodeSubmission } from '../work/submissionSchema';
+import { decodeCancellations, tryParseCancellationKey } from './cancellationRows';
 import { decodeFormerActsUntilMs } from './ownerRows';
 import { PartReader } from './partReader';
 import type { PartRead } from './partReader';
@@ -68,12 +75,14 @@
 ): Readonly<Record<string, number>> {
   const { submissions, cancels, progress, registry } = rows;
   const submissionIds = new Set(submissions.rows.map(({ key }) => key));
+  const isUnmatched = ({ key }: StoredRow) =>
+    !submissionIds.has(tryParseCancellationKey(key) ?? '');
   return {
     submissionRowCount: submissions.rows.length,
     submissionsVersion: submissions.version,
     cancelCount: cancels.rows.length,
     cancelsVersion: cancels.version,
-    unmatchedCancelCount: cancels.rows.filter(({ key }) => !submissionIds.has(key)).length,
+    unmatchedCancelCount: cancels.rows.filter(isUnmatched).length,
     progressCount: progress.rows.length,
     progressVersion: progress.version,
     registryCount: registry.rows.length,
@@ -188,12 +197,15 @@
     cancels,
     progress,
   }: Omit<LoadedRows, 'usedTargets' | 'ownership' | 'parts'>): LoadedSubmission[] {
-    const cancelled = new Set(cancels.rows.map(({ key }) => key));
+    const sources = new Map<string, CancellationSource[]>();
+    decodeCancellations(cancels.rows).forEach(({ submissionId, source }) =>
+      sources.set(submissionId, [...(sources.get(submissionId) ?? []), source]),
+    );
     const progressRows = new Map(progress.rows.map((row) => [row.key, row]));
     // A row may be in two parts, as the store did not answer for one of them when it was written.
     const uniqueRows = [...new Map(submissions.rows.map((row) => [row.key, row])).values()];
     return uniqueRows.flatMap((row) => {
-      const loaded = this.decodeSubmission(row, progressRows, cancelled.has(row.key));
+      const loaded = this.decodeSubmission(row, progressRows, sources.get(row.key));
       return loaded === undefined ? [] : [loaded];
     });
   }
@@ -202,13 +214,13 @@
    * Decodes a submission with its progress.
    * @param row - its key and its stored form
    * @param progressRows - rows of progress by key
-   * @param isCancelled - whether it has been cancelled
+   * @param cancelledBy - who has cancelled it, or another submission of the same id
    * @returns the submission, or undefined when it has to be left out
    */
   decodeSubmission(
     row: Pick<StoredRow, 'key' | 'value'>,
     progressRows: ReadonlyMap<string, StoredRow>,
-    isCancelled: boolean,
+    cancelledBy: readonly CancellationSource[] = [],
   ): LoadedSubmission | undefined {
     const progressRow = progressRows.get(row.key);
     const progress = this.#decodeProgress(progressRow, progressRows);
@@ -224,6 +236,7 @@
       return undefined;
     }
     const progressVersion = progressRow?.version ?? 0;
+    const isCancelled = cancelledBy.some((source) => isCancelledBy(source, submission.right));
     return { submission: submission.right, isCancelled, progress, progressVersion };
   }
 
--- a/src/owner/core.ts
+++ b/src/owner/core.ts
@@ -5,7 +5,7 @@
 import { AdviceDispatcher } from './adviceDispatcher';
 import { BeliefMonitor } from './beliefMonitor';
 import { DEFAULT_MAX_LEASE_MS, OUTCOME_RETENTION_MS } from './constants';
-import { EarlyCancellations } from './earlyCancellations';
+import { EarlyCancellations, isCancelledBy } from './earlyCancellations';
 import { HandoverPreparation } from './handoverPreparation';
 import { Incarnations } from './incarnations';
 import { LoadSampler } from './loadSampler';
@@ -89,7 +89,7 @@
 
   #adviceDispatcher: AdviceDispatcher;
 
-  #earlyCancellations = new EarlyCancellations();
+  #earlyCancellations: EarlyCancellations;
 
   #nextCleanupAtMs = 0;
 
@@ -126,6 +126,7 @@
     this.#state.setClocks(clocks);
     this.formerOwnersRemainingMs = this.#state.setFormerOwners(record);
     if (record.readAt !== undefined) this.#state.adoptSilences(record.readAt);
+    this.#earlyCancellations = new EarlyCancellations(this.#state);
     this.#runManager = new RunManager(this.#state);
     const incarnations = new Incarnations(this.#state, this.#runManager);
     this.#runResponses = new RunResponses(this.#state, this.#runManager, incarnations);
@@ -284,7 +285,10 @@
         this.#onSubmissionsRead();
         return;
       case 'cancelled':
-        this.#onCancelled(event.submissionId);
+        this.#onCancelled(event);
+        return;
+      case 'cancellationsDeleted':
+        this.#earlyCancellations.onDeleted(event.rows);
         return;
       case 'lanesChanged':
         this.#adviceDispatcher.setLanes(event.nodeIds);
@@ -385,7 +389,7 @@
     if (this.#state.areSubmissionPartsUnread || this.#state.areCancellationPartsUnread) return;
     if (nowMs < this.#nextCleanupAtMs) return;
     this.#nextCleanupAtMs = nowMs + CLEANUP_INTERVAL_MS;
-    this.#earlyCancellations.removeExpired(nowMs);
+    this.#earlyCancellations.deleteExpired();
     const expired = [...records.values()].filter(
       (record) =>
         record.durableOutcome !== undefined && wallMs > record.outcomeAtMs + OUTCOME_RETENTION_MS,
@@ -474,7 +478,8 @@
       this.#unseenRuns.onRowRead(known, rowVersion);
       return;
     }
-    const isCancelled = this.#earlyCancellations.take(submission.id);
+    const isCancelled = this.#earlyCancellations.take(submission);
+    if (isCancelled) this.#state.count('submissions_cancelled_before');
     const mayRunUnseen = this.#unseenRuns.mayHaveBegun(submission.id);
     const loaded = {
       ...{ submission: this.load.dateBack(submission), isCancelled, isCancellationUnread },
@@ -555,10 +560,16 @@
     });
   }
 
-  #onCancelled(submissionId: SubmissionId): void {
+  #onCancelled(event: Extract<OwnerEvent, { kind: 'cancelled' }>): void {
+    const { submissionId, source = { kind: 'checked' }, stored } = event;
     const record = this.#state.records.get(submissionId);
-    if (record === undefined) this.#earlyCancellations.add(submissionId, this.#state.nowMs);
+    if (record === undefined || stored !== undefined)
+      this.#earlyCancellations.add(submissionId, source, stored);
     if (record === undefined || record.outcome !== undefined) return;
+    if (!isCancelledBy(source, record.submission)) {
+      this.#state.log('cancellation of another team has no effect', { submissionId, source });
+      return;
+    }
     record.isCancelled = true;
     this.#runManager.closeSubmission(record, 'cancelled');
   }
--- a/src/owner/types.ts
+++ b/src/owner/types.ts
@@ -6,10 +6,12 @@
   DataCentreId,
   Epoch,
   NodeId,
+  QueueId,
   StepKey,
   SubmissionId,
   TargetId,
   TaskKey,
+  TeamId,
   Ticket,
 } from '../types/ids';
 import type {
@@ -238,6 +240,23 @@
   /** It may have been performed, or may be performed later while its conditions hold. */
   | { readonly kind: 'unavailable'; readonly detail: string };
 
+/** Who has cancelled a submission, as far as that still has to be checked against the submission. */
+export type CancellationSource =
+  /** Someone who may, by the stored submission. */
+  | { readonly kind: 'checked' }
+  | { readonly kind: 'team'; readonly teamId: TeamId }
+  /** Anyone, in a public queue. */
+  | { readonly kind: 'queue'; readonly queueId: QueueId };
+
+/** A row with a cancellation that was stored ahead of its submission. */
+export interface StoredCancellation {
+  readonly submissionId: SubmissionId;
+  readonly part: string;
+  readonly key: string;
+  /** Wall clock of the gate that has stored it, in Unix milliseconds. */
+  readonly cancelledAtMs: number;
+}
+
 /** Readings of the process's clocks at the time of an event. */
 export interface ClockReadings {
   /** Elapsed time of the process; jumps ahead after a suspension or a forward step of the system clock. */
@@ -302,7 +321,15 @@
     | { readonly kind: 'formerOwnersEnded'; readonly storeVersion: number }
     /** All rows of submissions up to the end of the authority of former owners have been reported. */
     | { readonly kind: 'submissionsRead' }
-    | { readonly kind: 'cancelled'; readonly submissionId: SubmissionId }
+    | {
+        readonly kind: 'cancelled';
+        readonly submissionId: SubmissionId;
+        /** Omitted for a cancellation that was checked against the stored submission. */
+        readonly source?: CancellationSource;
+        /** Its row, if it was stored ahead of the submission. */
+        readonly stored?: StoredCancellation | undefined;
+      }
+    | { readonly kind: 'cancellationsDeleted'; readonly rows: readonly StoredCancellation[] }
     | { readonly kind: 'lanesChanged'; readonly nodeIds: readonly NodeId[] }
     | {
         readonly kind: 'pollAnswered';
@@ -433,6 +460,7 @@
   /** Replaces rows of what the owner learns; one such transaction is in flight at a time. */
   | { readonly kind: 'writeLearnt'; readonly rows: readonly LearntRow[] }
   | { readonly kind: 'deleteSubmissions'; readonly submissionIds: readonly SubmissionId[] }
+  | { readonly kind: 'deleteCancellations'; readonly rows: readonly StoredCancellation[] }
   /** Another node is the owner; this one must not act any further. */
   | { readonly kind: 'stepDown'; readonly reason: string }
   /** What a successor has to know is stored, or has not been in time; the owner may resign and goes on until then. */
--- a/src/peer/types.ts
+++ b/src/peer/types.ts
@@ -2,7 +2,7 @@
 
 import type { Epoch, NodeId, QueueId, StepKey, SubmissionId, TargetId, TeamId } from '../types/ids';
 import type { Advice, AdviceFailure, HandedAdvice, SubmissionView } from '../owner/types';
-import type { RowTransaction, StoreFailure } from '../store/types';
+import type { RowTransaction, StoredText, StoreFailure } from '../store/types';
 import type { OperatorSnapshot } from '../node/operatorSnapshot';
 import type { DelegatedOutcome } from '../node/acceptance';
 
@@ -37,6 +37,8 @@
   };
   submitted: { readonly text: string };
   cancelled: { readonly submissionId: SubmissionId };
+  /** A cancellation that was stored ahead of its submission; nodes of earlier builds refuse it. */
+  cancelledAhead: { readonly row: StoredText };
   getView: {
     readonly submissionId: SubmissionId;
     /** Team whose rate is asked for if the submission is not known; not sent by earlier builds. */
@@ -130,6 +132,7 @@
   };
   submitted: NoticeReply;
   cancelled: NoticeReply;
+  cancelledAhead: NoticeReply;
   getView: SubmissionView;
   getWaiting: { readonly count: number };
   getOperator: { readonly snapshot: OperatorSnapshot | null };
--- a/src/store/types.ts
+++ b/src/store/types.ts
@@ -15,6 +15,9 @@
   readonly value: string;
 }
 
+/** Where a text is stored, without the table. */
+export type StoredText = Pick<StoredRow, 'part' | 'key' | 'value'>;
+
 /** Requires a row to have this version; 0 requires that it does not exist. */
 export interface RowCondition extends RowAddress {
   readonly version: number;
--- a/tests/platformNodes.test.ts
+++ b/tests/platformNodes.test.ts
@@ -1,64 +1,18 @@
 /** End-to-end tests of nodes with the platform adapter, against stand-ins: takeovers and outages. */
 
-import { request } from 'node:http';
-import { CONFIG, PlatformDeployment } from './support/platformDeployment';
+import {
+  callFront as call,
+  CONFIG,
+  PlatformDeployment,
+  sleep,
+  waitFor,
+} from './support/platformDeployment';
 
-const POLL_INTERVAL_MS = 25;
 const TEST_TIMEOUT_MS = 30_000;
 
 /** Time after a takeover by which no former owner may act. */
 const FORMER_OWNERS_END_MS = 2_800;
 
-interface Answer {
-  readonly status: number;
-  readonly body: string;
-  readonly retryAfter: string | undefined;
-}
-
-function call(
-  address: string,
-  method: string,
-  path: string,
-  body = '',
-  key = 'key-a',
-): Promise<Answer> {
-  const [host, port] = address.split(':');
-  const headers = { host: 'checks.example', authorization: `Bearer ${key}` };
-  return new Promise((resolve, reject) => {
-    const sent = request({ host, port, method, path, headers }, (response) => {
-      let text = '';
-      response.on('data', (chunk) => {
-        text += String(chunk);
-      });
-      response.on('end', () => {
-        const retryAfter = response.headers['retry-after'];
-        resolve({ status: response.statusCode ?? 0, body: text, retryAfter });
-      });
-    });
-    sent.on('error', reject);
-    sent.end(body);
-  });
-}
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
-
-/** Polls until the condition holds; resolves with the elapsed time. */
-async function waitFor(
-  condition: () => boolean | Promise<boolean>,
-  timeoutMs: number,
-  startedAtMs = performance.now(),
-): Promise<number> {
-  if (await condition()) return performance.now() - startedAtMs;
-  if (performance.now() - startedAtMs > timeoutMs)
-    throw new Error('condition not met within the time limit');
-  await sleep(POLL_INTERVAL_MS);
-  return waitFor(condition, timeoutMs, startedAtMs);
-}
-
 function toPath(number: number): string {
   return `/checks/${number.toString(16).padStart(16, '0')}`;
 }
--- a/tests/support/platformDeployment.ts
+++ b/tests/support/platformDeployment.ts
@@ -1,5 +1,6 @@
 /** Runs real nodes with the platform adapter and stand-ins on the loopback address, in one process. */
 
+import { request } from 'node:http';
 import { createServer } from 'node:net';
 import { PassThrough } from 'node:stream';
 import { createFrontHandler } from '../../platform/ingress';
@@ -19,6 +20,8 @@
 import { FakeRowStore } from '../../standins/fakeRowStore';
 import { FakeWorker } from '../../standins/fakeWorker';
 
+const POLL_INTERVAL_MS = 25;
+
 const LIMITS = { maxBodyBytes: 262_144, bodyTimeoutMs: 2_000 };
 
 /** A running node with its front (caller-facing) address. */
@@ -159,3 +162,56 @@
     this.store.close();
   }
 }
+
+/** What a front has answered. */
+export interface Answer {
+  readonly status: number;
+  readonly body: string;
+  readonly retryAfter: string | undefined;
+}
+
+/** Calls the front of a node. */
+export function callFront(
+  address: string,
+  method: string,
+  path: string,
+  body = '',
+  key = 'key-a',
+): Promise<Answer> {
+  const [host, port] = address.split(':');
+  const headers = { host: 'checks.example', authorization: `Bearer ${key}` };
+  return new Promise((resolve, reject) => {
+    const sent = request({ host, port, method, path, headers }, (response) => {
+      let text = '';
+      response.on('data', (chunk) => {
+        text += String(chunk);
+      });
+      response.on('end', () => {
+        const retryAfter = response.headers['retry-after'];
+        resolve({ status: response.statusCode ?? 0, body: text, retryAfter });
+      });
+    });
+    sent.on('error', reject);
+    sent.end(body);
+  });
+}
+
+/** Waits. */
+export function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+}
+
+/** Polls until the condition holds; resolves with the elapsed time. */
+export async function waitFor(
+  condition: () => boolean | Promise<boolean>,
+  timeoutMs: number,
+  startedAtMs = performance.now(),
+): Promise<number> {
+  if (await condition()) return performance.now() - startedAtMs;
+  if (performance.now() - startedAtMs > timeoutMs)
+    throw new Error('condition not met within the time limit');
+  await sleep(POLL_INTERVAL_MS);
+  return waitFor(condition, timeoutMs, startedAtMs);
+}
