Check whose a stored submission is while no owner answers

Cause: the gate asked the store only whether the row exists; whose it is only the owner knew.

Change: the gate decodes the row and applies the rule of the owner's answer. A row that cannot be read is cancelled ahead, for the requester alone.

Evidence: three new tests in tests/earlyCancellations.test.ts fail with the former gate and pass.

--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -13,7 +13,7 @@
 import type { DiagnosticName } from '../types/diagnostics';
 import type { QueueId, SubmissionId, TeamId } from '../types/ids';
 import { assertNever } from '../types/debug';
-import { encodeSubmission } from '../work/submissionSchema';
+import { decodeFinishedSubmission, encodeSubmission } from '../work/submissionSchema';
 import type { Submission } from '../work/types';
 import type { AcceptanceWriter, AcceptOutcome } from './acceptance';
 import type { CallerAnswer, CallerCall } from './callerTypes';
@@ -74,6 +74,12 @@
   readonly random?: Random;
 }
 
+/** What the store has of a submission. */
+type StoredSubmission =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'readable'; readonly submission: Submission }
+  | { readonly kind: 'unreadable' };
+
 function refuse(name: DiagnosticName, retryAfterMs?: number, detail?: string): CallerAnswer {
   return { kind: 'refused', diagnostic: createDiagnostic(name, detail), retryAfterMs };
 }
@@ -112,7 +118,10 @@
         getServingEpoch: () => ports.getServingEpoch(),
         isStoreSlow: () => ports.isStoreSlow(),
         getView: (submissionId, teamId) => ports.owner.getView(submissionId, teamId),
-        isStored: (submissionId) => this.#isStored(submissionId),
+        isStored: async (submissionId) => {
+          const found = await this.#findStored(submissionId);
+          return found === undefined ? undefined : found.kind !== 'none';
+        },
       },
       ports.random,
     );
@@ -235,9 +244,11 @@
       if (!Gate.#isVisible(routed, view.submission)) return { kind: 'noSubmission' };
       return { kind: 'state', state: view.state };
     }
-    const isStored = await this.#isStored(submissionId);
-    if (isStored === undefined) return refuse('noOwner', RETRY_AFTER_MS);
-    return isStored ? { kind: 'state', state: 'pending' } : { kind: 'noSubmission' };
+    const found = await this.#findStored(submissionId);
+    if (found === undefined) return refuse('noOwner', RETRY_AFTER_MS);
+    return Gate.#isStoredVisible(routed, found)
+      ? { kind: 'state', state: 'pending' }
+      : { kind: 'noSubmission' };
   }
 
   async #cancel(routed: RoutedCall, submissionId: SubmissionId): Promise<CallerAnswer> {
@@ -246,9 +257,11 @@
       return { kind: 'noSubmission' };
     }
     if (view?.kind !== 'known') {
-      const isStored = await this.#isStored(submissionId);
-      if (isStored === undefined) return refuse('noOwner', RETRY_AFTER_MS);
-      if (!isStored) return this.#cancelAhead(routed, submissionId);
+      const found = await this.#findStored(submissionId);
+      if (found === undefined) return refuse('noOwner', RETRY_AFTER_MS);
+      // Without an owner the team of a row that cannot be read is not known; the cancellation then holds for its own.
+      if (found.kind !== 'readable') return this.#cancelAhead(routed, submissionId);
+      if (!Gate.#isVisible(routed, found.submission)) return { kind: 'noSubmission' };
     }
     const outcome = await this.#ports.acceptance.write(CANCELS_TABLE, submissionId, '');
     if (outcome.kind === 'stored') this.#ports.owner.notify({ kind: 'cancelled', submissionId });
@@ -286,6 +299,19 @@
     return count === undefined ? refuse('noOwner', RETRY_AFTER_MS) : { kind: 'waiting', count };
   }
 
+  static #isStoredVisible(routed: RoutedCall, found: StoredSubmission): boolean {
+    switch (found.kind) {
+      case 'none':
+        return false;
+      case 'readable':
+        return Gate.#isVisible(routed, found.submission);
+      case 'unreadable':
+        return true;
+      default:
+        return assertNever(found);
+    }
+  }
+
   /** A team sees only its own submissions, except in public queues. */
   static #isVisible({ queue, teamId }: RoutedCall, submission: Submission): boolean {
     return queue.isPublic || submission.teamId === teamId;
@@ -311,8 +337,8 @@
     }
   }
 
-  /** Checks whether the submission is stored; undefined when the store did not answer. */
-  async #isStored(submissionId: SubmissionId): Promise<boolean | undefined> {
+  /** Looks a submission up in the store; undefined when the store did not answer. */
+  async #findStored(submissionId: SubmissionId): Promise<StoredSubmission | undefined> {
     const pages = await Promise.all(
       getSubmissionParts(submissionId).map((part) =>
         this.#ports.store.readRange(
@@ -322,7 +348,11 @@
       ),
     );
     const rows = pages.flatMap((page) => (E.isRight(page) ? page.right.rows : []));
-    if (rows.some(({ key }) => key === submissionId)) return true;
-    return pages.some(E.isLeft) ? undefined : false;
+    const row = rows.find(({ key }) => key === submissionId);
+    if (row === undefined) return pages.some(E.isLeft) ? undefined : { kind: 'none' };
+    const decoded = decodeFinishedSubmission(row.value);
+    return E.isRight(decoded)
+      ? { kind: 'readable', submission: decoded.right }
+      : { kind: 'unreadable' };
   }
 }
--- a/tests/earlyCancellations.test.ts
+++ b/tests/earlyCancellations.test.ts
@@ -16,11 +16,12 @@
 import { createLogger } from '../src/observe/logger';
 import { Metrics } from '../src/observe/metrics';
 import { EarlyCancellations } from '../src/owner/earlyCancellations';
-import type { OwnerEffect } from '../src/owner/types';
+import type { OwnerEffect, SubmissionView } from '../src/owner/types';
 import type { RowStore, RowTransaction } from '../src/store/types';
 import { SuspendAwareClock } from '../src/types/clock';
 import { toEpoch } from '../src/types/ids';
 import type { QueueId, TeamId } from '../src/types/ids';
+import { encodeSubmission } from '../src/work/submissionSchema';
 import { createSubmission, toSubmissionId } from './support/ownerSubmissions';
 import {
   callFront,
@@ -228,6 +229,81 @@
   });
 });
 
+/** A gate with a store of given submissions, and an owner that gives a given view. */
+function createGate(store: RowStore, view: SubmissionView | undefined): Gate {
+  const clock = new SuspendAwareClock();
+  const gate = new Gate({
+    ...{ store, clock, metrics: new Metrics() },
+    logger: createLogger('test', 'node', 'info', new PassThrough().resume()),
+    acceptance: new AcceptanceWriter(store, clock, () => false),
+    owner: {
+      getView: async () => view,
+      getWaitingCount: async () => 0,
+      notify: () => undefined,
+    },
+    getServingEpoch: () => 1,
+    isStoreSlow: () => false,
+    getStoreLostForMs: () => 0,
+  });
+  const queue = { id: 'r', host: 'h', pathPrefix: '/q/', isPublic: false };
+  const teams = [
+    { id: 'team-a', keys: ['key-a'] },
+    { id: 'team-b', keys: ['key-b'] },
+  ];
+  gate.setRouter(new Router({ version: 1, queues: [queue], teams } as never));
+  return gate;
+}
+
+function createCall(verb: 'cancel' | 'read', number: number, key: string) {
+  const path = `/q/${toSubmissionId(number)}`;
+  return { ...{ verb, host: 'h', key, path }, decodeSpec: () => E.left('no body') };
+}
+
+describe('a stored submission while no owner answers', () => {
+  const submission = { ...createSubmission(1, [{ taskCount: 1 }]), teamId: 'team-a' as TeamId };
+  const { id } = submission;
+
+  async function answerWith(verb: 'cancel' | 'read', key: string, value: string) {
+    const written: string[] = [];
+    const row = { table: 'submissions', part: 's0', key: id, version: 2, value };
+    const store = {
+      readRange: async () => E.right({ rows: [row], hasMore: false, storeVersion: 2 }),
+      transact: async ({ puts }: RowTransaction) => {
+        written.push(...puts.map((put) => put.key));
+        return E.right({ version: 3 });
+      },
+    } as unknown as RowStore;
+    const view = verb === 'read' ? ({ kind: 'unknown' } as const) : undefined;
+    const { kind } = await createGate(store, view).answer(createCall(verb, 1, key));
+    return { kind, written };
+  }
+
+  // Another team's DELETE cancelled it, as only the owner knew whose it was.
+  test('is cancelled by its team only', async () => {
+    const value = encodeSubmission(submission);
+    expect(await answerWith('cancel', 'key-a', value)).toEqual({
+      kind: 'cancelled',
+      written: [id],
+    });
+    expect(await answerWith('cancel', 'key-b', value)).toEqual({
+      kind: 'noSubmission',
+      written: [],
+    });
+  });
+
+  test('is shown to its team only', async () => {
+    const value = encodeSubmission(submission);
+    expect(await answerWith('read', 'key-a', value)).toMatchObject({ kind: 'state' });
+    expect(await answerWith('read', 'key-b', value)).toMatchObject({ kind: 'noSubmission' });
+  });
+
+  test('is cancelled for whoever asks, as far as it is theirs, if its row cannot be read', async () => {
+    const { written } = await answerWith('cancel', 'key-b', '?');
+    expect(written).toHaveLength(1);
+    expect(written[0]).not.toBe(id);
+  });
+});
+
 describe('DELETE requests for arbitrary ids', () => {
   test('are limited in all, and for one requester to a part, so that others can go on', () => {
     let nowMs = 0;
@@ -254,30 +330,9 @@
         return E.right({ version: 1 });
       },
     } as unknown as RowStore;
-    const clock = new SuspendAwareClock();
-    const gate = new Gate({
-      ...{ store, clock, metrics: new Metrics() },
-      logger: createLogger('test', 'node', 'info', new PassThrough().resume()),
-      acceptance: new AcceptanceWriter(store, clock, () => false),
-      owner: {
-        getView: async () => ({ kind: 'unknown' as const }),
-        getWaitingCount: async () => 0,
-        notify: () => undefined,
-      },
-      getServingEpoch: () => 1,
-      isStoreSlow: () => false,
-      getStoreLostForMs: () => 0,
-    });
-    const queue = { id: 'r', host: 'h', pathPrefix: '/q/', isPublic: false };
-    const team = { id: 'team-a', keys: ['key-a'] };
-    gate.setRouter(new Router({ version: 1, queues: [queue], teams: [team] } as never));
+    const gate = createGate(store, { kind: 'unknown' });
     const answers = await Promise.all(
-      Array.from({ length: 600 }, (_, index) =>
-        gate.answer({
-          ...{ verb: 'cancel', host: 'h', key: 'key-a', path: `/q/${toSubmissionId(index)}` },
-          decodeSpec: () => E.left('no body'),
-        }),
-      ),
+      Array.from({ length: 600 }, (_, index) => gate.answer(createCall('cancel', index, 'key-a'))),
     );
     const refused = answers.filter((answer) => answer.kind === 'refused');
     expect(answers.filter(({ kind }) => kind === 'noSubmission').length).toBe(rows.length);
