Hand in no submission whose caller has closed its connection

Cause: nothing looked at the connection between reading a request and storing its submission.

Change: the gate waits two turns of the event loop, in which the end of a connection is read, and does not store the submission if the caller has closed its side. Nothing of it runs then. It is the second line behind the stored cancellation, not a substitute: a connection may look open.

Evidence: the new test in tests/earlyCancellations.test.ts, in which another process sends a request and ends while the gate's process is blocked, fails without the change and passes.

--- a/src/node/callerTypes.ts
+++ b/src/node/callerTypes.ts
@@ -10,6 +10,8 @@
   readonly host: string;
   readonly path: string;
   readonly key: string | undefined;
+  /** Checks whether the caller has closed the connection; it is taken for waiting when this is omitted. */
+  isCallerGone?(): boolean;
   /** Decodes the body of a submit request. */
   decodeSpec(): E.Either<string, SubmissionSpec>;
 }
--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -1,5 +1,6 @@
 /** Answers callers' requests: routing, authorization, submission, state queries and cancellation. */
 
+import { setImmediate } from 'node:timers/promises';
 import * as E from 'fp-ts/Either';
 import type { Logger } from '../observe/logger';
 import type { Metrics } from '../observe/metrics';
@@ -226,6 +227,7 @@
     const submission: Submission = { id, queue, teamId, acceptedAtMs, spec: spec.right };
     const refusal = await this.#lateRefusals?.tryRefuse(submission);
     if (refusal !== undefined) return toLateAnswer(refusal);
+    if (await this.#isAbandoned(call)) return refuse('cancelled');
     const text = encodeSubmission(submission);
     const outcome = await this.#ports.acceptance.write(SUBMISSIONS_TABLE, id, text);
     if (outcome.kind === 'stored')
@@ -237,6 +239,19 @@
     return Gate.#toAnswer(outcome, { kind: 'accepted' }, retryDelayMs);
   }
 
+  /**
+   * A node that was suspended finds requests in its sockets whose callers have left. The end of a connection is read in
+   * the turn of the event loop after its last data.
+   */
+  async #isAbandoned(call: CallerCall): Promise<boolean> {
+    if (call.isCallerGone === undefined) return false;
+    await setImmediate();
+    await setImmediate();
+    if (!call.isCallerGone()) return false;
+    this.#ports.metrics.count('submissions_abandoned');
+    return true;
+  }
+
   async #readState(routed: RoutedCall, submissionId: SubmissionId): Promise<CallerAnswer> {
     const view = await this.#ports.owner.getView(submissionId);
     if (view === undefined) return refuse('noOwner', RETRY_AFTER_MS);
--- a/src/rpc/httpListener.ts
+++ b/src/rpc/httpListener.ts
@@ -47,6 +47,8 @@
   readonly body: Buffer;
   /** Aborts when the caller disconnects before the response was sent. */
   readonly disconnectSignal: AbortSignal;
+  /** Checks whether the caller has closed its side of the connection, as far as that has been read. */
+  readonly isClientGone?: () => boolean;
   /** Counts memory that the handler takes beside some copies of the body, until it has answered. */
   readonly countMemory?: (bytes: number) => void;
 }
@@ -300,6 +302,7 @@
       headers: message.headers,
       body: body.value,
       disconnectSignal: disconnectController.signal,
+      isClientGone: () => message.socket.readableEnded || message.socket.destroyed,
       countMemory: (bytes) => connection.addHandlerBytes(bytes),
     });
   }
--- a/tests/earlyCancellations.test.ts
+++ b/tests/earlyCancellations.test.ts
@@ -3,8 +3,11 @@
  * then (UNASKED), and against cancellations of others that take its place (LOST).
  */
 
+import { spawnSync } from 'node:child_process';
+import { connect } from 'node:net';
 import { PassThrough } from 'node:stream';
 import * as E from 'fp-ts/Either';
+import { createFrontHandler } from '../platform/ingress';
 import { AcceptanceWriter } from '../src/node/acceptance';
 import { CancellationLimit } from '../src/node/cancellationLimit';
 import { decodeCancellation, encodeEarlyCancellation } from '../src/node/cancellationRows';
@@ -17,6 +20,7 @@
 import { Metrics } from '../src/observe/metrics';
 import { EarlyCancellations } from '../src/owner/earlyCancellations';
 import type { OwnerEffect, SubmissionView } from '../src/owner/types';
+import { HttpListener } from '../src/rpc/httpListener';
 import type { RowStore, RowTransaction } from '../src/store/types';
 import { SuspendAwareClock } from '../src/types/clock';
 import { toEpoch } from '../src/types/ids';
@@ -125,6 +129,88 @@
   });
 });
 
+/** A gate with a store of given submissions, and an owner that gives a given view. */
+function createGate(store: RowStore, view: SubmissionView | undefined): Gate {
+  const clock = new SuspendAwareClock();
+  const gate = new Gate({
+    ...{ store, clock, metrics: new Metrics() },
+    logger: createLogger('test', 'node', 'info', new PassThrough().resume()),
+    acceptance: new AcceptanceWriter(store, clock, () => false),
+    owner: {
+      getView: async () => view,
+      getWaitingCount: async () => 0,
+      notify: () => undefined,
+    },
+    getServingEpoch: () => 1,
+    isStoreSlow: () => false,
+    getStoreLostForMs: () => 0,
+  });
+  const queue = { id: 'r', host: 'h', pathPrefix: '/q/', isPublic: false };
+  const teams = [
+    { id: 'team-a', keys: ['key-a'] },
+    { id: 'team-b', keys: ['key-b'] },
+  ];
+  gate.setRouter(new Router({ version: 1, queues: [queue], teams } as never));
+  return gate;
+}
+
+function createCall(verb: 'cancel' | 'read', number: number, key: string) {
+  const path = `/q/${toSubmissionId(number)}`;
+  return { ...{ verb, host: 'h', key, path }, decodeSpec: () => E.left('no body') };
+}
+
+describe('a caller that closes its connection', () => {
+  const answers: string[] = [];
+  let isHeld = true;
+
+  /** Sends a request. The connection is closed before this process reads it, or when the answer has come. */
+  async function sendAndLeave(isLeaving: boolean): Promise<void> {
+    const store = {
+      readRange: async () => E.right({ rows: [], hasMore: false, storeVersion: 1 }),
+      transact: async () => E.right({ version: 1 }),
+    } as unknown as RowStore;
+    const gate = createGate(store, { kind: 'unknown' });
+    const handler = createFrontHandler(async (call) => {
+      const answer = await gate.answer(call);
+      answers.push(answer.kind);
+      isHeld = false;
+      return answer;
+    });
+    const listener = new HttpListener(handler, { maxBodyBytes: 10_000, bodyTimeoutMs: 1_000 });
+    const port = await listener.listen('127.0.0.1', 0);
+    const head = [
+      `POST /q/${toSubmissionId(1)} HTTP/1.1`,
+      ...['host: h', 'authorization: Bearer key-a', `content-length: ${BODY.length}`],
+    ].join('\r\n');
+    const request = `${head}\r\n\r\n${BODY}`;
+    const script = `const socket = require('net').connect(${port}, '127.0.0.1');
+      socket.write(${JSON.stringify(request)}, () => socket.destroy());`;
+    // The other process ends while this one is blocked.
+    if (isLeaving) spawnSync(process.execPath, ['-e', script], { timeout: 5_000 });
+    const waiting = isLeaving ? undefined : connect(port, '127.0.0.1');
+    waiting?.write(request);
+    await waitFor(() => !isHeld, 5_000);
+    waiting?.destroy();
+    listener.closeAll();
+  }
+
+  beforeEach(() => {
+    answers.length = 0;
+    isHeld = true;
+  });
+
+  // review/12: a node that was suspended accepted requests whose callers had left long before.
+  test('before its request is read hands in nothing', async () => {
+    await sendAndLeave(true);
+    expect(answers).toEqual(['refused']);
+  });
+
+  test('is served when it waits for the answer', async () => {
+    await sendAndLeave(false);
+    expect(answers).toEqual(['accepted']);
+  });
+});
+
 describe('rows of cancellations that were stored ahead', () => {
   test.each<[string, Requester]>([
     ['team', TEAM],
@@ -229,36 +315,6 @@
   });
 });
 
-/** A gate with a store of given submissions, and an owner that gives a given view. */
-function createGate(store: RowStore, view: SubmissionView | undefined): Gate {
-  const clock = new SuspendAwareClock();
-  const gate = new Gate({
-    ...{ store, clock, metrics: new Metrics() },
-    logger: createLogger('test', 'node', 'info', new PassThrough().resume()),
-    acceptance: new AcceptanceWriter(store, clock, () => false),
-    owner: {
-      getView: async () => view,
-      getWaitingCount: async () => 0,
-      notify: () => undefined,
-    },
-    getServingEpoch: () => 1,
-    isStoreSlow: () => false,
-    getStoreLostForMs: () => 0,
-  });
-  const queue = { id: 'r', host: 'h', pathPrefix: '/q/', isPublic: false };
-  const teams = [
-    { id: 'team-a', keys: ['key-a'] },
-    { id: 'team-b', keys: ['key-b'] },
-  ];
-  gate.setRouter(new Router({ version: 1, queues: [queue], teams } as never));
-  return gate;
-}
-
-function createCall(verb: 'cancel' | 'read', number: number, key: string) {
-  const path = `/q/${toSubmissionId(number)}`;
-  return { ...{ verb, host: 'h', key, path }, decodeSpec: () => E.left('no body') };
-}
-
 describe('a stored submission while no owner answers', () => {
   const submission = { ...createSubmission(1, [{ taskCount: 1 }]), teamId: 'team-a' as TeamId };
   const { id } = submission;
