Claim without votes after 1.4 s, also on a node that is left alone

Cause: a claim without votes waited 2.2 s, as an owner trusted its silence for the 2 s of its authority, and a node whose peers are all lost waited 2.5 s and its turn.

Change: an owner trusts it for 1.2 s, in which it renews its row twice, so that a claim may follow after 1.4 s; a node that has asked its peers in vain needs no longer wait.

--- a/src/node/suspectedOwner.ts
+++ b/src/node/suspectedOwner.ts
@@ -33,7 +33,7 @@
 const UNREACHED_OWNER_DELAY_MS = 5_000;
 
 /** After a longer time without a read, the owner may have renewed the alive row meanwhile. */
-const MAX_READ_GAP_MS = 1_500;
+const MAX_READ_GAP_MS = 1_000;
 
 /** Interval at which peers are asked. */
 const ASK_INTERVAL_MS = 400;
@@ -221,8 +221,9 @@
     if (this.suspicion === 'none' || row.nodeId === nodeId) return 'claim';
     const isCertain = this.suspicion === 'resigned' || this.suspicion === 'withoutStore';
     const isNeeded = isCertain || this.#isReplacementNeeded(row, nodeId, candidates, nowMs);
-    if (!isNeeded) return 'ask';
-    if (isSafe) return 'claim';
+    if (isSafe) return isNeeded ? 'claim' : 'ask';
+    // An owner that renews its row, if slowly, may be lost to this node alone.
+    if (this.#hasRenewed && !isNeeded) return 'ask';
     return this.#mayClaimWithoutVotes(row, nowMs) ? 'claimWithoutVotes' : 'ask';
   }
 
--- a/src/node/unconfirmedSubmissions.ts
+++ b/src/node/unconfirmedSubmissions.ts
@@ -5,7 +5,7 @@
 
 import type { Logger } from '../observe/logger';
 import type { Metrics } from '../observe/metrics';
-import { OWNER_AUTHORITY_MS } from '../owner/constants';
+import { STORE_CONFIRMED_MS } from '../owner/constants';
 import type { Epoch, SubmissionId } from '../types/ids';
 
 /** What the wait depends on. */
@@ -56,6 +56,6 @@
   }
 
   get #isConfirmed(): boolean {
-    return this.#ports.getUnconfirmedForMs() < OWNER_AUTHORITY_MS;
+    return this.#ports.getUnconfirmedForMs() < STORE_CONFIRMED_MS;
   }
 }
--- a/src/owner/constants.ts
+++ b/src/owner/constants.ts
@@ -94,11 +94,17 @@
 /** An owner that may go on after a claim is waited for this long; the difference is for clocks of different speed. */
 export const STORELESS_END_DELAY_MS = STORELESS_LIMIT_MS + 3_000;
 
+/**
+ * An owner that the store has not confirmed for this long takes nothing for certain that a successor may change. It
+ * renews its row twice in that time.
+ */
+export const STORE_CONFIRMED_MS = 1_200;
+
 /**
  * A claim without votes is sent only when the store has not confirmed the owner for this long: longer than
- * {@link OWNER_AUTHORITY_MS} even on a clock that is 2% fast, and than a renewal that is lost and sent again.
+ * {@link STORE_CONFIRMED_MS} even on a clock that is 2% fast.
  */
-export const VOTELESS_CLAIM_DELAY_MS = 2_200;
+export const VOTELESS_CLAIM_DELAY_MS = 1_400;
 
 /**
  * How long an owner that hands over prepares that at most, apart from departures: much less than the time in which a
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -11,6 +11,7 @@
   MAX_START_TIMEOUT_MS,
   OWNER_AUTHORITY_MS,
   STOP_RETRY_DELAY_MS,
+  STORE_CONFIRMED_MS,
   STORELESS_END_DELAY_MS,
 } from './constants';
 import { AdviceUsage } from './adviceUsage';
@@ -359,7 +360,7 @@
     this.nowMs = clocks.nowMs;
     this.wallMs = clocks.wallMs;
     this.steadyMs = clocks.steadyMs;
-    const unconfirmedMs = (clocks.storeUnconfirmedForMs ?? 0) - OWNER_AUTHORITY_MS;
+    const unconfirmedMs = (clocks.storeUnconfirmedForMs ?? 0) - STORE_CONFIRMED_MS;
     this.provenMs = clocks.steadyMs - Math.max(0, unconfirmedMs);
     const offsetMs = clocks.nowMs - clocks.steadyMs;
     const isResumed = offsetMs > (this.#clockOffsetMs ?? offsetMs) + MIN_SUSPENSION_MS;
