Bound the wait for a former owner when the store's clock was set back

Cause: the row `formerOwners` names a time of the store's clock, which was taken at face value: with a clock that starts anew, a successor would wait for a former owner for as long as the clock takes to reach it.

Change: the wait is at most the storeless limit, counted from the takeover. Names of the token bucket and of a timer are made plain.

Evidence: the extended test in tests/voterLoss.test.ts fails without the bound and passes with it.

--- a/src/node/cancellationLimit.ts
+++ b/src/node/cancellationLimit.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Clock } from '../types/clock';
-import { getNext } from './tokenBucket';
+import { takeToken } from './tokenBucket';
 import type { TokenBucket } from './tokenBucket';
 
 /** Rows that all nodes together may store in a second; the owner holds about 30,000 rows then. */
@@ -46,11 +46,11 @@
   take(requester: string): number {
     const nowMs = this.#clock.nowMs();
     const ratePerMs = TOTAL_ROWS_PER_SECOND / Math.max(1, this.#getNodeCount()) / 1_000;
-    const burstRows = Math.max(1, ratePerMs * 1_000 * BURST_SECONDS);
-    const total = getNext(this.#total, { ratePerMs, burstRows }, nowMs);
-    const own = getNext(
+    const burstTokens = Math.max(1, ratePerMs * 1_000 * BURST_SECONDS);
+    const total = takeToken(this.#total, { ratePerMs, burstTokens }, nowMs);
+    const own = takeToken(
       this.#byRequester.get(requester),
-      { ratePerMs: ratePerMs * REQUESTER_FRACTION, burstRows: burstRows * REQUESTER_FRACTION },
+      { ratePerMs: ratePerMs * REQUESTER_FRACTION, burstTokens: burstTokens * REQUESTER_FRACTION },
       nowMs,
     );
     const waitMs = Math.max(total.waitMs, own.waitMs);
--- a/src/node/formerOwners.ts
+++ b/src/node/formerOwners.ts
@@ -35,7 +35,7 @@
 
   #isVersionKnown = false;
 
-  #isTimeOver = false;
+  #isAuthorityOver = false;
 
   #areEnded = false;
 
@@ -53,7 +53,7 @@
 
   /** Whether none of them may act any more. */
   get areEnded(): boolean {
-    return this.#areEnded || (this.#isVersionKnown && this.#isTimeOver);
+    return this.#areEnded || (this.#isVersionKnown && this.#isAuthorityOver);
   }
 
   /**
@@ -63,7 +63,7 @@
   start(remainingMs = OWNER_AUTHORITY_MS): void {
     this.#scheduleRead(OWNER_AUTHORITY_MS + FORMER_OWNER_MARGIN_MS);
     setTimeout(() => {
-      this.#isTimeOver = true;
+      this.#isAuthorityOver = true;
     }, remainingMs).unref();
   }
 
--- a/src/node/ownerCancellations.ts
+++ b/src/node/ownerCancellations.ts
@@ -1,13 +1,13 @@
 /** Passes cancellations on to the scheduler of an owner: those of gates, of the feed and of the takeover. */
 
-import type { LoadedSubmission, OwnerEvent, SubmissionView } from '../owner/types';
+import type { ClockReadings, LoadedSubmission, OwnerEvent, SubmissionView } from '../owner/types';
 import type { StoredText } from '../store/types';
 import type { SubmissionId } from '../types/ids';
 import type { CancellationLog, CancellationWay } from './cancellationLog';
 import { decodeCancellations } from './cancellationRows';
 import type { DecodedCancellation } from './cancellationRows';
 
-type CancelledEvent = Omit<Extract<OwnerEvent, { kind: 'cancelled' }>, 'nowMs' | 'wallMs'>;
+type CancelledEvent = Omit<Extract<OwnerEvent, { kind: 'cancelled' }>, keyof ClockReadings>;
 
 /** What this needs of the owner. */
 export interface OwnerCancellationPorts {
@@ -15,7 +15,7 @@
   /** Calls back once the stored state is loaded. */
   whenLoaded(apply: () => void): void;
   getView(submissionId: SubmissionId): SubmissionView;
-  dispatch(event: Omit<CancelledEvent, 'steadyMs'>): void;
+  dispatch(event: CancelledEvent): void;
 }
 
 /** The cancellations of one ownership. */
--- a/src/node/tokenBucket.ts
+++ b/src/node/tokenBucket.ts
@@ -10,7 +10,7 @@
 export interface BucketLimit {
   readonly ratePerMs: number;
   /** Tokens of a full bucket; at least one. */
-  readonly burstRows: number;
+  readonly burstTokens: number;
 }
 
 /**
@@ -20,12 +20,12 @@
  * @param nowMs - current time
  * @returns the bucket without the token, and the time in milliseconds until there is one; 0 when there is one now
  */
-export function getNext(
+export function takeToken(
   bucket: TokenBucket | undefined,
-  { ratePerMs, burstRows }: BucketLimit,
+  { ratePerMs, burstTokens }: BucketLimit,
   nowMs: number,
 ): { readonly taken: TokenBucket; readonly waitMs: number } {
-  const depth = Math.max(1, burstRows);
+  const depth = Math.max(1, burstTokens);
   const elapsedMs = Math.max(0, nowMs - (bucket?.atMs ?? nowMs));
   const tokens = Math.min(depth, (bucket?.tokens ?? depth) + elapsedMs * ratePerMs);
   const waitMs = tokens >= 1 ? 0 : (1 - tokens) / ratePerMs;
--- a/src/owner/ownerState.ts
+++ b/src/owner/ownerState.ts
@@ -237,7 +237,9 @@
       formerActsUntilMs === undefined || !Number.isFinite(formerActsUntilMs)
         ? undefined
         : this.storeClock.getReachedMs(formerActsUntilMs);
-    const latestMs = reachedMs ?? this.steadyMs + STORELESS_END_DELAY_MS;
+    // The store's clock may have been set back since.
+    const limitMs = this.steadyMs + STORELESS_END_DELAY_MS;
+    const latestMs = Math.min(reachedMs ?? limitMs, limitMs);
     const usualMs = this.steadyMs + OWNER_AUTHORITY_MS;
     const endMs = formerActsUntilMs === undefined ? usualMs : Math.max(usualMs, latestMs);
     this.setFormerAuthorityEnd(endMs);
--- a/tests/voterLoss.test.ts
+++ b/tests/voterLoss.test.ts
@@ -259,7 +259,9 @@
     expect(createState(499_000).unresolvedUntilMs).toBe(usualMs);
     expect(createState(530_000).unresolvedUntilMs).toBeGreaterThan(NOW_MS + 35_000);
     expect(createState(530_000).unresolvedUntilMs).toBeLessThan(NOW_MS + 37_000);
-    expect(createState(Infinity).unresolvedUntilMs).toBeGreaterThan(NOW_MS + 68_000);
+    const latestMs = createState(Infinity).unresolvedUntilMs;
+    expect(latestMs).toBeGreaterThan(NOW_MS + 68_000);
+    expect(createState(9_000_000).unresolvedUntilMs).toBe(latestMs);
   });
 
   test('take no silence for proven that began when the store had confirmed the owner last', () => {
