Test cancellations against a store that performs a write late

The stand-in of the store can put a row into any part. Three cases: the row of a submission appears, without a gate that tells of it, after its cancelling was answered, in each of its parts.

--- a/standins/fakeRowStore.ts
+++ b/standins/fakeRowStore.ts
@@ -76,10 +76,10 @@
   }
 
   /** Writes a row on behalf of an operator or a worker. */
-  put(table: string, key: string, value: unknown): void {
+  put(table: string, key: string, value: unknown, part = ''): void {
     const text = typeof value === 'string' ? value : JSON.stringify(value);
     this.#version += 1;
-    this.#writeRow({ table, part: '', key, value: Buffer.from(text).toString('base64') });
+    this.#writeRow({ table, part, key, value: Buffer.from(text).toString('base64') });
     this.#notifyPendingFeeds();
   }
 
--- a/tests/earlyCancellations.test.ts
+++ b/tests/earlyCancellations.test.ts
@@ -15,7 +15,7 @@
 import { Gate } from '../src/node/gate';
 import { OwnerWrites } from '../src/node/ownerWrites';
 import { Router } from '../src/node/router';
-import { CANCELS_TABLE } from '../src/node/tables';
+import { CANCELS_TABLE, getSubmissionParts, SUBMISSIONS_TABLE } from '../src/node/tables';
 import { createLogger } from '../src/observe/logger';
 import { Metrics } from '../src/observe/metrics';
 import { EarlyCancellations } from '../src/owner/earlyCancellations';
@@ -24,7 +24,7 @@
 import type { RowStore, RowTransaction } from '../src/store/types';
 import { SuspendAwareClock } from '../src/types/clock';
 import { toEpoch } from '../src/types/ids';
-import type { QueueId, TeamId } from '../src/types/ids';
+import type { QueueId, SubmissionId, TeamId } from '../src/types/ids';
 import { encodeSubmission } from '../src/work/submissionSchema';
 import { createSubmission, toSubmissionId } from './support/ownerSubmissions';
 import {
@@ -89,6 +89,24 @@
     await expectState(1, 'cancelled');
   });
 
+  // No gate tells of a write that had no answer.
+  test.each([0, 1, 2])(
+    'holds when the store performs the write late, in part %i',
+    async (index) => {
+      expect((await callFront(getAddress(0), 'DELETE', PATH)).status).toBe(410);
+      const id = PATH.slice(-16) as SubmissionId;
+      const accepted = { id, teamId: 'team-a' as TeamId, acceptedAtMs: Date.now() };
+      const submission = { ...createSubmission(1, [{ taskCount: 2 }]), ...accepted };
+      const part = getSubmissionParts(id)[index];
+      deployment.store.put(SUBMISSIONS_TABLE, id, encodeSubmission(submission), part);
+      const isKnown = async () => (await callFront(getAddress(1), 'GET', PATH)).status === 200;
+      await waitFor(isKnown, 5_000);
+      await sleep(START_WAIT_MS);
+      expect(deployment.startCounts.size).toBe(0);
+      await expectState(1, 'cancelled');
+    },
+  );
+
   test(
     'holds for the next owner, which reads it in the store',
     async () => {
