Read the clock once for an event of the owner

Cause: how long the store has not confirmed the owner was computed with a reading of its own for each event, and a reading takes several calls.

Change: the event's time is passed on.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -366,7 +366,7 @@
       this.#ports,
       {
         isAuthorized: () => core.isAuthorized(clock.nowMs()),
-        getStoreUnconfirmedForMs: () => core.getStoreUnconfirmedForMs(clock.nowMs()),
+        getStoreUnconfirmedForMs: (timeMs) => core.getStoreUnconfirmedForMs(timeMs),
         advise: (nodeId, stepKey, targetIds, timeoutMs) =>
           this.#advise(nodeId, stepKey, targetIds, timeoutMs),
         onHandoverPrepared: () => this.#onHandoverPrepared(epoch),
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -104,7 +104,7 @@
   /** Evaluated right before a call to a target is written; true cancels the call. */
   #isTooLate = () => this.#isStopped || !this.#callbacks.isAuthorized();
 
-  #getUnconfirmedForMs = () => this.#callbacks.getStoreUnconfirmedForMs?.() ?? 0;
+  #getUnconfirmedForMs = (nowMs: number) => this.#callbacks.getStoreUnconfirmedForMs?.(nowMs) ?? 0;
 
   /**
    * @param ports - store, targets, registry, clock and logger
@@ -142,7 +142,7 @@
     });
     this.#unconfirmed = new UnconfirmedSubmissions({
       ...{ epoch, logger: ports.logger, metrics: ports.metrics },
-      getUnconfirmedForMs: this.#getUnconfirmedForMs,
+      getUnconfirmedForMs: () => this.#getUnconfirmedForMs(ports.clock.nowMs()),
     });
     this.#operator = operator;
     this.#formerOwners = new FormerOwners(ports.store, {
@@ -467,9 +467,10 @@
 
   #getClockReadings() {
     const { clock } = this.#ports;
+    const nowMs = clock.nowMs();
     return {
-      ...{ nowMs: clock.nowMs(), wallMs: clock.wallMs(), steadyMs: clock.steadyMs() },
-      storeUnconfirmedForMs: this.#getUnconfirmedForMs(),
+      ...{ nowMs, wallMs: clock.wallMs(), steadyMs: clock.steadyMs() },
+      storeUnconfirmedForMs: this.#getUnconfirmedForMs(nowMs),
     };
   }
 
--- a/src/node/ownerHostCallbacks.ts
+++ b/src/node/ownerHostCallbacks.ts
@@ -8,8 +8,8 @@
 export interface OwnerHostCallbacks {
   /** True while this node may act as the owner. */
   isAuthorized(): boolean;
-  /** How long ago the call was sent by which the store has confirmed the ownership last, in milliseconds. */
-  getStoreUnconfirmedForMs?(): number;
+  /** How long before a time the call was sent by which the store has confirmed the ownership last, in milliseconds. */
+  getStoreUnconfirmedForMs?(nowMs: number): number;
   /** Queries the advice service through the given node. */
   advise(
     nodeId: NodeId,
