--- a/src/node/gate.ts
+++ b/src/node/gate.ts
@@ -292,8 +292,7 @@
     const waitMs = this.#cancellationLimit.take(getRequesterName(requester));
     if (waitMs > 0) {
       this.#ports.metrics.count('early_cancellations_refused');
-      const detail = 'too many cancellations of submissions that do not exist';
-      return refuse('overloaded', Math.max(RETRY_AFTER_MS, waitMs), detail);
+      return refuse('tooManyCancellations', Math.max(RETRY_AFTER_MS, waitMs));
     }
     const wallMs = this.#ports.clock.wallMs();
     const { key, value } = encodeEarlyCancellation(submissionId, requester, wallMs);
--- a/src/types/diagnostics.ts
+++ b/src/types/diagnostics.ts
@@ -35,6 +35,11 @@
   duplicateRunning: row('HW3010', 409, 'the request with this id is running'),
   targetRefused: row('HW3011', 503, 'not run: the target refused the start'),
   expectedLate: row('HW3012', 429, 'not accepted: it is expected to end too late to count'),
+  tooManyCancellations: row(
+    'HW3013',
+    503,
+    'not cancelled: too many cancellations of submissions that do not exist',
+  ),
   failedAfterStart: row('HW4001', 502, 'the request started and its target failed'),
   outcomeUnknown: row('HW4002', 504, 'the request may have run; its answer is lost'),
   alreadyRan: row('HW4003', 409, 'the request has run; its answer is no longer kept'),
