Log cancellations that are left out, and the end of a wait for the store

Rows of cancellations that cannot be read were left out without a line, so that an operator could not tell them from cancellations that were never made. The wait of submissions until the store confirms their owner had a line at its begin only.

Change: a line names each such row; the end of the wait is logged and recorded in `submission_confirmation_wait`.

Evidence: the new test in tests/earlyCancellations.test.ts; it fails without the callback that reports the row.

--- a/src/node/cancellationLog.ts
+++ b/src/node/cancellationLog.ts
@@ -2,6 +2,7 @@
 
 import type { Logger } from '../observe/logger';
 import type { LoadedSubmission, SubmissionView } from '../owner/types';
+import type { StoredText } from '../store/types';
 import type { Epoch, SubmissionId } from '../types/ids';
 
 /** How the owner has learned of a cancellation: from a gate, from the change feed, or at the takeover. */
@@ -51,6 +52,17 @@
     });
   }
 
+  /**
+   * Logs a row that is left out.
+   * @param row - a row of the table of cancellations
+   */
+  logUnreadable({ part, key }: StoredText): void {
+    this.#logger.warn(
+      { part, key, epoch: this.#epoch },
+      'cancellation left out, as its row cannot be read',
+    );
+  }
+
   /** The cancellation of an unknown submission changes nothing, which `isKnown` tells. */
   #write(submissionId: SubmissionId, way: CancellationWay, state: string | undefined): void {
     this.#logger.info(
--- a/src/node/cancellationRows.ts
+++ b/src/node/cancellationRows.ts
@@ -136,8 +136,16 @@
 /**
  * Decodes rows of the table of cancellations; those that cannot be read are left out.
  * @param rows - the rows
+ * @param onUnreadable - called for each row that cannot be read
  * @returns the cancellations
  */
-export function decodeCancellations(rows: readonly StoredText[]): readonly DecodedCancellation[] {
-  return rows.flatMap((row) => decodeCancellation(row) ?? []);
+export function decodeCancellations(
+  rows: readonly StoredText[],
+  onUnreadable: (row: StoredText) => void = () => undefined,
+): readonly DecodedCancellation[] {
+  return rows.flatMap((row) => {
+    const decoded = decodeCancellation(row);
+    if (decoded === undefined) onUnreadable(row);
+    return decoded ?? [];
+  });
 }
--- a/src/node/ownerCancellations.ts
+++ b/src/node/ownerCancellations.ts
@@ -44,7 +44,7 @@
    * @param way - how they have become known
    */
   onRows(rows: readonly StoredText[], way: CancellationWay): void {
-    decodeCancellations(rows).forEach((cancellation) => this.#apply(cancellation, way));
+    this.#decode(rows).forEach((cancellation) => this.#apply(cancellation, way));
   }
 
   /**
@@ -52,7 +52,7 @@
    * @param rows - the rows
    */
   onPartRead(rows: readonly StoredText[]): void {
-    decodeCancellations(rows).forEach((cancellation) => {
+    this.#decode(rows).forEach((cancellation) => {
       const isKnown = this.#ports.getView(cancellation.submissionId).kind === 'known';
       if (isKnown) this.#apply(cancellation, 'loaded');
       else this.#dispatch(cancellation);
@@ -67,13 +67,17 @@
    */
   onLoaded(rows: readonly StoredText[], submissions: readonly LoadedSubmission[]): void {
     const readIds = new Set<string>(submissions.map(({ submission }) => submission.id));
-    decodeCancellations(rows).forEach((cancellation) => {
+    this.#decode(rows).forEach((cancellation) => {
       const isStoredAhead = cancellation.stored !== undefined;
       if (isStoredAhead || !readIds.has(cancellation.submissionId)) this.#dispatch(cancellation);
     });
     this.#ports.log.logLoaded(submissions);
   }
 
+  #decode(rows: readonly StoredText[]): readonly DecodedCancellation[] {
+    return decodeCancellations(rows, (row) => this.#ports.log.logUnreadable(row));
+  }
+
   #apply(cancellation: DecodedCancellation, way: CancellationWay): void {
     const { submissionId } = cancellation;
     this.#ports.whenLoaded(() => {
--- a/src/node/ownerHost.ts
+++ b/src/node/ownerHost.ts
@@ -142,6 +142,7 @@
     });
     this.#unconfirmed = new UnconfirmedSubmissions({
       ...{ epoch, logger: ports.logger, metrics: ports.metrics },
+      nowMs: () => ports.clock.nowMs(),
       getUnconfirmedForMs: () => this.#getUnconfirmedForMs(ports.clock.nowMs()),
     });
     this.#operator = operator;
--- a/src/node/unconfirmedSubmissions.ts
+++ b/src/node/unconfirmedSubmissions.ts
@@ -13,6 +13,7 @@
   readonly epoch: Epoch;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  nowMs(): number;
   /** How long ago the call was sent by which the store has confirmed the owner last, in milliseconds. */
   getUnconfirmedForMs(): number;
 }
@@ -23,6 +24,9 @@
 
   #waiting: (() => void)[] = [];
 
+  /** When the first of those that wait was learned of. */
+  #waitsSinceMs = 0;
+
   /**
    * @param ports - the owner
    */
@@ -42,8 +46,10 @@
     }
     const { epoch, logger, metrics } = this.#ports;
     metrics.count('submissions_unconfirmed');
-    if (this.#waiting.length === 0)
+    if (this.#waiting.length === 0) {
+      this.#waitsSinceMs = this.#ports.nowMs();
       logger.info({ submissionId, epoch }, 'submissions wait until the store confirms this owner');
+    }
     this.#waiting.push(take);
   }
 
@@ -52,6 +58,13 @@
     if (this.#waiting.length === 0 || !this.#isConfirmed) return;
     const waiting = this.#waiting;
     this.#waiting = [];
+    const { epoch, logger, metrics } = this.#ports;
+    const durationMs = this.#ports.nowMs() - this.#waitsSinceMs;
+    metrics.record('submission_confirmation_wait', durationMs);
+    logger.info(
+      { epoch, submissionCount: waiting.length, durationMs: Math.round(durationMs) },
+      'the store confirms this owner; submissions that have waited are taken',
+    );
     waiting.forEach((take) => take());
   }
 
--- a/tests/earlyCancellations.test.ts
+++ b/tests/earlyCancellations.test.ts
@@ -9,10 +9,12 @@
 import * as E from 'fp-ts/Either';
 import { createFrontHandler } from '../platform/ingress';
 import { AcceptanceWriter } from '../src/node/acceptance';
+import { CancellationLog } from '../src/node/cancellationLog';
 import { CancellationLimit } from '../src/node/cancellationLimit';
 import { decodeCancellation, encodeEarlyCancellation } from '../src/node/cancellationRows';
 import type { Requester } from '../src/node/cancellationRows';
 import { Gate } from '../src/node/gate';
+import { OwnerCancellations } from '../src/node/ownerCancellations';
 import { OwnerWrites } from '../src/node/ownerWrites';
 import { Router } from '../src/node/router';
 import { CANCELS_TABLE, getSubmissionParts, SUBMISSIONS_TABLE } from '../src/node/tables';
@@ -252,6 +254,30 @@
     );
     expect(new Set([toSubmissionId(1), ...keys]).size).toBe(4);
   });
+
+  // An operator could not tell such a row from a cancellation that was never made.
+  test('are left out with a line that names the row if they cannot be read', () => {
+    const lines: { readonly key?: string }[] = [];
+    const output = new PassThrough();
+    output.on('data', (line: Buffer) =>
+      lines.push(JSON.parse(line.toString()) as { key?: string }),
+    );
+    const dispatched: string[] = [];
+    const cancellations = new OwnerCancellations({
+      log: new CancellationLog(createLogger('test', 'node', 'info', output), toEpoch(1)),
+      whenLoaded: (apply) => apply(),
+      getView: () => ({ kind: 'unknown' }),
+      dispatch: ({ submissionId }) => dispatched.push(submissionId),
+    });
+    const [bad, good] = [1, 2].map((number) => ({
+      ...encodeEarlyCancellation(toSubmissionId(number), TEAM, 0),
+      part: 's0',
+    }));
+    if (bad === undefined || good === undefined) throw new Error('no rows');
+    cancellations.onRows([{ ...bad, value: '{' }, good], 'feed');
+    expect(dispatched).toEqual([toSubmissionId(2)]);
+    expect(lines.filter(({ key }) => key === bad.key).length).toBe(1);
+  });
 });
 
 describe('the cancellations that an owner keeps', () => {
