Run crowds of clients and their watch in processes of their own

Hypotheses: (1) the node is over its memory; (2) the budget of connections refuses the ordinary request; (3) the node's event loop is late; (4) the test's is. Told apart by the answers and by the delay of both event loops: each refusal says "the store is away" (against 1 and 2), the node's loop was late by up to 0.4 s, that of the test by 0.3 to 6 s.

Cause: the test's process is the stand-in of the store and of the targets, and was the crowd and the watch as well. The crowd writes some 100 MB/s; the watch reads the socket tables of the machine 20 times a second, which have a row for each of tens of thousands of connections that crowds before have closed. So the stand-in answered seconds late, and the node rightly took the store for away and its targets for silent.

Change: the crowd and the watch have a process each. Crowds, bounds and the interval of samples are as before; samples are no longer delayed by the crowd. The watch of tests/crowds/untrustedClients.test.ts moves with it.

--- a/tests/crowds/returningClients.test.ts
+++ b/tests/crowds/returningClients.test.ts
@@ -7,11 +7,11 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { ClientCrowd } from '../support/clientCrowd';
 import type { CrowdTraffic } from '../support/clientCrowd';
+import { buildCrowdProgram, CrowdProcess } from '../support/crowdProcess';
 import { buildNodeProgram, IDLE_FLEET, LoadedNode } from '../support/loadedNode';
 import type { FleetLoad } from '../support/loadedNode';
-import { ProcessWatch } from '../support/processWatch';
+import { buildWatchProgram, WatchProcess } from '../support/watchProcess';
 
 const TEST_TIMEOUT_MS = 240_000;
 const ATTACK_MS = 10_000;
@@ -87,14 +87,24 @@
 describe('the memory of the machine suffices for', () => {
   let directory: string;
   let program: string;
+  let crowdProgram: string;
   let node: LoadedNode;
+  let watchProgram: string;
+  let crowd: CrowdProcess | undefined;
+  let watch: WatchProcess | undefined;
 
   beforeAll(async () => {
     directory = mkdtempSync(join(tmpdir(), 'hemlockway-crowds-'));
     program = await buildNodeProgram(directory);
+    crowdProgram = await buildCrowdProgram(directory);
+    watchProgram = await buildWatchProgram(directory);
   });
 
-  afterEach(() => node.close());
+  afterEach(() => {
+    node.close();
+    crowd?.kill();
+    watch?.kill();
+  });
 
   afterAll(() => rmSync(directory, { recursive: true, force: true }));
 
@@ -103,19 +113,19 @@
     await node.start(load === LOADED ? MIN_RUN_COUNT : 0);
     expect(await node.submitUntilAccepted()).toBe(200);
     const { pid = 0, port } = node;
-    const watch = new ProcessWatch(pid, port);
-    const crowd = new ClientCrowd(traffic, port);
+    watch = new WatchProcess(watchProgram, pid, port);
+    await watch.start();
+    crowd = new CrowdProcess(crowdProgram, traffic, port);
     await crowd.start();
     await sleep(ATTACK_MS);
     const status = await node.submitUntilAccepted();
-    watch.stop();
-    crowd.close();
-    const { startMb, residentMb, unreadMb, countedMb, descriptorCount } = watch;
+    const { startMb, residentMb, unreadMb, countedMb, descriptorCount } = await watch.stop();
+    const openedCount = await crowd.close();
     const figures = [startMb, residentMb, unreadMb, countedMb].map(Math.round);
     process.stderr.write(
       `${name}, ${node.runCount} tasks: ${figures[0]} MB at the start, at most ${figures[1]} resident, ` +
         `${figures[2]} unread, ${figures[3]} together; ${descriptorCount} descriptors, ` +
-        `${crowd.openedCount} connections, ${node.exitCount} exits, status ${status}\n`,
+        `${openedCount} connections, ${node.exitCount} exits, status ${status}\n`,
     );
     expect({
       ...{ exitCount: node.exitCount, isSamePid: node.pid === pid, status },
--- a/tests/crowds/untrustedClients.test.ts
+++ b/tests/crowds/untrustedClients.test.ts
@@ -15,7 +15,7 @@
   TRAILERS,
 } from '../support/hostileClients';
 import { buildNodeProgram, IDLE_FLEET, LoadedNode } from '../support/loadedNode';
-import { ProcessWatch } from '../support/processWatch';
+import { buildWatchProgram, WatchProcess } from '../support/watchProcess';
 
 const TEST_TIMEOUT_MS = 120_000;
 const ATTACK_TIMEOUT_MS = 8_000;
@@ -29,11 +29,14 @@
 describe('a node process', () => {
   let directory: string;
   let program: string;
+  let watchProgram: string;
   let node: LoadedNode;
+  let watch: WatchProcess | undefined;
 
   beforeAll(async () => {
     directory = mkdtempSync(join(tmpdir(), 'hemlockway-clients-'));
     program = await buildNodeProgram(directory);
+    watchProgram = await buildWatchProgram(directory);
   });
 
   beforeEach(async () => {
@@ -41,7 +44,10 @@
     await node.start(0);
   });
 
-  afterEach(() => node.close());
+  afterEach(() => {
+    node.close();
+    watch?.kill();
+  });
 
   afterAll(() => rmSync(directory, { recursive: true, force: true }));
 
@@ -56,19 +62,20 @@
     async (name, traffic) => {
       expect(await node.submitUntilAccepted()).toBe(200);
       const { pid = 0, port } = node;
-      const watch = new ProcessWatch(pid, port);
+      watch = new WatchProcess(watchProgram, pid, port);
+      await watch.start();
       const crowd = new HostileCrowd();
       await crowd.attack(traffic, port, ATTACK_TIMEOUT_MS);
       const status = await node.submitUntilAccepted();
-      watch.stop();
+      const { countedMb, descriptorCount } = await watch.stop();
       crowd.close();
       const seen = {
         ...{ exitCount: node.exitCount, isSamePid: node.pid === pid, status },
-        isWithinMemory: watch.countedMb < MACHINE.memoryMb,
-        isWithinDescriptors: watch.descriptorCount < MACHINE.maxDescriptors,
+        isWithinMemory: countedMb < MACHINE.memoryMb,
+        isWithinDescriptors: descriptorCount < MACHINE.maxDescriptors,
       };
       process.stderr.write(
-        `${name}: ${Math.round(watch.countedMb)} MB resident and unread, ${watch.descriptorCount} descriptors, ` +
+        `${name}: ${Math.round(countedMb)} MB resident and unread, ${descriptorCount} descriptors, ` +
           `${node.exitCount} exits, status ${status}\n`,
       );
       expect(seen).toEqual({
--- a/tests/support/processWatch.ts
+++ b/tests/support/processWatch.ts
@@ -46,20 +46,21 @@
   return unreadBytes / BYTES_PER_MB;
 }
 
-/** Follows a process for as long as it lives and keeps the peaks. */
-export class ProcessWatch {
+/** Peaks of a process. */
+export interface WatchFigures {
   /** Resident memory at the first sample. */
   readonly startMb: number;
-
   /** Peak of the resident memory since the process started. */
-  residentMb = 0;
-
-  unreadMb = 0;
-
+  readonly residentMb: number;
+  readonly unreadMb: number;
   /** Peak of the sum of resident memory and unread bytes at the same moment, or of the resident memory if larger. */
-  countedMb = 0;
+  readonly countedMb: number;
+  readonly descriptorCount: number;
+}
 
-  descriptorCount = 0;
+/** Follows a process for as long as it lives and keeps the peaks. */
+export class ProcessWatch {
+  #figures: WatchFigures;
 
   #pid: number;
 
@@ -74,10 +75,18 @@
   constructor(pid: number, port: number) {
     this.#pid = pid;
     this.#port = port;
-    this.startMb = readResident(pid).nowMb;
+    const startMb = readResident(pid).nowMb;
+    this.#figures = {
+      ...{ startMb, residentMb: 0, unreadMb: 0, countedMb: 0, descriptorCount: 0 },
+    };
     this.#timer = setInterval(() => this.#sample(), SAMPLE_INTERVAL_MS);
   }
 
+  /** The peaks up to now. */
+  get figures(): WatchFigures {
+    return this.#figures;
+  }
+
   /** Takes a last sample and stops. */
   stop(): void {
     clearInterval(this.#timer);
@@ -87,9 +96,13 @@
   #sample(): void {
     const { nowMb, peakMb } = readResident(this.#pid);
     const unreadMb = readUnreadMb(this.#port);
-    this.residentMb = Math.max(this.residentMb, peakMb);
-    this.unreadMb = Math.max(this.unreadMb, unreadMb);
-    this.countedMb = Math.max(this.countedMb, peakMb, nowMb + unreadMb);
-    this.descriptorCount = Math.max(this.descriptorCount, countDescriptors(this.#pid));
+    const { startMb, ...peaks } = this.#figures;
+    this.#figures = {
+      startMb,
+      residentMb: Math.max(peaks.residentMb, peakMb),
+      unreadMb: Math.max(peaks.unreadMb, unreadMb),
+      countedMb: Math.max(peaks.countedMb, peakMb, nowMb + unreadMb),
+      descriptorCount: Math.max(peaks.descriptorCount, countDescriptors(this.#pid)),
+    };
   }
 }
