--- a/tests/support/clientCrowdProgram.ts
+++ b/tests/support/clientCrowdProgram.ts
@@ -2,7 +2,7 @@
 
 import { ClientCrowd } from './clientCrowd';
 import type { CrowdRequest } from './crowdProcess';
-import { answerMessages } from './testProgram';
+import { answerMessages } from './programMessages';
 
 let crowd: ClientCrowd | undefined;
 
--- a/tests/support/processWatchProgram.ts
+++ b/tests/support/processWatchProgram.ts
@@ -1,7 +1,7 @@
 /** Program of a process that watches another one. */
 
 import { ProcessWatch } from './processWatch';
-import { answerMessages } from './testProgram';
+import { answerMessages } from './programMessages';
 import type { WatchRequest } from './watchProcess';
 
 let watch: ProcessWatch | undefined;
--- a/tests/support/testProgram.ts
+++ b/tests/support/testProgram.ts
@@ -8,9 +8,7 @@
 import { once } from 'node:events';
 import { basename, join } from 'node:path';
 import { build } from 'esbuild';
-
-/** Answer of a program to one message. */
-type Answer = { readonly value: unknown } | { readonly error: string };
+import type { Answer } from './programMessages';
 
 /**
  * Builds a program.
@@ -27,21 +25,6 @@
   return program;
 }
 
-/**
- * Answers the messages of the test; the process ends with it. Called by the program.
- * @param answer - computes the answer to a message
- */
-export function answerMessages(answer: (message: unknown) => unknown): void {
-  const report = (message: Answer) => process.send?.(message);
-  process.on('message', (message) => {
-    (async () => answer(message))().then(
-      (value) => report({ value }),
-      (error: unknown) => report({ error: String(error) }),
-    );
-  });
-  process.once('disconnect', () => process.exit(0));
-}
-
 /** A process that runs a program. */
 export class TestProgram {
   #child: ChildProcess;
